refactor: the table service's client under its own name

Cause: platform/ is to hold the users' platform's names, formats and calls; the client of the product's own table service stood there. Ruled out: keeping both in one folder, which would mix two protocols. Change: platform/client.go is tableservice/client.go; callers follow. Before and after: go build and go vet clean; no behaviour changed. Conclusion: platform/ is free for the adapter.

--- a/claim/claim.go
+++ b/claim/claim.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"github.com/ryeford/ryeford"
-	"github.com/ryeford/ryeford/platform"
+	"github.com/ryeford/ryeford/tableservice"
 )
 
 const (
@@ -104,7 +104,7 @@
 			return &Claim{Record: record, Mine: true, version: written}, nil
 		}
 		var conflict *ryeford.ConflictError
-		if !errors.As(err, &conflict) && !platform.MayHaveApplied(err) {
+		if !errors.As(err, &conflict) && !tableservice.MayHaveApplied(err) {
 			return nil, &Error{Key: key, Err: err}
 		}
 		held, err := c.read(ctx, key)
--- a/internal/cmd/agentcmd.go
+++ b/internal/cmd/agentcmd.go
@@ -6,8 +6,8 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/ryeford/ryeford/agent"
-	"github.com/ryeford/ryeford/platform"
 	"github.com/ryeford/ryeford/settings"
+	"github.com/ryeford/ryeford/tableservice"
 )
 
 // newAgentCommand returns the command that runs an agent.
@@ -30,7 +30,7 @@
 	if err != nil {
 		return err
 	}
-	client := platform.New(s.Platform.AddrPort, platform.WithVM(s.VM))
+	client := tableservice.New(s.Platform.AddrPort, tableservice.WithVM(s.VM))
 	a, err := agent.New(s, tlsConfig, client, newLogger(c.Root().ErrWriter, "agent"))
 	if err != nil {
 		return err
--- a/internal/cmd/devcmd.go
+++ b/internal/cmd/devcmd.go
@@ -16,10 +16,10 @@
 	"github.com/ryeford/ryeford/agent"
 	"github.com/ryeford/ryeford/caller"
 	"github.com/ryeford/ryeford/internal/transport"
-	"github.com/ryeford/ryeford/platform"
 	"github.com/ryeford/ryeford/router"
 	"github.com/ryeford/ryeford/settings"
 	"github.com/ryeford/ryeford/standin"
+	"github.com/ryeford/ryeford/tableservice"
 	"github.com/ryeford/ryeford/template"
 )
 
@@ -138,7 +138,7 @@
 		return err
 	}
 	group.Go(func() error { return standin.Run(ctx, f.standin, f.logger) })
-	client := platform.New(f.router.Platform.AddrPort, platform.WithVM(f.router.VM))
+	client := tableservice.New(f.router.Platform.AddrPort, tableservice.WithVM(f.router.VM))
 	for _, s := range f.agents {
 		pair, err := authority.Issue(s.VM)
 		if err != nil {
--- a/internal/cmd/routercmd.go
+++ b/internal/cmd/routercmd.go
@@ -5,9 +5,9 @@
 
 	"github.com/urfave/cli/v3"
 
-	"github.com/ryeford/ryeford/platform"
 	"github.com/ryeford/ryeford/router"
 	"github.com/ryeford/ryeford/settings"
+	"github.com/ryeford/ryeford/tableservice"
 )
 
 // newRouterCommand returns the command that runs a router.
@@ -30,7 +30,7 @@
 	if err != nil {
 		return err
 	}
-	client := platform.New(s.Platform.AddrPort, platform.WithVM(s.VM))
+	client := tableservice.New(s.Platform.AddrPort, tableservice.WithVM(s.VM))
 	r, err := router.New(s, tlsConfig, client, newLogger(c.Root().ErrWriter, "router"))
 	if err != nil {
 		return err
--- a/internal/cmd/standincmd.go
+++ b/internal/cmd/standincmd.go
@@ -13,9 +13,9 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/ryeford/ryeford"
-	"github.com/ryeford/ryeford/platform"
 	"github.com/ryeford/ryeford/settings"
 	"github.com/ryeford/ryeford/standin"
+	"github.com/ryeford/ryeford/tableservice"
 )
 
 // newStandinCommand returns the commands of the stand-ins.
@@ -83,7 +83,7 @@
 	if err != nil {
 		return &UsageError{Problem: "want IP:PORT, not " + c.Args().Get(0)}
 	}
-	client := platform.New(address)
+	client := tableservice.New(address)
 	vms, err := client.VMs(ctx)
 	if err != nil {
 		return err
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"github.com/ryeford/ryeford"
-	"github.com/ryeford/ryeford/platform"
+	"github.com/ryeford/ryeford/tableservice"
 )
 
 // A record is the lease's row.
@@ -90,7 +90,7 @@
 	switch {
 	case errors.As(err, &conflict):
 		return nil, &HeldError{}
-	case platform.MayHaveApplied(err):
+	case tableservice.MayHaveApplied(err):
 		return nil, err // the next call finds out
 	case err != nil:
 		return nil, err
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -15,8 +15,8 @@
 	"golang.org/x/time/rate"
 
 	"github.com/ryeford/ryeford"
-	"github.com/ryeford/ryeford/platform"
 	"github.com/ryeford/ryeford/settings"
+	"github.com/ryeford/ryeford/tableservice"
 )
 
 // A PlatformFault is what is wrong with the platform.
@@ -120,18 +120,18 @@
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		writeJSON(ctx, &p.counts)
-	case path == platform.PathVMs:
+	case path == tableservice.PathVMs:
 		p.serveVMs(ctx)
 	case !p.available():
 		ctx.Error("unavailable", fasthttp.StatusServiceUnavailable)
-	case path == platform.PathGet:
+	case path == tableservice.PathGet:
 		p.get(ctx)
-	case path == platform.PathList:
+	case path == tableservice.PathList:
 		p.list(ctx)
-	case path == platform.PathTransact:
+	case path == tableservice.PathTransact:
 		p.transact(ctx)
-	case strings.HasPrefix(path, platform.PathObjects):
-		p.object(ctx, strings.TrimPrefix(path, platform.PathObjects))
+	case strings.HasPrefix(path, tableservice.PathObjects):
+		p.object(ctx, strings.TrimPrefix(path, tableservice.PathObjects))
 	default:
 		ctx.Error("no such path", fasthttp.StatusNotFound)
 	}
@@ -173,13 +173,13 @@
 
 // get answers a read of rows.
 func (p *platformServer) get(ctx *fasthttp.RequestCtx) {
-	var request platform.GetRequest
+	var request tableservice.GetRequest
 	if !p.allow(ctx, p.reads, &p.counts.Reads) || !readJSON(ctx, &request) {
 		return
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	answer := platform.RowsAnswer{Rows: make([]ryeford.Row, 0, len(request.Keys))}
+	answer := tableservice.RowsAnswer{Rows: make([]ryeford.Row, 0, len(request.Keys))}
 	for _, key := range request.Keys {
 		row, ok := p.state.Rows[key]
 		if !ok {
@@ -192,13 +192,13 @@
 
 // list answers a read by prefix.
 func (p *platformServer) list(ctx *fasthttp.RequestCtx) {
-	var request platform.ListRequest
+	var request tableservice.ListRequest
 	if !p.allow(ctx, p.reads, &p.counts.Reads) || !readJSON(ctx, &request) {
 		return
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var answer platform.RowsAnswer
+	var answer tableservice.RowsAnswer
 	for key, row := range p.state.Rows {
 		if strings.HasPrefix(key, request.Prefix) {
 			answer.Rows = append(answer.Rows, row)
@@ -210,13 +210,13 @@
 
 // transact makes all writes of a request, or none.
 func (p *platformServer) transact(ctx *fasthttp.RequestCtx) {
-	var request platform.TransactRequest
+	var request tableservice.TransactRequest
 	if !p.allow(ctx, p.writes, &p.counts.Writes) || !readJSON(ctx, &request) {
 		return
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var answer platform.TransactAnswer
+	var answer tableservice.TransactAnswer
 	for _, w := range request.Writes {
 		if w.IfVersion != ryeford.AnyVersion && p.state.Rows[w.Key].Version != w.IfVersion {
 			answer.Conflicts = append(answer.Conflicts, w.Key)
@@ -294,7 +294,7 @@
 		return
 	}
 	if !ctx.IsPost() {
-		reader := ryeford.VMID(ctx.Request.Header.Peek(platform.HeaderVM))
+		reader := ryeford.VMID(ctx.Request.Header.Peek(tableservice.HeaderVM))
 		vms := p.vms()
 		if slices.Contains(p.fault.FreezeList, reader) {
 			vms = p.frozen
--- a/platform/client.go
+++ b/tableservice/client.go
@@ -1,6 +1,6 @@
-// Package platform reaches the platform's table service, object store and list
+// Package tableservice reaches the platform's table service, object store and list
 // of VMs over HTTP and JSON.
-package platform
+package tableservice
 
 import (
 	"bytes"
--- a/template/store.go
+++ b/template/store.go
@@ -9,7 +9,7 @@
 	"strings"
 
 	"github.com/ryeford/ryeford"
-	"github.com/ryeford/ryeford/platform"
+	"github.com/ryeford/ryeford/tableservice"
 )
 
 // The rows of the platform's table that hold the templates.
@@ -56,7 +56,7 @@
 	for range publishTries {
 		published, err := s.publishOnce(ctx, t)
 		var conflict *ryeford.ConflictError
-		if !errors.As(err, &conflict) && !platform.MayHaveApplied(err) {
+		if !errors.As(err, &conflict) && !tableservice.MayHaveApplied(err) {
 			return published, err
 		}
 		// The next try reads the change's own row first, and so finds out
