feat: a router on the users' platform, thin and whole

Cause: the product had no way to speak the platform's protocol; nothing served. Ruled out: fasthttp towards callers (it does not tell that a caller has gone); net/http's client towards endpoints (it repeats requests on its own and takes any answer for the one that is due); agents beside engines (every server admits, proves 'not run' and states its own life, so an agent would add a hop only).

--- /dev/null
+++ b/catalog/catalog.go
@@ -0,0 +1,81 @@
+// Package catalog answers questions on the operators' configuration: which route
+// a request is on, and which client account a key belongs to. It does no I/O.
+package catalog
+
+import (
+	"strings"
+
+	"github.com/ryeford/ryeford"
+)
+
+// A Catalog is an index of one configuration. It never changes.
+type Catalog struct {
+	configuration *ryeford.Configuration
+	routes        map[string]map[string]*ryeford.RouteRule // by host and prefix
+	services      map[string]*ryeford.ServiceRule
+	accounts      map[string]*ryeford.AccountRule // by key
+}
+
+// New returns the Catalog of a configuration, which must not change any more.
+func New(configuration *ryeford.Configuration) *Catalog {
+	c := &Catalog{
+		configuration: configuration,
+		routes:        make(map[string]map[string]*ryeford.RouteRule),
+		services:      make(map[string]*ryeford.ServiceRule),
+		accounts:      make(map[string]*ryeford.AccountRule),
+	}
+	for i := range configuration.Routes {
+		rule := &configuration.Routes[i]
+		host := normalizeHost(rule.Host)
+		if c.routes[host] == nil {
+			c.routes[host] = make(map[string]*ryeford.RouteRule)
+		}
+		c.routes[host][rule.Prefix] = rule
+	}
+	for i := range configuration.Services {
+		service := &configuration.Services[i]
+		c.services[service.Name] = service
+	}
+	for i := range configuration.Accounts {
+		account := &configuration.Accounts[i]
+		for _, key := range account.Keys {
+			c.accounts[key] = account
+		}
+	}
+	return c
+}
+
+// Version returns the configuration's version.
+func (c *Catalog) Version() int64 { return c.configuration.Version }
+
+// Limits returns the bounds on what callers send.
+func (c *Catalog) Limits() *ryeford.RequestLimits { return &c.configuration.Limits }
+
+// Keyed reports whether requests carry keys.
+func (c *Catalog) Keyed() bool { return c.configuration.Accounts != nil }
+
+// Service returns a service, or nil.
+func (c *Catalog) Service(name string) *ryeford.ServiceRule { return c.services[name] }
+
+// Account returns the client account that a key belongs to, or nil.
+func (c *Catalog) Account(key string) *ryeford.AccountRule { return c.accounts[key] }
+
+// Route returns the route of a request: of its host's routes the one with the
+// longest prefix of the path, or nil.
+func (c *Catalog) Route(host, path string) *ryeford.RouteRule {
+	routes := c.routes[normalizeHost(host)]
+	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
+		if rule, ok := routes[path[:end+1]]; ok {
+			return rule
+		}
+	}
+	return nil
+}
+
+// normalizeHost returns a host in lower case and without a port.
+func normalizeHost(host string) string {
+	if colon := strings.LastIndexByte(host, ':'); colon >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:colon]
+	}
+	return strings.ToLower(host)
+}
--- /dev/null
+++ b/configuration.go
@@ -0,0 +1,95 @@
+package ryeford
+
+import "time"
+
+// A RouteKind says what a caller's request on a route allows the system to do.
+type RouteKind int
+
+// The kinds of routes.
+const (
+	// RouteOnce marks requests that run at most once.
+	RouteOnce RouteKind = iota
+	// RouteRepeatable marks requests that may run more than once.
+	RouteRepeatable
+	// RouteStream marks requests that are answered with a stream of events.
+	RouteStream
+)
+
+// A RouteRule is one route of the operators' configuration.
+type RouteRule struct {
+	Name   string
+	Host   string
+	Prefix string // begins and ends with a slash
+	Kind   RouteKind
+	// Timeout is the longest time that a request is held.
+	Timeout time.Duration
+	// Goal is the time within which an answer, or a stream's first event,
+	// earns its full worth.
+	Goal time.Duration
+	// EventGap is the longest pause between events that is still in time.
+	EventGap time.Duration
+	// MaxAttempts is the greatest number of endpoints that one request may be
+	// sent to.
+	MaxAttempts int
+	// Urgency is the rank of the route's requests; 0 is the most urgent.
+	Urgency int
+	// Public routes need no key.
+	Public bool
+	// Resumable streams may be taken up at another endpoint.
+	Resumable bool
+	// Split names the services that serve the route, with their weights.
+	Split []WeightedService
+}
+
+// Repeatable reports whether a request on the route may run more than once.
+func (r *RouteRule) Repeatable() bool {
+	return r.Kind == RouteRepeatable || (r.Kind == RouteStream && r.Resumable)
+}
+
+// A WeightedService is one of the services that serve a route.
+type WeightedService struct {
+	Service string
+	Weight  int
+}
+
+// A ServiceRule describes one service of the operators' configuration.
+type ServiceRule struct {
+	Name string
+	// MaxConnections is what one endpoint accepts from all callers together.
+	MaxConnections int
+	// Engine is set where the service's endpoints are model engines.
+	Engine *EngineRule
+}
+
+// An EngineRule describes the engines of a service.
+type EngineRule struct {
+	Slots         int // requests in one batch
+	CacheTokens   int // the memory of an engine, in tokens
+	BytesPerToken int
+}
+
+// An AccountRule is one client account of the operators' configuration.
+type AccountRule struct {
+	Account AccountID
+	Keys    []string
+	// Urgency takes the place of the route's, where it is set.
+	Urgency *int
+}
+
+// RequestLimits bound what a caller may send.
+type RequestLimits struct {
+	MaxHeader     int
+	MaxBody       int
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// A Configuration is all that operators have set, as of one version.
+type Configuration struct {
+	Version  int64
+	Routes   []RouteRule
+	Services []ServiceRule
+	// Accounts is nil where requests carry no keys.
+	Accounts []AccountRule
+	Limits   RequestLimits
+}
--- /dev/null
+++ b/endpoint/errors.go
@@ -0,0 +1,43 @@
+package endpoint
+
+// An UnsentError says that nothing of a request has reached the endpoint.
+type UnsentError struct {
+	Err error
+}
+
+// Error returns the text of e.
+func (e *UnsentError) Error() string { return "not sent: " + e.Err.Error() }
+
+// Unwrap returns the cause of e.
+func (e *UnsentError) Unwrap() error { return e.Err }
+
+// A LostError says that a request was sent, and that no usable answer came: it
+// may have run.
+type LostError struct {
+	Err error
+}
+
+// Error returns the text of e.
+func (e *LostError) Error() string { return "answer lost: " + e.Err.Error() }
+
+// Unwrap returns the cause of e.
+func (e *LostError) Unwrap() error { return e.Err }
+
+// A ForeignAnswerError says that an answer belongs to another request.
+type ForeignAnswerError struct{}
+
+// Error returns the text of e.
+func (e *ForeignAnswerError) Error() string { return "the answer is another request's" }
+
+// An UnsignedAnswerError says that a success lacks the endpoint's signature, or
+// that its body is not the endpoint's plain bytes.
+type UnsignedAnswerError struct{}
+
+// Error returns the text of e.
+func (e *UnsignedAnswerError) Error() string { return "the answer is not the endpoint's own" }
+
+// A TooLargeError says that an answer is larger than is kept.
+type TooLargeError struct{}
+
+// Error returns the text of e.
+func (e *TooLargeError) Error() string { return "the answer is too large" }
--- /dev/null
+++ b/gateway/refuse.go
@@ -0,0 +1,101 @@
+package gateway
+
+import (
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/ryeford/ryeford"
+)
+
+// The least time after which a refused caller is told to come back; it is spread
+// up to twice that.
+const (
+	retryNotReady  = 300 * time.Millisecond
+	retryStale     = 100 * time.Millisecond
+	retryNobody    = 150 * time.Millisecond
+	retryFull      = 100 * time.Millisecond
+	retryWhenUnset = 150 * time.Millisecond
+)
+
+// refuse answers a request that is not sent to any endpoint.
+func (g *Gateway) refuse(w http.ResponseWriter, r *http.Request, demand *ryeford.Demand, arrived time.Time, err error) {
+	status, retryAfter := statusOf(err)
+	if status == http.StatusRequestEntityTooLarge || status == http.StatusBadRequest {
+		w.Header().Set("Connection", "close")
+	}
+	var notRun *ryeford.NotRunError
+	if errors.As(err, &notRun) && notRun.Reason == ryeford.ReasonStaleConfiguration {
+		// Another router may know better.
+		w.Header().Set("Connection", "close")
+	}
+	var id ryeford.RequestID
+	if demand != nil {
+		id = demand.ID
+	}
+	g.writeRefusal(w, id, status, retryAfter)
+	g.metrics.Count("ryeford_refused_total", reasonOf(err))
+	_ = g.log.Log("decision", "refuse", "request", id, "method", r.Method, "host", r.Host, "path", r.URL.Path,
+		"version", g.version(), "lease", g.lease.Left(time.Now()), "status", status, "reason", reasonOf(err), "took", time.Since(arrived), "err", err)
+}
+
+// writeRefusal writes an answer of the gateway's own.
+func (g *Gateway) writeRefusal(w http.ResponseWriter, id ryeford.RequestID, status int, retryAfter time.Duration) {
+	header := w.Header()
+	g.platform.Protocol.RefusalHeader(header, id, retryAfter)
+	header["Content-Type"] = nil
+	header.Set("Content-Length", "0")
+	w.WriteHeader(status)
+}
+
+// statusOf returns the HTTP status of a failure, and when to come back.
+func statusOf(err error) (int, time.Duration) {
+	var input *ryeford.InputError
+	var notRun *ryeford.NotRunError
+	var unknown *ryeford.UnknownError
+	switch {
+	case errors.As(err, &input) && input.Status != 0:
+		return input.Status, 0
+	case errors.As(err, &input):
+		return http.StatusBadRequest, 0
+	case errors.As(err, &notRun):
+		return http.StatusServiceUnavailable, spread(notRun.RetryAfter)
+	case errors.As(err, &unknown) && unknown.Reason == ryeford.ReasonDeadline:
+		return http.StatusGatewayTimeout, 0
+	}
+	return http.StatusBadGateway, 0
+}
+
+// spread returns a time between base and twice base, so that callers refused
+// together do not come back together.
+func spread(base time.Duration) time.Duration {
+	if base <= 0 {
+		base = retryWhenUnset
+	}
+	return base + time.Duration(rand.Int64N(int64(base)))
+}
+
+// reasonOf returns the code of a failure.
+func reasonOf(err error) string {
+	var input *ryeford.InputError
+	var notRun *ryeford.NotRunError
+	var unknown *ryeford.UnknownError
+	switch {
+	case errors.As(err, &input):
+		return "input"
+	case errors.As(err, &notRun):
+		return string(notRun.Reason)
+	case errors.As(err, &unknown):
+		return string(unknown.Reason)
+	}
+	return "failure"
+}
+
+// version returns the version of the configuration in force, or zero.
+func (g *Gateway) version() int64 {
+	if c := g.catalog.Get(); c != nil {
+		return c.Version()
+	}
+	return 0
+}
--- /dev/null
+++ b/gateway/request.go
@@ -0,0 +1,197 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/ryeford/ryeford"
+	"github.com/ryeford/ryeford/catalog"
+	"github.com/ryeford/ryeford/route"
+)
+
+const (
+	// bodyTime is how long a caller may take to send its body.
+	bodyTime = 15 * time.Second
+	// defaultDeadline holds where neither the caller nor the route says.
+	defaultDeadline = 30 * time.Second
+	// startingBody bounds a body while no configuration is known.
+	startingBody = 4 << 20
+)
+
+// A request is one caller's request as it was read.
+type request struct {
+	demand   *ryeford.Demand
+	arrived  time.Time
+	deadline time.Time
+	catalog  *catalog.Catalog
+	rule     *ryeford.RouteRule
+	account  *ryeford.AccountRule // nil on public routes
+	service  string
+	body     []byte
+	hasBody  bool
+	// affinity is the hash of the prompt's last shared part; shared is false
+	// where there is none.
+	affinity uint64
+	shared   bool
+}
+
+// keyed reports whether the request depends on a key.
+func (q *request) keyed() bool { return q.account != nil }
+
+// urgency returns the rank of the request.
+func (q *request) urgency() int {
+	if q.account != nil && q.account.Urgency != nil {
+		return *q.account.Urgency
+	}
+	return q.rule.Urgency
+}
+
+// accountID returns the client account, or none.
+func (q *request) accountID() ryeford.AccountID {
+	if q.account == nil {
+		return ""
+	}
+	return q.account.Account
+}
+
+// serveCaller answers one request of a caller.
+func (g *Gateway) serveCaller(w http.ResponseWriter, r *http.Request) {
+	arrived := time.Now()
+	g.inFlight.Add(1)
+	defer g.inFlight.Add(-1)
+	if g.drain.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	demand, err := g.platform.Protocol.ReadDemand(r.Header)
+	if err != nil {
+		g.refuse(w, r, demand, arrived, err)
+		return
+	}
+	body, err := g.readBody(w, r)
+	if err != nil {
+		g.refuse(w, r, demand, arrived, err)
+		return
+	}
+	q, err := g.admit(r, demand, arrived)
+	if err != nil {
+		g.refuse(w, r, demand, arrived, err)
+		return
+	}
+	q.body = body
+	q.hasBody = r.ContentLength != 0 || len(body) > 0 || r.Header.Get("Content-Length") != ""
+	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
+	defer cancel()
+	x := &exchange{gateway: g, request: q, http: r, tried: make(map[ryeford.EndpointID]bool)}
+	x.serve(ctx, w)
+}
+
+// readBody reads a request's body whole.
+func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	if r.Body == nil || r.Body == http.NoBody {
+		return nil, nil
+	}
+	limit := int64(startingBody)
+	if c := g.catalog.Get(); c != nil && c.Limits().MaxBody > 0 {
+		limit = int64(c.Limits().MaxBody)
+	}
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(bodyTime))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, &ryeford.InputError{Field: "body", Problem: "too large", Status: http.StatusRequestEntityTooLarge}
+	case err != nil:
+		return nil, &ryeford.InputError{Field: "body", Problem: "incomplete", Status: http.StatusBadRequest}
+	}
+	_ = control.SetReadDeadline(time.Time{})
+	return body, nil
+}
+
+// admit finds a request's route and client account.
+//
+// A router that knows no configuration, or one that may be out of date, never
+// says that a route or a key does not exist: it says that it can't tell yet.
+func (g *Gateway) admit(r *http.Request, demand *ryeford.Demand, arrived time.Time) (*request, error) {
+	current := g.catalog.Get()
+	if current == nil || !g.roster.Known() {
+		return nil, &ryeford.NotRunError{Reason: ryeford.ReasonNotReady, RetryAfter: retryNotReady}
+	}
+	fresh := g.lease.Valid(time.Now())
+	stale := &ryeford.NotRunError{Reason: ryeford.ReasonStaleConfiguration, RetryAfter: retryStale}
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	rule := current.Route(r.Host, path)
+	if rule == nil {
+		if !fresh {
+			return nil, stale
+		}
+		return nil, &ryeford.InputError{Field: "path", Problem: "no such route", Status: http.StatusNotFound}
+	}
+	q := &request{demand: demand, arrived: arrived, catalog: current, rule: rule}
+	if current.Keyed() && !rule.Public {
+		if !fresh {
+			return nil, stale
+		}
+		if q.account = current.Account(demand.Key); q.account == nil {
+			return nil, &ryeford.InputError{Field: "key", Problem: "unknown", Status: http.StatusUnauthorized}
+		}
+	}
+	q.setDeadline()
+	q.setAffinity()
+	q.service = pickService(rule.Split, q.splitHash())
+	g.window(q.service).Request(arrived)
+	return q, nil
+}
+
+// setDeadline sets the time until which the request is worked on.
+func (q *request) setDeadline() {
+	wait := defaultDeadline
+	if q.rule.Timeout > 0 {
+		wait = q.rule.Timeout
+	}
+	if q.demand.Deadline > 0 {
+		wait = min(wait, q.demand.Deadline)
+	}
+	q.deadline = q.arrived.Add(wait)
+}
+
+// setAffinity finds the part of the prompt that brings the request to where its
+// like have been: the last but one, which other requests share.
+func (q *request) setAffinity() {
+	parts := q.demand.Prefix
+	if len(parts) < 2 {
+		return
+	}
+	q.affinity = route.KeyHash(parts[len(parts)-2].ID)
+	q.shared = true
+}
+
+// splitHash returns the hash by which a split route's service is picked.
+func (q *request) splitHash() uint64 {
+	if q.shared {
+		return q.affinity
+	}
+	return route.NameHash(string(q.demand.ID))
+}
+
+// pickService picks one of the services of a route by their weights.
+func pickService(split []ryeford.WeightedService, hash uint64) string {
+	total := 0
+	for _, part := range split {
+		total += max(0, part.Weight)
+	}
+	if total == 0 {
+		return split[0].Service
+	}
+	point := int(hash % uint64(total))
+	for _, part := range split {
+		if point -= max(0, part.Weight); point < 0 {
+			return part.Service
+		}
+	}
+	return split[len(split)-1].Service
+}
--- /dev/null
+++ b/gateway/watchers.go
@@ -0,0 +1,144 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/ryeford/ryeford"
+	"github.com/ryeford/ryeford/catalog"
+	"github.com/ryeford/ryeford/watch"
+)
+
+const (
+	storePause     = 60 * time.Millisecond
+	storePauseMost = 500 * time.Millisecond
+)
+
+// watchOptions returns how the store is followed.
+func (g *Gateway) watchOptions() watch.Options {
+	return watch.Options{Wait: g.settings.Routing.StoreWait, Pause: storePause, PauseMost: storePauseMost}
+}
+
+// watchConfiguration keeps the configuration in force until ctx ends.
+func (g *Gateway) watchConfiguration(ctx context.Context) error {
+	source := watch.Source[ryeford.ConfigurationUpdate]{
+		Read: func(ctx context.Context) (ryeford.ConfigurationUpdate, int64, error) {
+			update, err := g.platform.Configurations.Configuration(ctx)
+			return update, update.Revision, err
+		},
+		Since: func(ctx context.Context, revision int64, wait time.Duration) (ryeford.ConfigurationUpdate, int64, error) {
+			update, err := g.platform.Configurations.ConfigurationSince(ctx, revision, wait)
+			return update, update.Revision, err
+		},
+	}
+	return watch.Run(ctx, source, g.watchOptions(), watch.Handler[ryeford.ConfigurationUpdate]{
+		Apply: func(update ryeford.ConfigurationUpdate, revision int64, sent time.Time) {
+			g.applyConfiguration(update, revision, sent)
+		},
+		Lost:     func(err error) { g.noteLost("configuration", err) },
+		Regained: func(after time.Duration) { g.noteRegained("configuration", after) },
+	})
+}
+
+// applyConfiguration brings a configuration in force and renews the lease.
+func (g *Gateway) applyConfiguration(update ryeford.ConfigurationUpdate, revision int64, sent time.Time) {
+	if update.Configuration != nil {
+		next := catalog.New(update.Configuration)
+		applied := g.catalog.Put(next)
+		_ = g.log.Log("decision", "configuration", "version", next.Version(), "revision", revision,
+			"routes", len(update.Configuration.Routes), "accounts", len(update.Configuration.Accounts), "applied", applied)
+	}
+	if g.catalog.Get() != nil {
+		g.lease.Renew(sent)
+	}
+}
+
+// watchEndpoints keeps the list of endpoints until ctx ends.
+func (g *Gateway) watchEndpoints(ctx context.Context) error {
+	source := watch.Source[ryeford.EndpointUpdate]{
+		Read: func(ctx context.Context) (ryeford.EndpointUpdate, int64, error) {
+			update, err := g.platform.Endpoints.Endpoints(ctx)
+			return update, update.Revision, err
+		},
+		Since: func(ctx context.Context, revision int64, wait time.Duration) (ryeford.EndpointUpdate, int64, error) {
+			update, err := g.platform.Endpoints.EndpointsSince(ctx, revision, wait)
+			return update, update.Revision, err
+		},
+	}
+	return watch.Run(ctx, source, g.watchOptions(), watch.Handler[ryeford.EndpointUpdate]{
+		Apply: func(update ryeford.EndpointUpdate, revision int64, _ time.Time) {
+			g.applyEndpoints(&update, revision)
+		},
+		Lost: func(err error) {
+			g.trouble.Store(int64(time.Since(g.started)))
+			g.noteLost("endpoints", err)
+		},
+		Regained: func(after time.Duration) {
+			g.trouble.Store(int64(time.Since(g.started)))
+			g.noteRegained("endpoints", after)
+		},
+	})
+}
+
+// applyEndpoints takes what the list says.
+func (g *Gateway) applyEndpoints(update *ryeford.EndpointUpdate, revision int64) {
+	now := time.Now()
+	troubled := now.Sub(g.started)-time.Duration(g.trouble.Load()) < g.settings.Bounds.Contact
+	change := g.roster.Apply(now, update, troubled)
+	if change.Empty() {
+		return
+	}
+	_ = g.log.Log("decision", "endpoints", "revision", revision, "whole", update.Whole, "troubled", troubled,
+		"added", join(change.Added), "draining", join(change.Drained), "dropped", join(change.Dropped), "doubted", join(change.Doubted), "known", g.roster.Len())
+	for _, id := range change.Dropped {
+		g.forget(id)
+	}
+}
+
+// forget drops all that is known of an endpoint.
+func (g *Gateway) forget(id ryeford.EndpointID) {
+	g.pool.Forget(id)
+	g.detector.Forget(id)
+	g.loads.forget(id)
+}
+
+// sweep looks through what expires until ctx ends.
+func (g *Gateway) sweep(ctx context.Context) error {
+	ticker := time.NewTicker(sweepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			g.pool.Sweep(now)
+			for _, id := range g.roster.Expire(now) {
+				_ = g.log.Log("decision", "endpoints", "expired", id)
+				g.forget(id)
+			}
+		}
+	}
+}
+
+// noteLost logs a dependency that is lost.
+func (g *Gateway) noteLost(what string, err error) {
+	g.metrics.Count("ryeford_dependency_lost_total", what)
+	_ = g.log.Log("msg", "dependency lost", "dependency", what, "lease", g.lease.Left(time.Now()), "err", err)
+}
+
+// noteRegained logs a dependency that is regained.
+func (g *Gateway) noteRegained(what string, after time.Duration) {
+	_ = g.log.Log("msg", "dependency regained", "dependency", what, "after", after)
+}
+
+// join returns endpoint IDs as one text.
+func join(ids []ryeford.EndpointID) string {
+	text := ""
+	for i, id := range ids {
+		if i > 0 {
+			text += ","
+		}
+		text += string(id)
+	}
+	return text
+}
--- a/internal/cmd/checkcmd.go
+++ b/internal/cmd/checkcmd.go
@@ -14,7 +14,7 @@
 	return &cli.Command{
 		Name:      "check",
 		Usage:     "check a settings file without running anything",
-		ArgsUsage: "router|agent|standin|template FILE",
+		ArgsUsage: "router|gateway|agent|standin|template FILE",
 		Action:    checkSettings,
 	}
 }
@@ -22,13 +22,15 @@
 // checkSettings reads a settings file as its role would.
 func checkSettings(_ context.Context, c *cli.Command) error {
 	if c.NArg() != 2 {
-		return &UsageError{Problem: "want two arguments: router|agent|standin|template FILE"}
+		return &UsageError{Problem: "want two arguments: router|gateway|agent|standin|template FILE"}
 	}
 	kind, file := c.Args().Get(0), c.Args().Get(1)
 	var err error
 	switch kind {
 	case "router":
 		_, err = settings.LoadRouter(file)
+	case "gateway":
+		_, err = settings.LoadGateway(file)
 	case "agent":
 		_, err = settings.LoadAgent(file)
 	case "standin":
@@ -36,7 +38,7 @@
 	case "template":
 		_, err = settings.LoadTemplate(file)
 	default:
-		return &UsageError{Problem: "want router, agent, standin or template, not " + kind}
+		return &UsageError{Problem: "want router, gateway, agent, standin or template, not " + kind}
 	}
 	if err != nil {
 		return err
--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -68,6 +68,7 @@
 		Commands: []*cli.Command{
 			newRouterCommand(),
 			newAgentCommand(),
+			newGatewayCommand(),
 			newDevCommand(),
 			newTemplateCommand(),
 			newVMCommand(),
--- /dev/null
+++ b/settings/gateway.go
@@ -0,0 +1,81 @@
+package settings
+
+import (
+	"time"
+
+	"github.com/ryeford/ryeford"
+)
+
+// A Gateway is the settings of a router on a platform that keeps the operators'
+// configuration and the list of endpoints itself.
+type Gateway struct {
+	VM            ryeford.VMID   `yaml:"vm" validate:"required"`
+	Region        string         `yaml:"region" validate:"required"`
+	FailureDomain string         `yaml:"failure_domain" validate:"required"`
+	Callers       Address        `yaml:"callers" validate:"required"`
+	Readiness     Address        `yaml:"readiness" validate:"required"`
+	Metrics       Address        `yaml:"metrics"`
+	Store         Address        `yaml:"store" validate:"required"`
+	Memory        int            `yaml:"memory_mb" validate:"min=16,max=1048576"`
+	Bounds        GatewayBounds  `yaml:"bounds"`
+	Routing       GatewayRouting `yaml:"routing"`
+}
+
+// GatewayBounds are what the users demand of a router.
+type GatewayBounds struct {
+	// Revoke is how long after a key was taken away no request of it may run.
+	Revoke time.Duration `yaml:"revoke" validate:"min=500ms,max=1h"`
+	// Contact is how long a router that regained the store still counts as out
+	// of touch.
+	Contact time.Duration `yaml:"contact" validate:"min=100ms,max=10m"`
+	// Grace is the time between the order to stop and the end of the process.
+	Grace time.Duration `yaml:"grace" validate:"min=1s,max=1h"`
+	// RetryRatio and RetryReserve bound, for each service and over RetryWindow,
+	// what all routers together send beyond each request's first.
+	RetryRatio   float64       `yaml:"retry_ratio" validate:"min=0,max=1"`
+	RetryReserve float64       `yaml:"retry_reserve" validate:"min=0,max=1000000"`
+	RetryWindow  time.Duration `yaml:"retry_window" validate:"min=1s,max=10m"`
+	// CapFactor is the multiple of the mean load beyond which an endpoint gets
+	// no more.
+	CapFactor float64 `yaml:"cap_factor" validate:"min=1,max=100"`
+}
+
+// GatewayRouting are the router's own choices.
+type GatewayRouting struct {
+	// StoreWait is how long the store holds a question for changes.
+	StoreWait time.Duration `yaml:"store_wait" validate:"min=50ms,max=30s"`
+	// StoreTimeout is how long the store may take beyond that.
+	StoreTimeout time.Duration `yaml:"store_timeout" validate:"min=50ms,max=30s"`
+	// Routers is how many routers are taken to share RetryReserve.
+	Routers int `yaml:"routers" validate:"min=1,max=10000"`
+}
+
+// DefaultGateway returns a Gateway with the defaults of what may be left out.
+func DefaultGateway() *Gateway {
+	return &Gateway{
+		Memory: 256,
+		Bounds: GatewayBounds{
+			Revoke:       5 * time.Second,
+			Contact:      3 * time.Second,
+			Grace:        8 * time.Second,
+			RetryRatio:   0.2,
+			RetryReserve: 50,
+			RetryWindow:  10 * time.Second,
+			CapFactor:    2,
+		},
+		Routing: GatewayRouting{
+			StoreWait:    1500 * time.Millisecond,
+			StoreTimeout: 700 * time.Millisecond,
+			Routers:      10,
+		},
+	}
+}
+
+// LoadGateway reads the settings of a gateway.
+func LoadGateway(file string) (*Gateway, error) {
+	s := DefaultGateway()
+	if err := load(file, s); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
--- /dev/null
+++ b/source.go
@@ -0,0 +1,55 @@
+package ryeford
+
+import (
+	"context"
+	"time"
+)
+
+// A ConfigurationUpdate is an answer of a ConfigurationSource.
+type ConfigurationUpdate struct {
+	// Configuration is nil where nothing has changed.
+	Configuration *Configuration
+	// Revision is the newest of the source.
+	Revision int64
+}
+
+// A ConfigurationSource is where the operators' accepted configuration lies.
+//
+// A failure is an *UnavailableError, or a *HistoryLostError where changes since
+// a revision can no longer be told.
+type ConfigurationSource interface {
+	// Configuration returns the configuration, whole.
+	Configuration(ctx context.Context) (ConfigurationUpdate, error)
+	// ConfigurationSince returns as soon as there is a newer one than a
+	// revision's, or once wait is over.
+	ConfigurationSince(ctx context.Context, revision int64, wait time.Duration) (ConfigurationUpdate, error)
+}
+
+// An EndpointUpdate is an answer of an EndpointSource.
+type EndpointUpdate struct {
+	// Whole says that Present is the whole list, and not what has changed.
+	Whole    bool
+	Present  []Endpoint
+	Gone     []EndpointID
+	Revision int64
+}
+
+// An EndpointSource is the list of endpoints. It lags behind the truth.
+//
+// Failures are those of a ConfigurationSource.
+type EndpointSource interface {
+	// Endpoints returns the list, whole.
+	Endpoints(ctx context.Context) (EndpointUpdate, error)
+	// EndpointsSince returns as soon as something has changed since a revision,
+	// or once wait is over.
+	EndpointsSince(ctx context.Context, revision int64, wait time.Duration) (EndpointUpdate, error)
+}
+
+// A HistoryLostError says that changes since a revision can no longer be told:
+// the whole is to be read again.
+type HistoryLostError struct {
+	Revision int64
+}
+
+// Error returns the text of e.
+func (e *HistoryLostError) Error() string { return "history lost: read the whole again" }
