feat: fetch a prompt's cached part from the engine that likely holds it

Ruled out: leaving rendezvous order for a looser one (moves more, not less). Change: a request names the best other engine of its prompt's order as a source.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -66,12 +66,12 @@
 	x.relay = relay{exchange: x, writer: w, control: http.NewResponseController(w)}
 	var last error
 	for {
-		to, chosen := x.choose()
+		to, holder := x.choose()
 		if to == nil {
 			x.giveUp(&ryeford.NotRunError{Reason: ryeford.ReasonNoCandidate, RetryAfter: retryNobody}, last)
 			return
 		}
-		result, err := x.try(ctx, to, &chosen)
+		result, err := x.try(ctx, to, holder)
 		if result == outcomeDone {
 			return
 		}
@@ -102,7 +102,7 @@
 }
 
 // choose chooses the endpoint of the next try, or nil.
-func (x *exchange) choose() (*roster.Entry, choice.Choice) {
+func (x *exchange) choose() (to, holder *roster.Entry) {
 	g, q := x.gateway, x.request
 	now := time.Now()
 	entries := g.roster.Serving(q.service)
@@ -137,10 +137,13 @@
 		chosen = choice.Least(candidates, limits, int(g.turn.Add(1)%(1<<30)))
 	}
 	if chosen.Index < 0 {
-		return nil, chosen
+		return nil, nil
 	}
 	x.noteChoice(candidates, &chosen)
-	return entries[chosen.Index], chosen
+	if chosen.Holder >= 0 {
+		holder = entries[chosen.Holder]
+	}
+	return entries[chosen.Index], holder
 }
 
 // noteChoice logs where a try goes and why.
@@ -153,9 +156,9 @@
 }
 
 // offer returns what an endpoint is told.
-func (x *exchange) offer(to *roster.Entry) *ryeford.Offer {
+func (x *exchange) offer(to *roster.Entry, holder *roster.Entry) *ryeford.Offer {
 	q := x.request
-	return &ryeford.Offer{
+	offer := &ryeford.Offer{
 		Request:   q.demand.ID,
 		Endpoint:  to.ID,
 		Deadline:  time.Until(q.deadline),
@@ -163,10 +166,14 @@
 		Urgency:   q.urgency(),
 		LastEvent: x.relay.lastEvent(),
 	}
+	if holder != nil {
+		offer.FetchFrom = holder.Address
+	}
+	return offer
 }
 
 // try sends the request to one endpoint and passes its answer on.
-func (x *exchange) try(ctx context.Context, to *roster.Entry, _ *choice.Choice) (outcome, error) {
+func (x *exchange) try(ctx context.Context, to, holder *roster.Entry) (outcome, error) {
 	g, q := x.gateway, x.request
 	x.tried[to.ID] = true
 	attempt, cancel := context.WithCancelCause(ctx)
@@ -184,7 +191,7 @@
 		Method:  x.http.Method,
 		Target:  x.http.RequestURI,
 		Host:    x.http.Host,
-		Header:  g.platform.Protocol.ForwardHeader(x.http.Header, x.offer(to)),
+		Header:  g.platform.Protocol.ForwardHeader(x.http.Header, x.offer(to, holder)),
 		Body:    q.body,
 		HasBody: q.hasBody,
 	}, func() error { return x.checkSend(to) })
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -38,7 +38,7 @@
 	// doubtLinger is how long an endpoint stays that the list dropped while the
 	// list was in trouble: longer than endpoints take to write their entries
 	// anew, shorter than the time in which a router counts as out of touch.
-	doubtLinger = 2500 * time.Millisecond
+	doubtLinger = 2 * time.Second
 	// sweepEvery is how often resting connections and doubtful endpoints are
 	// looked through.
 	sweepEvery = 500 * time.Millisecond
@@ -69,8 +69,7 @@
 	detector *outlier.Detector
 	pool     *endpoint.Pool
 	loads    *loads
-	trouble  atomic.Int64 // nanoseconds since started at which the list was last in trouble
-	started  time.Time
+	regained bool // the next list is the first since it was out of reach; only the watch uses it
 
 	windowMu sync.Mutex
 	windows  map[string]*retry.Window // by service
@@ -93,10 +92,8 @@
 		detector: outlier.New(outlierLimits),
 		pool:     endpoint.New(platform.Protocol, endpoint.DefaultOptions()),
 		loads:    newLoads(),
-		started:  time.Now(),
 		windows:  make(map[string]*retry.Window),
 	}
-	g.trouble.Store(-int64(time.Hour))
 	g.addMetrics()
 	return g
 }
--- a/gateway/watchers.go
+++ b/gateway/watchers.go
@@ -69,22 +69,21 @@
 		Apply: func(update ryeford.EndpointUpdate, revision int64, _ time.Time) {
 			g.applyEndpoints(&update, revision)
 		},
-		Lost: func(err error) {
-			g.trouble.Store(int64(time.Since(g.started)))
-			g.noteLost("endpoints", err)
-		},
+		Lost: func(err error) { g.noteLost("endpoints", err) },
 		Regained: func(after time.Duration) {
-			g.trouble.Store(int64(time.Since(g.started)))
+			g.regained = true
 			g.noteRegained("endpoints", after)
 		},
 	})
 }
 
-// applyEndpoints takes what the list says.
+// applyEndpoints takes what the list says. What the first answer drops after
+// the list was out of reach may live: the list drops endpoints that could not
+// reach it either. What later answers drop is gone.
 func (g *Gateway) applyEndpoints(update *ryeford.EndpointUpdate, revision int64) {
-	now := time.Now()
-	troubled := now.Sub(g.started)-time.Duration(g.trouble.Load()) < g.settings.Bounds.Contact
-	change := g.roster.Apply(now, update, troubled)
+	troubled := g.regained
+	g.regained = false
+	change := g.roster.Apply(time.Now(), update, troubled)
 	if change.Empty() {
 		return
 	}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -56,8 +56,8 @@
 	return len(c.Added)+len(c.Drained)+len(c.Dropped)+len(c.Doubted) == 0
 }
 
-// Apply takes an update. troubled says that the list was out of reach not long
-// ago: what it drops then may live.
+// Apply takes an update. troubled says that it is the first since the list was
+// out of reach: what it drops then may live.
 func (r *Roster) Apply(now time.Time, update *ryeford.EndpointUpdate, troubled bool) Change {
 	r.mu.Lock()
 	defer r.mu.Unlock()
