--- a/choice/choice.go
+++ b/choice/choice.go
@@ -59,8 +59,11 @@
 	// Holder is the index of another candidate that is likely to hold the
 	// prompt, or -1.
 	Holder int
-	Mean   float64
-	Cap    float64
+	// HolderFirst says that the holder stands before the chosen one in the
+	// prompt's order.
+	HolderFirst bool
+	Mean        float64
+	Cap         float64
 }
 
 // Affine chooses by the hash of the prompt's shared part: the first endpoint of
@@ -98,6 +101,9 @@
 		result.Reason = ReasonSpill
 	}
 	result.Holder = holder(candidates, order, result.Index)
+	if result.Holder >= 0 && result.Index >= 0 {
+		result.HolderFirst = slices.Index(order, result.Holder) < slices.Index(order, result.Index)
+	}
 	return result
 }
 
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -140,12 +140,34 @@
 		return nil, nil
 	}
 	x.noteChoice(candidates, &chosen)
-	if chosen.Holder >= 0 {
-		holder = entries[chosen.Holder]
+	if q.shared {
+		holder = x.source(now, entries, candidates, &chosen)
 	}
 	return entries[chosen.Index], holder
 }
 
+// source returns the endpoint from which the chosen one is to take what it lacks
+// of the prompt, or nil: one that is known to hold the shared parts, or else the
+// one before or behind it in the prompt's order, or else one that holds the
+// beginning.
+func (x *exchange) source(now time.Time, entries []*roster.Entry, candidates []choice.Candidate, chosen *choice.Choice) *roster.Entry {
+	g, q := x.gateway, x.request
+	shared := q.demand.Prefix[:len(q.demand.Prefix)-1]
+	target := entries[chosen.Index]
+	byID := make(map[ryeford.EndpointID]*roster.Entry, len(entries))
+	for i, entry := range entries {
+		if i != chosen.Index && !candidates[i].Failing {
+			byID[entry.ID] = entry
+		}
+	}
+	best, depth := g.holders.Best(now, shared, func(id ryeford.EndpointID) bool { return byID[id] != nil })
+	moved := chosen.Reason != choice.ReasonHome || chosen.HolderFirst || !target.Since.IsZero()
+	if chosen.Holder >= 0 && depth < len(shared) && (moved || depth == 0) {
+		return entries[chosen.Holder]
+	}
+	return byID[best]
+}
+
 // noteChoice logs where a try goes and why.
 func (x *exchange) noteChoice(candidates []choice.Candidate, chosen *choice.Choice) {
 	g, q := x.gateway, x.request
@@ -301,6 +323,9 @@
 		return outcomeNotRun, err
 	}
 	x.maybeRan = true
+	if q := x.request; q.shared && answer.Status < http.StatusMultipleChoices {
+		g.holders.Add(time.Now(), to.ID, q.demand.Prefix[:len(q.demand.Prefix)-1])
+	}
 	result, err := x.relay.pass(attempt, answer)
 	switch {
 	case result == outcomeDone && answer.Status < http.StatusInternalServerError:
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"github.com/ryeford/ryeford/catalog"
 	"github.com/ryeford/ryeford/endpoint"
 	"github.com/ryeford/ryeford/freshness"
+	"github.com/ryeford/ryeford/holders"
 	"github.com/ryeford/ryeford/internal/telemetry"
 	"github.com/ryeford/ryeford/outlier"
 	"github.com/ryeford/ryeford/retry"
@@ -69,6 +70,7 @@
 	detector *outlier.Detector
 	pool     *endpoint.Pool
 	loads    *loads
+	holders  *holders.Map
 	regained bool // the next list is the first since it was out of reach; only the watch uses it
 
 	windowMu sync.Mutex
@@ -92,12 +94,16 @@
 		detector: outlier.New(outlierLimits),
 		pool:     endpoint.New(platform.Protocol, endpoint.DefaultOptions()),
 		loads:    newLoads(),
+		holders:  holders.New(holderLimits),
 		windows:  make(map[string]*retry.Window),
 	}
 	g.addMetrics()
 	return g
 }
 
+// holderLimits bound what is remembered of who holds which prompts.
+var holderLimits = holders.Limits{Parts: 4096, PerPart: 4, Forget: time.Minute}
+
 // outlierLimits say when an endpoint counts as failing.
 var outlierLimits = outlier.Limits{
 	Failures:   3,
--- a/gateway/watchers.go
+++ b/gateway/watchers.go
@@ -14,9 +14,9 @@
 	storePauseMost = 500 * time.Millisecond
 )
 
-// watchOptions returns how the store is followed.
-func (g *Gateway) watchOptions() watch.Options {
-	return watch.Options{Wait: g.settings.Routing.StoreWait, Pause: storePause, PauseMost: storePauseMost}
+// watchOptions returns how the store is followed, with a wait.
+func watchOptions(wait time.Duration) watch.Options {
+	return watch.Options{Wait: wait, Pause: storePause, PauseMost: storePauseMost}
 }
 
 // watchConfiguration keeps the configuration in force until ctx ends.
@@ -31,7 +31,7 @@
 			return update, update.Revision, err
 		},
 	}
-	return watch.Run(ctx, source, g.watchOptions(), watch.Handler[ryeford.ConfigurationUpdate]{
+	return watch.Run(ctx, source, watchOptions(g.settings.Routing.ConfigurationWait), watch.Handler[ryeford.ConfigurationUpdate]{
 		Apply: func(update ryeford.ConfigurationUpdate, revision int64, sent time.Time) {
 			g.applyConfiguration(update, revision, sent)
 		},
@@ -65,7 +65,7 @@
 			return update, update.Revision, err
 		},
 	}
-	return watch.Run(ctx, source, g.watchOptions(), watch.Handler[ryeford.EndpointUpdate]{
+	return watch.Run(ctx, source, watchOptions(g.settings.Routing.EndpointsWait), watch.Handler[ryeford.EndpointUpdate]{
 		Apply: func(update ryeford.EndpointUpdate, revision int64, _ time.Time) {
 			g.applyEndpoints(&update, revision)
 		},
@@ -99,6 +99,7 @@
 	g.pool.Forget(id)
 	g.detector.Forget(id)
 	g.loads.forget(id)
+	g.holders.Forget(id)
 }
 
 // sweep looks through what expires until ctx ends.
