--- a/watch/watch.go
+++ b/watch/watch.go
@@ -46,7 +46,11 @@
 	var lostAt time.Time
 	for ctx.Err() == nil {
 		sent := time.Now()
-		update, newest, err := ask(ctx, source, whole, revision, options.Wait)
+		wait := options.Wait
+		if failures > 0 {
+			wait = 0 // a source that is back is to be noticed at once
+		}
+		update, newest, err := ask(ctx, source, whole, revision, wait)
 		if ctx.Err() != nil {
 			return nil
 		}
