--- /dev/null
+++ b/endpoint/endpoint_test.go
@@ -0,0 +1,180 @@
+package endpoint_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ryeford/ryeford"
+	"github.com/ryeford/ryeford/endpoint"
+	"github.com/ryeford/ryeford/platform"
+)
+
+// listen returns an endpoint whose connections are served by a function, and a
+// count of them.
+func listen(t *testing.T, serve func(conn net.Conn)) (*ryeford.Endpoint, *atomic.Int64) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	count := new(atomic.Int64)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			count.Add(1)
+			go serve(conn)
+		}
+	}()
+	return &ryeford.Endpoint{ID: "e", Address: netip.MustParseAddrPort(listener.Addr().String())}, count
+}
+
+// readRequest reads one request without a body.
+func readRequest(conn net.Conn) bool {
+	buffer := make([]byte, 4096)
+	n, err := conn.Read(buffer)
+	return err == nil && n > 0
+}
+
+const answer = "HTTP/1.1 200 OK\r\nRyeford-Request-Id: r\r\nRyeford-Server-Stamp: s\r\nContent-Length: 2\r\n\r\nok"
+
+func send(ctx context.Context, pool *endpoint.Pool, to *ryeford.Endpoint) (string, error) {
+	got, err := pool.Send(ctx, to, &endpoint.Request{ID: "r", Method: "POST", Target: "/", Host: "h", Header: http.Header{}}, func() error { return nil })
+	if err != nil {
+		return "", err
+	}
+	defer got.Close()
+	body, err := got.ReadAll(100)
+	return string(body), err
+}
+
+func newPool() *endpoint.Pool {
+	return endpoint.New(platform.Protocol{}, endpoint.DefaultOptions())
+}
+
+// TestReuse checks that a connection is used again, unless its end has come
+// meanwhile: then a new one is opened, and nothing is lost.
+func TestReuse(t *testing.T) {
+	closed := make(chan struct{}, 8)
+	to, count := listen(t, func(conn net.Conn) {
+		for range 2 {
+			if !readRequest(conn) {
+				return
+			}
+			_, _ = io.WriteString(conn, answer)
+		}
+		_ = conn.Close()
+		closed <- struct{}{}
+	})
+	pool := newPool()
+	for i := range 6 {
+		body, err := send(t.Context(), pool, to)
+		assert.NilError(t, err)
+		assert.Equal(t, body, "ok")
+		if i%2 == 1 {
+			<-closed
+		}
+	}
+	assert.Equal(t, count.Load(), int64(3))
+}
+
+// TestUnsent checks that a request that never reached an endpoint is told apart
+// from one whose answer is lost.
+func TestUnsent(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	dead := &ryeford.Endpoint{ID: "e", Address: netip.MustParseAddrPort(listener.Addr().String())}
+	_ = listener.Close()
+	var unsent *endpoint.UnsentError
+	_, err = send(t.Context(), newPool(), dead)
+	assert.Assert(t, errors.As(err, &unsent), "%v", err)
+
+	var lost *endpoint.LostError
+	for name, reply := range map[string]string{
+		"nothing":         "",
+		"half a head":     "HTTP/1.1 200 OK\r\nRyeford-Requ",
+		"half a body":     answer[:len(answer)-1],
+		"another's":       "HTTP/1.1 200 OK\r\nRyeford-Request-Id: x\r\nRyeford-Server-Stamp: s\r\nContent-Length: 2\r\n\r\nno",
+		"nobody's":        "HTTP/1.1 200 OK\r\nRyeford-Server-Stamp: s\r\nContent-Length: 2\r\n\r\nno",
+		"unsigned":        "HTTP/1.1 200 OK\r\nRyeford-Request-Id: r\r\nContent-Length: 2\r\n\r\nno",
+		"encoded":         "HTTP/1.1 200 OK\r\nRyeford-Request-Id: r\r\nRyeford-Server-Stamp: s\r\nContent-Encoding: gzip\r\nContent-Length: 2\r\n\r\nno",
+		"a broken chunk":  "HTTP/1.1 200 OK\r\nRyeford-Request-Id: r\r\nRyeford-Server-Stamp: s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\nzz\r\n",
+		"too much of all": "HTTP/1.1 200 OK\r\nRyeford-Request-Id: r\r\nRyeford-Server-Stamp: s\r\nContent-Length: 200\r\n\r\n" + string(make([]byte, 200)),
+	} {
+		to, _ := listen(t, func(conn net.Conn) {
+			readRequest(conn)
+			_, _ = io.WriteString(conn, reply)
+			_ = conn.Close()
+		})
+		_, err := send(t.Context(), newPool(), to)
+		assert.Assert(t, errors.As(err, &lost), "%s: %v", name, err)
+	}
+}
+
+// TestKeepAlive checks that a connection does not rest for longer than its
+// endpoint allows.
+func TestKeepAlive(t *testing.T) {
+	to, count := listen(t, func(conn net.Conn) {
+		for readRequest(conn) {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\n"+answer[len("HTTP/1.1 200 OK\r\n"):])
+		}
+	})
+	pool := newPool()
+	for range 3 {
+		_, err := send(t.Context(), pool, to)
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, count.Load(), int64(3))
+}
+
+// TestCancel checks that a request whose context ends closes its connection.
+func TestCancel(t *testing.T) {
+	ended := make(chan struct{})
+	got := make(chan struct{})
+	to, _ := listen(t, func(conn net.Conn) {
+		readRequest(conn)
+		close(got)
+		_, _ = io.Copy(io.Discard, conn)
+		close(ended)
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	go func() {
+		<-got
+		cancel()
+	}()
+	var lost *endpoint.LostError
+	_, err := send(ctx, newPool(), to)
+	assert.Assert(t, errors.As(err, &lost), "%v", err)
+	<-ended
+}
+
+// TestNotReady checks that a request that must not be sent any more is not.
+func TestNotReady(t *testing.T) {
+	received := make(chan struct{}, 1)
+	to, _ := listen(t, func(conn net.Conn) {
+		if readRequest(conn) {
+			received <- struct{}{}
+		}
+	})
+	refusal := errors.New("no longer")
+	pool := newPool()
+	_, err := pool.Send(t.Context(), to, &endpoint.Request{ID: "r", Method: "GET", Target: "/", Host: "h"}, func() error { return refusal })
+	var unsent *endpoint.UnsentError
+	assert.Assert(t, errors.As(err, &unsent) && errors.Is(err, refusal))
+	pool.Forget("e")
+	select {
+	case <-received:
+		t.Error("the request was sent")
+	case <-time.After(20 * time.Millisecond):
+	}
+}
--- /dev/null
+++ b/outlier/outlier_test.go
@@ -0,0 +1,65 @@
+package outlier
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var limits = Limits{
+	Failures: 3, Share: 0.35, MinAnswers: 8, HalfLife: 4 * time.Second,
+	Eject: time.Second, EjectMost: 4 * time.Second, Silence: time.Second,
+}
+
+// TestFailuresInRow checks that an endpoint that fails again and again is left
+// out, each time for longer, and let in again.
+func TestFailuresInRow(t *testing.T) {
+	d := New(limits)
+	now := time.Unix(1000, 0)
+	for _, want := range []time.Duration{time.Second, 2 * time.Second, 4 * time.Second, 4 * time.Second} {
+		for range limits.Failures {
+			assert.Assert(t, d.Healthy(now, "a"))
+			d.Failed(now, "a")
+		}
+		assert.Assert(t, !d.Healthy(now.Add(want-1), "a"))
+		now = now.Add(want)
+	}
+	assert.Assert(t, d.Healthy(now, "b"))
+}
+
+// TestShare checks that an endpoint that fails a part of its requests is found,
+// and that the failures which all have are borne.
+func TestShare(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, test := range []struct {
+		failEvery int
+		healthy   bool
+	}{{2, false}, {7, true}} {
+		d := New(limits)
+		for i := range 40 {
+			if i%test.failEvery == 1 {
+				d.Failed(now, "a")
+			} else {
+				d.Succeeded(now, "a")
+			}
+			if !d.Healthy(now, "a") {
+				break
+			}
+		}
+		assert.Equal(t, d.Healthy(now, "a"), test.healthy, "one in %d", test.failEvery)
+	}
+}
+
+// TestSilence checks that an endpoint that says nothing on what it was sent is
+// left out, until it speaks.
+func TestSilence(t *testing.T) {
+	d := New(limits)
+	now := time.Unix(1000, 0)
+	number := d.Sent(now, "a")
+	assert.Assert(t, d.Healthy(now.Add(time.Second), "a"))
+	now = now.Add(time.Second + 1)
+	assert.Assert(t, !d.Healthy(now, "a"))
+	d.Heard(now, "a", number, true)
+	assert.Assert(t, d.Healthy(now, "a"))
+}
--- /dev/null
+++ b/retry/window_test.go
@@ -0,0 +1,57 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// TestWindowBound checks that in no span, wherever it begins, repeats exceed what
+// the requests of that span and of the one before it allow.
+func TestWindowBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limits := WindowLimits{Span: 10 * time.Second, Ratio: 0.18, Reserve: 5}
+		now := time.Unix(1000, 0)
+		w := NewWindow(now, limits)
+		var requests, repeats []time.Time
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 700).Draw(t, "gap")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "request") {
+				w.Request(now)
+				requests = append(requests, now)
+			}
+			for range rapid.IntRange(0, 5).Draw(t, "tries") {
+				if w.Repeat(now) {
+					repeats = append(repeats, now)
+				}
+			}
+		}
+		for _, from := range repeats {
+			in := func(times []time.Time, from, to time.Time) (n int) {
+				for _, at := range times {
+					if !at.Before(from) && at.Before(to) {
+						n++
+					}
+				}
+				return n
+			}
+			to := from.Add(limits.Span)
+			got := in(repeats, from, to)
+			allowed := limits.Ratio*float64(in(requests, from.Add(-limits.Span), to)) + limits.Reserve
+			assert.Assert(t, float64(got) <= allowed, "%d repeats, %f allowed", got, allowed)
+		}
+	})
+}
+
+// TestWindowForgets checks that repeats are allowed again once old ones have left
+// the span.
+func TestWindowForgets(t *testing.T) {
+	now := time.Unix(1000, 0)
+	w := NewWindow(now, WindowLimits{Span: 10 * time.Second, Reserve: 2})
+	assert.Assert(t, w.Repeat(now))
+	assert.Assert(t, w.Repeat(now))
+	assert.Assert(t, !w.Repeat(now.Add(9*time.Second)))
+	assert.Assert(t, w.Repeat(now.Add(11*time.Second)))
+}
--- /dev/null
+++ b/roster/roster_test.go
@@ -0,0 +1,65 @@
+package roster
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ryeford/ryeford"
+)
+
+var start = time.Unix(1000, 0)
+
+func ready(id string) ryeford.Endpoint {
+	return ryeford.Endpoint{ID: ryeford.EndpointID(id), Service: "s"}
+}
+
+func draining(id string) ryeford.Endpoint {
+	e := ready(id)
+	e.State = ryeford.EndpointDraining
+	return e
+}
+
+func serving(r *Roster) string {
+	names := ""
+	for _, entry := range r.Serving("s") {
+		names += string(entry.ID)
+	}
+	return names
+}
+
+// TestChanges plays the life of endpoints.
+func TestChanges(t *testing.T) {
+	r := New(time.Second)
+	assert.Assert(t, !r.Known())
+	r.Apply(start, &ryeford.EndpointUpdate{Whole: true, Revision: 1, Present: []ryeford.Endpoint{ready("b"), ready("a")}}, false)
+	assert.Equal(t, serving(r), "ab")
+	r.Apply(start, &ryeford.EndpointUpdate{Revision: 2, Present: []ryeford.Endpoint{draining("a"), ready("c")}}, false)
+	assert.Equal(t, serving(r), "bc")
+	assert.Equal(t, len(r.Draining("s")), 1)
+	assert.Assert(t, !r.Takes("a") && r.Takes("c") && !r.Takes("d"))
+	assert.Assert(t, r.Serving("s")[0].Since.IsZero())
+	assert.Equal(t, r.Serving("s")[1].Since, start)
+	r.Apply(start, &ryeford.EndpointUpdate{Revision: 3, Gone: []ryeford.EndpointID{"a", "b"}}, false)
+	assert.Equal(t, serving(r), "c")
+	// An answer that was held up changes nothing.
+	r.Apply(start, &ryeford.EndpointUpdate{Whole: true, Revision: 2, Present: []ryeford.Endpoint{ready("b")}}, false)
+	assert.Equal(t, serving(r), "c")
+}
+
+// TestDoubt checks that what the first list after an outage lacks stays a while,
+// and that what leaves is not doubted.
+func TestDoubt(t *testing.T) {
+	r := New(time.Second)
+	r.Apply(start, &ryeford.EndpointUpdate{Whole: true, Revision: 1, Present: []ryeford.Endpoint{ready("a"), ready("b"), draining("d")}}, false)
+	r.Apply(start, &ryeford.EndpointUpdate{Whole: true, Revision: 5}, true)
+	assert.Equal(t, serving(r), "ab")
+	assert.Equal(t, len(r.Draining("s")), 0)
+	// One of them writes its entry anew; a later list takes nothing back.
+	r.Apply(start, &ryeford.EndpointUpdate{Whole: true, Revision: 6, Present: []ryeford.Endpoint{ready("b")}}, false)
+	assert.Equal(t, serving(r), "ab")
+	assert.Equal(t, len(r.Expire(start.Add(time.Second))), 0)
+	assert.DeepEqual(t, r.Expire(start.Add(time.Second+1)), []ryeford.EndpointID{"a"})
+	assert.Equal(t, serving(r), "b")
+}
--- /dev/null
+++ b/watch/watch_test.go
@@ -0,0 +1,108 @@
+package watch
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ryeford/ryeford"
+)
+
+// A script answers a watch's questions one after the other and then ends it.
+type script struct {
+	steps  []step
+	asked  []question
+	cancel context.CancelFunc
+}
+
+type step struct {
+	revision int64
+	err      error
+	takes    time.Duration
+}
+
+type question struct {
+	whole bool
+	since int64
+	wait  time.Duration
+}
+
+func (s *script) next(q question) (string, int64, error) {
+	s.asked = append(s.asked, q)
+	if len(s.asked) > len(s.steps) {
+		s.cancel()
+		return "", 0, context.Canceled
+	}
+	now := s.steps[len(s.asked)-1]
+	time.Sleep(now.takes)
+	return "update", now.revision, now.err
+}
+
+// play plays a script and returns the revisions that were applied and the age of
+// each when it was.
+func play(t *testing.T, steps ...step) (s *script, applied []int64, ages []time.Duration, lost, regained int) {
+	synctest.Test(t, func(*testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		s = &script{steps: steps, cancel: cancel}
+		source := Source[string]{
+			Read: func(context.Context) (string, int64, error) { return s.next(question{whole: true}) },
+			Since: func(_ context.Context, since int64, wait time.Duration) (string, int64, error) {
+				return s.next(question{since: since, wait: wait})
+			},
+		}
+		_ = Run(ctx, source, Options{Wait: time.Second, Pause: 10 * time.Millisecond, PauseMost: 100 * time.Millisecond}, Handler[string]{
+			Apply: func(_ string, revision int64, sent time.Time) {
+				applied = append(applied, revision)
+				ages = append(ages, time.Since(sent))
+			},
+			Lost:     func(error) { lost++ },
+			Regained: func(time.Duration) { regained++ },
+		})
+	})
+	return s, applied, ages, lost, regained
+}
+
+// TestFollow checks that a watch reads the whole once and then the changes, and
+// that the age of an answer counts from its question.
+func TestFollow(t *testing.T) {
+	s, applied, ages, _, _ := play(t, step{revision: 3, takes: time.Millisecond}, step{revision: 3, takes: time.Second}, step{revision: 7})
+	assert.DeepEqual(t, applied, []int64{3, 3, 7})
+	assert.DeepEqual(t, ages, []time.Duration{time.Millisecond, time.Second, 0})
+	assert.Equal(t, s.asked[0], question{whole: true})
+	assert.Equal(t, s.asked[1], question{since: 3, wait: time.Second})
+	assert.Equal(t, s.asked[3], question{since: 7, wait: time.Second})
+}
+
+// TestStale checks that an answer older than what is known is neither applied nor
+// taken for a confirmation.
+func TestStale(t *testing.T) {
+	_, applied, _, _, _ := play(t, step{revision: 9}, step{revision: 4}, step{revision: 9})
+	assert.DeepEqual(t, applied, []int64{9, 9})
+}
+
+// TestHistoryLost checks that the whole is read again once changes can't be told.
+func TestHistoryLost(t *testing.T) {
+	s, applied, _, lost, _ := play(t, step{revision: 9}, step{err: &ryeford.HistoryLostError{Revision: 9}}, step{revision: 12})
+	assert.DeepEqual(t, applied, []int64{9, 12})
+	assert.Equal(t, s.asked[2], question{whole: true})
+	assert.Equal(t, lost, 0)
+}
+
+// TestOutage checks that a source that is out is asked without a wait, so that
+// its return is noticed at once, and that it is lost and regained once.
+func TestOutage(t *testing.T) {
+	out := step{err: errors.New("out")}
+	s, applied, _, lost, regained := play(t, step{revision: 2}, out, out, out, step{revision: 2})
+	assert.DeepEqual(t, applied, []int64{2, 2})
+	assert.Equal(t, lost, 1)
+	assert.Equal(t, regained, 1)
+	assert.Equal(t, s.asked[1].wait, time.Second)
+	for _, asked := range s.asked[2:5] {
+		assert.Equal(t, asked, question{since: 2})
+	}
+	assert.Equal(t, s.asked[5].wait, time.Second)
+}
