--- a/internal/cmd/devcmd.go
+++ b/internal/cmd/devcmd.go
@@ -42,6 +42,7 @@
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "callers", Usage: "the `IP:PORT` for callers", Value: "127.0.0.1:8080"},
 			&cli.StringFlag{Name: "operators", Usage: "the `IP:PORT` for operators", Value: "127.0.0.1:8081"},
+			&cli.BoolFlag{Name: "platform", Usage: "run a gateway with an emulator of the users' platform instead"},
 			&cli.BoolFlag{Name: "verbose", Usage: "print the processes' logs"},
 		},
 		Action: runDev,
@@ -62,6 +63,9 @@
 	if err != nil {
 		return &UsageError{Problem: "--callers: want IP:PORT"}
 	}
+	if c.Bool("platform") {
+		return runDevPlatform(ctx, c, callers)
+	}
 	operators, err := netip.ParseAddrPort(c.String("operators"))
 	if err != nil {
 		return &UsageError{Problem: "--operators: want IP:PORT"}
--- /dev/null
+++ b/internal/cmd/devplatform.go
@@ -0,0 +1,89 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/urfave/cli/v3"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/ryeford/ryeford/gateway"
+	"github.com/ryeford/ryeford/internal/telemetry"
+	"github.com/ryeford/ryeford/platform"
+	"github.com/ryeford/ryeford/settings"
+	"github.com/ryeford/ryeford/standin/emulator"
+)
+
+// devConfiguration is the operators' configuration of a dev fleet on the
+// platform, in the platform's JSON.
+const devConfiguration = `{"version":1,
+"routes":[
+{"name":"chat","host":"dev.example","pathPrefix":"/chat/","kind":"streaming","service":"model","timeoutMs":15000,"goalMs":500,"maxAttempts":2,"resumable":true,"priority":1},
+{"name":"notes","host":"dev.example","pathPrefix":"/notes/","kind":"unsafe","service":"notes","timeoutMs":4000,"goalMs":300,"maxAttempts":1,"priority":2}],
+"services":[{"name":"notes"},{"name":"model","engine":{"slots":64,"kvCapacity":100000}}],
+"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
+"tenants":[{"name":"demo","apiKeys":["` + devKey + `"]}]}`
+
+// runDevPlatform runs a gateway with an emulator of the users' platform until it
+// is told to stop.
+func runDevPlatform(ctx context.Context, c *cli.Command, callers netip.AddrPort) error {
+	ports := &portPicker{}
+	emulated := &settings.Emulator{Store: ports.pick(), Admin: ports.pick()}
+	for _, server := range []settings.EmulatorServer{
+		{ID: "model-1", Service: "model", Events: 20, Step: 20 * time.Millisecond},
+		{ID: "model-2", Service: "model", Events: 20, Step: 20 * time.Millisecond},
+		{ID: "notes-1", Service: "notes", Step: 20 * time.Millisecond},
+	} {
+		server.Address, server.FailureDomain = ports.pick(), "domain-1"
+		emulated.Servers = append(emulated.Servers, server)
+	}
+	s := settings.DefaultGateway()
+	s.VM, s.Region, s.FailureDomain = "router-1", "region-1", "domain-1"
+	s.Callers, s.Readiness, s.Store = settings.Address{AddrPort: callers}, ports.pick(), emulated.Store
+	if ports.err != nil {
+		return ports.err
+	}
+	logger := log.NewNopLogger()
+	if c.Bool("verbose") {
+		logger = newLogger(c.Root().ErrWriter, "gateway")
+	}
+	store := platform.NewStore(s.Store.AddrPort, s.Routing.StoreTimeout)
+	g := gateway.New(s, gateway.Platform{
+		Protocol: platform.Protocol{}, Configurations: store, Endpoints: store, ReadyPath: platform.PathReady,
+	}, logger, telemetry.NewSet())
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return emulator.New(emulated, []byte(devConfiguration)).Run(ctx) })
+	group.Go(func() error { return g.Run(ctx) })
+	group.Go(func() error { return announcePlatform(ctx, c, s, emulated) })
+	return group.Wait()
+}
+
+// announcePlatform waits until the gateway is ready and says how to use it.
+func announcePlatform(ctx context.Context, c *cli.Command, s *settings.Gateway, emulated *settings.Emulator) error {
+	for ctx.Err() == nil {
+		response, err := http.Get("http://" + s.Readiness.String() + platform.PathReady)
+		if err == nil {
+			_ = response.Body.Close()
+			if response.StatusCode == http.StatusOK {
+				break
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	if ctx.Err() != nil {
+		return nil
+	}
+	_, err := fmt.Fprintf(c.Root().Writer, `ready: callers on %[1]s, the emulator's faults on %[2]s
+
+Send a request:
+  curl -sN http://%[1]s/chat/1 -H 'Host: dev.example' -H 'Ryeford-Request-Id: 1' -H 'Authorization: Bearer %[3]s' -d 'good morning'
+
+Let a server fail:
+  go run ./cmd/ryeford standin fault %[2]s '{"server":"model-1","fault":"cut","requests":-1}'
+`, s.Callers, emulated.Admin, devKey)
+	return err
+}
--- a/internal/cmd/script_test.go
+++ b/internal/cmd/script_test.go
@@ -38,6 +38,11 @@
 			"eventually": cmdEventually,
 			"signal":     cmdSignal,
 			"starts":     cmdStarts,
+			"platform":   cmdPlatform,
+			"request":    cmdRequest,
+			"await":      cmdAwait,
+			"load":       cmdLoad,
+			"once":       cmdOnce,
 		},
 		Setup: func(env *testscript.Env) error {
 			traces, err := filepath.Abs("testdata/traces")
@@ -83,15 +88,27 @@
 	}
 }
 
-// cmdSignal sends STOP, CONT, TERM or KILL to the background process that was
+// eventually waits for a condition, and reports whether it came.
+func eventually(condition func() bool) bool {
+	limit := time.Now().Add(eventuallyLimit)
+	for !condition() {
+		if time.Now().After(limit) {
+			return false
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return true
+}
+
+// cmdSignal sends STOP, CONT, TERM, KILL or HUP to the background process that was
 // started with a settings file. Behind a KILL it waits until the process is gone,
 // and its ports with it.
 func cmdSignal(ts *testscript.TestScript, neg bool, args []string) {
 	signals := map[string]syscall.Signal{
-		"STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT, "TERM": syscall.SIGTERM, "KILL": syscall.SIGKILL,
+		"STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT, "TERM": syscall.SIGTERM, "KILL": syscall.SIGKILL, "HUP": syscall.SIGHUP,
 	}
 	if neg || len(args) != 2 {
-		ts.Fatalf("usage: signal STOP|CONT|TERM|KILL SETTINGS")
+		ts.Fatalf("usage: signal STOP|CONT|TERM|KILL|HUP SETTINGS")
 	}
 	for _, cmd := range ts.BackgroundCmds() {
 		if !strings.HasSuffix(strings.Join(cmd.Args, " "), " "+args[1]) {
--- a/settings/standin.go
+++ b/settings/standin.go
@@ -13,6 +13,30 @@
 	Engines  []StandinEngine  `yaml:"engines" validate:"dive"`
 	Services []StandinService `yaml:"services" validate:"dive"`
 	Links    []StandinLink    `yaml:"links" validate:"dive"`
+	Emulator *Emulator        `yaml:"emulator"`
+}
+
+// An Emulator is a stand-in of the users' platform: its store and its servers.
+type Emulator struct {
+	Store Address `yaml:"store" validate:"required"`
+	// Admin is where tests change the emulator, over HTTP.
+	Admin Address `yaml:"admin" validate:"required"`
+	// Configuration names a file with the operators' first configuration, in the
+	// platform's JSON; empty is none.
+	Configuration string           `yaml:"configuration"`
+	Servers       []EmulatorServer `yaml:"servers" validate:"dive"`
+}
+
+// An EmulatorServer is one server of an Emulator.
+type EmulatorServer struct {
+	ID            string  `yaml:"id" validate:"required"`
+	Service       string  `yaml:"service" validate:"required"`
+	Address       Address `yaml:"address" validate:"required"`
+	FailureDomain string  `yaml:"failure_domain" validate:"required"`
+	// Events is how many events a stream has; zero makes a plain service.
+	Events int `yaml:"events" validate:"min=0,max=100000"`
+	// Step is the time before each event, or of a plain request's work.
+	Step time.Duration `yaml:"step" validate:"min=0,max=10s"`
 }
 
 // A StandinPlatform is a stand-in of the platform's services.
--- a/standin/appserver/server.go
+++ b/standin/appserver/server.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strconv"
@@ -97,6 +98,13 @@
 	return s.runs[id]
 }
 
+// AllRuns returns how often each request has run here.
+func (s *Server) AllRuns() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.runs)
+}
+
 // Working returns how many requests are worked on.
 func (s *Server) Working() int {
 	s.mu.Lock()
--- a/standin/standin.go
+++ b/standin/standin.go
@@ -8,12 +8,14 @@
 	"context"
 	"encoding/json"
 	"net"
+	"os"
 
 	"github.com/go-kit/log"
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/ryeford/ryeford/settings"
+	"github.com/ryeford/ryeford/standin/emulator"
 )
 
 // The paths by which tests reach into a stand-in.
@@ -53,10 +55,29 @@
 		group.Go(func() error { return link.run(ctx) })
 		group.Go(func() error { return serve(ctx, s.Links[i].Admin, link) })
 	}
+	if s.Emulator != nil {
+		e, err := newEmulator(s.Emulator)
+		if err != nil {
+			return err
+		}
+		group.Go(func() error { return e.Run(ctx) })
+	}
 	_ = logger.Log("msg", "stand-ins ready", "engines", len(s.Engines), "services", len(s.Services), "links", len(s.Links))
 	return group.Wait()
 }
 
+// newEmulator returns the stand-in of the users' platform.
+func newEmulator(s *settings.Emulator) (*emulator.Emulator, error) {
+	if s.Configuration == "" {
+		return emulator.New(s, nil), nil
+	}
+	configuration, err := os.ReadFile(s.Configuration)
+	if err != nil {
+		return nil, &Error{Op: "read the configuration", Err: err}
+	}
+	return emulator.New(s, configuration), nil
+}
+
 // serve runs an HTTP server until ctx ends.
 func serve(ctx context.Context, address settings.Address, h handler) error {
 	listener, err := net.Listen("tcp", address.String())
