feat: a returning store is noticed sooner; the log names a prompt's parts and source

Cause: while the store is out, questions were spaced up to 0.5 s apart, and its return was noticed late; what a router knew of a prompt was not in the log. Change: pauses of at most 250 ms; prompt and source in the line of each send; one Spread for both ways in.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/ryeford/ryeford"
@@ -139,10 +141,10 @@
 	if chosen.Index < 0 {
 		return nil, nil
 	}
-	x.noteChoice(candidates, &chosen)
 	if q.shared {
 		holder = x.source(now, entries, candidates, &chosen)
 	}
+	x.noteChoice(candidates, &chosen, holder)
 	return entries[chosen.Index], holder
 }
 
@@ -169,14 +171,35 @@
 }
 
 // noteChoice logs where a try goes and why.
-func (x *exchange) noteChoice(candidates []choice.Candidate, chosen *choice.Choice) {
+func (x *exchange) noteChoice(candidates []choice.Candidate, chosen *choice.Choice, source *roster.Entry) {
 	g, q := x.gateway, x.request
 	c := &candidates[chosen.Index]
+	var sourceID ryeford.EndpointID
+	if source != nil {
+		sourceID = source.ID
+	}
 	_ = g.log.Log("decision", "send", "request", q.demand.ID, "route", q.rule.Name, "account", q.accountID(), "service", q.service,
-		"endpoint", c.ID, "why", chosen.Reason, "load", c.Load, "mean", chosen.Mean, "cap", chosen.Cap, "candidates", len(candidates),
+		"endpoint", c.ID, "why", chosen.Reason, "load", c.Load, "mean", chosen.Mean, "cap", chosen.Cap, "candidates", len(candidates), "prompt", promptText(q.demand.Prefix), "source", sourceID,
 		"sent", x.sent, "unsent", x.unsent, "version", q.catalog.Version(), "lease", g.lease.Left(time.Now()))
 }
 
+// promptText returns the shared parts of a prompt as they are logged.
+func promptText(parts []ryeford.PromptPart) string {
+	var b strings.Builder
+	for i := 0; i+1 < len(parts); i++ {
+		fmt.Fprintf(&b, "%s%x:%d", comma(i), parts[i].ID, parts[i].Tokens)
+	}
+	return b.String()
+}
+
+// comma returns what stands before the i-th entry of a list.
+func comma(i int) string {
+	if i == 0 {
+		return ""
+	}
+	return ","
+}
+
 // offer returns what an endpoint is told.
 func (x *exchange) offer(to *roster.Entry, holder *roster.Entry) *ryeford.Offer {
 	q := x.request
@@ -324,7 +347,8 @@
 	}
 	x.maybeRan = true
 	if q := x.request; q.shared && answer.Status < http.StatusMultipleChoices {
-		g.holders.Add(time.Now(), to.ID, q.demand.Prefix[:len(q.demand.Prefix)-1])
+		shared := q.demand.Prefix[:len(q.demand.Prefix)-1]
+		g.holders.Add(time.Now(), to.ID, shared)
 	}
 	result, err := x.relay.pass(attempt, answer)
 	switch {
--- a/gateway/refuse.go
+++ b/gateway/refuse.go
@@ -2,21 +2,20 @@
 
 import (
 	"errors"
-	"math/rand/v2"
 	"net/http"
 	"time"
 
 	"github.com/ryeford/ryeford"
+	"github.com/ryeford/ryeford/retry"
 )
 
 // The least time after which a refused caller is told to come back; it is spread
 // up to twice that.
 const (
-	retryNotReady  = 300 * time.Millisecond
-	retryStale     = 100 * time.Millisecond
-	retryNobody    = 150 * time.Millisecond
-	retryFull      = 100 * time.Millisecond
-	retryWhenUnset = 150 * time.Millisecond
+	retryNotReady = 300 * time.Millisecond
+	retryStale    = 100 * time.Millisecond
+	retryNobody   = 150 * time.Millisecond
+	retryFull     = 100 * time.Millisecond
 )
 
 // refuse answers a request that is not sent to any endpoint.
@@ -60,22 +59,13 @@
 	case errors.As(err, &input):
 		return http.StatusBadRequest, 0
 	case errors.As(err, &notRun):
-		return http.StatusServiceUnavailable, spread(notRun.RetryAfter)
+		return http.StatusServiceUnavailable, retry.Spread(notRun.RetryAfter)
 	case errors.As(err, &unknown) && unknown.Reason == ryeford.ReasonDeadline:
 		return http.StatusGatewayTimeout, 0
 	}
 	return http.StatusBadGateway, 0
 }
 
-// spread returns a time between base and twice base, so that callers refused
-// together do not come back together.
-func spread(base time.Duration) time.Duration {
-	if base <= 0 {
-		base = retryWhenUnset
-	}
-	return base + time.Duration(rand.Int64N(int64(base)))
-}
-
 // reasonOf returns the code of a failure.
 func reasonOf(err error) string {
 	var input *ryeford.InputError
--- a/gateway/watchers.go
+++ b/gateway/watchers.go
@@ -11,7 +11,7 @@
 
 const (
 	storePause     = 60 * time.Millisecond
-	storePauseMost = 500 * time.Millisecond
+	storePauseMost = 250 * time.Millisecond
 )
 
 // watchOptions returns how the store is followed, with a wait.
