feat: ryeford explain reads logs

Cause: on call there are only logs; the routers' kept decisions are gone with them. Ruled out: keeping lines in each router (20,000 lines would be its largest state).

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -127,7 +127,7 @@
 	if err != nil {
 		return err
 	}
-	_ = g.log.Log("msg", "started", "vm", g.settings.VM, "failure_domain", g.settings.FailureDomain,
+	_ = g.log.Log("msg", "started", "failure_domain", g.settings.FailureDomain,
 		"callers", g.settings.Callers, "lease", g.settings.Bounds.Revoke-leaseMargin)
 	group, work := errgroup.WithContext(work)
 	group.Go(func() error { return g.watchConfiguration(work) })
--- a/internal/cmd/explaincmd.go
+++ b/internal/cmd/explaincmd.go
@@ -16,10 +16,13 @@
 func newExplainCommand() *cli.Command {
 	return &cli.Command{
 		Name:      "explain",
-		Usage:     "print the decisions on a request, of all routers named and their agents",
+		Usage:     "print the decisions on a request, of all routers named and their agents, or from logs",
 		ArgsUsage: "REQUEST",
-		Flags:     operatorFlags(jsonFlag()),
-		Action:    explain,
+		Flags: operatorFlags(jsonFlag(), &cli.StringSliceFlag{
+			Name:  "log",
+			Usage: "read the gateways' logs from `FILE`, or - for standard input, and ask nobody",
+		}),
+		Action: explain,
 	}
 }
 
@@ -29,6 +32,9 @@
 	if err != nil {
 		return err
 	}
+	if files := c.StringSlice("log"); len(files) > 0 {
+		return explainLogs(c.Root().Writer, ryeford.RequestID(id), files)
+	}
 	clients, err := operatorClients(c)
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/cmd/explainlog_test.go
@@ -0,0 +1,46 @@
+package cmd
+
+import (
+	"bytes"
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ryeford/ryeford"
+)
+
+// TestExplainLogs checks that a request's story holds its own lines of all
+// routers in their order, and what those routers came to believe, but nothing of
+// others.
+func TestExplainLogs(t *testing.T) {
+	const a = `  0.1 prefix ts=2026-01-01T00:00:10Z role=gateway vm=a decision=configuration version=3
+ts=2026-01-01T00:00:19Z vm=a msg="dependency lost" dependency=configuration
+ts=2026-01-01T00:00:20Z vm=a decision=send request=r1 endpoint=e1
+ts=2026-01-01T00:00:20.5Z vm=a decision=send request=r2 endpoint=e1
+ts=2026-01-01T00:00:21Z vm=a decision=give_up request=r1 err="a \"quoted\" text"
+ts=2026-01-01T00:00:22Z vm=a decision=endpoints added=e9
+no log line at all
+ts=2026-01-01T00:00:09Z vm=a decision=configuration version=2
+`
+	const b = `ts=2026-01-01T00:00:19.5Z vm=b decision=send request=r1 endpoint=e0
+ts=2026-01-01T00:00:19.6Z vm=c decision=endpoints added=e8
+`
+	dir := t.TempDir()
+	files := []string{filepath.Join(dir, "a.log"), filepath.Join(dir, "b.log")}
+	assert.NilError(t, os.WriteFile(files[0], []byte(a), 0o600))
+	assert.NilError(t, os.WriteFile(files[1], []byte(b), 0o600))
+	var out bytes.Buffer
+	assert.NilError(t, explainLogs(&out, "r1", files))
+	want := []string{"version=3", "dependency lost", "endpoint=e0", "endpoint=e1", "give_up"}
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	assert.Equal(t, len(lines), len(want), out.String())
+	for i, text := range want {
+		assert.Assert(t, strings.Contains(lines[i], text), "%d: %s", i, lines[i])
+	}
+	var notFound *ryeford.NotFoundError
+	assert.Assert(t, errors.As(explainLogs(&out, "r3", files), &notFound))
+}
--- a/internal/cmd/gatewaycmd.go
+++ b/internal/cmd/gatewaycmd.go
@@ -52,7 +52,7 @@
 	setMemory(s)
 	queue := boundedlog.New(c.Root().Writer, logQueue)
 	defer func() { _ = queue.Close() }()
-	logger := newLogger(queue, "gateway")
+	logger := log.With(newLogger(queue, "gateway"), "vm", s.VM)
 	store := platform.NewStore(s.Store.AddrPort, s.Routing.StoreTimeout)
 	metrics := telemetry.NewSet()
 	metrics.Gauge("ryeford_log_lines_dropped", func() float64 { return float64(queue.Dropped()) })
