--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -35,7 +35,7 @@
 	}
 	ready, why := g.ready(time.Now())
 	if g.wasReady.Swap(ready) != ready {
-		_ = g.log.Log("decision", "readiness", "ready", ready, "reason", why, "lease", g.lease.Left(time.Now()), "endpoints", g.roster.Len())
+		_ = g.log.Log("decision", "readiness", "ready", ready, "reason", why, "lease", g.leaseLeft(), "endpoints", g.roster.Len())
 	}
 	if ready {
 		w.WriteHeader(http.StatusOK)
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -179,8 +179,8 @@
 		sourceID = source.ID
 	}
 	_ = g.log.Log("decision", "send", "request", q.demand.ID, "route", q.rule.Name, "account", q.accountID(), "service", q.service,
-		"endpoint", c.ID, "why", chosen.Reason, "load", c.Load, "mean", chosen.Mean, "cap", chosen.Cap, "candidates", len(candidates), "prompt", promptText(q.demand.Prefix), "source", sourceID,
-		"sent", x.sent, "unsent", x.unsent, "version", q.catalog.Version(), "lease", g.lease.Left(time.Now()))
+		"endpoint", c.ID, "why", chosen.Reason, "load", roundLoad(c.Load), "mean", roundLoad(chosen.Mean), "cap", roundLoad(chosen.Cap), "candidates", len(candidates), "prompt", promptText(q.demand.Prefix), "source", sourceID,
+		"sent", x.sent, "unsent", x.unsent, "version", q.catalog.Version(), "lease", g.leaseLeft())
 }
 
 // promptText returns the shared parts of a prompt as they are logged.
@@ -378,7 +378,7 @@
 	g.metrics.Count("ryeford_given_up_total", reasonOf(err))
 	_ = g.log.Log("decision", "give_up", "request", q.demand.ID, "route", q.rule.Name, "account", q.accountID(), "service", q.service,
 		"sent", x.sent, "unsent", x.unsent, "may_have_run", x.maybeRan, "begun", x.relay.begun, "events", x.relay.events,
-		"version", q.catalog.Version(), "status", status, "reason", reasonOf(err), "took", time.Since(q.arrived), "err", err)
+		"version", q.catalog.Version(), "status", status, "reason", reasonOf(err), "took", roundTime(time.Since(q.arrived)), "err", err)
 	if x.relay.begun {
 		// An answer that has begun must not look complete.
 		panic(http.ErrAbortHandler)
@@ -394,7 +394,7 @@
 	g, q := x.gateway, x.request
 	g.metrics.Count("ryeford_tries_failed_total", result.String())
 	_ = g.log.Log("decision", "try_failed", "request", q.demand.ID, "endpoint", to.ID, "address", to.Address,
-		"outcome", result, "sent", x.sent, "events", x.relay.events, "took", time.Since(q.arrived), "err", err)
+		"outcome", result, "sent", x.sent, "events", x.relay.events, "took", roundTime(time.Since(q.arrived)), "err", err)
 }
 
 // noteAnswer logs an answer that the caller has whole.
@@ -404,7 +404,7 @@
 	g.metrics.Count("ryeford_answered_total", "")
 	g.metrics.Observe("ryeford_answer_seconds", took.Seconds())
 	_ = g.log.Log("decision", "answer", "request", q.demand.ID, "route", q.rule.Name, "endpoint", to.ID, "status", status,
-		"sent", x.sent, "unsent", x.unsent, "events", x.relay.events, "first", x.relay.first, "took", took)
+		"sent", x.sent, "unsent", x.unsent, "events", x.relay.events, "first", roundTime(x.relay.first), "took", roundTime(took))
 }
 
 // String returns the code of an outcome.
--- a/gateway/refuse.go
+++ b/gateway/refuse.go
@@ -36,7 +36,7 @@
 	g.writeRefusal(w, id, status, retryAfter)
 	g.metrics.Count("ryeford_refused_total", reasonOf(err))
 	_ = g.log.Log("decision", "refuse", "request", id, "method", r.Method, "host", r.Host, "path", r.URL.Path,
-		"version", g.version(), "lease", g.lease.Left(time.Now()), "status", status, "reason", reasonOf(err), "took", time.Since(arrived), "err", err)
+		"version", g.version(), "lease", g.leaseLeft(), "status", status, "reason", reasonOf(err), "took", roundTime(time.Since(arrived)), "err", err)
 }
 
 // writeRefusal writes an answer of the gateway's own.
--- a/gateway/watchers.go
+++ b/gateway/watchers.go
@@ -123,12 +123,12 @@
 // noteLost logs a dependency that is lost.
 func (g *Gateway) noteLost(what string, err error) {
 	g.metrics.Count("ryeford_dependency_lost_total", what)
-	_ = g.log.Log("msg", "dependency lost", "dependency", what, "lease", g.lease.Left(time.Now()), "err", err)
+	_ = g.log.Log("msg", "dependency lost", "dependency", what, "lease", g.leaseLeft(), "err", err)
 }
 
 // noteRegained logs a dependency that is regained.
 func (g *Gateway) noteRegained(what string, after time.Duration) {
-	_ = g.log.Log("msg", "dependency regained", "dependency", what, "after", after)
+	_ = g.log.Log("msg", "dependency regained", "dependency", what, "after", roundTime(after))
 }
 
 // join returns endpoint IDs as one text.
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -13,6 +13,8 @@
 func TestExamples(t *testing.T) {
 	_, err := LoadRouter(filepath.Join(examples, "router.yaml"))
 	assert.NilError(t, err)
+	_, err = LoadGateway(filepath.Join(examples, "gateway.yaml"))
+	assert.NilError(t, err)
 	_, err = LoadAgent(filepath.Join(examples, "agent.yaml"))
 	assert.NilError(t, err)
 	_, err = LoadStandin(filepath.Join(examples, "standin.yaml"))
