--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -114,7 +114,8 @@
 	}
 	candidates := make([]choice.Candidate, 0, len(entries))
 	for i, entry := range entries {
-		hash, load := g.loads.estimate(now, entry.ID)
+		told, known := g.gossip.table.Others(now, entry.ID)
+		hash, load := g.loads.estimate(now, entry.ID, told, known)
 		candidates = append(candidates, choice.Candidate{
 			ID:      entry.ID,
 			Domain:  entry.FailureDomain,
@@ -349,6 +350,7 @@
 	if q := x.request; q.shared && answer.Status < http.StatusMultipleChoices {
 		shared := q.demand.Prefix[:len(q.demand.Prefix)-1]
 		g.holders.Add(time.Now(), to.ID, shared)
+		g.gossip.addPrompt(to.ID, shared)
 	}
 	result, err := x.relay.pass(attempt, answer)
 	switch {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -53,6 +53,8 @@
 	Protocol       ryeford.Protocol
 	Configurations ryeford.ConfigurationSource
 	Endpoints      ryeford.EndpointSource
+	// Routers may be nil where the settings name no address for peers.
+	Routers ryeford.RouterList
 	// ReadyPath is the path of the balancer's question.
 	ReadyPath string
 }
@@ -71,6 +73,7 @@
 	pool     *endpoint.Pool
 	loads    *loads
 	holders  *holders.Map
+	gossip   *gossip
 	regained bool // the next list is the first since it was out of reach; only the watch uses it
 
 	windowMu sync.Mutex
@@ -97,6 +100,7 @@
 		holders:  holders.New(holderLimits),
 		windows:  make(map[string]*retry.Window),
 	}
+	g.gossip = newGossip(g)
 	g.addMetrics()
 	return g
 }
@@ -133,6 +137,7 @@
 	group.Go(func() error { return g.watchConfiguration(work) })
 	group.Go(func() error { return g.watchEndpoints(work) })
 	group.Go(func() error { return g.sweep(work) })
+	group.Go(func() error { return g.gossip.run(work) })
 	group.Go(func() error { return callers.serve() })
 	group.Go(func() error { return readiness.serve() })
 	if g.settings.Metrics.IsValid() {
@@ -228,6 +233,7 @@
 func (g *Gateway) addMetrics() {
 	g.metrics.Gauge("ryeford_in_flight", func() float64 { return float64(g.inFlight.Load()) })
 	g.metrics.Gauge("ryeford_endpoints", func() float64 { return float64(g.roster.Len()) })
+	g.metrics.Gauge("ryeford_peers", func() float64 { return float64(g.gossip.table.Alive(time.Now())) })
 	g.metrics.Gauge("ryeford_lease_seconds", func() float64 { return g.lease.Left(time.Now()).Seconds() })
 	g.metrics.Gauge("ryeford_configuration_version", func() float64 {
 		if c := g.catalog.Get(); c != nil {
--- /dev/null
+++ b/gateway/gossip.go
@@ -0,0 +1,188 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/ryeford/ryeford"
+	"github.com/ryeford/ryeford/peers"
+)
+
+const (
+	// gossipEvery is how often peers are told.
+	gossipEvery = 150 * time.Millisecond
+	// gossipPeers is how many are told each time: a router's traffic does not
+	// grow with the fleet.
+	gossipPeers = 8
+	// gossipMembers is how many members a message names.
+	gossipMembers = 12
+	// gossipPrompts is how many prompts a message tells; what is beyond that is
+	// not told.
+	gossipPrompts = 24
+	maxMessage    = 16 << 10
+	// rejoinEvery is how often a router that hears nobody looks the others up.
+	rejoinEvery = 5 * time.Second
+	// registerEvery is how often a router's own entry is written anew.
+	registerEvery = 10 * time.Minute
+)
+
+// peerLimits bound what is kept of the peers.
+var peerLimits = peers.Limits{Fresh: 700 * time.Millisecond, Forget: 3 * time.Second, Members: 1024}
+
+// A gossip is a gateway's talk with its peers.
+type gossip struct {
+	gateway *Gateway
+	table   *peers.Table
+	started int64
+
+	mu      sync.Mutex
+	prompts []peers.Prompt // to be told
+}
+
+// newGossip returns the talk of a gateway; without an address it tells nobody.
+func newGossip(g *Gateway) *gossip {
+	return &gossip{
+		gateway: g,
+		table:   peers.New(g.settings.Peers.AddrPort, peerLimits),
+		started: time.Now().UnixNano(),
+	}
+}
+
+// addPrompt notes a prompt that the peers are to be told of.
+func (p *gossip) addPrompt(endpoint ryeford.EndpointID, parts []ryeford.PromptPart) {
+	prompt := peers.Prompt{Endpoint: endpoint}
+	for _, part := range parts {
+		prompt.Parts = append(prompt.Parts, part.ID)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.prompts) < gossipPrompts {
+		p.prompts = append(p.prompts, prompt)
+	}
+}
+
+// run talks with the peers until ctx ends.
+func (p *gossip) run(ctx context.Context) error {
+	address := p.gateway.settings.Peers
+	if !address.IsValid() {
+		return nil
+	}
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address.AddrPort))
+	if err != nil {
+		return &ListenError{Address: address.AddrPort, Err: err}
+	}
+	group, ctx := errgroup.WithContext(ctx)
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	group.Go(func() error { return p.listen(ctx, conn) })
+	group.Go(func() error { return p.tell(ctx, conn) })
+	group.Go(func() error { return p.lookUp(ctx) })
+	return group.Wait()
+}
+
+// lookUp enters the router into the platform's list of routers, and reads that
+// list at the start and while nobody is heard.
+func (p *gossip) lookUp(ctx context.Context) error {
+	var registered time.Time
+	ticker := time.NewTicker(rejoinEvery)
+	defer ticker.Stop()
+	for {
+		now := time.Now()
+		due := registered.IsZero() || now.Sub(registered) > registerEvery
+		if due || p.table.Alive(now) == 0 {
+			addresses, err := p.gateway.platform.Routers.Register(ctx, p.gateway.settings.VM, p.gateway.settings.Peers.AddrPort)
+			_ = p.gateway.log.Log("decision", "look_up_peers", "found", len(addresses), "err", err)
+			if err == nil {
+				registered = now
+				p.table.Add(time.Now(), addresses)
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// listen takes the peers' messages.
+func (p *gossip) listen(ctx context.Context, conn *net.UDPConn) error {
+	buffer := make([]byte, maxMessage)
+	for {
+		n, _, err := conn.ReadFromUDPAddrPort(buffer)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			continue // an earlier datagram found a port closed
+		}
+		var message peers.Message
+		if err := cbor.Unmarshal(buffer[:n], &message); err != nil {
+			p.gateway.metrics.Count("ryeford_gossip_dropped_total", "format")
+			continue
+		}
+		p.hear(time.Now(), &message)
+	}
+}
+
+// hear takes one message.
+func (p *gossip) hear(now time.Time, message *peers.Message) {
+	if !p.table.Hear(now, message) {
+		return
+	}
+	for _, prompt := range message.Prompts {
+		if !p.gateway.roster.Knows(prompt.Endpoint) {
+			continue
+		}
+		parts := make([]ryeford.PromptPart, 0, len(prompt.Parts))
+		for _, id := range prompt.Parts {
+			parts = append(parts, ryeford.PromptPart{ID: id})
+		}
+		p.gateway.holders.Add(now, prompt.Endpoint, parts)
+	}
+}
+
+// tell tells the peers from time to time.
+func (p *gossip) tell(ctx context.Context, conn *net.UDPConn) error {
+	ticker := time.NewTicker(gossipEvery)
+	defer ticker.Stop()
+	known := 0
+	for sequence := uint64(1); ; sequence++ {
+		now := time.Now()
+		if alive := p.table.Alive(now); alive != known {
+			_ = p.gateway.log.Log("decision", "peers", "alive", alive, "before", known)
+			known = alive
+		}
+		if content, err := cbor.Marshal(p.message(now, sequence)); err == nil {
+			for _, target := range p.table.Targets(now, gossipPeers) {
+				_, _ = conn.WriteToUDPAddrPort(content, target)
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// message returns what the peers are told now.
+func (p *gossip) message(now time.Time, sequence uint64) *peers.Message {
+	p.mu.Lock()
+	prompts := p.prompts
+	p.prompts = nil
+	p.mu.Unlock()
+	return &peers.Message{
+		Sender:   p.gateway.settings.Peers.AddrPort,
+		Started:  p.started,
+		Sequence: sequence,
+		Members:  p.table.Members(now, gossipMembers),
+		Loads:    p.gateway.loads.own(),
+		Prompts:  prompts,
+	}
+}
--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/ryeford/ryeford"
+	"github.com/ryeford/ryeford/peers"
 	"github.com/ryeford/ryeford/route"
 )
 
@@ -12,8 +13,8 @@
 // half, once nothing newer comes.
 const reportHalfLife = 1500 * time.Millisecond
 
-// loads estimates the load of each endpoint: what it told last, corrected by
-// what this router has sent and ended since.
+// loads estimates the load of each endpoint: this router's requests, and those of
+// the others: as they tell, or else as the endpoint told last.
 type loads struct {
 	mu     sync.Mutex
 	states map[ryeford.EndpointID]*loadState
@@ -69,11 +70,15 @@
 	s.at = now
 }
 
-// estimate returns the hash of an endpoint and its estimated load.
-func (l *loads) estimate(now time.Time, id ryeford.EndpointID) (uint64, float64) {
+// estimate returns the hash of an endpoint and its estimated load. told is what
+// the other routers tell of theirs, and known whether any of them does.
+func (l *loads) estimate(now time.Time, id ryeford.EndpointID, told int, known bool) (uint64, float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.get(id)
+	if known {
+		return s.hash, float64(told + s.own)
+	}
 	others := max(0, s.reported-float64(s.ownThen))
 	for age := now.Sub(s.at); age > reportHalfLife && others > 0.1; age -= reportHalfLife {
 		others /= 2
@@ -81,6 +86,19 @@
 	return s.hash, others + float64(s.own)
 }
 
+// own returns this router's requests under way.
+func (l *loads) own() []peers.Load {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var own []peers.Load
+	for id, s := range l.states {
+		if s.own > 0 {
+			own = append(own, peers.Load{Endpoint: id, Requests: s.own})
+		}
+	}
+	return own
+}
+
 // forget drops an endpoint.
 func (l *loads) forget(id ryeford.EndpointID) {
 	l.mu.Lock()
--- a/internal/cmd/gatewaycmd.go
+++ b/internal/cmd/gatewaycmd.go
@@ -60,6 +60,7 @@
 		Protocol:       platform.Protocol{},
 		Configurations: store,
 		Endpoints:      store,
+		Routers:        store,
 		ReadyPath:      platform.PathReady,
 	}, logger, metrics)
 	stopReload := reloadOnHangup(file, logger)
--- /dev/null
+++ b/peers/table.go
@@ -0,0 +1,154 @@
+package peers
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/ryeford/ryeford"
+)
+
+// Limits bound a Table.
+type Limits struct {
+	// Fresh is how long what a peer told of its load counts.
+	Fresh time.Duration
+	// Forget is how long a peer that says nothing is kept.
+	Forget time.Duration
+	// Members is how many peers are kept at most.
+	Members int
+}
+
+// A Table is what a router knows of its peers.
+type Table struct {
+	limits Limits
+	self   netip.AddrPort
+
+	mu      sync.Mutex
+	members map[netip.AddrPort]*member
+}
+
+type member struct {
+	told     time.Time // when it, or another peer, last told of it
+	heard    time.Time // zero where only others told of it
+	started  int64
+	sequence uint64
+	loads    map[ryeford.EndpointID]int
+}
+
+// New returns a Table of a router that knows nobody yet.
+func New(self netip.AddrPort, limits Limits) *Table {
+	return &Table{
+		limits:  limits,
+		self:    self,
+		members: make(map[netip.AddrPort]*member),
+	}
+}
+
+// Hear takes a message, and reports whether it is news: neither old nor from an
+// earlier life of its sender.
+func (t *Table) Hear(now time.Time, message *Message) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expire(now)
+	m := t.member(now, message.Sender)
+	if m == nil || message.Started < m.started || (message.Started == m.started && message.Sequence <= m.sequence) {
+		return false
+	}
+	m.heard, m.told = now, now
+	m.started, m.sequence = message.Started, message.Sequence
+	m.loads = make(map[ryeford.EndpointID]int, len(message.Loads))
+	for _, load := range message.Loads {
+		m.loads[load.Endpoint] = load.Requests
+	}
+	for _, address := range message.Members {
+		t.member(now, address)
+	}
+	return true
+}
+
+// Add takes the addresses of peers that may be stale or down.
+func (t *Table) Add(now time.Time, addresses []netip.AddrPort) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, address := range addresses {
+		t.member(now, address)
+	}
+}
+
+// member returns the entry of a peer, made where there is room, or nil.
+func (t *Table) member(now time.Time, address netip.AddrPort) *member {
+	m := t.members[address]
+	if m == nil && len(t.members) < t.limits.Members && address.IsValid() && address != t.self {
+		m = &member{told: now}
+		t.members[address] = m
+	}
+	return m
+}
+
+// expire forgets the peers that were not heard for too long.
+func (t *Table) expire(now time.Time) {
+	for address, m := range t.members {
+		if now.Sub(m.told) > t.limits.Forget {
+			delete(t.members, address)
+		}
+	}
+}
+
+// Others returns how many requests the peers have at an endpoint, and whether any
+// peer was heard lately.
+func (t *Table) Others(now time.Time, endpoint ryeford.EndpointID) (requests int, known bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, m := range t.members {
+		if now.Sub(m.heard) <= t.limits.Fresh {
+			requests += m.loads[endpoint]
+			known = true
+		}
+	}
+	return requests, known
+}
+
+// Alive returns how many peers were heard lately.
+func (t *Table) Alive(now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.alive(now))
+}
+
+// alive returns the peers that were heard lately.
+func (t *Table) alive(now time.Time) []netip.AddrPort {
+	var alive []netip.AddrPort
+	for address, m := range t.members {
+		if now.Sub(m.heard) <= t.limits.Forget {
+			alive = append(alive, address)
+		}
+	}
+	return alive
+}
+
+// Targets returns at most k peers to tell, drawn at random.
+func (t *Table) Targets(now time.Time, k int) []netip.AddrPort {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expire(now)
+	targets := make([]netip.AddrPort, 0, len(t.members))
+	for address := range t.members {
+		targets = append(targets, address)
+	}
+	return draw(targets, k)
+}
+
+// Members returns at most k peers that were heard lately, to be told to others,
+// drawn at random.
+func (t *Table) Members(now time.Time, k int) []netip.AddrPort {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return draw(t.alive(now), k)
+}
+
+// draw returns k of some addresses at random.
+func draw(addresses []netip.AddrPort, k int) []netip.AddrPort {
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return addresses[:min(k, len(addresses))]
+}
--- /dev/null
+++ b/peers/table_test.go
@@ -0,0 +1,79 @@
+package peers
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp/cmpopts"
+	"gotest.tools/v3/assert"
+
+	"github.com/ryeford/ryeford"
+)
+
+var (
+	start  = time.Unix(1000, 0)
+	limits = Limits{Fresh: 500 * time.Millisecond, Forget: 3 * time.Second, Members: 4}
+	self   = address(0)
+)
+
+func address(n byte) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, n}), 7000)
+}
+
+func message(from byte, started int64, sequence uint64, requests int) *Message {
+	return &Message{Sender: address(from), Started: started, Sequence: sequence, Loads: []Load{{Endpoint: "e", Requests: requests}}}
+}
+
+func others(t *Table, now time.Time) int {
+	n, _ := t.Others(now, "e")
+	return n
+}
+
+// TestLoads checks that loads add up, that only the newest message of the newest
+// life counts, and that what is old does not.
+func TestLoads(t *testing.T) {
+	table := New(self, limits)
+	_, known := table.Others(start, "e")
+	assert.Assert(t, !known)
+	assert.Assert(t, table.Hear(start, message(1, 1, 5, 3)))
+	assert.Assert(t, table.Hear(start, message(2, 1, 1, 4)))
+	assert.Equal(t, others(table, start), 7)
+	assert.Assert(t, !table.Hear(start, message(1, 1, 4, 9)), "overtaken")
+	assert.Assert(t, !table.Hear(start, message(1, 1, 5, 9)), "doubled")
+	assert.Assert(t, !table.Hear(start, message(0, 1, 1, 9)), "its own")
+	assert.Assert(t, table.Hear(start, message(1, 2, 1, 1)), "a new life")
+	assert.Assert(t, !table.Hear(start, message(1, 1, 6, 9)), "an earlier life")
+	assert.Equal(t, others(table, start), 5)
+	later := start.Add(limits.Fresh + 1)
+	assert.Assert(t, table.Hear(later, message(2, 1, 2, 4)))
+	assert.Equal(t, others(table, later), 4)
+	assert.Equal(t, table.Alive(later), 2)
+	assert.Equal(t, table.Alive(start.Add(limits.Forget+1)), 1)
+}
+
+// TestMembers checks that peers are learned from others, that those who never say
+// anything are forgotten, and that their number is bounded.
+func TestMembers(t *testing.T) {
+	table := New(self, limits)
+	assert.Equal(t, len(table.Targets(start, 8)), 0)
+	table.Add(start, []netip.AddrPort{address(1), self, {}})
+	assert.DeepEqual(t, table.Targets(start, 8), []netip.AddrPort{address(1)}, cmpopts.EquateComparable(netip.AddrPort{}))
+	assert.Equal(t, len(table.Members(start, 8)), 0, "nobody was heard yet")
+	told := message(1, 1, 1, 0)
+	told.Members = []netip.AddrPort{address(2), address(3), address(4), address(5), address(6)}
+	table.Hear(start, told)
+	assert.Equal(t, len(table.Targets(start, 8)), limits.Members)
+	assert.Equal(t, len(table.Targets(start, 2)), 2)
+	assert.DeepEqual(t, table.Members(start, 8), []netip.AddrPort{address(1)}, cmpopts.EquateComparable(netip.AddrPort{}))
+	assert.Equal(t, len(table.Targets(start.Add(limits.Forget+1), 8)), 0)
+}
+
+// TestUnknownEndpoint checks that nothing is made up.
+func TestUnknownEndpoint(t *testing.T) {
+	table := New(self, limits)
+	table.Hear(start, message(1, 1, 1, 3))
+	n, known := table.Others(start, ryeford.EndpointID("other"))
+	assert.Equal(t, n, 0)
+	assert.Assert(t, known)
+}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -181,6 +181,13 @@
 	return r.draining[service]
 }
 
+// Knows reports whether an endpoint is on the list.
+func (r *Roster) Knows(id ryeford.EndpointID) bool {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.entries[id] != nil
+}
+
 // Takes reports whether an endpoint still takes new requests.
 func (r *Roster) Takes(id ryeford.EndpointID) bool {
 	r.mu.RLock()
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -9,16 +9,19 @@
 // A Gateway is the settings of a router on a platform that keeps the operators'
 // configuration and the list of endpoints itself.
 type Gateway struct {
-	VM            ryeford.VMID   `yaml:"vm" validate:"required"`
-	Region        string         `yaml:"region" validate:"required"`
-	FailureDomain string         `yaml:"failure_domain" validate:"required"`
-	Callers       Address        `yaml:"callers" validate:"required"`
-	Readiness     Address        `yaml:"readiness" validate:"required"`
-	Metrics       Address        `yaml:"metrics"`
-	Store         Address        `yaml:"store" validate:"required"`
-	Memory        int            `yaml:"memory_mb" validate:"min=16,max=1048576"`
-	Bounds        GatewayBounds  `yaml:"bounds"`
-	Routing       GatewayRouting `yaml:"routing"`
+	VM            ryeford.VMID `yaml:"vm" validate:"required"`
+	Region        string       `yaml:"region" validate:"required"`
+	FailureDomain string       `yaml:"failure_domain" validate:"required"`
+	Callers       Address      `yaml:"callers" validate:"required"`
+	Readiness     Address      `yaml:"readiness" validate:"required"`
+	Metrics       Address      `yaml:"metrics"`
+	Store         Address      `yaml:"store" validate:"required"`
+	// Peers is where the router hears the others of its fleet, over UDP; empty is
+	// no talk with them.
+	Peers   Address        `yaml:"peers"`
+	Memory  int            `yaml:"memory_mb" validate:"min=16,max=1048576"`
+	Bounds  GatewayBounds  `yaml:"bounds"`
+	Routing GatewayRouting `yaml:"routing"`
 }
 
 // GatewayBounds are what the users demand of a router.
--- a/source.go
+++ b/source.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 )
 
@@ -45,6 +46,13 @@
 	EndpointsSince(ctx context.Context, revision int64, wait time.Duration) (EndpointUpdate, error)
 }
 
+// A RouterList is where the routers of a fleet find each other.
+type RouterList interface {
+	// Register enters a router, or renews its entry, and returns the addresses of
+	// the others. They may be stale or down.
+	Register(ctx context.Context, vm VMID, address netip.AddrPort) ([]netip.AddrPort, error)
+}
+
 // A HistoryLostError says that changes since a revision can no longer be told:
 // the whole is to be read again.
 type HistoryLostError struct {
