feat: routers renew each other's lease on the configuration

Change: a message tells the sender's version and how long ago it was confirmed, and echoes its peers' messages. A router counts that age back from its own message that was echoed, so that neither clocks nor a frozen reader can make it younger, and takes it only for its own or an older version. While peers are heard, a question for the configuration waits 0.66 to 2.2 s.

--- a/freshness/lease.go
+++ b/freshness/lease.go
@@ -40,6 +40,15 @@
 	return int64(now.Sub(l.started)) < l.until.Load()
 }
 
+// Age returns how long ago the state was confirmed, and false where it never was.
+func (l *Lease) Age(now time.Time) (time.Duration, bool) {
+	until := l.until.Load()
+	if until < 0 {
+		return 0, false
+	}
+	return now.Sub(l.started) - (time.Duration(until) - l.term), true
+}
+
 // Left returns the time until the lease ends; it is negative once it has ended.
 func (l *Lease) Left(now time.Time) time.Duration {
 	return time.Duration(l.until.Load()) - now.Sub(l.started)
--- a/freshness/lease_test.go
+++ b/freshness/lease_test.go
@@ -14,9 +14,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		l := NewLease(time.Second)
 		assert.Assert(t, !l.Valid(time.Now()))
+		_, confirmed := l.Age(time.Now())
+		assert.Assert(t, !confirmed)
 		sent := time.Now()
 		time.Sleep(700 * time.Millisecond) // the answer is slow
 		l.Renew(sent)
+		age, _ := l.Age(time.Now())
+		assert.Equal(t, age, 700*time.Millisecond)
 		assert.Assert(t, l.Valid(time.Now()))
 		time.Sleep(299 * time.Millisecond)
 		assert.Assert(t, l.Valid(time.Now()))
@@ -24,6 +28,8 @@
 		assert.Assert(t, !l.Valid(time.Now()))
 
 		late := time.Now()
+		_, confirmed = l.Age(time.Now())
+		assert.Assert(t, confirmed)
 		l.Renew(late)
 		l.Renew(sent) // an answer that was held up
 		assert.Equal(t, l.Left(time.Now()), time.Second)
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -43,20 +44,35 @@
 	done    chan error
 	log     *lockedBuffer
 	next    int
+	// cutOff lets the gateway's calls of the store fail; cut ends those that wait.
+	cutOff atomic.Bool
+	cut    func()
 }
 
 // newFixture starts a gateway. change may change its settings.
 func newFixture(t *testing.T, config jsonMap, change func(*settings.Gateway)) *fixture {
+	t.Helper()
+	return newFixtureAt(t, rowstore.New(), config, change)
+}
+
+// newFixtureAt starts a gateway that shares its store with others.
+func newFixtureAt(t *testing.T, store *rowstore.Store, config jsonMap, change func(*settings.Gateway)) *fixture {
 	t.Helper()
 	f := &fixture{
 		t:       t,
-		store:   rowstore.New(),
+		store:   store,
 		servers: make(map[string]*appserver.Server),
 		client:  &http.Client{Transport: &http.Transport{DisableCompression: true}},
 		done:    make(chan error, 1),
 		log:     &lockedBuffer{},
 	}
-	storeServer := httptest.NewServer(f.store)
+	storeServer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if f.cutOff.Load() {
+			panic(http.ErrAbortHandler)
+		}
+		f.store.ServeHTTP(w, r)
+	}))
+	f.cut = storeServer.CloseClientConnections
 	t.Cleanup(storeServer.Close)
 	if config != nil {
 		f.setConfig(config)
@@ -77,6 +93,7 @@
 		Protocol:       platform.Protocol{},
 		Configurations: source,
 		Endpoints:      source,
+		Routers:        source,
 		ReadyPath:      platform.PathReady,
 	}, log.NewLogfmtLogger(f.log), telemetry.NewSet())
 	ctx, cancel := context.WithCancel(context.Background())
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -21,6 +21,8 @@
 	gossipPeers = 8
 	// gossipMembers is how many members a message names.
 	gossipMembers = 12
+	// gossipEchoes is how many peers' messages a message echoes.
+	gossipEchoes = 24
 	// gossipPrompts is how many prompts a message tells; what is beyond that is
 	// not told.
 	gossipPrompts = 24
@@ -39,6 +41,7 @@
 	gateway *Gateway
 	table   *peers.Table
 	started int64
+	sent    *peers.SendLog
 
 	mu      sync.Mutex
 	prompts []peers.Prompt // to be told
@@ -46,10 +49,12 @@
 
 // newGossip returns the talk of a gateway; without an address it tells nobody.
 func newGossip(g *Gateway) *gossip {
+	started := time.Now().UnixNano()
 	return &gossip{
 		gateway: g,
 		table:   peers.New(g.settings.Peers.AddrPort, peerLimits),
-		started: time.Now().UnixNano(),
+		started: started,
+		sent:    peers.NewSendLog(started),
 	}
 }
 
@@ -135,6 +140,7 @@
 	if !p.table.Hear(now, message) {
 		return
 	}
+	p.renew(message)
 	for _, prompt := range message.Prompts {
 		if !p.gateway.roster.Knows(prompt.Endpoint) {
 			continue
@@ -147,6 +153,23 @@
 	}
 }
 
+// renew renews the lease on the configuration by what a peer tells: that the
+// version which this router has, or an older one, was the newest at a time.
+func (p *gossip) renew(message *peers.Message) {
+	current := p.gateway.catalog.Get()
+	if current == nil || current.Version() < message.Version {
+		return
+	}
+	for i := range message.Echoes {
+		if message.Echoes[i].Peer != p.gateway.settings.Peers.AddrPort {
+			continue
+		}
+		if at, ok := p.sent.ConfirmedAt(message, &message.Echoes[i]); ok {
+			p.gateway.lease.Renew(at)
+		}
+	}
+}
+
 // tell tells the peers from time to time.
 func (p *gossip) tell(ctx context.Context, conn *net.UDPConn) error {
 	ticker := time.NewTicker(gossipEvery)
@@ -158,6 +181,7 @@
 			_ = p.gateway.log.Log("decision", "peers", "alive", alive, "before", known)
 			known = alive
 		}
+		p.sent.Note(now, sequence)
 		if content, err := cbor.Marshal(p.message(now, sequence)); err == nil {
 			for _, target := range p.table.Targets(now, gossipPeers) {
 				_, _ = conn.WriteToUDPAddrPort(content, target)
@@ -177,12 +201,17 @@
 	prompts := p.prompts
 	p.prompts = nil
 	p.mu.Unlock()
+	age, confirmed := p.gateway.lease.Age(now)
 	return &peers.Message{
-		Sender:   p.gateway.settings.Peers.AddrPort,
-		Started:  p.started,
-		Sequence: sequence,
-		Members:  p.table.Members(now, gossipMembers),
-		Loads:    p.gateway.loads.own(),
-		Prompts:  prompts,
+		Version:   p.gateway.version(),
+		Age:       age,
+		Confirmed: confirmed,
+		Echoes:    p.table.Echoes(now, gossipEchoes),
+		Sender:    p.gateway.settings.Peers.AddrPort,
+		Started:   p.started,
+		Sequence:  sequence,
+		Members:   p.table.Members(now, gossipMembers),
+		Loads:     p.gateway.loads.own(),
+		Prompts:   prompts,
 	}
 }
--- a/gateway/watchers.go
+++ b/gateway/watchers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/ryeford/ryeford"
@@ -10,15 +11,28 @@
 )
 
 const (
-	storePause     = 60 * time.Millisecond
-	storePauseMost = 250 * time.Millisecond
+	storePause = 60 * time.Millisecond
+	// sharedWaitLeast is the least part of the wait that routers share.
+	sharedWaitLeast = 0.3
+	storePauseMost  = 250 * time.Millisecond
 )
 
 // watchOptions returns how the store is followed, with a wait.
-func watchOptions(wait time.Duration) watch.Options {
+func watchOptions(wait func() time.Duration) watch.Options {
 	return watch.Options{Wait: wait, Pause: storePause, PauseMost: storePauseMost}
 }
 
+// configurationWait returns how long the store is to hold the next question for
+// a configuration: for longer while peers renew the lease in between.
+func (g *Gateway) configurationWait() time.Duration {
+	if g.gossip.table.Alive(time.Now()) > 0 {
+		// A change answers all routers at once; unlike waits part them again.
+		share := sharedWaitLeast + (1-sharedWaitLeast)*rand.Float64()
+		return time.Duration(share * float64(g.settings.Routing.SharedWait))
+	}
+	return g.settings.Routing.ConfigurationWait
+}
+
 // watchConfiguration keeps the configuration in force until ctx ends.
 func (g *Gateway) watchConfiguration(ctx context.Context) error {
 	source := watch.Source[ryeford.ConfigurationUpdate]{
@@ -31,7 +45,7 @@
 			return update, update.Revision, err
 		},
 	}
-	return watch.Run(ctx, source, watchOptions(g.settings.Routing.ConfigurationWait), watch.Handler[ryeford.ConfigurationUpdate]{
+	return watch.Run(ctx, source, watchOptions(g.configurationWait), watch.Handler[ryeford.ConfigurationUpdate]{
 		Apply: func(update ryeford.ConfigurationUpdate, revision int64, sent time.Time) {
 			g.applyConfiguration(update, revision, sent)
 		},
@@ -65,7 +79,7 @@
 			return update, update.Revision, err
 		},
 	}
-	return watch.Run(ctx, source, watchOptions(g.settings.Routing.EndpointsWait), watch.Handler[ryeford.EndpointUpdate]{
+	return watch.Run(ctx, source, watchOptions(func() time.Duration { return g.settings.Routing.EndpointsWait }), watch.Handler[ryeford.EndpointUpdate]{
 		Apply: func(update ryeford.EndpointUpdate, revision int64, _ time.Time) {
 			g.applyEndpoints(&update, revision)
 		},
--- a/peers/message.go
+++ b/peers/message.go
@@ -6,6 +6,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"github.com/ryeford/ryeford"
 )
@@ -21,10 +22,24 @@
 	Members []netip.AddrPort `cbor:"4,keyasint"`
 	// Loads are the sender's requests under way, where there are any.
 	Loads []Load `cbor:"5,keyasint"`
+	// Version is the configuration that the sender has, and Age how long ago it
+	// was confirmed to be the newest; Confirmed is false where it never was.
+	Version   int64         `cbor:"7,keyasint"`
+	Age       time.Duration `cbor:"8,keyasint"`
+	Confirmed bool          `cbor:"9,keyasint"`
+	// Echoes name the last message that the sender has had of each peer.
+	Echoes []Echo `cbor:"10,keyasint"`
 	// Prompts were sent since the last message.
 	Prompts []Prompt `cbor:"6,keyasint"`
 }
 
+// An Echo names a message of a peer.
+type Echo struct {
+	Peer     netip.AddrPort `cbor:"1,keyasint"`
+	Started  int64          `cbor:"2,keyasint"`
+	Sequence uint64         `cbor:"3,keyasint"`
+}
+
 // A Load is how many requests a router has under way at an endpoint.
 type Load struct {
 	Endpoint ryeford.EndpointID `cbor:"1,keyasint"`
--- a/peers/table.go
+++ b/peers/table.go
@@ -139,6 +139,19 @@
 	return draw(targets, k)
 }
 
+// Echoes returns the last message of each of at most k peers that were heard
+// lately, drawn at random.
+func (t *Table) Echoes(now time.Time, k int) []Echo {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var echoes []Echo
+	for _, address := range draw(t.alive(now), k) {
+		m := t.members[address]
+		echoes = append(echoes, Echo{Peer: address, Started: m.started, Sequence: m.sequence})
+	}
+	return echoes
+}
+
 // Members returns at most k peers that were heard lately, to be told to others,
 // drawn at random.
 func (t *Table) Members(now time.Time, k int) []netip.AddrPort {
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -45,11 +45,12 @@
 
 // GatewayRouting are the router's own choices.
 type GatewayRouting struct {
-	// ConfigurationWait and EndpointsWait are how long the store holds a question
-	// for changes. A lost question is noticed StoreTimeout later, and must be
+	// ConfigurationWait, or SharedWait while peers are heard, and EndpointsWait are
+	// how long the store holds a question for changes. A lost question is noticed StoreTimeout later, and must be
 	// asked again before the router counts as in touch. What was known of the
 	// configuration right before the store is lost is as old as its wait.
 	ConfigurationWait time.Duration `yaml:"configuration_wait" validate:"min=50ms,max=30s"`
+	SharedWait        time.Duration `yaml:"shared_wait" validate:"min=50ms,max=30s"`
 	EndpointsWait     time.Duration `yaml:"endpoints_wait" validate:"min=50ms,max=30s"`
 	// StoreTimeout is how long the store may take beyond that.
 	StoreTimeout time.Duration `yaml:"store_timeout" validate:"min=50ms,max=30s"`
@@ -72,6 +73,7 @@
 		},
 		Routing: GatewayRouting{
 			ConfigurationWait: 800 * time.Millisecond,
+			SharedWait:        2200 * time.Millisecond,
 			EndpointsWait:     2200 * time.Millisecond,
 			StoreTimeout:      700 * time.Millisecond,
 			Routers:           10,
--- a/standin/rowstore/store.go
+++ b/standin/rowstore/store.go
@@ -81,6 +81,13 @@
 func (s *Store) change(row Row) int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.apply(row)
+	s.wake()
+	return s.ver
+}
+
+// apply writes one row.
+func (s *Store) apply(row Row) {
 	s.ver++
 	row.Ver = s.ver
 	name := row.Table + "/" + row.Key
@@ -90,8 +97,6 @@
 		s.rows[name] = row
 	}
 	s.changes = append(s.changes, row)
-	s.wake()
-	return s.ver
 }
 
 // ForgetHistory drops the history: feeds that reach back behind now are gone.
@@ -146,6 +151,8 @@
 		s.serveGet(w, r)
 	case "/ryeford/rows-feed":
 		s.serveFeed(w, r)
+	case "/ryeford/rows-tx":
+		s.serveTransaction(w, r)
 	default:
 		w.WriteHeader(http.StatusNotFound)
 	}
@@ -226,6 +233,45 @@
 	}
 }
 
+// A transaction is a change under a condition, all or none.
+type transaction struct {
+	ExpectedRev []Row `json:"expectedRev"`
+	Put         []Row `json:"put"`
+	Remove      []Row `json:"remove"`
+}
+
+// serveTransaction makes a change, or answers with the rows that are not as they
+// were to be.
+func (s *Store) serveTransaction(w http.ResponseWriter, r *http.Request) {
+	var tx transaction
+	if r.Method != http.MethodPost || json.NewDecoder(r.Body).Decode(&tx) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var differ []Row
+	for _, row := range tx.ExpectedRev {
+		if now := s.rows[row.Table+"/"+row.Key]; now.Ver != row.Ver {
+			differ = append(differ, now)
+		}
+	}
+	if differ != nil {
+		w.WriteHeader(http.StatusPreconditionFailed)
+		s.write(w, answer{Rows: differ, Ver: s.ver})
+		return
+	}
+	for _, row := range tx.Put {
+		s.apply(row)
+	}
+	for _, row := range tx.Remove {
+		row.Gone = true
+		s.apply(row)
+	}
+	s.wake()
+	s.write(w, answer{Ver: s.ver})
+}
+
 // changesSince returns a table's changes behind a revision, and whether they are
 // still known.
 func (s *Store) changesSince(table string, since int64) ([]Row, bool) {
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -21,7 +21,7 @@
 // Options are how a source is followed.
 type Options struct {
 	// Wait is how long a question for changes is held where there are none.
-	Wait time.Duration
+	Wait func() time.Duration
 	// Pause is the least pause after a failure; it doubles up to PauseMost.
 	Pause     time.Duration
 	PauseMost time.Duration
@@ -46,7 +46,7 @@
 	var lostAt time.Time
 	for ctx.Err() == nil {
 		sent := time.Now()
-		wait := options.Wait
+		wait := options.Wait()
 		if failures > 0 {
 			wait = 0 // a source that is back is to be noticed at once
 		}
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -54,7 +54,7 @@
 				return s.next(question{since: since, wait: wait})
 			},
 		}
-		_ = Run(ctx, source, Options{Wait: time.Second, Pause: 10 * time.Millisecond, PauseMost: 100 * time.Millisecond}, Handler[string]{
+		_ = Run(ctx, source, Options{Wait: func() time.Duration { return time.Second }, Pause: 10 * time.Millisecond, PauseMost: 100 * time.Millisecond}, Handler[string]{
 			Apply: func(_ string, revision int64, sent time.Time) {
 				applied = append(applied, revision)
 				ages = append(ages, time.Since(sent))
