fix: a leaving router serves while callers still come; leases by whole reads

(2) A lease was renewed by a feed's silence, and a feed may be deaf for a second; and between two long questions it is as old as both together, so that an outage found 1.9 s left. Ruled out: refusing nothing while leaving (streams would be cut at the end); waiting for idleness (a router that serves on is never idle: stops take 7 s in place of 3). Change: a leaving router closes once no new connection has come for 0.5 s, and refuses what its route's slowest answers would not leave time for. The configuration is read whole once the lease is 0.8 s old, by the first router whose turn it is: peers share what one has read. Feeds no longer renew leases.

--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"github.com/ryeford/ryeford"
 )
 
 const (
@@ -18,13 +21,21 @@
 	// closeMargin is how long before the end of its grace a process closes what
 	// is still open.
 	closeMargin = 700 * time.Millisecond
-	drainCheck  = 50 * time.Millisecond
+	// quietTime is how long no new connection may have come before a leaving
+	// process takes no more.
+	quietTime  = 500 * time.Millisecond
+	drainCheck = 50 * time.Millisecond
+	// finishFactor is the multiple of the time that a route's requests take,
+	// at the slowest, that must be left for one more.
+	finishFactor = 1.5
 )
 
 // A drainState tells how far a gateway is in leaving.
 type drainState struct {
 	leaving atomic.Bool
-	polls   atomic.Int32 // questions of the balancer refused since
+	closeBy atomic.Pointer[time.Time]
+	last    atomic.Pointer[time.Time] // when a caller's connection came last
+	polls   atomic.Int32              // questions of the balancer refused since
 }
 
 // serveReady tells the balancer whether to send new connections.
@@ -73,10 +84,13 @@
 		return
 	}
 	ordered := time.Now()
+	closeBy := ordered.Add(g.settings.Bounds.Grace - closeMargin)
+	g.drain.closeBy.Store(&closeBy)
 	g.drain.leaving.Store(true)
 	_ = g.log.Log("msg", "stopping", "in_flight", g.inFlight.Load())
 	g.awaitNotice(ordered)
-	limit, cancel := context.WithDeadline(context.WithoutCancel(work), ordered.Add(g.settings.Bounds.Grace-closeMargin))
+	g.awaitQuiet(closeBy)
+	limit, cancel := context.WithDeadline(context.WithoutCancel(work), closeBy)
 	defer cancel()
 	_ = g.log.Log("msg", "closing idle connections", "in_flight", g.inFlight.Load(), "polls", g.drain.polls.Load())
 	if err := callers.http.Shutdown(limit); err != nil {
@@ -85,6 +99,38 @@
 	}
 }
 
+// awaitQuiet waits until no new connection has come for a while. Until then the
+// gateway takes what comes: where all routers leave at once, the balancer sends
+// callers to those that leave, too.
+func (g *Gateway) awaitQuiet(closeBy time.Time) {
+	for now := time.Now(); now.Before(closeBy); now = time.Now() {
+		if last := g.drain.last.Load(); last == nil || now.Sub(*last) > quietTime {
+			return
+		}
+		time.Sleep(drainCheck)
+	}
+}
+
+// noteConnection notes when callers' connections come.
+func (g *Gateway) noteConnection(_ net.Conn, state http.ConnState) {
+	if state == http.StateNew {
+		now := time.Now()
+		g.drain.last.Store(&now)
+	}
+}
+
+// checkLeaving refuses a request that may not be answered any more before the
+// gateway has to end.
+func (g *Gateway) checkLeaving(now time.Time, rule *ryeford.RouteRule) error {
+	if !g.drain.leaving.Load() {
+		return nil
+	}
+	if g.drain.closeBy.Load().Sub(now) > time.Duration(finishFactor*float64(g.durations.slowest(rule))) {
+		return nil
+	}
+	return &ryeford.NotRunError{Reason: ryeford.ReasonLeaving, RetryAfter: retryStale}
+}
+
 // awaitNotice waits until the balancer has noticed that the gateway leaves.
 func (g *Gateway) awaitNotice(ordered time.Time) {
 	for time.Since(ordered) < noticeMost && g.drain.polls.Load() < noticePolls {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -403,6 +403,7 @@
 func (x *exchange) noteAnswer(to *roster.Entry, status int) {
 	g, q := x.gateway, x.request
 	took := time.Since(q.arrived)
+	g.durations.note(q.rule, took)
 	g.metrics.Count("ryeford_answered_total", "")
 	g.metrics.Observe("ryeford_answer_seconds", took.Seconds())
 	_ = g.log.Log("decision", "answer", "request", q.demand.ID, "route", q.rule.Name, "endpoint", to.ID, "status", status,
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -83,6 +83,7 @@
 	s.Store.AddrPort = netip.MustParseAddrPort(strings.TrimPrefix(storeServer.URL, "http://"))
 	s.Routing.ConfigurationWait, s.Routing.EndpointsWait = 100*time.Millisecond, 100*time.Millisecond
 	s.Routing.StoreTimeout = 300 * time.Millisecond
+	s.Routing.LeaseRefresh = 100 * time.Millisecond
 	s.Routing.Routers = 1
 	if change != nil {
 		change(s)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -79,6 +79,8 @@
 	windowMu sync.Mutex
 	windows  map[string]*retry.Window // by service
 
+	durations *durations
+
 	turn     atomic.Uint64
 	inFlight atomic.Int64
 	drain    drainState
@@ -88,17 +90,18 @@
 // New returns a Gateway.
 func New(s *settings.Gateway, platform Platform, logger log.Logger, metrics *telemetry.Set) *Gateway {
 	g := &Gateway{
-		settings: s,
-		platform: platform,
-		log:      logger,
-		metrics:  metrics,
-		lease:    freshness.NewLease(s.Bounds.Revoke - leaseMargin),
-		roster:   roster.New(doubtLinger),
-		detector: outlier.New(outlierLimits),
-		pool:     endpoint.New(platform.Protocol, endpoint.DefaultOptions()),
-		loads:    newLoads(),
-		holders:  holders.New(holderLimits),
-		windows:  make(map[string]*retry.Window),
+		settings:  s,
+		platform:  platform,
+		log:       logger,
+		metrics:   metrics,
+		lease:     freshness.NewLease(s.Bounds.Revoke - leaseMargin),
+		roster:    roster.New(doubtLinger),
+		detector:  outlier.New(outlierLimits),
+		pool:      endpoint.New(platform.Protocol, endpoint.DefaultOptions()),
+		loads:     newLoads(),
+		holders:   holders.New(holderLimits),
+		durations: newDurations(),
+		windows:   make(map[string]*retry.Window),
 	}
 	g.gossip = newGossip(g)
 	g.addMetrics()
@@ -127,6 +130,7 @@
 	if err != nil {
 		return err
 	}
+	callers.http.ConnState = g.noteConnection
 	readiness, err := g.listen(work, g.settings.Readiness.AddrPort, http.HandlerFunc(g.serveReady))
 	if err != nil {
 		return err
@@ -136,6 +140,7 @@
 	group, work := errgroup.WithContext(work)
 	group.Go(func() error { return g.watchConfiguration(work) })
 	group.Go(func() error { return g.watchEndpoints(work) })
+	group.Go(func() error { return g.keepLease(work) })
 	group.Go(func() error { return g.sweep(work) })
 	group.Go(func() error { return g.gossip.run(work) })
 	group.Go(func() error { return callers.serve() })
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -362,3 +362,29 @@
 		assert.Equal(t, len(server.Received()), 0)
 	}
 }
+
+// TestStopWhileNeeded checks that a gateway that is told to stop goes on taking
+// new connections for as long as they come, and refuses what it could not finish.
+func TestStopWhileNeeded(t *testing.T) {
+	f := startedFixture(t, func(s *settings.Gateway) { s.Bounds.Grace = 4 * time.Second })
+	f.client.Transport.(*http.Transport).DisableKeepAlives = true
+	f.stop()
+	f.awaitReady(false)
+	f.awaitReady(false)
+	served := 0
+	// Two polls have been refused; a gateway that took no more would have closed
+	// its listener half a second later.
+	for since := time.Now(); time.Since(since) < 1500*time.Millisecond; time.Sleep(20 * time.Millisecond) {
+		if got := f.call("GET", "/safe/a"); got.err == nil && got.status == 200 {
+			served++
+		}
+	}
+	assert.Assert(t, served > 20, "%d served", served)
+	refused := false
+	f.eventually(func() bool {
+		got := f.call("POST", "/stream/a")
+		refused = refused || (got.err == nil && got.status == 503 && got.header.Get("Retry-After") != "")
+		return refused || got.err != nil
+	})
+	assert.Assert(t, refused)
+}
--- a/gateway/peers_test.go
+++ b/gateway/peers_test.go
@@ -39,7 +39,6 @@
 			s.VM = ryeford.VMID(fmt.Sprintf("router-%d", i))
 			s.Peers.AddrPort = freeDatagramAddress(t)
 			s.Bounds.Revoke = revoke
-			s.Routing.SharedWait = 200 * time.Millisecond
 		})
 	}
 	gateways[0].addServer("plain", "p1", 0)
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -131,6 +131,9 @@
 		}
 		return nil, &ryeford.InputError{Field: "path", Problem: "no such route", Status: http.StatusNotFound}
 	}
+	if err := g.checkLeaving(arrived, rule); err != nil {
+		return nil, err
+	}
 	q := &request{demand: demand, arrived: arrived, catalog: current, rule: rule}
 	if current.Keyed() && !rule.Public {
 		if !fresh {
--- a/gateway/watchers.go
+++ b/gateway/watchers.go
@@ -11,10 +11,12 @@
 )
 
 const (
-	storePause = 60 * time.Millisecond
-	// sharedWaitLeast is the least part of the wait that routers share.
-	sharedWaitLeast = 0.3
-	storePauseMost  = 250 * time.Millisecond
+	storePause     = 60 * time.Millisecond
+	storePauseMost = 250 * time.Millisecond
+	// refreshSpread is the part of a refresh's time by which routers differ at
+	// random, so that one of them is the first.
+	refreshSpread = 3
+	leaseCheck    = 100 * time.Millisecond
 )
 
 // watchOptions returns how the store is followed, with a wait.
@@ -22,17 +24,6 @@
 	return watch.Options{Wait: wait, Pause: storePause, PauseMost: storePauseMost}
 }
 
-// configurationWait returns how long the store is to hold the next question for
-// a configuration: for longer while peers renew the lease in between.
-func (g *Gateway) configurationWait() time.Duration {
-	if g.gossip.table.Alive(time.Now()) > 0 {
-		// A change answers all routers at once; unlike waits part them again.
-		share := sharedWaitLeast + (1-sharedWaitLeast)*rand.Float64()
-		return time.Duration(share * float64(g.settings.Routing.SharedWait))
-	}
-	return g.settings.Routing.ConfigurationWait
-}
-
 // watchConfiguration keeps the configuration in force until ctx ends.
 func (g *Gateway) watchConfiguration(ctx context.Context) error {
 	source := watch.Source[ryeford.ConfigurationUpdate]{
@@ -45,7 +36,7 @@
 			return update, update.Revision, err
 		},
 	}
-	return watch.Run(ctx, source, watchOptions(g.configurationWait), watch.Handler[ryeford.ConfigurationUpdate]{
+	return watch.Run(ctx, source, watchOptions(func() time.Duration { return g.settings.Routing.ConfigurationWait }), watch.Handler[ryeford.ConfigurationUpdate]{
 		Apply: func(update ryeford.ConfigurationUpdate, revision int64, sent time.Time) {
 			g.applyConfiguration(update, revision, sent)
 		},
@@ -54,6 +45,39 @@
 	})
 }
 
+// keepLease reads the configuration whole whenever the lease grows old, until ctx
+// ends. Routers that hear each other share what one of them has read, so that the
+// first whose turn it is reads for all.
+func (g *Gateway) keepLease(ctx context.Context) error {
+	for ctx.Err() == nil {
+		patience := g.settings.Routing.LeaseRefresh
+		patience += time.Duration(rand.Int64N(int64(patience)/refreshSpread + 1))
+		age, confirmed := g.lease.Age(time.Now())
+		if g.catalog.Get() == nil || (confirmed && age < patience) {
+			sleep(ctx, leaseCheck)
+			continue
+		}
+		sent := time.Now()
+		update, err := g.platform.Configurations.Configuration(ctx)
+		if err != nil {
+			sleep(ctx, storePauseMost)
+			continue
+		}
+		g.applyConfiguration(update, update.Revision, sent)
+	}
+	return nil
+}
+
+// sleep waits, or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // applyConfiguration brings a configuration in force and renews the lease.
 func (g *Gateway) applyConfiguration(update ryeford.ConfigurationUpdate, revision int64, sent time.Time) {
 	if update.Configuration != nil {
@@ -62,7 +86,7 @@
 		_ = g.log.Log("decision", "configuration", "version", next.Version(), "revision", revision,
 			"routes", len(update.Configuration.Routes), "accounts", len(update.Configuration.Accounts), "applied", applied)
 	}
-	if g.catalog.Get() != nil {
+	if update.Whole && g.catalog.Get() != nil {
 		g.lease.Renew(sent)
 	}
 }
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -45,13 +45,14 @@
 
 // GatewayRouting are the router's own choices.
 type GatewayRouting struct {
-	// ConfigurationWait, or SharedWait while peers are heard, and EndpointsWait are
-	// how long the store holds a question for changes. A lost question is noticed StoreTimeout later, and must be
-	// asked again before the router counts as in touch. What was known of the
-	// configuration right before the store is lost is as old as its wait.
+	// ConfigurationWait and EndpointsWait are how long the store holds a question
+	// for changes. A lost question is noticed StoreTimeout later, and must be
+	// asked again before the router counts as in touch.
 	ConfigurationWait time.Duration `yaml:"configuration_wait" validate:"min=50ms,max=30s"`
-	SharedWait        time.Duration `yaml:"shared_wait" validate:"min=50ms,max=30s"`
 	EndpointsWait     time.Duration `yaml:"endpoints_wait" validate:"min=50ms,max=30s"`
+	// LeaseRefresh is the age of what is known of the configuration at which it is
+	// read again, to be sure that it is still the newest.
+	LeaseRefresh time.Duration `yaml:"lease_refresh" validate:"min=50ms,max=10m"`
 	// StoreTimeout is how long the store may take beyond that.
 	StoreTimeout time.Duration `yaml:"store_timeout" validate:"min=50ms,max=30s"`
 	// Routers is how many routers are taken to share RetryReserve.
@@ -72,8 +73,8 @@
 			CapFactor:    2,
 		},
 		Routing: GatewayRouting{
-			ConfigurationWait: 800 * time.Millisecond,
-			SharedWait:        2200 * time.Millisecond,
+			ConfigurationWait: 2200 * time.Millisecond,
+			LeaseRefresh:      800 * time.Millisecond,
 			EndpointsWait:     2200 * time.Millisecond,
 			StoreTimeout:      700 * time.Millisecond,
 			Routers:           10,
--- a/source.go
+++ b/source.go
@@ -12,6 +12,9 @@
 	Configuration *Configuration
 	// Revision is the newest of the source.
 	Revision int64
+	// Whole says that the configuration itself was read, and not only that
+	// nothing is known to have changed: a feed may be deaf for a while.
+	Whole bool
 }
 
 // A ConfigurationSource is where the operators' accepted configuration lies.
