feat: bodies bounded in sum; the retry reserve shared among the routers that are heard

Ruled out: streaming bodies through (a retry needs them whole). Change: a weighted semaphore over a quarter of the memory, 503 beyond it; a window's reserve is divided by the routers heard and a quarter more, 10 at least. Before and after: TestBodies and TestWindowShares are new.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -100,7 +100,8 @@
 	if x.sent >= x.request.rule.MaxAttempts {
 		return false
 	}
-	return x.gateway.window(x.request.service).Repeat(time.Now())
+	now := time.Now()
+	return x.gateway.window(x.request.service).Repeat(now, x.gateway.routers(now))
 }
 
 // choose chooses the endpoint of the next try, or nil.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,6 +19,7 @@
 
 	"github.com/go-kit/log"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/ryeford/ryeford"
 	"github.com/ryeford/ryeford/catalog"
@@ -48,6 +49,10 @@
 	reserveShare = 0.9
 )
 
+// bodyShare is how many bytes of callers' bodies are kept at once, for each
+// megabyte of the process's memory.
+const bodyShare = 1 << 18
+
 // A Platform is what a Gateway needs of the platform.
 type Platform struct {
 	Protocol       ryeford.Protocol
@@ -80,6 +85,7 @@
 	windows  map[string]*retry.Window // by service
 
 	durations *durations
+	bodies    *semaphore.Weighted // bytes of callers' bodies that are kept
 
 	turn     atomic.Uint64
 	inFlight atomic.Int64
@@ -101,6 +107,7 @@
 		loads:     newLoads(),
 		holders:   holders.New(holderLimits),
 		durations: newDurations(),
+		bodies:    semaphore.NewWeighted(int64(s.Memory) * bodyShare),
 		windows:   make(map[string]*retry.Window),
 	}
 	g.gossip = newGossip(g)
@@ -227,13 +234,22 @@
 		w = retry.NewWindow(time.Now(), retry.WindowLimits{
 			Span:    bounds.RetryWindow,
 			Ratio:   bounds.RetryRatio * reserveShare,
-			Reserve: bounds.RetryReserve * reserveShare / float64(g.settings.Routing.Routers),
+			Reserve: bounds.RetryReserve * reserveShare,
 		})
 		g.windows[service] = w
 	}
 	return w
 }
 
+// routers returns how many routers are taken to share a bound: those that are
+// heard and a few more, which may just have started, but never fewer than the
+// settings say.
+func (g *Gateway) routers(now time.Time) int {
+	const unheard = 4 // one in so many
+	alive := g.gossip.table.Alive(now) + 1
+	return max(g.settings.Routing.Routers, alive+alive/unheard)
+}
+
 // addMetrics adds the gauges.
 func (g *Gateway) addMetrics() {
 	g.metrics.Gauge("ryeford_in_flight", func() float64 { return float64(g.inFlight.Load()) })
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -388,3 +388,30 @@
 	})
 	assert.Assert(t, refused)
 }
+
+// TestBodies checks that callers' bodies are bounded in sum: what does not fit is
+// refused with a time, and what was kept is given back.
+func TestBodies(t *testing.T) {
+	f := startedFixture(t, func(s *settings.Gateway) { s.Memory = 16 }) // 4 MB of bodies
+	f.setFaults(appserver.FaultHang, -1)
+	config := baseConfig()
+	config["version"] = 2
+	config["limits"].(jsonMap)["maxBodyBytes"] = 3 << 20
+	f.setConfig(config)
+	f.eventually(func() bool { return strings.Contains(f.log.String(), "version=2") })
+	large := strings.Repeat("x", 3<<20)
+	ctx, cancel := context.WithCancel(context.Background())
+	first := make(chan struct{})
+	go func() {
+		defer close(first)
+		_, _ = f.client.Do(f.request("POST", "/once/a", "key-1", large).WithContext(ctx))
+	}()
+	f.eventually(func() bool { return len(f.servers["p1"].Received())+len(f.servers["p2"].Received()) == 1 })
+	got := f.do(f.request("POST", "/once/a", "key-1", large))
+	assert.Equal(t, got.status, 503)
+	assert.Assert(t, got.header.Get("Retry-After") != "")
+	cancel()
+	<-first
+	f.setFaults(appserver.FaultNone, 0)
+	f.eventually(func() bool { return f.do(f.request("POST", "/once/a", "key-1", large)).status == 200 })
+}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -71,11 +71,12 @@
 		g.refuse(w, r, demand, arrived, err)
 		return
 	}
-	body, err := g.readBody(w, r)
+	body, release, err := g.readBody(w, r)
 	if err != nil {
 		g.refuse(w, r, demand, arrived, err)
 		return
 	}
+	defer release()
 	q, err := g.admit(r, demand, arrived)
 	if err != nil {
 		g.refuse(w, r, demand, arrived, err)
@@ -89,27 +90,39 @@
 	x.serve(ctx, w)
 }
 
-// readBody reads a request's body whole.
-func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+// readBody reads a request's body whole. All bodies that are kept are bounded in
+// sum; the returned function gives this one's part back.
+func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request) ([]byte, func(), error) {
 	if r.Body == nil || r.Body == http.NoBody {
-		return nil, nil
+		return nil, func() {}, nil
 	}
 	limit := int64(startingBody)
 	if c := g.catalog.Get(); c != nil && c.Limits().MaxBody > 0 {
 		limit = int64(c.Limits().MaxBody)
 	}
+	size := r.ContentLength
+	if size < 0 || size > limit {
+		size = limit
+	}
+	if !g.bodies.TryAcquire(size) {
+		return nil, nil, &ryeford.NotRunError{Reason: ryeford.ReasonOverload, RetryAfter: retryFull}
+	}
+	release := func() { g.bodies.Release(size) }
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(bodyTime))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	var tooLarge *http.MaxBytesError
+	if err != nil {
+		release()
+	}
 	switch {
 	case errors.As(err, &tooLarge):
-		return nil, &ryeford.InputError{Field: "body", Problem: "too large", Status: http.StatusRequestEntityTooLarge}
+		return nil, nil, &ryeford.InputError{Field: "body", Problem: "too large", Status: http.StatusRequestEntityTooLarge}
 	case err != nil:
-		return nil, &ryeford.InputError{Field: "body", Problem: "incomplete", Status: http.StatusBadRequest}
+		return nil, nil, &ryeford.InputError{Field: "body", Problem: "incomplete", Status: http.StatusBadRequest}
 	}
 	_ = control.SetReadDeadline(time.Time{})
-	return body, nil
+	return body, release, nil
 }
 
 // admit finds a request's route and client account.
--- /dev/null
+++ b/holders/holders_test.go
@@ -0,0 +1,80 @@
+package holders
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ryeford/ryeford"
+)
+
+var (
+	start  = time.Unix(1000, 0)
+	limits = Limits{Parts: 4, PerPart: 2, Forget: time.Minute}
+)
+
+func parts(ids ...uint64) []ryeford.PromptPart {
+	var result []ryeford.PromptPart
+	for _, id := range ids {
+		result = append(result, ryeford.PromptPart{ID: id})
+	}
+	return result
+}
+
+func best(m *Map, now time.Time, prompt []ryeford.PromptPart, without ...ryeford.EndpointID) (ryeford.EndpointID, int) {
+	return m.Best(now, prompt, func(id ryeford.EndpointID) bool {
+		for _, other := range without {
+			if id == other {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// TestBest checks that the longest part of a prompt that anyone holds wins, and
+// among its holders the latest.
+func TestBest(t *testing.T) {
+	m := New(limits)
+	id, depth := best(m, start, parts(1, 2))
+	assert.Equal(t, id, ryeford.EndpointID(""))
+	assert.Equal(t, depth, 0)
+	m.Add(start, "a", parts(1, 2))
+	m.Add(start, "b", parts(1, 3))
+	for _, test := range []struct {
+		prompt  []ryeford.PromptPart
+		without ryeford.EndpointID
+		id      ryeford.EndpointID
+		depth   int
+	}{
+		{parts(1, 2), "", "a", 2},
+		{parts(1, 3), "", "b", 2},
+		{parts(1, 4), "", "b", 1},
+		{parts(1, 2), "a", "b", 1},
+		{parts(5, 6), "", "", 0},
+	} {
+		id, depth := best(m, start, test.prompt, test.without)
+		assert.Equal(t, id, test.id)
+		assert.Equal(t, depth, test.depth)
+	}
+}
+
+// TestForgetting checks that time, endpoints that go and the bounds are kept.
+func TestForgetting(t *testing.T) {
+	m := New(limits)
+	m.Add(start, "a", parts(1))
+	_, depth := best(m, start.Add(limits.Forget+1), parts(1))
+	assert.Equal(t, depth, 0)
+	m.Add(start, "b", parts(1))
+	m.Add(start, "c", parts(1)) // pushes out a, the oldest
+	id, _ := best(m, start, parts(1), "b", "c")
+	assert.Equal(t, id, ryeford.EndpointID(""))
+	m.Forget("c")
+	id, _ = best(m, start, parts(1))
+	assert.Equal(t, id, ryeford.EndpointID("b"))
+	for i := range uint64(100) {
+		m.Add(start, "d", parts(i))
+	}
+	assert.Assert(t, len(m.parts) <= limits.Parts)
+}
--- a/retry/window.go
+++ b/retry/window.go
@@ -22,8 +22,9 @@
 
 // WindowLimits are the bounds of a Window.
 type WindowLimits struct {
-	Span    time.Duration
-	Ratio   float64
+	Span  time.Duration
+	Ratio float64
+	// Reserve is what all routers together may have beyond the ratio.
 	Reserve float64
 }
 
@@ -46,8 +47,8 @@
 }
 
 // Repeat takes one arrival beyond a request's first, and reports whether the
-// bound allows it.
-func (w *Window) Repeat(now time.Time) bool {
+// bound allows it to one of so many routers.
+func (w *Window) Repeat(now time.Time, routers int) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	current := w.slice(now)
@@ -60,7 +61,7 @@
 		repeats += s.repeats
 		requests += s.requests
 	}
-	if float64(repeats+1) > w.limits.Ratio*float64(requests)+w.limits.Reserve {
+	if float64(repeats+1) > w.limits.Ratio*float64(requests)+w.limits.Reserve/float64(max(1, routers)) {
 		return false
 	}
 	current.repeats++
--- a/retry/window_test.go
+++ b/retry/window_test.go
@@ -23,7 +23,7 @@
 				requests = append(requests, now)
 			}
 			for range rapid.IntRange(0, 5).Draw(t, "tries") {
-				if w.Repeat(now) {
+				if w.Repeat(now, 1) {
 					repeats = append(repeats, now)
 				}
 			}
@@ -50,8 +50,23 @@
 func TestWindowForgets(t *testing.T) {
 	now := time.Unix(1000, 0)
 	w := NewWindow(now, WindowLimits{Span: 10 * time.Second, Reserve: 2})
-	assert.Assert(t, w.Repeat(now))
-	assert.Assert(t, w.Repeat(now))
-	assert.Assert(t, !w.Repeat(now.Add(9*time.Second)))
-	assert.Assert(t, w.Repeat(now.Add(11*time.Second)))
+	assert.Assert(t, w.Repeat(now, 1))
+	assert.Assert(t, w.Repeat(now, 1))
+	assert.Assert(t, !w.Repeat(now.Add(9*time.Second), 1))
+	assert.Assert(t, w.Repeat(now.Add(11*time.Second), 1))
+}
+
+// TestWindowShares checks that routers that know of each other keep the reserve
+// together, without a word on each repeat.
+func TestWindowShares(t *testing.T) {
+	const routers = 26
+	now := time.Unix(1000, 0)
+	repeats := 0
+	for range routers {
+		w := NewWindow(now, WindowLimits{Span: 10 * time.Second, Ratio: 0.2, Reserve: 84})
+		for w.Repeat(now, routers) {
+			repeats++
+		}
+	}
+	assert.Assert(t, repeats <= 84 && repeats > 84/2, "%d repeats", repeats)
 }
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -55,7 +55,7 @@
 	LeaseRefresh time.Duration `yaml:"lease_refresh" validate:"min=50ms,max=10m"`
 	// StoreTimeout is how long the store may take beyond that.
 	StoreTimeout time.Duration `yaml:"store_timeout" validate:"min=50ms,max=30s"`
-	// Routers is how many routers are taken to share RetryReserve.
+	// Routers is how many routers at least are taken to share RetryReserve.
 	Routers int `yaml:"routers" validate:"min=1,max=10000"`
 }
 
