refactor: the choice of an endpoint in a file of its own; no platform names in dev

Ruled out: nothing. Change: gateway/choose.go; the demo configuration and its curl line belong to the emulator. Before and after: no behaviour changed; gateway tests and platform.txtar green.

--- /dev/null
+++ b/gateway/choose.go
@@ -0,0 +1,118 @@
+package gateway
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/ryeford/ryeford"
+	"github.com/ryeford/ryeford/choice"
+	"github.com/ryeford/ryeford/roster"
+)
+
+const (
+	// capOffset is added to the multiple of the mean load at which an endpoint
+	// is full. The users allow 3; a router sees the others' requests late.
+	capOffset = 2.0
+	// domainPenalty is how many requests of load an endpoint in another failure
+	// domain costs, for plain services.
+	domainPenalty = 0.6
+)
+
+// choose chooses the endpoint of the next try, or nil.
+func (x *exchange) choose() (to, holder *roster.Entry) {
+	g, q := x.gateway, x.request
+	now := time.Now()
+	entries := g.roster.Serving(q.service)
+	serving := len(entries)
+	if q.shared {
+		entries = append(entries[:serving:serving], g.roster.Draining(q.service)...)
+	}
+	candidates := make([]choice.Candidate, 0, len(entries))
+	for i, entry := range entries {
+		told, known := g.gossip.table.Others(now, entry.ID)
+		hash, load := g.loads.estimate(now, entry.ID, told, known)
+		candidates = append(candidates, choice.Candidate{
+			ID:      entry.ID,
+			Domain:  entry.FailureDomain,
+			Hash:    hash,
+			Load:    load,
+			Slots:   entry.Slots,
+			Tried:   x.tried[entry.ID],
+			Failing: !g.detector.Healthy(now, entry.ID),
+			Leaving: i >= serving,
+		})
+	}
+	limits := choice.Limits{
+		CapFactor:     g.settings.Bounds.CapFactor,
+		CapOffset:     capOffset,
+		Domain:        g.settings.FailureDomain,
+		DomainPenalty: domainPenalty,
+	}
+	var chosen choice.Choice
+	if q.shared {
+		chosen = choice.Affine(candidates, q.affinity, limits)
+	} else {
+		chosen = choice.Least(candidates, limits, int(g.turn.Add(1)%(1<<30)))
+	}
+	if chosen.Index < 0 {
+		return nil, nil
+	}
+	if q.shared {
+		holder = x.source(now, entries, candidates, &chosen)
+	}
+	x.noteChoice(candidates, &chosen, holder)
+	return entries[chosen.Index], holder
+}
+
+// source returns the endpoint from which the chosen one is to take what it lacks
+// of the prompt, or nil: one that is known to hold the shared parts, or else the
+// one before or behind it in the prompt's order, or else one that holds the
+// beginning.
+func (x *exchange) source(now time.Time, entries []*roster.Entry, candidates []choice.Candidate, chosen *choice.Choice) *roster.Entry {
+	g, q := x.gateway, x.request
+	shared := q.demand.Prefix[:len(q.demand.Prefix)-1]
+	target := entries[chosen.Index]
+	byID := make(map[ryeford.EndpointID]*roster.Entry, len(entries))
+	for i, entry := range entries {
+		if i != chosen.Index && !candidates[i].Failing {
+			byID[entry.ID] = entry
+		}
+	}
+	best, depth := g.holders.Best(now, shared, func(id ryeford.EndpointID) bool { return byID[id] != nil })
+	moved := chosen.Reason != choice.ReasonHome || chosen.HolderFirst || !target.Since.IsZero()
+	if chosen.Holder >= 0 && depth < len(shared) && (moved || depth == 0) {
+		return entries[chosen.Holder]
+	}
+	return byID[best]
+}
+
+// noteChoice logs where a try goes and why.
+func (x *exchange) noteChoice(candidates []choice.Candidate, chosen *choice.Choice, source *roster.Entry) {
+	g, q := x.gateway, x.request
+	c := &candidates[chosen.Index]
+	var sourceID ryeford.EndpointID
+	if source != nil {
+		sourceID = source.ID
+	}
+	_ = g.log.Log("decision", "send", "request", q.demand.ID, "route", q.rule.Name, "account", q.accountID(), "service", q.service,
+		"endpoint", c.ID, "why", chosen.Reason, "load", roundLoad(c.Load), "mean", roundLoad(chosen.Mean), "cap", roundLoad(chosen.Cap), "candidates", len(candidates), "prompt", promptText(q.demand.Prefix), "source", sourceID,
+		"sent", x.sent, "unsent", x.unsent, "version", q.catalog.Version(), "lease", g.leaseLeft())
+}
+
+// promptText returns the shared parts of a prompt as they are logged.
+func promptText(parts []ryeford.PromptPart) string {
+	var b strings.Builder
+	for i := 0; i+1 < len(parts); i++ {
+		fmt.Fprintf(&b, "%s%x:%d", comma(i), parts[i].ID, parts[i].Tokens)
+	}
+	return b.String()
+}
+
+// comma returns what stands before the i-th entry of a list.
+func comma(i int) string {
+	if i == 0 {
+		return ""
+	}
+	return ","
+}
--- a/internal/cmd/devplatform.go
+++ b/internal/cmd/devplatform.go
@@ -18,25 +18,15 @@
 	"github.com/ryeford/ryeford/standin/emulator"
 )
 
-// devConfiguration is the operators' configuration of a dev fleet on the
-// platform, in the platform's JSON.
-const devConfiguration = `{"version":1,
-"routes":[
-{"name":"chat","host":"dev.example","pathPrefix":"/chat/","kind":"streaming","service":"model","timeoutMs":15000,"goalMs":500,"maxAttempts":2,"resumable":true,"priority":1},
-{"name":"notes","host":"dev.example","pathPrefix":"/notes/","kind":"unsafe","service":"notes","timeoutMs":4000,"goalMs":300,"maxAttempts":1,"priority":2}],
-"services":[{"name":"notes"},{"name":"model","engine":{"slots":64,"kvCapacity":100000}}],
-"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
-"tenants":[{"name":"demo","apiKeys":["` + devKey + `"]}]}`
-
 // runDevPlatform runs a gateway with an emulator of the users' platform until it
 // is told to stop.
 func runDevPlatform(ctx context.Context, c *cli.Command, callers netip.AddrPort) error {
 	ports := &portPicker{}
 	emulated := &settings.Emulator{Store: ports.pick(), Admin: ports.pick()}
 	for _, server := range []settings.EmulatorServer{
-		{ID: "model-1", Service: "model", Events: 20, Step: 20 * time.Millisecond},
-		{ID: "model-2", Service: "model", Events: 20, Step: 20 * time.Millisecond},
-		{ID: "notes-1", Service: "notes", Step: 20 * time.Millisecond},
+		{ID: "model-1", Service: emulator.DemoModel, Events: 20, Step: 20 * time.Millisecond},
+		{ID: "model-2", Service: emulator.DemoModel, Events: 20, Step: 20 * time.Millisecond},
+		{ID: "notes-1", Service: emulator.DemoNotes, Step: 20 * time.Millisecond},
 	} {
 		server.Address, server.FailureDomain = ports.pick(), "domain-1"
 		emulated.Servers = append(emulated.Servers, server)
@@ -56,7 +46,7 @@
 		Protocol: platform.Protocol{}, Configurations: store, Endpoints: store, ReadyPath: platform.PathReady,
 	}, logger, telemetry.NewSet())
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return emulator.New(emulated, []byte(devConfiguration)).Run(ctx) })
+	group.Go(func() error { return emulator.New(emulated, emulator.DemoConfiguration(devKey)).Run(ctx) })
 	group.Go(func() error { return g.Run(ctx) })
 	group.Go(func() error { return announcePlatform(ctx, c, s, emulated) })
 	return group.Wait()
@@ -80,10 +70,10 @@
 	_, err := fmt.Fprintf(c.Root().Writer, `ready: callers on %[1]s, the emulator's faults on %[2]s
 
 Send a request:
-  curl -sN http://%[1]s/chat/1 -H 'Host: dev.example' -H 'Ryeford-Request-Id: 1' -H 'Authorization: Bearer %[3]s' -d 'good morning'
+  %[3]s
 
 Let a server fail:
   go run ./cmd/ryeford standin fault %[2]s '{"server":"model-1","fault":"cut","requests":-1}'
-`, s.Callers, emulated.Admin, devKey)
+`, s.Callers, emulated.Admin, emulator.DemoCommand(s.Callers.AddrPort, devKey))
 	return err
 }
