perf: routers' talk within 5 KB/s each way

Ruled out: fewer peers for all (a small fleet can afford all of them). Change: a budget of bytes a second decides how many peers are told; echoes only for those; members with every eighth message. What the peers that told lately have is scaled up to those that are alive. At 300 machines a pair talks too seldom for leases to be shared, so that each router reads the configuration itself: open (docs/CAPACITY.md).

--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -21,8 +22,13 @@
 	gossipPeers = 8
 	// gossipMembers is how many members a message names.
 	gossipMembers = 12
-	// gossipEchoes is how many peers' messages a message echoes.
-	gossipEchoes = 24
+	// gossipBytes is how much is sent to peers in a second. As much comes from
+	// them, on average: together what letter 1 allows a node.
+	gossipBytes = 5000
+	// membersEvery is after how many messages one names members.
+	membersEvery = 8
+	// datagramHead is what the headers of a datagram take.
+	datagramHead = 28
 	// gossipPrompts is how many prompts a message tells; what is beyond that is
 	// not told.
 	gossipPrompts = 24
@@ -34,7 +40,7 @@
 )
 
 // peerLimits bound what is kept of the peers.
-var peerLimits = peers.Limits{Fresh: 700 * time.Millisecond, Forget: 3 * time.Second, Members: 1024}
+var peerLimits = peers.Limits{Fresh: time.Second, Forget: 3 * time.Second, Members: 1024}
 
 // A gossip is a gateway's talk with its peers.
 type gossip struct {
@@ -174,7 +180,8 @@
 func (p *gossip) tell(ctx context.Context, conn *net.UDPConn) error {
 	ticker := time.NewTicker(gossipEvery)
 	defer ticker.Stop()
-	known := 0
+	known, size := 0, 0
+	budget := peers.NewBudget(time.Now(), gossipBytes)
 	for sequence := uint64(1); ; sequence++ {
 		now := time.Now()
 		if alive := p.table.Alive(now); alive != known {
@@ -182,8 +189,11 @@
 			known = alive
 		}
 		p.sent.Note(now, sequence)
-		if content, err := cbor.Marshal(p.message(now, sequence)); err == nil {
-			for _, target := range p.table.Targets(now, gossipPeers) {
+		targets := p.table.Targets(now, budget.Sends(now, size, gossipPeers))
+		if content, err := cbor.Marshal(p.message(now, sequence, targets)); err == nil && len(targets) > 0 {
+			size = len(content) + datagramHead
+			for _, target := range targets {
+				budget.Spend(size)
 				_, _ = conn.WriteToUDPAddrPort(content, target)
 			}
 		}
@@ -195,22 +205,28 @@
 	}
 }
 
-// message returns what the peers are told now.
-func (p *gossip) message(now time.Time, sequence uint64) *peers.Message {
-	p.mu.Lock()
-	prompts := p.prompts
-	p.prompts = nil
-	p.mu.Unlock()
+// message returns what some peers are told now.
+func (p *gossip) message(now time.Time, sequence uint64, targets []netip.AddrPort) *peers.Message {
+	var prompts []peers.Prompt
+	if len(targets) > 0 {
+		p.mu.Lock()
+		prompts, p.prompts = p.prompts, nil
+		p.mu.Unlock()
+	}
+	var members []netip.AddrPort
+	if sequence%membersEvery == 1 {
+		members = p.table.Members(now, gossipMembers)
+	}
 	age, confirmed := p.gateway.lease.Age(now)
 	return &peers.Message{
 		Version:   p.gateway.version(),
 		Age:       age,
 		Confirmed: confirmed,
-		Echoes:    p.table.Echoes(now, gossipEchoes),
+		Echoes:    p.table.Echoes(targets),
 		Sender:    p.gateway.settings.Peers.AddrPort,
 		Started:   p.started,
 		Sequence:  sequence,
-		Members:   p.table.Members(now, gossipMembers),
+		Members:   members,
 		Loads:     p.gateway.loads.own(),
 		Prompts:   prompts,
 	}
--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -72,12 +72,12 @@
 
 // estimate returns the hash of an endpoint and its estimated load. told is what
 // the other routers tell of theirs, and known whether any of them does.
-func (l *loads) estimate(now time.Time, id ryeford.EndpointID, told int, known bool) (uint64, float64) {
+func (l *loads) estimate(now time.Time, id ryeford.EndpointID, told float64, known bool) (uint64, float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.get(id)
 	if known {
-		return s.hash, float64(told + s.own)
+		return s.hash, told + float64(s.own)
 	}
 	others := max(0, s.reported-float64(s.ownThen))
 	for age := now.Sub(s.at); age > reportHalfLife && others > 0.1; age -= reportHalfLife {
--- a/peers/table.go
+++ b/peers/table.go
@@ -95,18 +95,27 @@
 	}
 }
 
-// Others returns how many requests the peers have at an endpoint, and whether any
-// peer was heard lately.
-func (t *Table) Others(now time.Time, endpoint ryeford.EndpointID) (requests int, known bool) {
+// Others estimates how many requests the peers have at an endpoint, from those
+// that told lately: the others are taken to have as many. It reports whether any
+// peer told lately.
+func (t *Table) Others(now time.Time, endpoint ryeford.EndpointID) (requests float64, known bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	sum, fresh, alive := 0, 0, 0
 	for _, m := range t.members {
-		if now.Sub(m.heard) <= t.limits.Fresh {
-			requests += m.loads[endpoint]
-			known = true
+		age := now.Sub(m.heard)
+		if age <= t.limits.Forget {
+			alive++
 		}
+		if age <= t.limits.Fresh {
+			sum += m.loads[endpoint]
+			fresh++
+		}
+	}
+	if fresh == 0 {
+		return 0, false
 	}
-	return requests, known
+	return float64(sum) * float64(alive) / float64(fresh), true
 }
 
 // Alive returns how many peers were heard lately.
@@ -139,15 +148,15 @@
 	return draw(targets, k)
 }
 
-// Echoes returns the last message of each of at most k peers that were heard
-// lately, drawn at random.
-func (t *Table) Echoes(now time.Time, k int) []Echo {
+// Echoes returns the last message of each of some peers that was heard.
+func (t *Table) Echoes(targets []netip.AddrPort) []Echo {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var echoes []Echo
-	for _, address := range draw(t.alive(now), k) {
-		m := t.members[address]
-		echoes = append(echoes, Echo{Peer: address, Started: m.started, Sequence: m.sequence})
+	for _, address := range targets {
+		if m := t.members[address]; m != nil && !m.heard.IsZero() {
+			echoes = append(echoes, Echo{Peer: address, Started: m.started, Sequence: m.sequence})
+		}
 	}
 	return echoes
 }
