--- a/choice/choice.go
+++ b/choice/choice.go
@@ -3,7 +3,6 @@
 package choice
 
 import (
-	"cmp"
 	"slices"
 
 	"github.com/ryeford/ryeford"
@@ -71,27 +70,8 @@
 func Affine(candidates []Candidate, key uint64, limits Limits) Choice {
 	result := Choice{Index: -1, Holder: -1, Reason: ReasonNobody}
 	result.Mean, result.Cap = bounds(candidates, limits)
-	order := make([]int, 0, len(candidates))
-	for i := range candidates {
-		order = append(order, i)
-	}
-	slices.SortFunc(order, func(a, b int) int {
-		return cmp.Compare(route.Mix(key, candidates[b].Hash), route.Mix(key, candidates[a].Hash))
-	})
-	first := -1
-	for _, i := range order {
-		c := &candidates[i]
-		if c.Leaving || c.Tried || c.Failing {
-			continue
-		}
-		if first < 0 {
-			first = i
-		}
-		if c.Load <= result.Cap {
-			result.Index = i
-			break
-		}
-	}
+	first := best(candidates, key, -1, usable)
+	result.Index = best(candidates, key, -1, func(c *Candidate) bool { return usable(c) && c.Load <= result.Cap })
 	switch {
 	case result.Index < 0:
 		result.takeLeast(candidates, limits)
@@ -100,22 +80,35 @@
 	default:
 		result.Reason = ReasonSpill
 	}
-	result.Holder = holder(candidates, order, result.Index)
+	// Who is likely to hold the prompt: the best other, the leaving ones included.
+	result.Holder = best(candidates, key, result.Index, func(c *Candidate) bool { return !c.Failing })
 	if result.Holder >= 0 && result.Index >= 0 {
-		result.HolderFirst = slices.Index(order, result.Holder) < slices.Index(order, result.Index)
+		result.HolderFirst = score(candidates, key, result.Holder) > score(candidates, key, result.Index)
 	}
 	return result
 }
 
-// holder returns who is likely to hold the prompt beside the chosen endpoint:
-// the best of the order, the leaving ones included.
-func holder(candidates []Candidate, order []int, chosen int) int {
-	for _, i := range order {
-		if i != chosen && !candidates[i].Failing {
-			return i
+// usable reports whether a candidate may take the request without need.
+func usable(c *Candidate) bool { return !c.Leaving && !c.Tried && !c.Failing }
+
+// best returns the first of a prompt's order for which allowed is true, or -1.
+// The candidate without is passed over.
+func best(candidates []Candidate, key uint64, without int, allowed func(*Candidate) bool) int {
+	found, highest := -1, uint64(0)
+	for i := range candidates {
+		if i == without || !allowed(&candidates[i]) {
+			continue
+		}
+		if s := score(candidates, key, i); found < 0 || s > highest {
+			found, highest = i, s
 		}
 	}
-	return -1
+	return found
+}
+
+// score returns the rank of a candidate in a prompt's order: the highest is first.
+func score(candidates []Candidate, key uint64, i int) uint64 {
+	return route.Mix(key, candidates[i].Hash)
 }
 
 // Least chooses the least loaded endpoint, those of the router's own failure
