fix: a whole read that brings nothing new is neither indexed nor logged

Ruled out: asking for the row's version alone (the store has no such call). Change: a configuration of the version in force only renews the lease; watch.Pause serves both loops that waited with code of their own. Conclusion: the same behaviour with less work and a quieter log.

--- a/gateway/watchers.go
+++ b/gateway/watchers.go
@@ -54,13 +54,13 @@
 		patience += time.Duration(rand.Int64N(int64(patience)/refreshSpread + 1))
 		age, confirmed := g.lease.Age(time.Now())
 		if g.catalog.Get() == nil || (confirmed && age < patience) {
-			sleep(ctx, leaseCheck)
+			watch.Pause(ctx, leaseCheck)
 			continue
 		}
 		sent := time.Now()
 		update, err := g.platform.Configurations.Configuration(ctx)
 		if err != nil {
-			sleep(ctx, storePauseMost)
+			watch.Pause(ctx, storePauseMost)
 			continue
 		}
 		g.applyConfiguration(update, update.Revision, sent)
@@ -68,19 +68,10 @@
 	return nil
 }
 
-// sleep waits, or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
-// applyConfiguration brings a configuration in force and renews the lease.
+// applyConfiguration brings a configuration in force, unless it is already, and
+// renews the lease.
 func (g *Gateway) applyConfiguration(update ryeford.ConfigurationUpdate, revision int64, sent time.Time) {
-	if update.Configuration != nil {
+	if update.Configuration != nil && update.Configuration.Version != g.version() {
 		next := catalog.New(update.Configuration)
 		applied := g.catalog.Put(next)
 		_ = g.log.Log("decision", "configuration", "version", next.Version(), "revision", revision,
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -64,7 +64,7 @@
 			failures = 0
 			if newest < revision {
 				// A stale answer is no confirmation.
-				pause(ctx, options.Pause)
+				Pause(ctx, options.Pause)
 				continue
 			}
 			handler.Apply(update, newest, sent)
@@ -78,7 +78,7 @@
 				handler.Lost(err)
 			}
 			failures++
-			pause(ctx, backoff(failures, options))
+			Pause(ctx, backoff(failures, options))
 		}
 	}
 	return nil
@@ -102,8 +102,8 @@
 	return step/2 + time.Duration(rand.Int64N(int64(step/2)+1))
 }
 
-// pause waits, or until ctx ends.
-func pause(ctx context.Context, d time.Duration) {
+// Pause waits, or until ctx ends.
+func Pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
