perf: routers share leases by the store's clock; changes of the server list come together

The log of a router showed why: each server's entry woke each router's feed by itself (47 calls in the first 3 s), each router asked two feeds, and shared leases did not work, since a pair of 26 routers talks every few seconds and an echo binds only that pair.

Ruled out: longer waits alone (a lost question must be noticed before the router counts as in touch again), and trusting the feed's silence for the lease (it may be deaf).

Change: a confirmation is told by the source's steady clock, which each answer carries. It can pass through any number of routers and may be as late as it likes: each bounds its age by its own reads (freshness.SharedLease). Routers take turns at reading (peers.Table.Rank), and one that hears of a newer version reads at once. The feed of the configuration and the echoes are gone. The list's feed settles for 0.5 s after a change, and its wait follows from the time of contact. An answer of an older revision is no confirmation any more.

--- /dev/null
+++ b/freshness/sharedlease_test.go
@@ -0,0 +1,82 @@
+package freshness
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const term = 4 * time.Second
+
+// start lies behind the start of each lease in these tests.
+var start = time.Now().Add(time.Hour)
+
+// TestSharedRead checks that a read of one process renews another's lease by no
+// more than the read's own age, however long the message took.
+func TestSharedRead(t *testing.T) {
+	reader, other := NewSharedLease(term), NewSharedLease(term)
+	// Each process's own read sets its view of the source's clock.
+	reader.RenewRead(start, start.Add(100*time.Millisecond), 50*time.Second)
+	other.RenewRead(start, start.Add(20*time.Millisecond), 50*time.Second)
+
+	read := start.Add(2 * time.Second)
+	reader.RenewRead(read, read.Add(200*time.Millisecond), 52*time.Second+100*time.Millisecond)
+	confirmed, ok := reader.Confirmed()
+	assert.Assert(t, ok)
+	assert.Equal(t, confirmed, 51900*time.Millisecond)
+
+	now := start.Add(3 * time.Second) // the message is late
+	assert.Assert(t, other.RenewTold(now, confirmed))
+	age, _ := other.Age(now)
+	assert.Assert(t, age >= time.Second, "%s: not younger than the read", age)
+	assert.Assert(t, age < 1200*time.Millisecond, "%s", age)
+	passedOn, _ := other.Confirmed()
+	assert.Equal(t, passedOn, confirmed)
+	assert.Assert(t, !other.RenewTold(now, confirmed), "no news")
+	assert.Assert(t, !other.RenewTold(now, confirmed-time.Millisecond), "older")
+}
+
+// TestSharedBeforeOwnRead checks that a process that has never asked the source
+// itself, and so can't tell the age of anything, believes nobody.
+func TestSharedBeforeOwnRead(t *testing.T) {
+	l := NewSharedLease(term)
+	assert.Assert(t, !l.RenewTold(start, time.Second))
+	assert.Assert(t, !l.Valid(time.Now()))
+}
+
+// TestSharedFuture checks that a confirmation that lies in the future of the
+// source's clock is not believed: it is of another clock.
+func TestSharedFuture(t *testing.T) {
+	l := NewSharedLease(term)
+	l.RenewRead(start, start, 50*time.Second)
+	assert.Assert(t, !l.RenewTold(start.Add(time.Second), 52*time.Second))
+	assert.Assert(t, l.RenewTold(start.Add(time.Second), 51*time.Second))
+}
+
+// TestSharedFrozen checks that a process that was frozen with a message at its
+// door takes it as old as it is.
+func TestSharedFrozen(t *testing.T) {
+	l := NewSharedLease(term)
+	l.RenewRead(start, start, 50*time.Second)
+	now := start.Add(20 * time.Second)
+	l.RenewTold(now, 51*time.Second)
+	age, _ := l.Age(now)
+	assert.Assert(t, age >= 19*time.Second)
+}
+
+// TestSlowAnswer checks that a slow answer doesn't loosen what is known of the
+// source's clock, and that a clock that started anew is followed.
+func TestSlowAnswer(t *testing.T) {
+	var c sourceClock
+	c.observe(start, 50*time.Second)
+	c.observe(start.Add(time.Second), 52*time.Second) // answered a second late
+	latest, _ := c.latest(start.Add(time.Second))
+	assert.Assert(t, latest < 51001*time.Millisecond)
+	c.observe(start.Add(2*time.Second), time.Second) // back
+	latest, _ = c.latest(start.Add(2 * time.Second))
+	assert.Equal(t, latest, time.Second)
+	c.observe(start.Add(3*time.Second), time.Hour) // ahead
+	latest, _ = c.latest(start.Add(3 * time.Second))
+	assert.Equal(t, latest, time.Hour)
+}
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -81,7 +81,7 @@
 	s.VM, s.Region, s.FailureDomain = "router-1", "region", "a"
 	s.Callers.AddrPort, s.Readiness.AddrPort = freeAddress(t), freeAddress(t)
 	s.Store.AddrPort = netip.MustParseAddrPort(strings.TrimPrefix(storeServer.URL, "http://"))
-	s.Routing.ConfigurationWait, s.Routing.EndpointsWait = 100*time.Millisecond, 100*time.Millisecond
+	s.Routing.EndpointsWait, s.Routing.EndpointsSettle = 100*time.Millisecond, 10*time.Millisecond
 	s.Routing.StoreTimeout = 300 * time.Millisecond
 	s.Routing.LeaseRefresh = 100 * time.Millisecond
 	s.Routing.Routers = 1
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -72,14 +72,16 @@
 	metrics  *telemetry.Set
 
 	catalog  catalog.Current
-	lease    *freshness.Lease
+	lease    *freshness.SharedLease
 	roster   *roster.Roster
 	detector *outlier.Detector
 	pool     *endpoint.Pool
 	loads    *loads
 	holders  *holders.Map
 	gossip   *gossip
-	regained bool // the next list is the first since it was out of reach; only the watch uses it
+	newer    chan struct{} // a peer has a newer configuration
+	revision int64         // of the newest answer that told the configuration; only its keeper uses it
+	regained bool          // the next list is the first since it was out of reach; only the watch uses it
 
 	windowMu sync.Mutex
 	windows  map[string]*retry.Window // by service
@@ -100,7 +102,8 @@
 		platform:  platform,
 		log:       logger,
 		metrics:   metrics,
-		lease:     freshness.NewLease(s.Bounds.Revoke - leaseMargin),
+		newer:     make(chan struct{}, 1),
+		lease:     freshness.NewSharedLease(s.Bounds.Revoke - leaseMargin),
 		roster:    roster.New(doubtLinger),
 		detector:  outlier.New(outlierLimits),
 		pool:      endpoint.New(platform.Protocol, endpoint.DefaultOptions()),
@@ -145,9 +148,8 @@
 	_ = g.log.Log("msg", "started", "failure_domain", g.settings.FailureDomain,
 		"callers", g.settings.Callers, "lease", g.settings.Bounds.Revoke-leaseMargin)
 	group, work := errgroup.WithContext(work)
-	group.Go(func() error { return g.watchConfiguration(work) })
+	group.Go(func() error { return g.keepConfiguration(work) })
 	group.Go(func() error { return g.watchEndpoints(work) })
-	group.Go(func() error { return g.keepLease(work) })
 	group.Go(func() error { return g.sweep(work) })
 	group.Go(func() error { return g.gossip.run(work) })
 	group.Go(func() error { return callers.serve() })
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -47,7 +47,6 @@
 	gateway *Gateway
 	table   *peers.Table
 	started int64
-	sent    *peers.SendLog
 
 	mu      sync.Mutex
 	prompts []peers.Prompt // to be told
@@ -55,12 +54,10 @@
 
 // newGossip returns the talk of a gateway; without an address it tells nobody.
 func newGossip(g *Gateway) *gossip {
-	started := time.Now().UnixNano()
 	return &gossip{
 		gateway: g,
 		table:   peers.New(g.settings.Peers.AddrPort, peerLimits),
-		started: started,
-		sent:    peers.NewSendLog(started),
+		started: time.Now().UnixNano(),
 	}
 }
 
@@ -146,7 +143,7 @@
 	if !p.table.Hear(now, message) {
 		return
 	}
-	p.renew(message)
+	p.renew(now, message)
 	for _, prompt := range message.Prompts {
 		if !p.gateway.roster.Knows(prompt.Endpoint) {
 			continue
@@ -161,19 +158,16 @@
 
 // renew renews the lease on the configuration by what a peer tells: that the
 // version which this router has, or an older one, was the newest at a time.
-func (p *gossip) renew(message *peers.Message) {
+func (p *gossip) renew(now time.Time, message *peers.Message) {
+	if !message.Confirmed {
+		return
+	}
 	current := p.gateway.catalog.Get()
 	if current == nil || current.Version() < message.Version {
+		p.gateway.tellNewer()
 		return
 	}
-	for i := range message.Echoes {
-		if message.Echoes[i].Peer != p.gateway.settings.Peers.AddrPort {
-			continue
-		}
-		if at, ok := p.sent.ConfirmedAt(message, &message.Echoes[i]); ok {
-			p.gateway.lease.Renew(at)
-		}
-	}
+	p.gateway.lease.RenewTold(now, message.ConfirmedAt)
 }
 
 // tell tells the peers from time to time.
@@ -188,7 +182,6 @@
 			_ = p.gateway.log.Log("decision", "peers", "alive", alive, "before", known)
 			known = alive
 		}
-		p.sent.Note(now, sequence)
 		targets := p.table.Targets(now, budget.Sends(now, size, gossipPeers))
 		if content, err := cbor.Marshal(p.message(now, sequence, targets)); err == nil && len(targets) > 0 {
 			size = len(content) + datagramHead
@@ -217,17 +210,16 @@
 	if sequence%membersEvery == 1 {
 		members = p.table.Members(now, gossipMembers)
 	}
-	age, confirmed := p.gateway.lease.Age(now)
+	confirmedAt, confirmed := p.gateway.lease.Confirmed()
 	return &peers.Message{
-		Version:   p.gateway.version(),
-		Age:       age,
-		Confirmed: confirmed,
-		Echoes:    p.table.Echoes(targets),
-		Sender:    p.gateway.settings.Peers.AddrPort,
-		Started:   p.started,
-		Sequence:  sequence,
-		Members:   members,
-		Loads:     p.gateway.loads.own(),
-		Prompts:   prompts,
+		Version:     p.gateway.version(),
+		ConfirmedAt: confirmedAt,
+		Confirmed:   confirmed,
+		Sender:      p.gateway.settings.Peers.AddrPort,
+		Started:     p.started,
+		Sequence:    sequence,
+		Members:     members,
+		Loads:       p.gateway.loads.own(),
+		Prompts:     prompts,
 	}
 }
--- a/gateway/peers_test.go
+++ b/gateway/peers_test.go
@@ -26,7 +26,9 @@
 
 // newPeers starts gateways that share a store and talk with each other, with a
 // bound on keys that were taken away.
-func newPeers(t *testing.T, n int, revoke time.Duration) []*fixture {
+//
+// change may change the settings of the i-th.
+func newPeers(t *testing.T, n int, revoke time.Duration, change func(i int, s *settings.Gateway)) []*fixture {
 	t.Helper()
 	store := rowstore.New()
 	gateways := make([]*fixture, n)
@@ -39,6 +41,9 @@
 			s.VM = ryeford.VMID(fmt.Sprintf("router-%d", i))
 			s.Peers.AddrPort = freeDatagramAddress(t)
 			s.Bounds.Revoke = revoke
+			if change != nil {
+				change(i, s)
+			}
 		})
 	}
 	gateways[0].addServer("plain", "p1", 0)
@@ -58,7 +63,7 @@
 // taken away meanwhile stops there within its time all the same.
 func TestPeersRenewLease(t *testing.T) {
 	const revoke = 1500 * time.Millisecond
-	gateways := newPeers(t, 3, revoke)
+	gateways := newPeers(t, 3, revoke, nil)
 	cut, sound := gateways[0], gateways[1]
 	cut.cutOff.Store(true)
 	cut.cut()
@@ -86,7 +91,7 @@
 // TestPeersCutOffTogether checks that routers that only have each other confirm
 // nothing to each other.
 func TestPeersCutOffTogether(t *testing.T) {
-	gateways := newPeers(t, 2, 1200*time.Millisecond)
+	gateways := newPeers(t, 2, 1200*time.Millisecond, nil)
 	for _, f := range gateways {
 		f.cutOff.Store(true)
 		f.cut()
@@ -99,3 +104,16 @@
 		f.awaitReady(false)
 	}
 }
+
+// TestPeersTellOfNewer checks that a router whose own next read is far off reads
+// the configuration as soon as a peer has a newer one.
+func TestPeersTellOfNewer(t *testing.T) {
+	const never = time.Hour
+	gateways := newPeers(t, 2, 2*never, func(i int, s *settings.Gateway) {
+		if i == 1 {
+			s.Routing.LeaseRefresh = never / 4
+		}
+	})
+	gateways[0].setConfig(withoutKey())
+	gateways[1].eventually(func() bool { return gateways[1].call("GET", "/safe/a").status == 401 })
+}
--- a/gateway/watchers.go
+++ b/gateway/watchers.go
@@ -2,86 +2,17 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/ryeford/ryeford"
-	"github.com/ryeford/ryeford/catalog"
 	"github.com/ryeford/ryeford/watch"
 )
 
 const (
 	storePause     = 60 * time.Millisecond
-	storePauseMost = 250 * time.Millisecond
-	// refreshSpread is the part of a refresh's time by which routers differ at
-	// random, so that one of them is the first.
-	refreshSpread = 3
-	leaseCheck    = 100 * time.Millisecond
+	storePauseMost = 400 * time.Millisecond
 )
 
-// watchOptions returns how the store is followed, with a wait.
-func watchOptions(wait func() time.Duration) watch.Options {
-	return watch.Options{Wait: wait, Pause: storePause, PauseMost: storePauseMost}
-}
-
-// watchConfiguration keeps the configuration in force until ctx ends.
-func (g *Gateway) watchConfiguration(ctx context.Context) error {
-	source := watch.Source[ryeford.ConfigurationUpdate]{
-		Read: func(ctx context.Context) (ryeford.ConfigurationUpdate, int64, error) {
-			update, err := g.platform.Configurations.Configuration(ctx)
-			return update, update.Revision, err
-		},
-		Since: func(ctx context.Context, revision int64, wait time.Duration) (ryeford.ConfigurationUpdate, int64, error) {
-			update, err := g.platform.Configurations.ConfigurationSince(ctx, revision, wait)
-			return update, update.Revision, err
-		},
-	}
-	return watch.Run(ctx, source, watchOptions(func() time.Duration { return g.settings.Routing.ConfigurationWait }), watch.Handler[ryeford.ConfigurationUpdate]{
-		Apply: func(update ryeford.ConfigurationUpdate, revision int64, sent time.Time) {
-			g.applyConfiguration(update, revision, sent)
-		},
-		Lost:     func(err error) { g.noteLost("configuration", err) },
-		Regained: func(after time.Duration) { g.noteRegained("configuration", after) },
-	})
-}
-
-// keepLease reads the configuration whole whenever the lease grows old, until ctx
-// ends. Routers that hear each other share what one of them has read, so that the
-// first whose turn it is reads for all.
-func (g *Gateway) keepLease(ctx context.Context) error {
-	for ctx.Err() == nil {
-		patience := g.settings.Routing.LeaseRefresh
-		patience += time.Duration(rand.Int64N(int64(patience)/refreshSpread + 1))
-		age, confirmed := g.lease.Age(time.Now())
-		if g.catalog.Get() == nil || (confirmed && age < patience) {
-			watch.Pause(ctx, leaseCheck)
-			continue
-		}
-		sent := time.Now()
-		update, err := g.platform.Configurations.Configuration(ctx)
-		if err != nil {
-			watch.Pause(ctx, storePauseMost)
-			continue
-		}
-		g.applyConfiguration(update, update.Revision, sent)
-	}
-	return nil
-}
-
-// applyConfiguration brings a configuration in force, unless it is already, and
-// renews the lease.
-func (g *Gateway) applyConfiguration(update ryeford.ConfigurationUpdate, revision int64, sent time.Time) {
-	if update.Configuration != nil && update.Configuration.Version != g.version() {
-		next := catalog.New(update.Configuration)
-		applied := g.catalog.Put(next)
-		_ = g.log.Log("decision", "configuration", "version", next.Version(), "revision", revision,
-			"routes", len(update.Configuration.Routes), "accounts", len(update.Configuration.Accounts), "applied", applied)
-	}
-	if update.Whole && g.catalog.Get() != nil {
-		g.lease.Renew(sent)
-	}
-}
-
 // watchEndpoints keeps the list of endpoints until ctx ends.
 func (g *Gateway) watchEndpoints(ctx context.Context) error {
 	source := watch.Source[ryeford.EndpointUpdate]{
@@ -94,9 +25,16 @@
 			return update, update.Revision, err
 		},
 	}
-	return watch.Run(ctx, source, watchOptions(func() time.Duration { return g.settings.Routing.EndpointsWait }), watch.Handler[ryeford.EndpointUpdate]{
-		Apply: func(update ryeford.EndpointUpdate, revision int64, _ time.Time) {
+	options := watch.Options{
+		Wait:      g.settings.WaitForEndpoints,
+		Settle:    g.settings.Routing.EndpointsSettle,
+		Pause:     storePause,
+		PauseMost: storePauseMost,
+	}
+	return watch.Run(ctx, source, options, watch.Handler[ryeford.EndpointUpdate]{
+		Apply: func(update ryeford.EndpointUpdate, revision int64, _ time.Time) bool {
 			g.applyEndpoints(&update, revision)
+			return len(update.Present)+len(update.Gone) > 0
 		},
 		Lost: func(err error) { g.noteLost("endpoints", err) },
 		Regained: func(after time.Duration) {
--- a/peers/message.go
+++ b/peers/message.go
@@ -22,24 +22,16 @@
 	Members []netip.AddrPort `cbor:"4,keyasint"`
 	// Loads are the sender's requests under way, where there are any.
 	Loads []Load `cbor:"5,keyasint"`
-	// Version is the configuration that the sender has, and Age how long ago it
-	// was confirmed to be the newest; Confirmed is false where it never was.
-	Version   int64         `cbor:"7,keyasint"`
-	Age       time.Duration `cbor:"8,keyasint"`
-	Confirmed bool          `cbor:"9,keyasint"`
-	// Echoes name the last message that the sender has had of each peer.
-	Echoes []Echo `cbor:"10,keyasint"`
+	// Version is the configuration that the sender has. ConfirmedAt is what the
+	// steady clock of its source showed when it was last known to be the newest;
+	// Confirmed is false where it never was. (8 to 10 were used before.)
+	Version     int64         `cbor:"7,keyasint"`
+	ConfirmedAt time.Duration `cbor:"11,keyasint"`
+	Confirmed   bool          `cbor:"12,keyasint"`
 	// Prompts were sent since the last message.
 	Prompts []Prompt `cbor:"6,keyasint"`
 }
 
-// An Echo names a message of a peer.
-type Echo struct {
-	Peer     netip.AddrPort `cbor:"1,keyasint"`
-	Started  int64          `cbor:"2,keyasint"`
-	Sequence uint64         `cbor:"3,keyasint"`
-}
-
 // A Load is how many requests a router has under way at an endpoint.
 type Load struct {
 	Endpoint ryeford.EndpointID `cbor:"1,keyasint"`
--- a/peers/table.go
+++ b/peers/table.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/ryeford/ryeford"
+	"github.com/ryeford/ryeford/route"
 )
 
 // Limits bound a Table.
@@ -148,17 +149,25 @@
 	return draw(targets, k)
 }
 
-// Echoes returns the last message of each of some peers that was heard.
-func (t *Table) Echoes(targets []netip.AddrPort) []Echo {
+// Rank returns the place of this router among those that were heard lately, in an
+// order that all routers find alike for the same turn: 0 is the first. It also
+// returns how many were heard.
+func (t *Table) Rank(now time.Time, turn uint64) (rank, heard int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var echoes []Echo
-	for _, address := range targets {
-		if m := t.members[address]; m != nil && !m.heard.IsZero() {
-			echoes = append(echoes, Echo{Peer: address, Started: m.started, Sequence: m.sequence})
+	own := turnScore(t.self, turn)
+	alive := t.alive(now)
+	for _, address := range alive {
+		if turnScore(address, turn) > own {
+			rank++
 		}
 	}
-	return echoes
+	return rank, len(alive)
+}
+
+// turnScore returns by what routers are ordered in a turn.
+func turnScore(address netip.AddrPort, turn uint64) uint64 {
+	return route.Mix(route.KeyHash(turn), route.NameHash(address.String()))
 }
 
 // Members returns at most k peers that were heard lately, to be told to others,
--- a/peers/table_test.go
+++ b/peers/table_test.go
@@ -77,3 +77,35 @@
 	assert.Equal(t, n, 0.0)
 	assert.Assert(t, known)
 }
+
+// TestRank checks that routers which hear each other agree on whose turn it is,
+// that turns change, and that one who hears nobody is the first.
+func TestRank(t *testing.T) {
+	const routers = 4
+	tables := make([]*Table, routers)
+	for i := range tables {
+		tables[i] = New(address(byte(i+1)), Limits{Fresh: time.Second, Forget: 3 * time.Second, Members: 16})
+		rank, heard := tables[i].Rank(start, 7)
+		assert.Equal(t, rank, 0)
+		assert.Equal(t, heard, 0)
+		for j := range routers {
+			if j != i {
+				tables[i].Hear(start, message(byte(j+1), 1, 1, 0))
+			}
+		}
+	}
+	firsts := make(map[int]bool)
+	for turn := range uint64(32) {
+		var seen [routers]bool
+		for i, table := range tables {
+			rank, heard := table.Rank(start, turn)
+			assert.Equal(t, heard, routers-1)
+			assert.Assert(t, !seen[rank], "two routers of one rank")
+			seen[rank] = true
+			if rank == 0 {
+				firsts[i] = true
+			}
+		}
+	}
+	assert.Equal(t, len(firsts), routers, "each is the first in some turn")
+}
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -45,13 +45,17 @@
 
 // GatewayRouting are the router's own choices.
 type GatewayRouting struct {
-	// ConfigurationWait and EndpointsWait are how long the store holds a question
-	// for changes. A lost question is noticed StoreTimeout later, and must be
-	// asked again before the router counts as in touch.
-	ConfigurationWait time.Duration `yaml:"configuration_wait" validate:"min=50ms,max=30s"`
-	EndpointsWait     time.Duration `yaml:"endpoints_wait" validate:"min=50ms,max=30s"`
-	// LeaseRefresh is the age of what is known of the configuration at which it is
-	// read again, to be sure that it is still the newest.
+	// EndpointsWait is how long the store holds a question for changes of the list
+	// of endpoints; zero derives it from Bounds.Contact. A lost question is noticed
+	// StoreTimeout later, and must be asked again before the router counts as in
+	// touch.
+	EndpointsWait time.Duration `yaml:"endpoints_wait" validate:"min=0s,max=30s"`
+	// EndpointsSettle is how long a router waits after a change of that list before
+	// it asks for more, so that changes in a row come in one answer.
+	EndpointsSettle time.Duration `yaml:"endpoints_settle" validate:"min=0s,max=5s"`
+	// LeaseRefresh is the age of what is known of the configuration at which each
+	// router reads it again. Routers that hear each other take turns at reading it
+	// sooner, for all.
 	LeaseRefresh time.Duration `yaml:"lease_refresh" validate:"min=50ms,max=10m"`
 	// StoreTimeout is how long the store may take beyond that.
 	StoreTimeout time.Duration `yaml:"store_timeout" validate:"min=50ms,max=30s"`
@@ -59,6 +63,19 @@
 	Routers int `yaml:"routers" validate:"min=1,max=10000"`
 }
 
+// regainMargin is kept between the end of a lost question and the time at which
+// a router counts as in touch again.
+const regainMargin = 100 * time.Millisecond
+
+// WaitForEndpoints returns how long the store holds a question for changes of
+// the list of endpoints.
+func (s *Gateway) WaitForEndpoints() time.Duration {
+	if s.Routing.EndpointsWait > 0 {
+		return s.Routing.EndpointsWait
+	}
+	return max(regainMargin, s.Bounds.Contact-s.Routing.StoreTimeout-regainMargin)
+}
+
 // DefaultGateway returns a Gateway with the defaults of what may be left out.
 func DefaultGateway() *Gateway {
 	return &Gateway{
@@ -73,11 +90,10 @@
 			CapFactor:    2,
 		},
 		Routing: GatewayRouting{
-			ConfigurationWait: 2200 * time.Millisecond,
-			LeaseRefresh:      800 * time.Millisecond,
-			EndpointsWait:     2200 * time.Millisecond,
-			StoreTimeout:      700 * time.Millisecond,
-			Routers:           10,
+			EndpointsSettle: 500 * time.Millisecond,
+			LeaseRefresh:    time.Second,
+			StoreTimeout:    700 * time.Millisecond,
+			Routers:         10,
 		},
 	}
 }
--- a/source.go
+++ b/source.go
@@ -8,25 +8,20 @@
 
 // A ConfigurationUpdate is an answer of a ConfigurationSource.
 type ConfigurationUpdate struct {
-	// Configuration is nil where nothing has changed.
+	// Configuration is nil where there is none yet.
 	Configuration *Configuration
 	// Revision is the newest of the source.
 	Revision int64
-	// Whole says that the configuration itself was read, and not only that
-	// nothing is known to have changed: a feed may be deaf for a while.
-	Whole bool
+	// Clock is what the source's steady clock showed when it answered.
+	Clock time.Duration
 }
 
 // A ConfigurationSource is where the operators' accepted configuration lies.
 //
-// A failure is an *UnavailableError, or a *HistoryLostError where changes since
-// a revision can no longer be told.
+// A failure is an *UnavailableError.
 type ConfigurationSource interface {
 	// Configuration returns the configuration, whole.
 	Configuration(ctx context.Context) (ConfigurationUpdate, error)
-	// ConfigurationSince returns as soon as there is a newer one than a
-	// revision's, or once wait is over.
-	ConfigurationSince(ctx context.Context, revision int64, wait time.Duration) (ConfigurationUpdate, error)
 }
 
 // An EndpointUpdate is an answer of an EndpointSource.
@@ -40,7 +35,8 @@
 
 // An EndpointSource is the list of endpoints. It lags behind the truth.
 //
-// Failures are those of a ConfigurationSource.
+// A failure is an *UnavailableError, or a *HistoryLostError where changes since
+// a revision can no longer be told.
 type EndpointSource interface {
 	// Endpoints returns the list, whole.
 	Endpoints(ctx context.Context) (EndpointUpdate, error)
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -22,6 +22,9 @@
 type Options struct {
 	// Wait is how long a question for changes is held where there are none.
 	Wait func() time.Duration
+	// Settle is the pause after an answer that told of a change, so that changes in
+	// a row come in one answer.
+	Settle time.Duration
 	// Pause is the least pause after a failure; it doubles up to PauseMost.
 	Pause     time.Duration
 	PauseMost time.Duration
@@ -30,8 +33,9 @@
 // A Handler is told what a watch learns.
 type Handler[U any] struct {
 	// Apply takes an answer. sent is when its question was sent, of the steady
-	// clock: the answer is not older than that.
-	Apply func(update U, revision int64, sent time.Time)
+	// clock: the answer is not older than that. It reports whether the answer told
+	// of any change.
+	Apply func(update U, revision int64, sent time.Time) bool
 	// Lost is called at the first failure after an answer, Regained at the first
 	// answer after failures.
 	Lost     func(err error)
@@ -67,8 +71,11 @@
 				Pause(ctx, options.Pause)
 				continue
 			}
-			handler.Apply(update, newest, sent)
+			changed := handler.Apply(update, newest, sent)
 			revision, whole = newest, false
+			if changed {
+				Pause(ctx, options.Settle)
+			}
 		case errors.As(err, &historyLost):
 			whole = true
 			revision = min(revision, historyLost.Revision)
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -16,6 +16,7 @@
 type script struct {
 	steps  []step
 	asked  []question
+	at     []time.Time
 	cancel context.CancelFunc
 }
 
@@ -31,8 +32,20 @@
 	wait  time.Duration
 }
 
+// TestSettle checks that changes in a row are asked for together: a watch waits
+// after one that was told, and not after an answer that told of none.
+func TestSettle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		s, applied, _, _, _ := playSteps(step{revision: 1}, step{revision: 2}, step{revision: 2}, step{revision: 5})
+		assert.DeepEqual(t, applied, []int64{1, 2, 2, 5})
+		assert.DeepEqual(t, s.times(began), []time.Duration{0, 0, settle, settle, 2 * settle})
+	})
+}
+
 func (s *script) next(q question) (string, int64, error) {
 	s.asked = append(s.asked, q)
+	s.at = append(s.at, time.Now())
 	if len(s.asked) > len(s.steps) {
 		s.cancel()
 		return "", 0, context.Canceled
@@ -42,26 +55,43 @@
 	return "update", now.revision, now.err
 }
 
+// times returns when each question was asked.
+func (s *script) times(began time.Time) []time.Duration {
+	var times []time.Duration
+	for _, at := range s.at {
+		times = append(times, at.Sub(began))
+	}
+	return times
+}
+
+// settle is the pause after a change in these tests.
+const settle = 300 * time.Millisecond
+
 // play plays a script and returns the revisions that were applied and the age of
 // each when it was.
 func play(t *testing.T, steps ...step) (s *script, applied []int64, ages []time.Duration, lost, regained int) {
-	synctest.Test(t, func(*testing.T) {
-		ctx, cancel := context.WithCancel(context.Background())
-		s = &script{steps: steps, cancel: cancel}
-		source := Source[string]{
-			Read: func(context.Context) (string, int64, error) { return s.next(question{whole: true}) },
-			Since: func(_ context.Context, since int64, wait time.Duration) (string, int64, error) {
-				return s.next(question{since: since, wait: wait})
-			},
-		}
-		_ = Run(ctx, source, Options{Wait: func() time.Duration { return time.Second }, Pause: 10 * time.Millisecond, PauseMost: 100 * time.Millisecond}, Handler[string]{
-			Apply: func(_ string, revision int64, sent time.Time) {
-				applied = append(applied, revision)
-				ages = append(ages, time.Since(sent))
-			},
-			Lost:     func(error) { lost++ },
-			Regained: func(time.Duration) { regained++ },
-		})
+	synctest.Test(t, func(*testing.T) { s, applied, ages, lost, regained = playSteps(steps...) })
+	return s, applied, ages, lost, regained
+}
+
+// playSteps plays a script within a bubble of time.
+func playSteps(steps ...step) (s *script, applied []int64, ages []time.Duration, lost, regained int) {
+	ctx, cancel := context.WithCancel(context.Background())
+	s = &script{steps: steps, cancel: cancel}
+	source := Source[string]{
+		Read: func(context.Context) (string, int64, error) { return s.next(question{whole: true}) },
+		Since: func(_ context.Context, since int64, wait time.Duration) (string, int64, error) {
+			return s.next(question{since: since, wait: wait})
+		},
+	}
+	_ = Run(ctx, source, Options{Wait: func() time.Duration { return time.Second }, Pause: 10 * time.Millisecond, PauseMost: 100 * time.Millisecond, Settle: settle}, Handler[string]{
+		Apply: func(_ string, revision int64, sent time.Time) bool {
+			applied = append(applied, revision)
+			ages = append(ages, time.Since(sent))
+			return len(applied) > 1 && applied[len(applied)-2] < revision
+		},
+		Lost:     func(error) { lost++ },
+		Regained: func(time.Duration) { regained++ },
 	})
 	return s, applied, ages, lost, regained
 }
