feat: a lighter second engine where it costs less than the prompt's move

Change: choice.Affine takes the next of the order where the difference of loads, 300 tokens a request, outweighs what that one lacks of the prompt by 300 tokens. The first counts as if it held the prompt, since other routers send the prompt there too.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -25,6 +25,9 @@
 	Failing bool
 	// Leaving endpoints take no requests, but hold prompts.
 	Leaving bool
+	// Missing is how many tokens of the prompt's shared parts it is not known to
+	// hold.
+	Missing int
 }
 
 // Limits bound a choice.
@@ -37,6 +40,11 @@
 	Domain string
 	// DomainPenalty is how many requests of load another failure domain costs.
 	DomainPenalty float64
+	// RequestTokens is how many missing tokens weigh as much as one request of
+	// load, and MinGain by how many tokens the second of a prompt's order must be
+	// cheaper than the first to be taken in its place.
+	RequestTokens float64
+	MinGain       float64
 }
 
 // A Reason says why an endpoint was chosen.
@@ -44,11 +52,12 @@
 
 // The reasons.
 const (
-	ReasonHome   Reason = "home"   // the first of the prompt's order
-	ReasonSpill  Reason = "spill"  // the first of the prompt's order that is not full
-	ReasonLeast  Reason = "least"  // the least loaded
-	ReasonLast   Reason = "last"   // only failing ones are left
-	ReasonNobody Reason = "nobody" // none is left
+	ReasonHome    Reason = "home"    // the first of the prompt's order
+	ReasonSpill   Reason = "spill"   // the first of the prompt's order that is not full
+	ReasonLighter Reason = "lighter" // the next of the prompt's order, which is less loaded
+	ReasonLeast   Reason = "least"   // the least loaded
+	ReasonLast    Reason = "last"    // only failing ones are left
+	ReasonNobody  Reason = "nobody"  // none is left
 )
 
 // A Choice is what was chosen.
@@ -66,12 +75,16 @@
 }
 
 // Affine chooses by the hash of the prompt's shared part: the first endpoint of
-// its rendezvous order that is not full. Every router finds the same order.
+// its rendezvous order that is not full, or the next one where the difference of
+// their loads outweighs what that one lacks of the prompt. Every router finds the
+// same order.
 func Affine(candidates []Candidate, key uint64, limits Limits) Choice {
 	result := Choice{Index: -1, Holder: -1, Reason: ReasonNobody}
 	result.Mean, result.Cap = bounds(candidates, limits)
 	first := best(candidates, key, -1, usable)
-	result.Index = best(candidates, key, -1, func(c *Candidate) bool { return usable(c) && c.Load <= result.Cap })
+	open := func(c *Candidate) bool { return usable(c) && c.Load <= result.Cap }
+	result.Index = best(candidates, key, -1, open)
+	next := best(candidates, key, result.Index, open)
 	switch {
 	case result.Index < 0:
 		result.takeLeast(candidates, limits)
@@ -80,6 +93,9 @@
 	default:
 		result.Reason = ReasonSpill
 	}
+	if next >= 0 && lighter(&candidates[next], &candidates[result.Index], limits) {
+		result.Index, result.Reason = next, ReasonLighter
+	}
 	// Who is likely to hold the prompt: the best other, the leaving ones included.
 	result.Holder = best(candidates, key, result.Index, func(c *Candidate) bool { return !c.Failing })
 	if result.Holder >= 0 && result.Index >= 0 {
@@ -88,6 +104,14 @@
 	return result
 }
 
+// lighter reports whether the next of a prompt's order is to be taken in place of
+// the first. The first counts as if it held the prompt: where it does not yet,
+// other routers send the prompt's requests there too.
+func lighter(next, first *Candidate, limits Limits) bool {
+	gain := limits.RequestTokens*(first.Load-next.Load) - float64(next.Missing)
+	return gain > limits.MinGain
+}
+
 // usable reports whether a candidate may take the request without need.
 func usable(c *Candidate) bool { return !c.Leaving && !c.Tried && !c.Failing }
 
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -11,7 +11,7 @@
 	"github.com/ryeford/ryeford/route"
 )
 
-var limits = Limits{CapFactor: 2, CapOffset: 2, Domain: "a", DomainPenalty: 0.5}
+var limits = Limits{CapFactor: 2, CapOffset: 2, Domain: "a", DomainPenalty: 0.5, RequestTokens: 300, MinGain: 300}
 
 func drawCandidates(t *rapid.T) []Candidate {
 	var candidates []Candidate
@@ -26,6 +26,7 @@
 			Tried:   rapid.Bool().Draw(t, "tried"),
 			Failing: rapid.Bool().Draw(t, "failing"),
 			Leaving: rapid.Bool().Draw(t, "leaving"),
+			Missing: rapid.IntRange(0, 9000).Draw(t, "missing"),
 		})
 	}
 	return candidates
@@ -102,3 +103,45 @@
 		Affine(candidates, route.KeyHash(uint64(i)), limits)
 	}
 }
+
+// TestLighter checks that the next of a prompt's order is taken only where the
+// loads' difference outweighs what it lacks, that what the first lacks does not
+// count, and that no third is taken.
+func TestLighter(t *testing.T) {
+	const key = 12345
+	candidates := []Candidate{{ID: "a"}, {ID: "b"}, {ID: "c"}, {ID: "d"}}
+	for i := range candidates {
+		candidates[i].Hash = route.NameHash(string(candidates[i].ID))
+		candidates[i].Load = 8
+	}
+	first := best(candidates, key, -1, usable)
+	next := best(candidates, key, first, usable)
+	for _, test := range []struct {
+		load                  float64 // of the next; the first has 8
+		missing, firstMissing int
+		lighter               bool
+	}{
+		{load: 8, missing: 0, lighter: false},
+		{load: 7, missing: 0, lighter: false},
+		{load: 6, missing: 0, lighter: true},
+		{load: 6, missing: 300, lighter: false},
+		{load: 4, missing: 600, lighter: true},
+		{load: 4, missing: 8000, firstMissing: 8000, lighter: false},
+		{load: 8, missing: 8000, lighter: false},
+	} {
+		for i := range candidates {
+			candidates[i].Missing = 0
+		}
+		candidates[first].Missing = test.firstMissing
+		candidates[next].Missing, candidates[next].Load = test.missing, test.load
+		chosen := Affine(candidates, key, limits)
+		if test.lighter {
+			assert.Equal(t, chosen.Index, next, "%+v", test)
+			assert.Equal(t, chosen.Reason, ReasonLighter)
+			assert.Equal(t, chosen.Holder, first, "the first holds it")
+		} else {
+			assert.Equal(t, chosen.Index, first, "%+v", test)
+			assert.Equal(t, chosen.Reason, ReasonHome)
+		}
+	}
+}
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -17,6 +17,10 @@
 	// domainPenalty is how many requests of load an endpoint in another failure
 	// domain costs, for plain services.
 	domainPenalty = 0.6
+	// requestTokens and minGain weigh loads against missing tokens (docs/design.md
+	// has the values that were tried).
+	requestTokens = 300
+	minGain       = 300
 )
 
 // choose chooses the endpoint of the next try, or nil.
@@ -28,6 +32,23 @@
 	if q.shared {
 		entries = append(entries[:serving:serving], g.roster.Draining(q.service)...)
 	}
+	candidates := x.candidates(now, entries, serving)
+	chosen := x.pick(candidates)
+	if chosen.Index < 0 {
+		return nil, nil
+	}
+	if q.shared {
+		holder = x.source(now, entries, candidates, &chosen)
+	}
+	x.noteChoice(candidates, &chosen, holder)
+	return entries[chosen.Index], holder
+}
+
+// candidates returns what is known of some endpoints. Those behind the first
+// serving ones are leaving.
+func (x *exchange) candidates(now time.Time, entries []*roster.Entry, serving int) []choice.Candidate {
+	g := x.gateway
+	held, sharedTokens := x.held(now)
 	candidates := make([]choice.Candidate, 0, len(entries))
 	for i, entry := range entries {
 		told, known := g.gossip.table.Others(now, entry.ID)
@@ -41,28 +62,40 @@
 			Tried:   x.tried[entry.ID],
 			Failing: !g.detector.Healthy(now, entry.ID),
 			Leaving: i >= serving,
+			Missing: sharedTokens - held[entry.ID],
 		})
 	}
+	return candidates
+}
+
+// pick chooses one of the candidates.
+func (x *exchange) pick(candidates []choice.Candidate) choice.Choice {
+	g, q := x.gateway, x.request
 	limits := choice.Limits{
 		CapFactor:     g.settings.Bounds.CapFactor,
 		CapOffset:     capOffset,
 		Domain:        g.settings.FailureDomain,
 		DomainPenalty: domainPenalty,
+		RequestTokens: requestTokens,
+		MinGain:       minGain,
 	}
-	var chosen choice.Choice
 	if q.shared {
-		chosen = choice.Affine(candidates, q.affinity, limits)
-	} else {
-		chosen = choice.Least(candidates, limits, int(g.turn.Add(1)%(1<<30)))
+		return choice.Affine(candidates, q.affinity, limits)
 	}
-	if chosen.Index < 0 {
-		return nil, nil
+	return choice.Least(candidates, limits, int(g.turn.Add(1)%(1<<30)))
+}
+
+// held returns how many tokens of the prompt's shared parts each endpoint is
+// believed to hold, and how many there are.
+func (x *exchange) held(now time.Time) (held map[ryeford.EndpointID]int, sharedTokens int) {
+	if !x.request.shared {
+		return nil, 0
 	}
-	if q.shared {
-		holder = x.source(now, entries, candidates, &chosen)
+	shared := x.request.sharedParts()
+	for i := range shared {
+		sharedTokens += shared[i].Tokens
 	}
-	x.noteChoice(candidates, &chosen, holder)
-	return entries[chosen.Index], holder
+	return x.gateway.holders.Held(now, shared), sharedTokens
 }
 
 // source returns the endpoint from which the chosen one is to take what it lacks
@@ -71,7 +104,7 @@
 // beginning.
 func (x *exchange) source(now time.Time, entries []*roster.Entry, candidates []choice.Candidate, chosen *choice.Choice) *roster.Entry {
 	g, q := x.gateway, x.request
-	shared := q.demand.Prefix[:len(q.demand.Prefix)-1]
+	shared := q.sharedParts()
 	target := entries[chosen.Index]
 	byID := make(map[ryeford.EndpointID]*roster.Entry, len(entries))
 	for i, entry := range entries {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -186,6 +186,12 @@
 	q.shared = true
 }
 
+// sharedParts returns the parts of the prompt that other requests share: all but
+// the last.
+func (q *request) sharedParts() []ryeford.PromptPart {
+	return q.demand.Prefix[:len(q.demand.Prefix)-1]
+}
+
 // splitHash returns the hash by which a split route's service is picked.
 func (q *request) splitHash() uint64 {
 	if q.shared {
--- a/holders/holders.go
+++ b/holders/holders.go
@@ -103,6 +103,23 @@
 	return "", 0
 }
 
+// Held returns how many tokens of the parts each endpoint is believed to hold.
+func (m *Map) Held(now time.Time, parts []ryeford.PromptPart) map[ryeford.EndpointID]int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	held := make(map[ryeford.EndpointID]int)
+	tokens := 0
+	for i := range parts {
+		tokens += parts[i].Tokens
+		for _, h := range m.parts[parts[i].ID] {
+			if now.Sub(h.at) <= m.limits.Forget {
+				held[h.id] = tokens
+			}
+		}
+	}
+	return held
+}
+
 // Forget drops an endpoint that is gone.
 func (m *Map) Forget(id ryeford.EndpointID) {
 	m.mu.Lock()
--- a/holders/holders_test.go
+++ b/holders/holders_test.go
@@ -78,3 +78,17 @@
 	}
 	assert.Assert(t, len(m.parts) <= limits.Parts)
 }
+
+// TestHeld checks that an endpoint holds as many tokens as the longest beginning
+// of the prompt that it was sent.
+func TestHeld(t *testing.T) {
+	m := New(limits)
+	prompt := []ryeford.PromptPart{{ID: 1, Tokens: 100}, {ID: 2, Tokens: 20}}
+	m.Add(start, "a", prompt[:1])
+	m.Add(start, "b", prompt)
+	held := m.Held(start, prompt)
+	assert.Equal(t, held["a"], 100)
+	assert.Equal(t, held["b"], 120)
+	assert.Equal(t, held["c"], 0)
+	assert.Equal(t, len(m.Held(start.Add(limits.Forget+1), prompt)), 0, "forgotten")
+}
