fix: 502, not 503, where an earlier try of the request may have run; a fault soak

Ruled out: the tries themselves (the log says may_have_run=true with status=503), and requests that may not be repeated (they have no second try after a failure).

--- a/gateway/refuse.go
+++ b/gateway/refuse.go
@@ -58,10 +58,13 @@
 		return input.Status, 0
 	case errors.As(err, &input):
 		return http.StatusBadRequest, 0
-	case errors.As(err, &notRun):
-		return http.StatusServiceUnavailable, retry.Spread(notRun.RetryAfter)
 	case errors.As(err, &unknown) && unknown.Reason == ryeford.ReasonDeadline:
 		return http.StatusGatewayTimeout, 0
+	case errors.As(err, &unknown):
+		// It may wrap a later try that has not run: that is no promise.
+		return http.StatusBadGateway, 0
+	case errors.As(err, &notRun):
+		return http.StatusServiceUnavailable, retry.Spread(notRun.RetryAfter)
 	}
 	return http.StatusBadGateway, 0
 }
@@ -74,10 +77,10 @@
 	switch {
 	case errors.As(err, &input):
 		return "input"
-	case errors.As(err, &notRun):
-		return string(notRun.Reason)
 	case errors.As(err, &unknown):
 		return string(unknown.Reason)
+	case errors.As(err, &notRun):
+		return string(notRun.Reason)
 	}
 	return "failure"
 }
--- a/internal/cmd/fleet_test.go
+++ b/internal/cmd/fleet_test.go
@@ -2,12 +2,11 @@
 
 import (
 	"fmt"
-	"net"
-	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
-	"sync/atomic"
+
+	"github.com/ryeford/ryeford/internal/freeport"
 )
 
 const testOperatorKey = "operator-key"
@@ -110,39 +109,9 @@
 
 func testDomain(number int) string { return fmt.Sprintf("zone-%d", (number-1)%3+1) }
 
-// Ports are picked below those that the kernel gives to outgoing connections,
-// so that none is taken between the pick and its use.
-const (
-	firstPort = 20_000
-	portCount = 12_000
-)
-
-var nextPort atomic.Int64
-
 // address picks an address that is free for TCP and UDP, and names it.
 func (f *testFleet) address(name string) string {
-	for range portCount {
-		port := firstPort + (int64(os.Getpid())*97+nextPort.Add(1))%portCount
-		address := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(port))
-		if isFree(address) {
-			f.named[name] = address.String()
-			return address.String()
-		}
-	}
-	panic("no free port")
-}
-
-// isFree reports whether an address is free for TCP and UDP.
-func isFree(address netip.AddrPort) bool {
-	tcp, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(address))
-	if err != nil {
-		return false
-	}
-	defer func() { _ = tcp.Close() }()
-	udp, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
-	if err != nil {
-		return false
-	}
-	_ = udp.Close()
-	return true
+	address := freeport.Next().String()
+	f.named[name] = address
+	return address
 }
--- /dev/null
+++ b/internal/soak/proxy_test.go
@@ -0,0 +1,165 @@
+package soak
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+// A proxyMode is what a proxy does to the bytes that pass.
+type proxyMode int
+
+const (
+	proxyPass      proxyMode = iota
+	proxySilent              // both ways are held back
+	proxyMuteBack            // the way back to the caller is held back
+	proxyDelay               // each piece waits
+	proxyResetting           // each connection is reset
+	proxyModes
+)
+
+// proxyDelayTime is how long a piece waits in proxyDelay.
+const proxyDelayTime = 60 * time.Millisecond
+
+// String returns the name of a mode.
+func (m proxyMode) String() string {
+	return [...]string{"pass", "silent", "mute back", "delay", "resetting"}[m]
+}
+
+// A proxy relays TCP connections on loopback to one address.
+type proxy struct {
+	listener net.Listener
+	to       string
+
+	mu      sync.Mutex
+	mode    proxyMode
+	changed chan struct{}
+	open    map[net.Conn]bool
+}
+
+// newProxy starts a proxy on a free port.
+func newProxy(to string) (*proxy, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &proxy{listener: listener, to: to, changed: make(chan struct{}), open: make(map[net.Conn]bool)}
+	go p.run()
+	return p, nil
+}
+
+// set changes what the proxy does.
+func (p *proxy) set(mode proxyMode) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mode = mode
+	close(p.changed)
+	p.changed = make(chan struct{})
+	if mode == proxyResetting {
+		for conn := range p.open {
+			reset(conn)
+		}
+	}
+}
+
+// now returns what the proxy does, and a channel that is closed once it changes.
+func (p *proxy) now() (proxyMode, chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.mode, p.changed
+}
+
+// run accepts connections until the proxy is closed.
+func (p *proxy) run() {
+	for {
+		conn, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		go p.serve(conn)
+	}
+}
+
+// serve relays one connection.
+func (p *proxy) serve(conn net.Conn) {
+	if mode, _ := p.now(); mode == proxyResetting {
+		reset(conn)
+		return
+	}
+	far, err := net.Dial("tcp", p.to)
+	if err != nil {
+		reset(conn)
+		return
+	}
+	p.track(conn, true)
+	defer p.track(conn, false)
+	var group sync.WaitGroup
+	group.Go(func() { p.relay(far, conn, proxySilent) })
+	group.Go(func() { p.relay(conn, far, proxySilent, proxyMuteBack) })
+	group.Wait()
+}
+
+// track notes an open connection, or one that is no longer.
+func (p *proxy) track(conn net.Conn, open bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if open {
+		p.open[conn] = true
+		return
+	}
+	delete(p.open, conn)
+}
+
+// relay relays one way of a connection. It holds back while the mode is one of
+// some.
+func (p *proxy) relay(to, from net.Conn, held ...proxyMode) {
+	defer func() {
+		_ = to.Close()
+		_ = from.Close()
+	}()
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buffer)
+		p.await(held)
+		if n > 0 {
+			if _, err := to.Write(buffer[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// await returns once the mode is none of some.
+func (p *proxy) await(held []proxyMode) {
+	for {
+		mode, changed := p.now()
+		holds := false
+		for _, other := range held {
+			holds = holds || mode == other
+		}
+		if mode == proxyDelay {
+			time.Sleep(proxyDelayTime)
+		}
+		if !holds {
+			return
+		}
+		<-changed
+	}
+}
+
+// reset closes a connection with a reset.
+func reset(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
+// close ends the proxy and its connections.
+func (p *proxy) close() {
+	p.set(proxyResetting)
+	_ = p.listener.Close()
+}
