--- /dev/null
+++ b/endpoint/fuzz_test.go
@@ -0,0 +1,50 @@
+package endpoint
+
+import (
+	"bufio"
+	"net"
+	"testing"
+
+	"github.com/ryeford/ryeford"
+	"github.com/ryeford/ryeford/platform"
+)
+
+// FuzzAnswer checks that whatever bytes an endpoint sends, an answer that is
+// accepted bears the request's own id and, for a success, the signature, and that
+// no bytes crash the reader.
+func FuzzAnswer(f *testing.F) {
+	const head = "HTTP/1.1 200 OK\r\nRyeford-Request-Id: r1\r\nRyeford-Server-Stamp: s\r\n"
+	f.Add([]byte(head + "Content-Length: 2\r\n\r\nok"))
+	f.Add([]byte(head + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"))
+	f.Add([]byte(head + "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\nok"))
+	f.Add([]byte(head + "Content-Length: 9\r\nKeep-Alive: timeout=-1\r\n\r\nok"))
+	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\n" + head + "\r\nuntil the end"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nRyeford-Request-Id: r2\r\nContent-Length: 1\r\n\r\nx" + head + "Content-Length: 0\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 503 Busy\r\nRyeford-Request-Id: r1\r\nRyeford-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"))
+	pool := New(platform.Protocol{}, DefaultOptions())
+	request := &Request{ID: "r1", Method: "POST", Target: "/a", Host: "h"}
+	f.Fuzz(func(t *testing.T, content []byte) {
+		near, far := net.Pipe()
+		go func() {
+			defer func() { _ = far.Close() }()
+			if _, err := far.Read(make([]byte, 4096)); err == nil {
+				_, _ = far.Write(content)
+			}
+		}()
+		c := &connection{Conn: near, reader: bufio.NewReader(near)}
+		defer func() { _ = c.Close() }()
+		answer, err := pool.exchange(t.Context(), c, request)
+		if err != nil {
+			return
+		}
+		if answer.Mark.Request != ryeford.RequestID("r1") {
+			t.Fatalf("an answer to %q was accepted", answer.Mark.Request)
+		}
+		if answer.Status < 300 && !answer.Mark.Signed {
+			t.Fatal("a success without a signature was accepted")
+		}
+		if body, err := answer.ReadAll(1 << 20); err == nil && !answer.whole {
+			t.Fatalf("a body of %d bytes that is not whole", len(body))
+		}
+	})
+}
