fix: a read behind what the store has told before confirms nothing

Cause: a read of the configuration renewed the lease unless it was behind an earlier such read. A store whose reads fall behind its feed would have kept a key alive that had been taken away, and since leases are shared, at every router.

Change: all answers raise one revision (the store has one counter); a read that is behind what was known when it was sent is logged, counted and ignored. A peer's confirmation counts only for the very version that this router has. The stand-in's reads can be stale.

--- a/gateway/configuration.go
+++ b/gateway/configuration.go
@@ -58,6 +58,7 @@
 		if wait := g.untilRefresh(time.Now()); wait > 0 && !g.awaitNewer(ctx, wait) {
 			continue // it may have been renewed meanwhile
 		}
+		known := g.revision.get()
 		sent := time.Now()
 		update, err := g.platform.Configurations.Configuration(ctx)
 		if ctx.Err() != nil {
@@ -75,7 +76,7 @@
 			g.noteRegained("configuration", time.Since(lostAt))
 			lostAt = time.Time{}
 		}
-		g.applyConfiguration(&update, sent, time.Now())
+		g.applyConfiguration(&update, known, sent, time.Now())
 		watch.Pause(ctx, g.afterRead())
 	}
 	return nil
@@ -113,13 +114,15 @@
 }
 
 // applyConfiguration brings a configuration in force, unless it is already, and
-// renews the lease. An answer older than another one before is no confirmation.
-func (g *Gateway) applyConfiguration(update *ryeford.ConfigurationUpdate, sent, answered time.Time) {
-	if update.Revision < g.revision {
-		_ = g.log.Log("decision", "configuration", "revision", update.Revision, "known", g.revision, "applied", false, "why", "stale answer")
+// renews the lease. An answer behind the revision that was known when the question
+// was sent is no confirmation.
+func (g *Gateway) applyConfiguration(update *ryeford.ConfigurationUpdate, known int64, sent, answered time.Time) {
+	if update.Revision < known {
+		g.metrics.Count("ryeford_stale_answers_total", "")
+		_ = g.log.Log("decision", "configuration", "revision", update.Revision, "known", known, "applied", false, "why", "stale answer")
 		return
 	}
-	g.revision = update.Revision
+	g.revision.raise(update.Revision)
 	if update.Configuration != nil && update.Configuration.Version != g.version() {
 		next := catalog.New(update.Configuration)
 		applied := g.catalog.Put(next)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -80,7 +80,7 @@
 	holders  *holders.Map
 	gossip   *gossip
 	newer    chan struct{} // a peer has a newer configuration
-	revision int64         // of the newest answer that told the configuration; only its keeper uses it
+	revision revision      // the newest that the store has told
 	regained bool          // the next list is the first since it was out of reach; only the watch uses it
 
 	windowMu sync.Mutex
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -265,6 +265,19 @@
 	f.eventually(func() bool { return f.call("GET", "/safe/a").status == 401 })
 }
 
+// TestStaleReads checks that a store whose reads are behind what it told before
+// confirms nothing: a key that is taken away meanwhile stops.
+func TestStaleReads(t *testing.T) {
+	f := startedFixture(t, func(s *settings.Gateway) { s.Bounds.Revoke = 1200 * time.Millisecond })
+	f.store.SetFault(rowstore.Fault{StaleReads: true})
+	f.setConfig(withoutKey())
+	f.enter("plain", "p9", "127.0.0.1:1", "draining") // the feed of the list goes on
+	f.eventually(func() bool { return strings.Contains(f.log.String(), "p9") })
+	f.eventually(func() bool { return f.call("GET", "/safe/a").status == 503 })
+	f.store.SetFault(rowstore.Fault{})
+	f.eventually(func() bool { return f.call("GET", "/safe/a").status == 401 })
+}
+
 // TestNewConfiguration checks that a change is in force once it has been read, and
 // that an older version never comes back.
 func TestNewConfiguration(t *testing.T) {
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -157,17 +157,18 @@
 }
 
 // renew renews the lease on the configuration by what a peer tells: that the
-// version which this router has, or an older one, was the newest at a time.
+// version which this router has was the newest at a time.
 func (p *gossip) renew(now time.Time, message *peers.Message) {
 	if !message.Confirmed {
 		return
 	}
 	current := p.gateway.catalog.Get()
-	if current == nil || current.Version() < message.Version {
+	switch {
+	case current == nil || current.Version() < message.Version:
 		p.gateway.tellNewer()
-		return
+	case current.Version() == message.Version:
+		p.gateway.lease.RenewTold(now, message.ConfirmedAt)
 	}
-	p.gateway.lease.RenewTold(now, message.ConfirmedAt)
 }
 
 // tell tells the peers from time to time.
--- a/gateway/watchers.go
+++ b/gateway/watchers.go
@@ -48,6 +48,7 @@
 // the list was out of reach may live: the list drops endpoints that could not
 // reach it either. What later answers drop is gone.
 func (g *Gateway) applyEndpoints(update *ryeford.EndpointUpdate, revision int64) {
+	g.revision.raise(update.Revision)
 	troubled := g.regained
 	g.regained = false
 	change := g.roster.Apply(time.Now(), update, troubled)
--- a/standin/rowstore/store.go
+++ b/standin/rowstore/store.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -33,6 +34,8 @@
 	Slow time.Duration `json:"slow"`
 	// DeafFeed lets feeds hear nothing.
 	DeafFeed bool `json:"deaf_feed"`
+	// StaleReads answers reads as of when the fault was set.
+	StaleReads bool `json:"stale_reads"`
 }
 
 // A Store is the stand-in. It is an http.Handler.
@@ -46,6 +49,8 @@
 	oldest  int64 // history reaches back to this revision
 	changed chan struct{}
 	fault   Fault
+	then    map[string]Row // the rows when the fault was set, and their version
+	thenVer int64
 	calls   int
 }
 
@@ -113,6 +118,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.fault = fault
+	s.then, s.thenVer = maps.Clone(s.rows), s.ver
 	s.wake()
 }
 
@@ -186,13 +192,16 @@
 		limit = min(limit, n)
 	}
 	s.mu.Lock()
+	current, ver := s.rows, s.ver
+	if s.fault.StaleReads {
+		current, ver = s.then, s.thenVer
+	}
 	var rows []Row
-	for _, row := range s.rows {
+	for _, row := range current {
 		if row.Table == query.Get("table") && row.Key >= query.Get("from") {
 			rows = append(rows, row)
 		}
 	}
-	ver := s.ver
 	s.mu.Unlock()
 	slices.SortFunc(rows, func(a, b Row) int { return cmp.Compare(a.Key, b.Key) })
 	more := len(rows) > limit
