fix: the only endpoint is tried again where it answered with a failure

Ruled out: a wrong list (both scale-ins were ordered), and refusals (a server that refuses is not asked again at once).

Change: where a whole answer was a failure and no other endpoint is left, those tried before may be tried again, within maxAttempts and the retry window; the last failure is then the server's own.

Before -> after: TestLastEndpointAgain red (502) -> green.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -39,6 +39,8 @@
 	sent     int // endpoints that the request was sent to
 	unsent   int // tries that never reached one
 	maybeRan bool
+	// answered says that the last try brought a whole answer, though a failure.
+	answered bool
 
 	relay relay
 }
@@ -60,6 +62,11 @@
 	var last error
 	for {
 		to, holder := x.choose()
+		if to == nil && x.answered {
+			// There is no other: one that answers is better than none.
+			clear(x.tried)
+			to, holder = x.choose()
+		}
 		if to == nil {
 			x.giveUp(&ryeford.NotRunError{Reason: ryeford.ReasonNoCandidate, RetryAfter: retryNobody}, last)
 			return
@@ -116,6 +123,7 @@
 func (x *exchange) try(ctx context.Context, to, holder *roster.Entry) (outcome, error) {
 	g, q := x.gateway, x.request
 	x.tried[to.ID] = true
+	x.answered = false
 	attempt, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	if limit, ok := x.patience(); ok {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -144,6 +144,31 @@
 	}
 }
 
+// TestLastEndpointAgain checks that a request that may be repeated goes to the
+// same endpoint again where that one answered with a failure and there is no
+// other; one that was refused does not.
+func TestLastEndpointAgain(t *testing.T) {
+	f := newFixture(t, baseConfig(), nil)
+	only := f.addServer("plain", "p1", 0)
+	f.awaitReady(true)
+	f.awaitServers(1)
+	only.SetFault(appserver.FaultErrors, 1)
+	got := f.call("GET", "/safe/a")
+	assert.Equal(t, got.status, 200)
+	assert.Equal(t, only.Runs(got.id), 2)
+	only.SetFault(appserver.FaultErrors, 2)
+	got = f.call("GET", "/safe/a")
+	assert.Equal(t, got.status, 500, "the endpoint's own answer")
+	only.SetFault(appserver.FaultErrors, 1)
+	got = f.call("POST", "/once/a")
+	assert.Equal(t, got.status, 500)
+	assert.Equal(t, only.Runs(got.id), 1)
+	only.SetFault(appserver.FaultShed, 1)
+	got = f.call("GET", "/safe/a")
+	assert.Equal(t, got.status, 503)
+	assert.Equal(t, only.Runs(got.id), 0)
+}
+
 // TestForeignAnswers checks that answers too many, before or behind the one that
 // is due, reach nobody.
 func TestForeignAnswers(t *testing.T) {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -55,6 +55,7 @@
 		return outcomeFailed, &ryeford.UnknownError{Reason: ryeford.ReasonEngineError, Err: &StatusError{Status: answer.Status}}
 	}
 	if !success && (r.exchange.anotherTry() || promisesNotRun(answer.Status)) {
+		r.exchange.answered = true
 		return outcomeFailed, &ryeford.UnknownError{Reason: ryeford.ReasonEngineError, Err: &StatusError{Status: answer.Status}}
 	}
 	r.writeHead(answer)
