perf: an estimate of the peers' loads costs the same however many peers there are

Ruled out: the choice itself, and the holders (profile: Table.Others and the maps).

Change: the table keeps sums by endpoint, from message to message; old loads leave them every 20 ms. The source of a prompt is found by its id, without a map of all endpoints.

--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -38,7 +38,7 @@
 		return nil, nil
 	}
 	if q.shared {
-		holder = x.source(now, entries, candidates, &chosen)
+		holder = x.source(now, entries, &chosen)
 	}
 	x.noteChoice(candidates, &chosen, holder)
 	return entries[chosen.Index], holder
@@ -102,22 +102,19 @@
 // of the prompt, or nil: one that is known to hold the shared parts, or else the
 // one before or behind it in the prompt's order, or else one that holds the
 // beginning.
-func (x *exchange) source(now time.Time, entries []*roster.Entry, candidates []choice.Candidate, chosen *choice.Choice) *roster.Entry {
+func (x *exchange) source(now time.Time, entries []*roster.Entry, chosen *choice.Choice) *roster.Entry {
 	g, q := x.gateway, x.request
 	shared := q.sharedParts()
 	target := entries[chosen.Index]
-	byID := make(map[ryeford.EndpointID]*roster.Entry, len(entries))
-	for i, entry := range entries {
-		if i != chosen.Index && !candidates[i].Failing {
-			byID[entry.ID] = entry
-		}
-	}
-	best, depth := g.holders.Best(now, shared, func(id ryeford.EndpointID) bool { return byID[id] != nil })
+	best, depth := g.holders.Best(now, shared, func(id ryeford.EndpointID) bool {
+		entry := g.roster.Entry(id)
+		return entry != nil && entry.Service == q.service && id != target.ID && g.detector.Healthy(now, id)
+	})
 	moved := chosen.Reason != choice.ReasonHome || chosen.HolderFirst || !target.Since.IsZero()
 	if chosen.Holder >= 0 && depth < len(shared) && (moved || depth == 0) {
 		return entries[chosen.Holder]
 	}
-	return byID[best]
+	return g.roster.Entry(best)
 }
 
 // noteChoice logs where a try goes and why.
--- a/peers/table.go
+++ b/peers/table.go
@@ -27,14 +27,25 @@
 
 	mu      sync.Mutex
 	members map[netip.AddrPort]*member
+	// sums are the loads of the members that are counted, by endpoint; counted and
+	// heard are how many members are counted and were heard lately.
+	sums    map[ryeford.EndpointID]int
+	counted int
+	heard   int
+	swept   time.Time
 }
 
+// sweepEvery is how often it is looked whose loads have grown old: the sums are
+// kept so that an estimate costs the same however many peers there are.
+const sweepEvery = 20 * time.Millisecond
+
 type member struct {
 	told     time.Time // when it, or another peer, last told of it
 	heard    time.Time // zero where only others told of it
 	started  int64
 	sequence uint64
-	loads    map[ryeford.EndpointID]int
+	loads    []Load
+	counted  bool // loads are in the sums
 }
 
 // New returns a Table of a router that knows nobody yet.
@@ -43,6 +54,7 @@
 		limits:  limits,
 		self:    self,
 		members: make(map[netip.AddrPort]*member),
+		sums:    make(map[ryeford.EndpointID]int),
 	}
 }
 
@@ -58,16 +70,59 @@
 	}
 	m.heard, m.told = now, now
 	m.started, m.sequence = message.Started, message.Sequence
-	m.loads = make(map[ryeford.EndpointID]int, len(message.Loads))
-	for _, load := range message.Loads {
-		m.loads[load.Endpoint] = load.Requests
-	}
+	t.uncount(m)
+	m.loads = message.Loads
+	t.count(m)
+	t.swept = time.Time{}
 	for _, address := range message.Members {
 		t.member(now, address)
 	}
 	return true
 }
 
+// count adds a member's loads to the sums.
+func (t *Table) count(m *member) {
+	for _, load := range m.loads {
+		t.sums[load.Endpoint] += load.Requests
+	}
+	m.counted = true
+	t.counted++
+}
+
+// uncount takes a member's loads out of the sums, where they are in.
+func (t *Table) uncount(m *member) {
+	if !m.counted {
+		return
+	}
+	for _, load := range m.loads {
+		if t.sums[load.Endpoint] -= load.Requests; t.sums[load.Endpoint] == 0 {
+			delete(t.sums, load.Endpoint)
+		}
+	}
+	m.counted = false
+	t.counted--
+}
+
+// sweep forgets the peers that were not heard for too long, and no longer counts
+// loads that have grown old.
+func (t *Table) sweep(now time.Time) {
+	if age := now.Sub(t.swept); age >= 0 && age < sweepEvery {
+		return
+	}
+	t.swept = now
+	t.expire(now)
+	t.heard = 0
+	for _, m := range t.members {
+		age := now.Sub(m.heard)
+		if age <= t.limits.Forget {
+			t.heard++
+		}
+		if age > t.limits.Fresh {
+			t.uncount(m)
+		}
+	}
+}
+
 // Add takes the addresses of peers that may be stale or down.
 func (t *Table) Add(now time.Time, addresses []netip.AddrPort) {
 	t.mu.Lock()
@@ -91,6 +146,7 @@
 func (t *Table) expire(now time.Time) {
 	for address, m := range t.members {
 		if now.Sub(m.told) > t.limits.Forget {
+			t.uncount(m)
 			delete(t.members, address)
 		}
 	}
@@ -102,21 +158,11 @@
 func (t *Table) Others(now time.Time, endpoint ryeford.EndpointID) (requests float64, known bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	sum, fresh, alive := 0, 0, 0
-	for _, m := range t.members {
-		age := now.Sub(m.heard)
-		if age <= t.limits.Forget {
-			alive++
-		}
-		if age <= t.limits.Fresh {
-			sum += m.loads[endpoint]
-			fresh++
-		}
-	}
-	if fresh == 0 {
+	t.sweep(now)
+	if t.counted == 0 {
 		return 0, false
 	}
-	return float64(sum) * float64(alive) / float64(fresh), true
+	return float64(t.sums[endpoint]) * float64(t.heard) / float64(t.counted), true
 }
 
 // Alive returns how many peers were heard lately.
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -181,13 +181,16 @@
 	return r.draining[service]
 }
 
-// Knows reports whether an endpoint is on the list.
-func (r *Roster) Knows(id ryeford.EndpointID) bool {
+// Entry returns an endpoint of the list, or nil. The caller must not change it.
+func (r *Roster) Entry(id ryeford.EndpointID) *Entry {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	return r.entries[id] != nil
+	return r.entries[id]
 }
 
+// Knows reports whether an endpoint is on the list.
+func (r *Roster) Knows(id ryeford.EndpointID) bool { return r.Entry(id) != nil }
+
 // Takes reports whether an endpoint still takes new requests.
 func (r *Roster) Takes(id ryeford.EndpointID) bool {
 	r.mu.RLock()
