feat: waits of the store follow from the users' bounds

Cause: the settle time, the refresh and the feed's wait were fixed for bounds of 2 and 3 seconds.

Change: bounds.configuration and bounds.drain are settings, filled in by the template; the three times are derived where they are left out.

--- a/gateway/configuration.go
+++ b/gateway/configuration.go
@@ -43,7 +43,7 @@
 	}
 	confirmed, _ := g.lease.Confirmed()
 	rank, heard := g.gossip.table.Rank(now, uint64(confirmed/turnTime))
-	return refreshAge(g.settings.Routing.LeaseRefresh, rank, heard) - age
+	return refreshAge(g.settings.RefreshConfiguration(), rank, heard) - age
 }
 
 // keepConfiguration reads the configuration whenever the lease grows old, or a
--- a/gateway/watchers.go
+++ b/gateway/watchers.go
@@ -27,7 +27,7 @@
 	}
 	options := watch.Options{
 		Wait:      g.settings.WaitForEndpoints,
-		Settle:    g.settings.Routing.EndpointsSettle,
+		Settle:    g.settings.SettleEndpoints(),
 		Pause:     storePause,
 		PauseMost: storePauseMost,
 	}
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -31,6 +31,11 @@
 	// Contact is how long a router that regained the store still counts as out
 	// of touch.
 	Contact time.Duration `yaml:"contact" validate:"min=100ms,max=10m"`
+	// Configuration is the time in which an accepted configuration is in force at
+	// each router, and Drain the time in which an endpoint that leaves gets nothing
+	// new any more.
+	Configuration time.Duration `yaml:"configuration" validate:"min=200ms,max=10m"`
+	Drain         time.Duration `yaml:"drain" validate:"min=200ms,max=10m"`
 	// Grace is the time between the order to stop and the end of the process.
 	Grace time.Duration `yaml:"grace" validate:"min=1s,max=1h"`
 	// RetryRatio and RetryReserve bound, for each service and over RetryWindow,
@@ -51,18 +56,32 @@
 	// touch.
 	EndpointsWait time.Duration `yaml:"endpoints_wait" validate:"min=0s,max=30s"`
 	// EndpointsSettle is how long a router waits after a change of that list before
-	// it asks for more, so that changes in a row come in one answer.
+	// it asks for more, so that changes in a row come in one answer; zero derives it
+	// from Bounds.Drain.
 	EndpointsSettle time.Duration `yaml:"endpoints_settle" validate:"min=0s,max=5s"`
 	// LeaseRefresh is the age of what is known of the configuration at which each
-	// router reads it again. Routers that hear each other take turns at reading it
-	// sooner, for all.
-	LeaseRefresh time.Duration `yaml:"lease_refresh" validate:"min=50ms,max=10m"`
+	// router reads it again; zero derives it from Bounds.Configuration and
+	// Bounds.Revoke. Routers that hear each other take turns at reading it sooner,
+	// for all.
+	LeaseRefresh time.Duration `yaml:"lease_refresh" validate:"min=0s,max=10m"`
 	// StoreTimeout is how long the store may take beyond that.
 	StoreTimeout time.Duration `yaml:"store_timeout" validate:"min=50ms,max=30s"`
 	// Routers is how many routers at least are taken to share RetryReserve.
 	Routers int `yaml:"routers" validate:"min=1,max=10000"`
 }
 
+const (
+	// settlePart and settleMost bound the derived EndpointsSettle: a part of the
+	// time that a leaving endpoint leaves, and what saves calls noticeably.
+	settlePart = 2
+	settleMost = time.Second
+	// refreshPart is the part of Bounds.Configuration that the age of a
+	// configuration may take, and refreshRevokePart that of Bounds.Revoke: what is
+	// left of the lease is how long an outage of the store is bridged.
+	refreshPart       = 2
+	refreshRevokePart = 5
+)
+
 // regainMargin is kept between the end of a lost question and the time at which
 // a router counts as in touch again.
 const regainMargin = 100 * time.Millisecond
@@ -76,24 +95,41 @@
 	return max(regainMargin, s.Bounds.Contact-s.Routing.StoreTimeout-regainMargin)
 }
 
+// SettleEndpoints returns how long a router waits after a change of the list of
+// endpoints before it asks for more.
+func (s *Gateway) SettleEndpoints() time.Duration {
+	if s.Routing.EndpointsSettle > 0 {
+		return s.Routing.EndpointsSettle
+	}
+	return min(settleMost, s.Bounds.Drain/settlePart)
+}
+
+// RefreshConfiguration returns the age at which the configuration is read again.
+func (s *Gateway) RefreshConfiguration() time.Duration {
+	if s.Routing.LeaseRefresh > 0 {
+		return s.Routing.LeaseRefresh
+	}
+	return min(s.Bounds.Configuration/refreshPart, s.Bounds.Revoke/refreshRevokePart)
+}
+
 // DefaultGateway returns a Gateway with the defaults of what may be left out.
 func DefaultGateway() *Gateway {
 	return &Gateway{
 		Memory: 256,
 		Bounds: GatewayBounds{
-			Revoke:       5 * time.Second,
-			Contact:      3 * time.Second,
-			Grace:        8 * time.Second,
-			RetryRatio:   0.2,
-			RetryReserve: 50,
-			RetryWindow:  10 * time.Second,
-			CapFactor:    2,
+			Revoke:        5 * time.Second,
+			Contact:       3 * time.Second,
+			Configuration: 2 * time.Second,
+			Drain:         2 * time.Second,
+			Grace:         8 * time.Second,
+			RetryRatio:    0.2,
+			RetryReserve:  50,
+			RetryWindow:   10 * time.Second,
+			CapFactor:     2,
 		},
 		Routing: GatewayRouting{
-			EndpointsSettle: time.Second,
-			LeaseRefresh:    time.Second,
-			StoreTimeout:    700 * time.Millisecond,
-			Routers:         10,
+			StoreTimeout: 700 * time.Millisecond,
+			Routers:      10,
 		},
 	}
 }
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -3,6 +3,7 @@
 import (
 	"path/filepath"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -60,3 +61,23 @@
 		_ = Parse([]byte(content), DefaultAgent())
 	})
 }
+
+// TestDerived checks that what a gateway derives from the users' bounds keeps
+// within them, and that a value that is set counts.
+func TestDerived(t *testing.T) {
+	for _, contact := range []time.Duration{time.Second, 3 * time.Second, 4 * time.Second} {
+		for _, bound := range []time.Duration{500 * time.Millisecond, 2 * time.Second, 9 * time.Second} {
+			s := DefaultGateway()
+			s.Bounds.Contact, s.Bounds.Drain, s.Bounds.Configuration = contact, bound, bound
+			assert.Assert(t, s.WaitForEndpoints()+s.Routing.StoreTimeout < contact)
+			assert.Assert(t, s.SettleEndpoints() <= bound/2)
+			assert.Assert(t, s.RefreshConfiguration() <= bound/2)
+			assert.Assert(t, s.RefreshConfiguration() <= s.Bounds.Revoke/5)
+		}
+	}
+	s := DefaultGateway()
+	s.Routing = GatewayRouting{EndpointsWait: 1, EndpointsSettle: 2, LeaseRefresh: 3}
+	assert.Equal(t, s.WaitForEndpoints(), time.Duration(1))
+	assert.Equal(t, s.SettleEndpoints(), time.Duration(2))
+	assert.Equal(t, s.RefreshConfiguration(), time.Duration(3))
+}
