fix: the operators' header timeout is followed

Change: net/http is given a mark, as for the idle timeout, and the connection puts the time in force in its place.

Before -> after: TestSlowSenders/header red (open after 8 s) -> green.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -181,10 +181,10 @@
 		return nil, &ListenError{Address: address, Err: err}
 	}
 	return &server{
-		listener: &idleListener{Listener: listener, timeout: g.idleTimeout},
+		listener: &callerListener{Listener: listener, idle: g.idleTimeout, header: g.headerTimeout},
 		http: &http.Server{
 			Handler:           handler,
-			ReadHeaderTimeout: maxHeaderTime,
+			ReadHeaderTimeout: headerMark,
 			IdleTimeout:       idleMark,
 			MaxHeaderBytes:    maxHeaderBytes,
 			ErrorLog:          newServerLog(g.log),
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -453,3 +453,32 @@
 	f.setFaults(appserver.FaultNone, 0)
 	f.eventually(func() bool { return f.do(f.request("POST", "/once/a", "key-1", large)).status == 200 })
 }
+
+// TestSlowSenders checks that a caller that does not finish a header, or lets a
+// connection rest for too long, is cut off at the operators' times, and that a
+// later configuration changes them.
+func TestSlowSenders(t *testing.T) {
+	// below the times that hold where the operators set none
+	const limit = 8 * time.Second
+	for name, test := range map[string]struct{ limit, sends string }{
+		"header": {"headerTimeoutMs", "GET /safe/a HTTP/1.1\r\nHost: host"},
+		"idle":   {"idleTimeoutMs", "GET /none/a HTTP/1.1\r\nHost: host.example\r\nRyeford-Request-Id: s1\r\n\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := startedFixture(t, nil)
+			config := baseConfig()
+			config["version"] = 2
+			config["limits"] = jsonMap{"maxHeaderBytes": 16384, "maxBodyBytes": 65536, "headerTimeoutMs": 3600000, "idleTimeoutMs": 3600000, test.limit: 100}
+			f.setConfig(config)
+			f.eventually(func() bool { return strings.Contains(f.log.String(), "version=2") })
+			conn, err := net.Dial("tcp", strings.TrimPrefix(f.base, "http://"))
+			assert.NilError(t, err)
+			defer func() { _ = conn.Close() }()
+			_, err = io.WriteString(conn, test.sends)
+			assert.NilError(t, err)
+			assert.NilError(t, conn.SetReadDeadline(time.Now().Add(limit)))
+			_, err = io.Copy(io.Discard, conn)
+			assert.NilError(t, err, "the connection is still open")
+		})
+	}
+}
--- a/gateway/idle.go
+++ b/gateway/idle.go
@@ -11,14 +11,15 @@
 )
 
 const (
-	// idleMark is the idle timeout that net/http is given. An idleConn puts the
-	// operators' own, which changes, in its place.
-	idleMark = 24 * time.Hour
-	// idleNear tells a deadline that stands for idleMark from all others.
-	idleNear = 23 * time.Hour
-	// defaultIdle holds until a configuration is known.
+	// idleMark and headerMark are the timeouts that net/http is given. A
+	// callerConn puts the operators' own, which change, in their places.
+	idleMark   = 24 * time.Hour
+	headerMark = 72 * time.Hour
+	// markMargin tells a deadline that stands for a mark from all others.
+	markMargin = time.Hour
+	// defaultIdle and defaultHeader hold until a configuration is known.
 	defaultIdle    = 15 * time.Second
-	maxHeaderTime  = 10 * time.Second
+	defaultHeader  = 10 * time.Second
 	maxHeaderBytes = 64 << 10
 )
 
@@ -30,38 +31,50 @@
 	return defaultIdle
 }
 
-// An idleListener accepts connections whose idle timeout may change while the
-// server runs.
-type idleListener struct {
+// headerTimeout returns how long a caller may take to send a request's header.
+func (g *Gateway) headerTimeout() time.Duration {
+	if c := g.catalog.Get(); c != nil && c.Limits().HeaderTimeout > 0 {
+		return c.Limits().HeaderTimeout
+	}
+	return defaultHeader
+}
+
+// A callerListener accepts connections whose timeouts may change while the server
+// runs.
+type callerListener struct {
 	net.Listener
-	timeout func() time.Duration
+	idle, header func() time.Duration
 }
 
 // Accept implements net.Listener.
-func (l *idleListener) Accept() (net.Conn, error) {
+func (l *callerListener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	return &idleConn{Conn: conn, timeout: l.timeout}, nil
+	return &callerConn{Conn: conn, listener: l}, nil
 }
 
-// An idleConn is a connection of an idleListener.
-type idleConn struct {
+// A callerConn is a connection of a callerListener.
+type callerConn struct {
 	net.Conn
-	timeout func() time.Duration
+	listener *callerListener
 }
 
 // SetReadDeadline implements net.Conn.
-func (c *idleConn) SetReadDeadline(t time.Time) error {
-	if !t.IsZero() && time.Until(t) > idleNear {
-		t = time.Now().Add(c.timeout())
+func (c *callerConn) SetReadDeadline(t time.Time) error {
+	switch left := time.Until(t); {
+	case t.IsZero():
+	case left > headerMark-markMargin:
+		t = time.Now().Add(c.listener.header())
+	case left > idleMark-markMargin:
+		t = time.Now().Add(c.listener.idle())
 	}
 	return c.Conn.SetReadDeadline(t)
 }
 
 // ReadFrom passes on to the connection, which may copy without a buffer.
-func (c *idleConn) ReadFrom(r io.Reader) (int64, error) {
+func (c *callerConn) ReadFrom(r io.Reader) (int64, error) {
 	if readerFrom, ok := c.Conn.(io.ReaderFrom); ok {
 		return readerFrom.ReadFrom(r)
 	}
