feat: endpoints that left without a word stay sources of prompts for a while

Ruled out: eviction (some 90k of 232k tokens of an engine are used), and a copy without a request (the platform has no such call; a request of our own would be UNASKED).

Change: roster keeps such an endpoint as departed for 1.8 s: no requests, but a source for fetches, as a draining one is. Known failing ones are no sources, as before.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -41,6 +41,10 @@
 	// list was in trouble: longer than endpoints take to write their entries
 	// anew, shorter than the time in which a router counts as out of touch.
 	doubtLinger = 2 * time.Second
+	// departLinger is how long an endpoint that left without a word stays a source
+	// of prompts: it serves on for as long as one that said so, and its address is
+	// given to no other within that time.
+	departLinger = 1800 * time.Millisecond
 	// sweepEvery is how often resting connections and doubtful endpoints are
 	// looked through.
 	sweepEvery = 500 * time.Millisecond
@@ -104,7 +108,7 @@
 		metrics:   metrics,
 		newer:     make(chan struct{}, 1),
 		lease:     freshness.NewSharedLease(s.Bounds.Revoke - leaseMargin),
-		roster:    roster.New(doubtLinger),
+		roster:    roster.New(roster.Lingers{Doubtful: doubtLinger, Departed: departLinger}),
 		detector:  outlier.New(outlierLimits),
 		pool:      endpoint.New(platform.Protocol, endpoint.DefaultOptions()),
 		loads:     newLoads(),
--- a/gateway/watchers.go
+++ b/gateway/watchers.go
@@ -56,7 +56,7 @@
 		return
 	}
 	_ = g.log.Log("decision", "endpoints", "revision", revision, "whole", update.Whole, "troubled", troubled,
-		"added", join(change.Added), "draining", join(change.Drained), "dropped", join(change.Dropped), "doubted", join(change.Doubted), "known", g.roster.Len())
+		"added", join(change.Added), "draining", join(change.Drained), "dropped", join(change.Dropped), "doubted", join(change.Doubted), "departed", join(change.Departed), "known", g.roster.Len())
 	for _, id := range change.Dropped {
 		g.forget(id)
 	}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -20,14 +20,27 @@
 	// Doubtful endpoints were dropped from the list while the list itself was in
 	// trouble: they may live.
 	Doubtful bool
-	// doubtfulUntil is when a doubtful endpoint is forgotten.
-	doubtfulUntil time.Time
+	// Departed endpoints were dropped from the list without a word before: they
+	// take no requests, but are likely to live a little longer, and to hold prompts
+	// that others can fetch.
+	Departed bool
+	// until is when a doubtful or departed endpoint is forgotten.
+	until time.Time
+}
+
+// lingers reports whether the endpoint is off the list, and only kept for a time.
+func (e *Entry) lingers() bool { return e.Doubtful || e.Departed }
+
+// Lingers are how long endpoints stay that were dropped from the list.
+type Lingers struct {
+	// Doubtful holds for those dropped in times of trouble, Departed for those
+	// dropped without having said that they leave.
+	Doubtful, Departed time.Duration
 }
 
 // A Roster is the list of endpoints.
 type Roster struct {
-	// linger is how long an endpoint stays that was dropped in times of trouble.
-	linger time.Duration
+	lingers Lingers
 
 	mu       sync.RWMutex
 	entries  map[ryeford.EndpointID]*Entry
@@ -37,23 +50,22 @@
 	revision int64
 }
 
-// New returns an empty Roster. An endpoint that is dropped in times of trouble
-// stays, in doubt, for linger.
-func New(linger time.Duration) *Roster {
+// New returns an empty Roster.
+func New(lingers Lingers) *Roster {
 	return &Roster{
-		linger:  linger,
+		lingers: lingers,
 		entries: make(map[ryeford.EndpointID]*Entry),
 	}
 }
 
 // A Change tells what an update did.
 type Change struct {
-	Added, Drained, Dropped, Doubted []ryeford.EndpointID
+	Added, Drained, Dropped, Doubted, Departed []ryeford.EndpointID
 }
 
 // Empty reports whether nothing has changed.
 func (c *Change) Empty() bool {
-	return len(c.Added)+len(c.Drained)+len(c.Dropped)+len(c.Doubted) == 0
+	return len(c.Added)+len(c.Drained)+len(c.Dropped)+len(c.Doubted)+len(c.Departed) == 0
 }
 
 // Apply takes an update. troubled says that it is the first since the list was
@@ -76,7 +88,7 @@
 	}
 	if update.Whole {
 		for id, entry := range r.entries {
-			if !present[id] && !entry.Doubtful {
+			if !present[id] && !entry.lingers() {
 				r.drop(now, id, troubled, &change)
 			}
 		}
@@ -111,26 +123,33 @@
 	if entry == nil {
 		return
 	}
-	if !troubled || entry.State == ryeford.EndpointDraining {
+	kept := *entry
+	switch {
+	case entry.State == ryeford.EndpointDraining || (entry.Doubtful && !troubled):
 		delete(r.entries, id)
 		change.Dropped = append(change.Dropped, id)
 		return
+	case troubled:
+		kept.Doubtful = true
+		kept.until = now.Add(r.lingers.Doubtful)
+		change.Doubted = append(change.Doubted, id)
+	default:
+		kept.Departed = true
+		kept.State = ryeford.EndpointDraining
+		kept.until = now.Add(r.lingers.Departed)
+		change.Departed = append(change.Departed, id)
 	}
-	doubtful := *entry
-	doubtful.Doubtful = true
-	doubtful.doubtfulUntil = now.Add(r.linger)
-	r.entries[id] = &doubtful
-	change.Doubted = append(change.Doubted, id)
+	r.entries[id] = &kept
 }
 
-// Expire forgets the endpoints whose doubt has lasted too long, and returns
+// Expire forgets the endpoints that have been kept for long enough, and returns
 // them.
 func (r *Roster) Expire(now time.Time) []ryeford.EndpointID {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var expired []ryeford.EndpointID
 	for id, entry := range r.entries {
-		if entry.Doubtful && now.After(entry.doubtfulUntil) {
+		if entry.lingers() && now.After(entry.until) {
 			delete(r.entries, id)
 			expired = append(expired, id)
 		}
@@ -174,7 +193,7 @@
 	return r.services[service]
 }
 
-// Draining returns the endpoints of a service that are leaving.
+// Draining returns the endpoints of a service that are leaving, or have departed.
 func (r *Roster) Draining(service string) []*Entry {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -9,7 +9,10 @@
 	"github.com/ryeford/ryeford"
 )
 
-var start = time.Unix(1000, 0)
+var (
+	start   = time.Unix(1000, 0)
+	lingers = Lingers{Doubtful: time.Second, Departed: 2 * time.Second}
+)
 
 func ready(id string) ryeford.Endpoint {
 	return ryeford.Endpoint{ID: ryeford.EndpointID(id), Service: "s"}
@@ -31,7 +34,7 @@
 
 // TestChanges plays the life of endpoints.
 func TestChanges(t *testing.T) {
-	r := New(time.Second)
+	r := New(lingers)
 	assert.Assert(t, !r.Known())
 	r.Apply(start, &ryeford.EndpointUpdate{Whole: true, Revision: 1, Present: []ryeford.Endpoint{ready("b"), ready("a")}}, false)
 	assert.Equal(t, serving(r), "ab")
@@ -51,7 +54,7 @@
 // TestDoubt checks that what the first list after an outage lacks stays a while,
 // and that what leaves is not doubted.
 func TestDoubt(t *testing.T) {
-	r := New(time.Second)
+	r := New(lingers)
 	r.Apply(start, &ryeford.EndpointUpdate{Whole: true, Revision: 1, Present: []ryeford.Endpoint{ready("a"), ready("b"), draining("d")}}, false)
 	r.Apply(start, &ryeford.EndpointUpdate{Whole: true, Revision: 5}, true)
 	assert.Equal(t, serving(r), "ab")
@@ -63,3 +66,25 @@
 	assert.DeepEqual(t, r.Expire(start.Add(time.Second+1)), []ryeford.EndpointID{"a"})
 	assert.Equal(t, serving(r), "b")
 }
+
+// TestDeparted checks that an endpoint which leaves the list without a word takes
+// nothing at once, stays a source of prompts for a time, and is then forgotten;
+// one that had said that it leaves goes with its entry.
+func TestDeparted(t *testing.T) {
+	r := New(lingers)
+	r.Apply(start, &ryeford.EndpointUpdate{Whole: true, Revision: 1, Present: []ryeford.Endpoint{ready("a"), ready("b"), draining("d")}}, false)
+	change := r.Apply(start, &ryeford.EndpointUpdate{Revision: 2, Gone: []ryeford.EndpointID{"a", "d"}}, false)
+	assert.DeepEqual(t, change.Departed, []ryeford.EndpointID{"a"})
+	assert.DeepEqual(t, change.Dropped, []ryeford.EndpointID{"d"})
+	assert.Equal(t, serving(r), "b")
+	assert.Assert(t, !r.Takes("a"))
+	assert.Equal(t, len(r.Draining("s")), 1)
+	assert.Assert(t, r.Knows("a") && !r.Knows("d"))
+	// A whole list that lacks it too changes nothing.
+	assert.Assert(t, ptr(r.Apply(start, &ryeford.EndpointUpdate{Whole: true, Revision: 3, Present: []ryeford.Endpoint{ready("b")}}, false)).Empty())
+	assert.Equal(t, len(r.Expire(start.Add(2*time.Second))), 0)
+	assert.DeepEqual(t, r.Expire(start.Add(2*time.Second+1)), []ryeford.EndpointID{"a"})
+	assert.Equal(t, len(r.Draining("s")), 0)
+}
+
+func ptr(c Change) *Change { return &c }
