feat: requests wait, in a router's first moments, for what it must know

A caller's next try is its last, and comes 300 to 600 ms later.

Ruled out: listening only once the configuration is known (a closed port resets, and a reset costs a try too), and a wait whenever the configuration is not known (requests would be held through an outage).

Change: for 0.5 s from its start (routing.start_patience) a router lets requests wait for the first configuration and list; then it refuses at once, as before.

TestFirstMoments red (503) -> green; TestAwaitLearned.

--- a/gateway/configuration.go
+++ b/gateway/configuration.go
@@ -131,5 +131,6 @@
 	}
 	if g.catalog.Get() != nil {
 		g.lease.RenewRead(sent, answered, update.Clock)
+		g.noteLearned()
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -84,8 +84,9 @@
 	holders  *holders.Map
 	gossip   *gossip
 	newer    chan struct{} // a peer has a newer configuration
-	revision revision      // the newest that the store has told
-	regained bool          // the next list is the first since it was out of reach; only the watch uses it
+	learned  *learned
+	revision revision // the newest that the store has told
+	regained bool     // the next list is the first since it was out of reach; only the watch uses it
 
 	windowMu sync.Mutex
 	windows  map[string]*retry.Window // by service
@@ -107,6 +108,7 @@
 		log:       logger,
 		metrics:   metrics,
 		newer:     make(chan struct{}, 1),
+		learned:   newLearned(s.Routing.StartPatience),
 		lease:     freshness.NewSharedLease(s.Bounds.Revoke - leaseMargin),
 		roster:    roster.New(roster.Lingers{Doubtful: doubtLinger, Departed: departLinger}),
 		detector:  outlier.New(outlierLimits),
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -482,3 +482,15 @@
 		})
 	}
 }
+
+// TestFirstMoments checks that a request that comes before the router has read
+// the configuration is served once it has.
+func TestFirstMoments(t *testing.T) {
+	store := rowstore.New()
+	store.SetFault(rowstore.Fault{Silent: true})
+	f := newFixtureAt(t, store, baseConfig(), func(s *settings.Gateway) { s.Routing.StartPatience = conditionLimit })
+	f.addServer("plain", "p1", 0)
+	f.eventually(func() bool { return strings.Contains(f.log.String(), "dependency lost") })
+	time.AfterFunc(50*time.Millisecond, func() { store.SetFault(rowstore.Fault{}) })
+	assert.Equal(t, f.call("GET", "/safe/a").status, 200)
+}
--- /dev/null
+++ b/gateway/learned_test.go
@@ -0,0 +1,42 @@
+package gateway
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestAwaitLearned checks that requests wait for what the router has to know, in
+// its first moments and no longer.
+func TestAwaitLearned(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const patience = time.Second
+		began := time.Now()
+		l := newLearned(patience)
+		go func() {
+			time.Sleep(patience / 4)
+			l.note()
+			l.note()
+		}()
+		l.await(t.Context())
+		assert.Equal(t, time.Since(began), patience/4)
+		l.await(t.Context())
+		assert.Equal(t, time.Since(began), patience/4, "it is known")
+
+		never := newLearned(patience)
+		began = time.Now()
+		never.await(t.Context())
+		assert.Equal(t, time.Since(began), patience)
+		never.await(t.Context())
+		assert.Equal(t, time.Since(began), patience, "the first moments are over")
+
+		gone, cancel := context.WithCancel(t.Context())
+		cancel()
+		began = time.Now()
+		newLearned(patience).await(gone)
+		assert.Equal(t, time.Since(began), time.Duration(0), "the caller is gone")
+	})
+}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -77,6 +77,7 @@
 		return
 	}
 	defer release()
+	g.learned.await(r.Context())
 	q, err := g.admit(r, demand, arrived)
 	if err != nil {
 		g.refuse(w, r, demand, arrived, err)
--- a/gateway/watchers.go
+++ b/gateway/watchers.go
@@ -52,6 +52,7 @@
 	troubled := g.regained
 	g.regained = false
 	change := g.roster.Apply(time.Now(), update, troubled)
+	g.noteLearned()
 	if change.Empty() {
 		return
 	}
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -66,6 +66,9 @@
 	LeaseRefresh time.Duration `yaml:"lease_refresh" validate:"min=0s,max=10m"`
 	// StoreTimeout is how long the store may take beyond that.
 	StoreTimeout time.Duration `yaml:"store_timeout" validate:"min=50ms,max=30s"`
+	// StartPatience is how long from its start a router lets requests wait for the
+	// configuration and the list of endpoints, before it refuses them.
+	StartPatience time.Duration `yaml:"start_patience" validate:"min=0s,max=10s"`
 	// Routers is how many routers at least are taken to share RetryReserve.
 	Routers int `yaml:"routers" validate:"min=1,max=10000"`
 }
@@ -128,8 +131,9 @@
 			CapFactor:     2,
 		},
 		Routing: GatewayRouting{
-			StoreTimeout: 700 * time.Millisecond,
-			Routers:      10,
+			StoreTimeout:  700 * time.Millisecond,
+			StartPatience: 500 * time.Millisecond,
+			Routers:       10,
 		},
 	}
 }
