--- a/gateway/configuration.go
+++ b/gateway/configuration.go
@@ -150,7 +150,7 @@
 		next := catalog.New(update.Configuration)
 		applied := c.inForce.Put(next)
 		_ = c.log.Log("decision", "configuration", "version", next.Version(), "revision", update.Revision,
-			"routes", len(update.Configuration.Routes), "accounts", len(update.Configuration.Accounts), "applied", applied)
+			"routes", len(update.Configuration.Routes), "accounts", len(update.Configuration.Accounts), "took", roundTime(answered.Sub(sent)), "applied", applied)
 	}
 	if c.current() != nil {
 		c.lease.RenewRead(sent, answered, update.Clock)
