--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -45,6 +45,9 @@
 	// those under way.
 	storeCutOff     atomic.Bool
 	closeStoreConns func()
+	// storeRate bounds the bytes a second that the store's responses come with, unless
+	// it is zero; storeCalls and storeBytes count what has come.
+	storeRate, storeCalls, storeBytes atomic.Int64
 }
 
 // newFixture starts a gateway. config is the operators' configuration, nil for none;
@@ -69,7 +72,8 @@
 		if f.storeCutOff.Load() {
 			panic(http.ErrAbortHandler)
 		}
-		f.store.ServeHTTP(w, r)
+		f.storeCalls.Add(1)
+		f.store.ServeHTTP(&narrowLink{ResponseWriter: w, f: f}, r)
 	}))
 	f.closeStoreConns = storeServer.CloseClientConnections
 	t.Cleanup(storeServer.Close)
--- /dev/null
+++ b/gateway/largeconfiguration_test.go
@@ -0,0 +1,86 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ryeford/ryeford/platform/wire"
+	"github.com/ryeford/ryeford/settings"
+)
+
+// manyRoutes is so many that the configuration takes several times the store's timeout
+// to come over the link of narrowLink.
+const manyRoutes = 1500
+
+// largeConfiguration returns a version of baseConfiguration with many routes more, of
+// which the last is public and named "added".
+func largeConfiguration(version int64) *wire.Configuration {
+	config := baseConfiguration()
+	config.Version = version
+	like := config.Routes[len(config.Routes)-1]
+	for i := range manyRoutes {
+		like.Name = fmt.Sprintf("route-%06d", i)
+		like.Prefix = "/" + like.Name + "/"
+		config.Routes = append(config.Routes, like)
+	}
+	added := config.Routes[4]
+	added.Name, added.Prefix = "added", "/added/"
+	config.Routes = append(config.Routes, added)
+	return config
+}
+
+// A narrowLink passes a response on at a number of bytes a second, in small parts, and
+// counts them.
+type narrowLink struct {
+	http.ResponseWriter
+	f *fixture
+}
+
+// linkPart is how many bytes a narrowLink passes on at once.
+const linkPart = 4 << 10
+
+// Write implements io.Writer.
+func (l *narrowLink) Write(p []byte) (int, error) {
+	written := 0
+	for written < len(p) {
+		part := p[written:min(len(p), written+linkPart)]
+		if rate := l.f.storeRate.Load(); rate > 0 {
+			time.Sleep(time.Duration(len(part)) * time.Second / time.Duration(rate))
+		}
+		n, err := l.ResponseWriter.Write(part)
+		written += n
+		l.f.storeBytes.Add(int64(n))
+		if err != nil {
+			return written, err
+		}
+		_ = http.NewResponseController(l.ResponseWriter).Flush()
+	}
+	return written, nil
+}
+
+// TestLargeConfiguration checks that a configuration which takes longer to come over
+// the gateway's link than the store may be silent for is put in force all the same, and
+// that it is not transferred again as long as it does not change (incident inc1).
+func TestLargeConfiguration(t *testing.T) {
+	f := startedFixture(t, func(s *settings.Gateway) { s.Routing.StoreTimeout = 500 * time.Millisecond })
+	// 0.33 MB of routes take 1.7 s.
+	f.storeRate.Store(200 << 10)
+	f.putConfiguration(largeConfiguration(2))
+	f.await("the added route", func() bool {
+		return f.do(f.request("GET", "/added/a", "", "")).status == 200
+	})
+
+	// The link is wide again: a gateway that transfers what it knows has the time to.
+	f.storeRate.Store(0)
+	f.putConfiguration(largeConfiguration(3))
+	f.awaitLog("version=3")
+	calls, bytes := f.storeCalls.Load(), f.storeBytes.Load()
+	f.await("ten more calls of the store", func() bool { return f.storeCalls.Load() >= calls+10 })
+	f.awaitReady(true)
+	size := int64(manyRoutes * 100)
+	assert.Assert(t, f.storeBytes.Load()-bytes < size, "%d bytes transferred, though nothing has changed", f.storeBytes.Load()-bytes)
+}
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/ryeford/ryeford/platform/wire"
 	"github.com/ryeford/ryeford/settings"
 )
 
@@ -61,3 +62,42 @@
 	})
 	assert.Assert(t, refused)
 }
+
+// TestLateStream checks that a gateway takes no stream late in its stop that it would
+// have to break off: one that is taken 3 s after the order comes whole, however short
+// the streams before it were (incident inc1).
+func TestLateStream(t *testing.T) {
+	f := newFixture(t, patientStreams(), func(s *settings.Gateway) { s.Bounds.Grace = 8 * time.Second })
+	server := f.addEndpoint("model", "m1", 5)
+	f.awaitReady(true)
+	f.awaitEndpoints(1)
+	for range 10 {
+		assert.Equal(t, f.call("POST", "/stream/a").body, events(5))
+	}
+	// The connection stays open, as a caller's would.
+	server.Step = time.Second
+	f.stop()
+	time.Sleep(3 * time.Second)
+	got := f.call("POST", "/stream/a")
+	switch got.status {
+	case http.StatusOK:
+		assert.NilError(t, got.err, "taken and broken off")
+		assert.Equal(t, got.body, events(5))
+	case http.StatusServiceUnavailable:
+		assert.Assert(t, got.header.Get("Retry-After") != "")
+	default:
+		// The gateway closed the connection before it had read the request.
+		assert.Equal(t, len(server.Received()), 10, "taken and not answered: %v", got.err)
+	}
+}
+
+// patientStreams returns baseConfiguration with streams that may take 15 s.
+func patientStreams() *wire.Configuration {
+	config := baseConfiguration()
+	for i := range config.Routes {
+		if config.Routes[i].Kind == wire.KindStream {
+			config.Routes[i].TimeoutMs = 15000
+		}
+	}
+	return config
+}
