fix: a large configuration comes over a narrow link, and only when it changes

Second cause: every router transferred the whole again about once a second, which kept the link full for the change as well as for callers. Class: a deadline on a transfer whose size grows, with a retry from the beginning; and polling by transfer of what is known.

Change: a call of the store is given up once nothing has come for store_timeout. A configuration of 64 KiB or more is compared by the store and transferred only if it has changed; after a failure it is read whole. What peers sent of a version while that was read causes no other read.

--- a/gateway/configuration.go
+++ b/gateway/configuration.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -23,7 +24,13 @@
 	inForce catalog.Current
 	lease   *freshness.Lease
 	newer   chan struct{} // holds one entry if a peer has a newer configuration
-	outage  watch.Outage  // only run uses it
+	newest  atomic.Int64  // version that a peer has
+
+	// Only run uses what follows.
+	outage   watch.Outage
+	state    ryeford.ConfigurationState // of the last answer that counts, at the source
+	size     int                        // of the configuration in that answer, in bytes
+	answered bool                       // the last read brought an answer that counts
 }
 
 // configurationOptions are what a configuration relies on.
@@ -79,7 +86,7 @@
 // run reads the configuration whenever this router is due to (freshness.ReadAge),
 // until ctx ends.
 //
-// It reads it whole each time. A feed that delivers nothing may have lost its
+// Each read is a call of its own. A feed that delivers nothing may have lost its
 // changes, so its silence would confirm nothing.
 func (c *configuration) run(ctx context.Context) error {
 	for ctx.Err() == nil {
@@ -107,13 +114,13 @@
 }
 
 // awaitNewer waits, at most for wait, until a peer has a newer configuration, and
-// reports whether one does.
+// reports whether one does. What peers sent while it was read counts no more.
 func (c *configuration) awaitNewer(ctx context.Context, wait time.Duration) bool {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
 	case <-c.newer:
-		return true
+		return c.newest.Load() > c.version()
 	case <-timer.C:
 	case <-ctx.Done():
 	}
@@ -124,28 +131,41 @@
 func (c *configuration) read(ctx context.Context) bool {
 	known := c.revision.get()
 	sent := time.Now()
-	update, err := c.source.Configuration(ctx)
+	update, err := c.fetch(ctx)
 	if ctx.Err() != nil {
 		return false // the gateway stops: not an outage
 	}
 	if err != nil {
+		c.answered = false
 		c.outage.Failed(sent, err)
 		return false
 	}
 	c.outage.Answered()
-	c.apply(&update, known, sent, time.Now())
+	c.answered = c.apply(&update, known, sent, time.Now())
 	return true
 }
 
-// apply puts a configuration in force, unless it is already, and renews the lease.
-// known is the newest revision that was known when the read was sent.
-func (c *configuration) apply(update *ryeford.ConfigurationUpdate, known int64, sent, answered time.Time) {
+// fetch asks the source for the configuration, or for what has changed of it.
+func (c *configuration) fetch(ctx context.Context) (ryeford.ConfigurationUpdate, error) {
+	if freshness.Compares(c.size, c.answered) {
+		return c.source.ConfigurationIfChanged(ctx, c.state)
+	}
+	return c.source.Configuration(ctx)
+}
+
+// apply puts a configuration in force, unless it is already, and renews the lease. It
+// reports whether the answer counts. known is the newest revision that was known when
+// the read was sent.
+func (c *configuration) apply(update *ryeford.ConfigurationUpdate, known int64, sent, answered time.Time) bool {
 	if !freshness.Confirms(update.Revision, known) {
 		c.metrics.Count("ryeford_stale_answers_total", "")
 		_ = c.log.Log("decision", "configuration", "revision", update.Revision, "known", known, "applied", false, "why", "stale answer")
-		return
+		return false
 	}
 	c.revision.raise(update.Revision)
+	if !update.Unchanged {
+		c.state, c.size = update.State, update.Size
+	}
 	if update.Configuration != nil && update.Configuration.Version != c.version() {
 		next := catalog.New(update.Configuration)
 		applied := c.inForce.Put(next)
@@ -156,6 +176,7 @@
 		c.lease.RenewRead(sent, answered, update.Clock)
 		c.onUpdate()
 	}
+	return true
 }
 
 // confirmedByPeer takes a peer's confirmation that a version was the newest when
@@ -164,6 +185,7 @@
 	current := c.current()
 	switch freshness.AfterPeer(current != nil, versionOf(current), version) {
 	case freshness.PeerIsNewer:
+		c.newest.Store(max(version, c.newest.Load())) // only gossip's receiver stores it
 		c.readSoon()
 	case freshness.PeerRenews:
 		c.lease.RenewFromPeer(now, at)
--- a/gateway/configuration_test.go
+++ b/gateway/configuration_test.go
@@ -25,6 +25,8 @@
 	revision int64
 	err      error
 	reads    []time.Duration // when it was read, since began
+	size     int             // of the configuration, in bytes
+	compared int             // reads that found it unchanged
 }
 
 // Configuration implements ryeford.ConfigurationSource.
@@ -33,10 +35,21 @@
 	update := ryeford.ConfigurationUpdate{Revision: s.revision, Clock: time.Since(s.began)}
 	if s.version > 0 {
 		update.Configuration = &ryeford.Configuration{Version: s.version}
+		update.State, update.Size = ryeford.ConfigurationState(s.version), s.size
 	}
 	return update, s.err
 }
 
+// ConfigurationIfChanged implements ryeford.ConfigurationSource.
+func (s *configurationStandIn) ConfigurationIfChanged(ctx context.Context, known ryeford.ConfigurationState) (ryeford.ConfigurationUpdate, error) {
+	update, err := s.Configuration(ctx)
+	if update.State == known {
+		update.Configuration, update.Unchanged = nil, true
+		s.compared++
+	}
+	return update, err
+}
+
 // A configurationFixture is a configuration without a gateway.
 type configurationFixture struct {
 	*configuration
@@ -153,3 +166,46 @@
 		assert.Equal(t, f.version(), int64(2))
 	})
 }
+
+// TestConfigurationCompared checks that a large configuration is compared, that a
+// comparison that finds it unchanged renews the lease, and that a change takes effect.
+func TestConfigurationCompared(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newConfigurationFixture()
+		f.source.size = 1 << 20
+		f.runFor(t, 3500*time.Millisecond)
+		assert.Equal(t, len(f.source.reads), 4)
+		assert.Equal(t, f.source.compared, 3)
+		assert.Equal(t, f.leaseLeft(), 3500*time.Millisecond)
+
+		f.source.version = 2
+		f.runFor(t, time.Second)
+		assert.Equal(t, f.version(), int64(2))
+
+		f.source.err = errors.New("out")
+		f.runFor(t, time.Second)
+		f.source.err = nil
+		compared := f.source.compared
+		f.runFor(t, 500*time.Millisecond)
+		assert.Assert(t, f.reliable(time.Now()))
+		assert.Equal(t, f.source.compared, compared, "after a failure it is read whole")
+		assert.Equal(t, f.version(), int64(2))
+	})
+}
+
+// TestConfigurationHeardWhileRead checks that what peers send of a version while it is
+// read causes no other read.
+func TestConfigurationHeardWhileRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newConfigurationFixture()
+		f.runFor(t, 10*time.Millisecond)
+		f.source.version = 2
+		f.confirmedByPeer(time.Now(), 2, 0)
+		f.runFor(t, 100*time.Millisecond)
+		reads := len(f.source.reads)
+		assert.Equal(t, f.version(), int64(2))
+		f.newer <- struct{}{} // sent while version 2 was being read
+		f.runFor(t, 500*time.Millisecond)
+		assert.Equal(t, len(f.source.reads), reads)
+	})
+}
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -79,8 +79,9 @@
 	// gateways that exchange gossip, one reads sooner for all. If it exceeds
 	// configuration, changes are in force too late.
 	LeaseRefresh time.Duration `yaml:"lease_refresh" validate:"min=0s,max=10m"`
-	// StoreTimeout is how long the store may take to answer a call, beyond the
-	// time for which it holds the call.
+	// StoreTimeout is for how long nothing of a response of the store may come,
+	// beyond the time for which it holds the call. A response that keeps coming may
+	// take longer.
 	StoreTimeout time.Duration `yaml:"store_timeout" validate:"min=50ms,max=30s"`
 	// StartPatience is how long after the start of the process requests wait for
 	// the first configuration and list of endpoints before they are refused.
--- a/source.go
+++ b/source.go
@@ -6,10 +6,19 @@
 	"time"
 )
 
+// A ConfigurationState tells the configurations of a source apart: while it is the same,
+// the configuration is. Zero stands for no configuration.
+type ConfigurationState int64
+
 // A ConfigurationUpdate is what a ConfigurationSource returns.
 type ConfigurationUpdate struct {
-	// Configuration is nil if there is none yet.
+	// Configuration is nil if there is none yet, and if it is Unchanged.
 	Configuration *Configuration
+	// Unchanged says that the source still holds the state that the caller named.
+	Unchanged bool
+	// State is that of Configuration, and Size its size at the source in bytes.
+	State ConfigurationState
+	Size  int
 	// Revision is the newest of the source. It rises with every change there, also of
 	// other things than the configuration.
 	Revision int64
@@ -24,6 +33,9 @@
 type ConfigurationSource interface {
 	// Configuration returns the configuration, whole.
 	Configuration(ctx context.Context) (ConfigurationUpdate, error)
+	// ConfigurationIfChanged returns the configuration, unless its state is still the
+	// known one, which is not zero. It may fail where Configuration does not.
+	ConfigurationIfChanged(ctx context.Context, known ConfigurationState) (ConfigurationUpdate, error)
 }
 
 // An EndpointUpdate is what an EndpointSource returns.
