refactor: one file for each job of the stand-ins, the settings and caller

Files of 20 to 90 lines with one small type each repeated a package clause and an import list, and one job was read in three or four files.

Change: eleven files joined with the one that uses them: an engine's fault, orders and cache with engine.go, its run with enginerun.go, the stream with enginecompletion.go, the records with http.go; faults and raw answers of appserver; the emulator's changes; address and validator of settings; caller's events. No declaration changed.

--- a/settings/process.go
+++ b/settings/process.go
@@ -1,9 +1,13 @@
 package settings
 
 import (
+	"net/netip"
 	"path/filepath"
+	"strings"
 	"time"
 
+	"github.com/goccy/go-yaml/ast"
+
 	"github.com/ryeford/ryeford"
 )
 
@@ -83,3 +87,22 @@
 		}
 	}
 }
+
+// An Address is an IP address and port in a settings file.
+type Address struct {
+	netip.AddrPort
+}
+
+// UnmarshalYAML implements yaml.NodeUnmarshaler.
+func (a *Address) UnmarshalYAML(node ast.Node) error {
+	parsed, err := netip.ParseAddrPort(node.GetToken().Value)
+	if err != nil {
+		return &FieldError{
+			Line:    node.GetToken().Position.Line,
+			Key:     strings.TrimPrefix(node.GetPath(), "$."),
+			Problem: "want an IP address and port such as 10.0.0.1:7000",
+		}
+	}
+	a.AddrPort = parsed
+	return nil
+}
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -99,3 +100,94 @@
 	defer e.mu.Unlock()
 	writeJSON(ctx, &e.counts)
 }
+
+// An EngineFault is what is wrong with an engine. Its zero value is no fault. Counts
+// of tokens are those of an answer from its beginning, whichever engine made them.
+type EngineFault struct {
+	// Times is how many runs the fault affects; zero is all until it is
+	// cleared.
+	Times int `json:"times"`
+	// StallAfter sends nothing more after so many tokens, and leaves the run open.
+	StallAfter int `json:"stall_after"`
+	// DieAfter cuts the connection after so many tokens, and loses the run, as an
+	// engine does that crashes.
+	DieAfter int `json:"die_after"`
+	// ErrorAfter sends an error event after so many tokens.
+	ErrorAfter int `json:"error_after"`
+	// Finish ends an answer after FinishAfter tokens with another finish reason.
+	Finish      ryeford.FinishReason `json:"finish"`
+	FinishAfter int                  `json:"finish_after"`
+	// Disorder sends events out of order, repeated, and of other attempts.
+	Disorder bool `json:"disorder"`
+	// Refuse answers 503 to completions.
+	Refuse bool `json:"refuse"`
+	// DelayMS delays the start of each run, in milliseconds.
+	DelayMS int `json:"delay_ms"`
+}
+
+// order answers with what is served, or takes an order to load pools.
+func (e *engineServer) order(ctx *fasthttp.RequestCtx) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !ctx.IsPost() {
+		writeJSON(ctx, &e.serving)
+		return
+	}
+	var order ryeford.Order
+	if !readJSON(ctx, &order) {
+		return
+	}
+	if e.fences && order.Epoch < e.serving.Epoch {
+		ctx.Error("fenced", fasthttp.StatusPreconditionFailed)
+		return
+	}
+	e.serving.Epoch = order.Epoch
+	time.AfterFunc(e.loadTime, func() { e.loaded(order) })
+}
+
+// loaded makes the pools of an order serve, unless a later order took its place.
+func (e *engineServer) loaded(order ryeford.Order) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.serving.Epoch == order.Epoch {
+		e.serving.Pools = order.Pools
+	}
+}
+
+// serves reports whether a pool of this name is loaded.
+func (e *engineServer) serves(name string) bool {
+	for _, pool := range e.serving.Pools {
+		if pool.String() == name {
+			return true
+		}
+	}
+	return false
+}
+
+// cacheEvents answers with the cache events after a sequence number.
+func (e *engineServer) cacheEvents(ctx *fasthttp.RequestCtx) {
+	after, err := strconv.ParseInt(string(ctx.QueryArgs().Peek("after")), 10, 64)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	writeJSON(ctx, e.cache.events[min(int(after), len(e.cache.events)):])
+}
+
+// cacheContent exports or imports a chat's KV cache.
+func (e *engineServer) cacheContent(ctx *fasthttp.RequestCtx, chat ryeford.ChatID) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if ctx.IsPut() {
+		e.cache.store(chat, string(ctx.PostBody()))
+		return
+	}
+	text, ok := e.cache.text(chat)
+	if !ok {
+		ctx.Error("not cached", fasthttp.StatusNotFound)
+		return
+	}
+	ctx.SetBodyString(text)
+}
