refactor: a process starts in one function, without a type for its role

Ruled out: one command with a mode for router and agent: names and flags stay.

Comments that only repeat a name are gone. cert writes its files once all certificates are made; an error of a flag with an address names what was given.

Conclusion: commands read from the top to the bottom; what is left of the twins is the call of their own constructors.

--- a/internal/cmd/agentcmd.go
+++ b/internal/cmd/agentcmd.go
@@ -1,6 +1,9 @@
 package cmd
 
 import (
+	"context"
+
+	"github.com/go-kit/log"
 	"github.com/urfave/cli/v3"
 
 	"github.com/ryeford/ryeford/agentfleet/agent"
@@ -10,21 +13,17 @@
 )
 
 func newAgentCommand() *cli.Command {
-	agents := role[settings.Agent]{
-		name:  "agent",
-		usage: "run the agent of an endpoint VM (fleet with agents)",
-		load:  settings.LoadAgent,
-		build: newAgent,
-	}
-	return agents.command()
+	return newProcessCommand("agent", "run the agent of an endpoint VM (fleet with agents)", settings.LoadAgent, runAgent)
 }
 
-// newAgent returns an agent with the identity that its settings name.
-func newAgent(p *startup[settings.Agent]) (runner, error) {
-	s := p.settings
+func runAgent(ctx context.Context, s *settings.Agent, logger log.Logger) error {
 	tlsConfig, err := transport.LoadTLSConfig(&s.TLS)
 	if err != nil {
-		return nil, err
+		return err
+	}
+	a, err := agent.New(s, tlsConfig, tableservice.New(s.Platform.AddrPort, s.VM), logger)
+	if err != nil {
+		return err
 	}
-	return agent.New(s, tlsConfig, tableservice.New(s.Platform.AddrPort, s.VM), p.logger)
+	return a.Run(ctx)
 }
--- a/internal/cmd/certcmd.go
+++ b/internal/cmd/certcmd.go
@@ -23,7 +23,6 @@
 	}
 }
 
-// makeCerts writes authority.pem, and VM.pem and VM.key for each VM.
 func makeCerts(_ context.Context, c *cli.Command) error {
 	if c.NArg() == 0 {
 		return &UsageError{Problem: "want the names of VMs"}
@@ -32,19 +31,16 @@
 	if err != nil {
 		return err
 	}
-	dir := c.String("dir")
-	if err := os.WriteFile(filepath.Join(dir, "authority.pem"), authority.Certificate(), 0o600); err != nil {
-		return err
-	}
+	files := map[string][]byte{"authority.pem": authority.Certificate()}
 	for _, vm := range c.Args().Slice() {
 		pair, err := authority.Issue(ryeford.VMID(vm))
 		if err != nil {
 			return err
 		}
-		if err := os.WriteFile(filepath.Join(dir, vm+".pem"), pair.Certificate, 0o600); err != nil {
-			return err
-		}
-		if err := os.WriteFile(filepath.Join(dir, vm+".key"), pair.Key, 0o600); err != nil {
+		files[vm+".pem"], files[vm+".key"] = pair.Certificate, pair.Key
+	}
+	for name, content := range files {
+		if err := os.WriteFile(filepath.Join(c.String("dir"), name), content, 0o600); err != nil {
 			return err
 		}
 	}
--- a/internal/cmd/checkcmd.go
+++ b/internal/cmd/checkcmd.go
@@ -18,7 +18,6 @@
 	}
 }
 
-// checkSettings reads a settings file as its role would.
 func checkSettings(_ context.Context, c *cli.Command) error {
 	if c.NArg() != 2 {
 		return &UsageError{Problem: "want two arguments: router|gateway|agent|standin|template FILE"}
--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -1,7 +1,7 @@
 // Package cmd is the command line: one file a command, named after it.
 //
 // It owns the names and texts of commands and flags, the exit codes (exit.go), and
-// how a process starts: settings, log, signals (role.go). It relies on package
+// how a process starts: settings, log (process.go), signals. It relies on package
 // settings for the settings files, on the packages of each role for the process
 // itself, and on packages caller and operator for the calls of a router.
 package cmd
@@ -65,7 +65,6 @@
 	return &cli.BoolFlag{Name: "json", Usage: "print JSON in place of text"}
 }
 
-// oneArg returns the command's only argument.
 func oneArg(c *cli.Command, name string) (string, error) {
 	if c.NArg() != 1 {
 		return "", &UsageError{Problem: fmt.Sprintf("want one argument: %s", name)}
--- a/internal/cmd/devfleet.go
+++ b/internal/cmd/devfleet.go
@@ -147,5 +147,4 @@
 	return err
 }
 
-// freeAddress returns an address of loopback that is free.
 func freeAddress() settings.Address { return settings.Address{AddrPort: freeport.Next()} }
--- a/internal/cmd/exit.go
+++ b/internal/cmd/exit.go
@@ -27,7 +27,6 @@
 	Problem string
 }
 
-// Error returns the text of e.
 func (e *UsageError) Error() string { return e.Problem }
 
 // A MissedError says which stated outcomes a replay missed.
@@ -35,7 +34,6 @@
 	Missed []string
 }
 
-// Error returns the text of e.
 func (e *MissedError) Error() string { return "missed: " + strings.Join(e.Missed, "; ") }
 
 func exitCode(err error) int {
@@ -58,7 +56,6 @@
 	return exitFailure
 }
 
-// exitCodeOfCall returns the exit code of a failed call of an operator.
 func exitCodeOfCall(e *operator.Error) int {
 	switch e.Status {
 	case http.StatusConflict:
--- a/internal/cmd/operators.go
+++ b/internal/cmd/operators.go
@@ -27,7 +27,6 @@
 	}, more...)
 }
 
-// operatorClients returns a client of each router that the flags name.
 func operatorClients(c *cli.Command) ([]*operator.Client, error) {
 	addresses, err := addressesFlag(c, "operators")
 	if err != nil {
@@ -56,13 +55,12 @@
 	return err
 }
 
-// addressesFlag returns the addresses that a repeated flag names.
 func addressesFlag(c *cli.Command, name string) ([]netip.AddrPort, error) {
 	var addresses []netip.AddrPort
 	for _, text := range c.StringSlice(name) {
-		address, err := netip.ParseAddrPort(text)
+		address, err := parseAddress(text, "--"+name+": ")
 		if err != nil {
-			return nil, &UsageError{Problem: "--" + name + ": want IP:PORT, not " + text}
+			return nil, err
 		}
 		addresses = append(addresses, address)
 	}
@@ -70,9 +68,15 @@
 }
 
 func addressFlag(c *cli.Command, name string) (netip.AddrPort, error) {
-	address, err := netip.ParseAddrPort(c.String(name))
+	return parseAddress(c.String(name), "--"+name+": ")
+}
+
+// parseAddress returns the address that an argument or a flag gives. where begins the
+// text of its error.
+func parseAddress(text, where string) (netip.AddrPort, error) {
+	address, err := netip.ParseAddrPort(text)
 	if err != nil {
-		return netip.AddrPort{}, &UsageError{Problem: "--" + name + ": want IP:PORT"}
+		return netip.AddrPort{}, &UsageError{Problem: where + "want IP:PORT, not " + text}
 	}
 	return address, nil
 }
--- /dev/null
+++ b/internal/cmd/process.go
@@ -0,0 +1,47 @@
+package cmd
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/urfave/cli/v3"
+)
+
+// newProcessCommand returns a command that runs one process from a settings file until
+// SIGINT or SIGTERM ends its context, which Main sees to. run returns once the process
+// has drained, or with the error that ended it; its log goes to standard error.
+func newProcessCommand[S any](name, usage string, load func(file string) (*S, error), run func(context.Context, *S, log.Logger) error) *cli.Command {
+	return &cli.Command{
+		Name:  name,
+		Usage: usage,
+		Flags: []cli.Flag{settingsFlag()},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			s, err := load(c.String("settings"))
+			if err != nil {
+				return err
+			}
+			return run(ctx, s, newLogger(c.Root().ErrWriter, name))
+		},
+	}
+}
+
+// settingsFlag returns the flag that names the settings file, which an environment
+// variable may name as well.
+func settingsFlag(variables ...string) cli.Flag {
+	return &cli.StringFlag{
+		Name:     "settings",
+		Usage:    "the settings `FILE`, in YAML (docs/settings.md)",
+		Required: true,
+		Sources:  cli.EnvVars(variables...),
+	}
+}
+
+// newLogger returns the logger of a process: logfmt with the time, in UTC, and the
+// role. explain --log skips what stands before ts=, so that comes first.
+func newLogger(w io.Writer, role string) log.Logger {
+	logger := log.NewLogfmtLogger(log.NewSyncWriter(w))
+	now := log.TimestampFormat(func() time.Time { return time.Now().UTC() }, time.RFC3339Nano)
+	return log.With(logger, "ts", now, "role", role)
+}
--- a/internal/cmd/replaycmd.go
+++ b/internal/cmd/replaycmd.go
@@ -38,7 +38,6 @@
 	}
 }
 
-// replayTrace plays a trace, prints the report and checks the outcomes.
 func replayTrace(ctx context.Context, c *cli.Command) error {
 	name, err := oneArg(c, "FILE")
 	if err != nil {
--- a/internal/cmd/routercmd.go
+++ b/internal/cmd/routercmd.go
@@ -1,6 +1,9 @@
 package cmd
 
 import (
+	"context"
+
+	"github.com/go-kit/log"
 	"github.com/urfave/cli/v3"
 
 	"github.com/ryeford/ryeford/agentfleet/router"
@@ -10,21 +13,17 @@
 )
 
 func newRouterCommand() *cli.Command {
-	routers := role[settings.Router]{
-		name:  "router",
-		usage: "run a router on an entry VM (fleet with agents)",
-		load:  settings.LoadRouter,
-		build: newRouter,
-	}
-	return routers.command()
+	return newProcessCommand("router", "run a router on an entry VM (fleet with agents)", settings.LoadRouter, runRouter)
 }
 
-// newRouter returns a router with the identity that its settings name.
-func newRouter(p *startup[settings.Router]) (runner, error) {
-	s := p.settings
+func runRouter(ctx context.Context, s *settings.Router, logger log.Logger) error {
 	tlsConfig, err := transport.LoadTLSConfig(&s.TLS)
 	if err != nil {
-		return nil, err
+		return err
+	}
+	r, err := router.New(s, tlsConfig, tableservice.New(s.Platform.AddrPort, s.VM), logger)
+	if err != nil {
+		return err
 	}
-	return router.New(s, tlsConfig, tableservice.New(s.Platform.AddrPort, s.VM), p.logger)
+	return r.Run(ctx)
 }
--- a/internal/cmd/standincmd.go
+++ b/internal/cmd/standincmd.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/netip"
 	"strings"
 
 	"github.com/urfave/cli/v3"
@@ -19,18 +18,13 @@
 )
 
 func newStandinCommand() *cli.Command {
-	standins := role[settings.Standin]{
-		name:    "run",
-		logName: "standin",
-		usage:   "run the stand-ins of a settings file",
-		load:    settings.LoadStandin,
-		build:   newStandins,
-	}
+	run := newProcessCommand("standin", "run the stand-ins of a settings file", settings.LoadStandin, standin.Run)
+	run.Name = "run"
 	return &cli.Command{
 		Name:  "standin",
 		Usage: "run stand-ins of outside systems, for tests, and set their faults",
 		Commands: []*cli.Command{
-			standins.command(),
+			run,
 			{
 				Name:      "fault",
 				Usage:     "set a stand-in's fault; the JSON's form is that of its kind (package standin)",
@@ -53,10 +47,6 @@
 	}
 }
 
-func newStandins(p *startup[settings.Standin]) (runner, error) {
-	return runnerFunc(func(ctx context.Context) error { return standin.Run(ctx, p.settings, p.logger) }), nil
-}
-
 func setFault(ctx context.Context, c *cli.Command) error {
 	if c.NArg() != 2 {
 		return &UsageError{Problem: "want two arguments: IP:PORT JSON"}
@@ -69,14 +59,13 @@
 	return err
 }
 
-// setVM changes a VM's state in a platform stand-in's list.
 func setVM(ctx context.Context, c *cli.Command) error {
 	if c.NArg() != 3 {
 		return &UsageError{Problem: "want three arguments: IP:PORT VM live|leaving"}
 	}
-	address, err := netip.ParseAddrPort(c.Args().Get(0))
+	address, err := parseAddress(c.Args().First(), "")
 	if err != nil {
-		return &UsageError{Problem: "want IP:PORT, not " + c.Args().Get(0)}
+		return err
 	}
 	client := tableservice.New(address, "")
 	vms, err := client.VMs(ctx)
@@ -107,8 +96,8 @@
 
 // callStandin makes one call of a stand-in and returns the answer's body.
 func callStandin(ctx context.Context, method, address, path string, body []byte) ([]byte, error) {
-	if _, err := netip.ParseAddrPort(address); err != nil {
-		return nil, &UsageError{Problem: "want IP:PORT, not " + address}
+	if _, err := parseAddress(address, ""); err != nil {
+		return nil, err
 	}
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
 	if err != nil {
--- a/internal/cmd/templatecmd.go
+++ b/internal/cmd/templatecmd.go
@@ -70,7 +70,6 @@
 	})
 }
 
-// templateHistory lists the versions of a template.
 func templateHistory(ctx context.Context, c *cli.Command) error {
 	name, err := oneArg(c, "ACCOUNT/NAME")
 	if err != nil {
@@ -85,7 +84,6 @@
 	})
 }
 
-// printTemplates prints templates as a table or as JSON.
 func printTemplates(c *cli.Command, templates []ryeford.Template) error {
 	if c.Bool("json") {
 		return json.NewEncoder(c.Root().Writer).Encode(templates)
--- a/internal/cmd/templatepublish.go
+++ b/internal/cmd/templatepublish.go
@@ -47,7 +47,6 @@
 	}
 }
 
-// waitFlag returns the flag that makes a publish wait.
 func waitFlag() cli.Flag {
 	return &cli.DurationFlag{Name: "wait", Usage: "wait up to `TIME` until the version is in force at the routers of --operators and their agents"}
 }
@@ -107,7 +106,6 @@
 	return current.Sequence, nil
 }
 
-// rollbackTemplate publishes an earlier version of a template as a new one.
 func rollbackTemplate(ctx context.Context, c *cli.Command) error {
 	name, err := oneArg(c, "ACCOUNT/NAME")
 	if err != nil {
@@ -138,7 +136,6 @@
 	Behind   int
 }
 
-// Error returns the text of e.
 func (e *InForceError) Error() string {
 	return fmt.Sprintf("revision %d is accepted, but %d processes do not have it in force yet", e.Revision, e.Behind)
 }
--- a/internal/cmd/versioncmd.go
+++ b/internal/cmd/versioncmd.go
@@ -19,7 +19,6 @@
 	}
 }
 
-// version returns the version that the program was built as.
 func version() string {
 	info, ok := debug.ReadBuildInfo()
 	if !ok {
