refactor: caller, replay, settings and stand-ins with fewer types and loops of their own

Ruled out: taking engine.CompletionRequest for a caller's body (it would put priority on the wire); a slice in place of the engine stand-in's order of slots.

Comments that only repeat the name of Error, Unwrap and of unexported functions are gone; those with a reason, unit or source stay.

Tests of settings, replay, stand-ins, retry, route, docs and the root green; docs/settings.md unchanged.

Conclusion: what is left in these packages are types with one job each.

--- a/caller/answer.go
+++ b/caller/answer.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/ryeford/ryeford"
+	"github.com/ryeford/ryeford/agentfleet/engine"
 	"github.com/ryeford/ryeford/agentfleet/router"
 	"github.com/ryeford/ryeford/internal/eventstream"
 )
@@ -61,7 +62,6 @@
 	RetryAfter int64  `json:"retry_after_ms,omitempty"`
 }
 
-// Error returns the text of f.
 func (f *Failure) Error() string { return f.Code + " (" + f.Ran + "): " + f.Message }
 
 // isFailure reports whether a response is the router's own failure.
@@ -99,16 +99,10 @@
 	text   strings.Builder
 }
 
-// An eventBody is the data of one event.
+// An eventBody is the data of one event: what an engine's has, or the router's failure.
 type eventBody struct {
-	Choices []struct {
-		Delta struct {
-			Content string `json:"content"`
-		} `json:"delta"`
-		FinishReason ryeford.FinishReason `json:"finish_reason"`
-	} `json:"choices"`
-	Usage *ryeford.Usage `json:"usage"`
-	Error *Failure       `json:"error"`
+	engine.CompletionChunk
+	Error *Failure `json:"error"`
 }
 
 // read reads all events.
--- a/caller/client.go
+++ b/caller/client.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
 	"net/http"
 	"net/netip"
@@ -37,7 +38,7 @@
 // states is in the Answer; the error is one of the connection, and then the
 // Answer holds what came before it.
 func (c *Client) Complete(ctx context.Context, address netip.AddrPort, t *Turn) (*Answer, error) {
-	body, err := t.body()
+	body, err := json.Marshal(&completionBody{MaxTokens: t.MaxTokens, Messages: t.Messages, Model: t.Model, Stream: true})
 	if err != nil {
 		return &Answer{}, err
 	}
--- a/caller/turn.go
+++ b/caller/turn.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"net/http"
 	"net/netip"
 	"time"
@@ -34,15 +33,6 @@
 	Stream    bool              `json:"stream"`
 }
 
-func (t *Turn) body() ([]byte, error) {
-	return json.Marshal(&completionBody{
-		MaxTokens: t.MaxTokens,
-		Messages:  t.Messages,
-		Model:     t.Model,
-		Stream:    true,
-	})
-}
-
 // post returns the request that sends a body of the turn to a router.
 func (t *Turn) post(ctx context.Context, address netip.AddrPort, path string, body []byte) (*http.Request, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address.String()+path, bytes.NewReader(body))
@@ -50,13 +40,8 @@
 		return nil, err
 	}
 	request.GetBody = nil // or net/http might send it again by itself
-	t.setHeaders(request.Header)
-	return request, nil
-}
-
-func (t *Turn) setHeaders(header http.Header) {
-	header.Set("Authorization", "Bearer "+t.Key)
-	header.Set("Content-Type", "application/json")
+	request.Header.Set("Authorization", "Bearer "+t.Key)
+	request.Header.Set("Content-Type", "application/json")
 	optional := map[string]string{
 		router.HeaderChat:     string(t.Chat),
 		router.HeaderKey:      t.Idempotency,
@@ -70,7 +55,8 @@
 	}
 	for name, value := range optional {
 		if value != "" {
-			header.Set(name, value)
+			request.Header.Set(name, value)
 		}
 	}
+	return request, nil
 }
--- a/errors.go
+++ b/errors.go
@@ -13,7 +13,6 @@
 	RetryAfter time.Duration
 }
 
-// Error returns the text of e.
 func (e *NotRunError) Error() string {
 	return fmt.Sprintf("not run: %s", e.Reason)
 }
@@ -27,7 +26,6 @@
 	Err error
 }
 
-// Error returns the text of e.
 func (e *MayHaveRunError) Error() string {
 	if e.Err == nil {
 		return fmt.Sprintf("unknown whether it ran: %s", e.Reason)
@@ -35,7 +33,6 @@
 	return fmt.Sprintf("unknown whether it ran: %s: %v", e.Reason, e.Err)
 }
 
-// Unwrap returns the cause of e.
 func (e *MayHaveRunError) Unwrap() error { return e.Err }
 
 // An InputError says what is wrong with something that a caller or an operator
@@ -47,7 +44,6 @@
 	Status int
 }
 
-// Error returns the text of e.
 func (e *InputError) Error() string {
 	return e.Field + ": " + e.Problem
 }
@@ -58,7 +54,6 @@
 	Keys []string // of the rows whose versions differ
 }
 
-// Error returns the text of e.
 func (e *ConflictError) Error() string {
 	return "conflict on " + strings.Join(e.Keys, ", ")
 }
@@ -72,12 +67,10 @@
 	Err            error
 }
 
-// Error returns the text of e.
 func (e *UnavailableError) Error() string {
 	return fmt.Sprintf("%s unavailable: %v", e.Service, e.Err)
 }
 
-// Unwrap returns the cause of e.
 func (e *UnavailableError) Unwrap() error { return e.Err }
 
 // A StatusError says that a service of the platform or an endpoint answered with an
@@ -86,7 +79,6 @@
 	Status int
 }
 
-// Error returns the text of e.
 func (e *StatusError) Error() string { return fmt.Sprintf("status %d", e.Status) }
 
 // A NotFoundError says that a named thing does not exist.
@@ -95,7 +87,6 @@
 	Name string
 }
 
-// Error returns the text of e.
 func (e *NotFoundError) Error() string {
 	return fmt.Sprintf("%s %q not found", e.Kind, e.Name)
 }
@@ -107,7 +98,6 @@
 	Seen  int64
 }
 
-// Error returns the text of e.
 func (e *FenceError) Error() string {
 	if e.Seen == 0 {
 		return "order refused: one of a newer epoch was seen"
--- a/internal/freeport/freeport.go
+++ b/internal/freeport/freeport.go
@@ -62,7 +62,6 @@
 	return true
 }
 
-// loopback returns the address of a port.
 func loopback(port uint16) netip.AddrPort {
 	return netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port)
 }
--- a/operator/client.go
+++ b/operator/client.go
@@ -119,7 +119,6 @@
 	Err     error
 }
 
-// Error returns the text of e.
 func (e *Error) Error() string {
 	if e.Err != nil {
 		return fmt.Sprintf("router %s: %v", e.Address, e.Err)
@@ -127,7 +126,6 @@
 	return fmt.Sprintf("router %s: %s: %s", e.Address, e.Code, e.Message)
 }
 
-// Unwrap returns the cause of e.
 func (e *Error) Unwrap() error { return e.Err }
 
 func newStatusError(address netip.AddrPort, status int, content []byte) *Error {
--- a/replay/balancer.go
+++ b/replay/balancer.go
@@ -6,6 +6,8 @@
 	"net/netip"
 	"sync"
 	"time"
+
+	"github.com/ryeford/ryeford/internal/clock"
 )
 
 // Readiness probes, about as often as a load balancer sends them. Not measured.
@@ -29,15 +31,8 @@
 	b := &balancer{routers: routers}
 	b.probe(ctx)
 	go func() {
-		ticker := time.NewTicker(probeInterval)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-ticker.C:
-				b.probe(ctx)
-			case <-ctx.Done():
-				return
-			}
+		for clock.Sleep(ctx, probeInterval) {
+			b.probe(ctx)
 		}
 	}()
 	return b
--- a/replay/replay.go
+++ b/replay/replay.go
@@ -45,7 +45,6 @@
 	Progress func(done, total int)
 }
 
-// A player plays one trace.
 type player struct {
 	options *Options
 	client  *caller.Client
@@ -112,15 +111,8 @@
 
 // showProgress calls Progress each second until ctx ends.
 func (p *player) showProgress(ctx context.Context) {
-	ticker := time.NewTicker(time.Second)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			p.options.Progress(p.report.done(), p.report.Turns)
-		case <-ctx.Done():
-			return
-		}
+	for clock.Sleep(ctx, time.Second) {
+		p.options.Progress(p.report.done(), p.report.Turns)
 	}
 }
 
@@ -130,10 +122,8 @@
 	Err  error
 }
 
-// Error returns the text of e.
 func (e *ActionError) Error() string { return fmt.Sprintf("%s: %v", e.Kind, e.Err) }
 
-// Unwrap returns the cause of e.
 func (e *ActionError) Unwrap() error { return e.Err }
 
 // act plays an entry that isn't a turn: a fault, a publish, a planned stop.
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -51,7 +51,6 @@
 	return true
 }
 
-// held returns what an account holds.
 func (b *Budget) held(account ryeford.AccountID) float64 {
 	if tokens, ok := b.tokens[account]; ok {
 		return tokens
--- a/settings/errors.go
+++ b/settings/errors.go
@@ -18,10 +18,8 @@
 	Err  error
 }
 
-// Error returns the text of e.
 func (e *Error) Error() string { return e.File + ": " + e.Err.Error() }
 
-// Unwrap returns the cause of e.
 func (e *Error) Unwrap() error { return e.Err }
 
 // A FieldError says which key of the settings is wrong and what is allowed. It
@@ -32,7 +30,6 @@
 	Problem string
 }
 
-// Error returns the text of e.
 func (e *FieldError) Error() string {
 	if e.Line == 0 {
 		return fmt.Sprintf("%s: %s", e.Key, e.Problem)
--- a/settings/process.go
+++ b/settings/process.go
@@ -79,9 +79,9 @@
 	}
 }
 
-// resolve makes the names of the files relative to the settings file.
-func (t *TLS) resolve(file string) {
-	for _, name := range []*string{&t.Authority, &t.Certificate, &t.Key} {
+// resolveTLS makes the names of the files of TLS relative to the settings file.
+func (m *Membership) resolveTLS(file string) {
+	for _, name := range []*string{&m.TLS.Authority, &m.TLS.Certificate, &m.TLS.Key} {
 		if !filepath.IsAbs(*name) {
 			*name = filepath.Join(filepath.Dir(file), *name)
 		}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -19,24 +19,10 @@
 )
 
 // LoadRouter reads the settings of a router.
-func LoadRouter(file string) (*Router, error) {
-	s, err := load(file, DefaultRouter())
-	if err != nil {
-		return nil, err
-	}
-	s.TLS.resolve(file)
-	return s, nil
-}
+func LoadRouter(file string) (*Router, error) { return load(file, DefaultRouter()) }
 
 // LoadAgent reads the settings of an agent.
-func LoadAgent(file string) (*Agent, error) {
-	s, err := load(file, DefaultAgent())
-	if err != nil {
-		return nil, err
-	}
-	s.TLS.resolve(file)
-	return s, nil
-}
+func LoadAgent(file string) (*Agent, error) { return load(file, DefaultAgent()) }
 
 // LoadGateway reads the settings of a gateway.
 func LoadGateway(file string) (*Gateway, error) { return load(file, DefaultGateway()) }
@@ -56,6 +42,9 @@
 	if err := Parse(content, defaults); err != nil {
 		return nil, &Error{File: file, Err: err}
 	}
+	if member, ok := any(defaults).(interface{ resolveTLS(file string) }); ok {
+		member.resolveTLS(file)
+	}
 	return defaults, nil
 }
 
--- a/source.go
+++ b/source.go
@@ -77,5 +77,4 @@
 	Revision int64
 }
 
-// Error returns the text of e.
 func (e *HistoryLostError) Error() string { return "history lost: read the whole again" }
--- a/standin/answers.go
+++ b/standin/answers.go
@@ -28,7 +28,6 @@
 	return fmt.Sprintf("%08x", uint32(xxhash.Sum64String(string(chat)+"\n"+promptText(messages))))
 }
 
-// answerToken returns one token of an answer.
 func answerToken(tag string, index int) string {
 	return fmt.Sprintf("%s.%d ", tag, index)
 }
--- a/standin/appserver/serve.go
+++ b/standin/appserver/serve.go
@@ -11,9 +11,9 @@
 	"github.com/ryeford/ryeford/platform/wire"
 )
 
-// reportedSlots is the number of slots in the load that responses report. It bounds
-// nothing here.
-const reportedSlots = 64
+// ReportedSlots is the number of slots in the load that responses report, and in the
+// rows of the emulator's endpoints. It bounds nothing here.
+const ReportedSlots = 64
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -34,7 +34,7 @@
 	if fault != FaultShed {
 		s.begin(id)
 	}
-	w.Header().Set(wire.HeaderLoad, fmt.Sprintf("%d,0,%d", s.working, reportedSlots))
+	w.Header().Set(wire.HeaderLoad, fmt.Sprintf("%d,0,%d", s.working, ReportedSlots))
 	s.mu.Unlock()
 	if fault == FaultShed {
 		w.Header().Set(wire.HeaderNotRun, "1")
@@ -77,8 +77,8 @@
 
 // respondPlain responds as a plain service.
 func (s *Server) respondPlain(w http.ResponseWriter, r *http.Request, fault Fault) {
-	if !s.work(r) {
-		return
+	if !clock.Sleep(r.Context(), s.Step) {
+		return // the caller's connection broke
 	}
 	text := s.text(r)
 	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
@@ -94,7 +94,7 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	last := lastEvent(r)
 	for event := last + 1; event <= s.Events; event++ {
-		if !s.work(r) {
+		if !clock.Sleep(r.Context(), s.Step) {
 			return
 		}
 		if fault == FaultCut && event == last+2 {
@@ -122,12 +122,6 @@
 	return "answer to " + r.Header.Get(wire.HeaderRequestID) + " of " + s.ID
 }
 
-// work takes the time of one step, and reports whether the caller is still
-// connected.
-func (s *Server) work(r *http.Request) bool {
-	return clock.Sleep(r.Context(), s.Step)
-}
-
 // closing in place of a length ends the body with the connection.
 const closing = "Connection: close\r\n"
 
@@ -140,7 +134,9 @@
 	}
 	defer func() { _ = conn.Close() }()
 	if fault == FaultReset {
-		reset(conn)
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0) // closing resets
+		}
 		return
 	}
 	_, _ = buffer.WriteString(s.raw(r, fault))
@@ -152,13 +148,6 @@
 	_, _ = io.Copy(io.Discard, conn)
 }
 
-// reset makes closing a connection reset it.
-func reset(conn net.Conn) {
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
-	}
-}
-
 // raw returns the bytes of a fault.
 func (s *Server) raw(r *http.Request, fault Fault) string {
 	id, text := r.Header.Get(wire.HeaderRequestID), s.text(r)
--- a/standin/emulator/emulator.go
+++ b/standin/emulator/emulator.go
@@ -23,10 +23,6 @@
 	"github.com/ryeford/ryeford/standin/rowstore"
 )
 
-// reportedSlots is the number of slots in the endpoints' rows. It bounds nothing
-// here.
-const reportedSlots = 64
-
 // An Emulator is the stand-in.
 type Emulator struct {
 	settings *settings.Emulator
@@ -95,7 +91,7 @@
 		Service:       server.Service,
 		Address:       server.Address.String(),
 		FailureDomain: server.FailureDomain,
-		Slots:         reportedSlots,
+		Slots:         appserver.ReportedSlots,
 		State:         state,
 	})
 	return err
@@ -127,7 +123,6 @@
 	State    string           `json:"state"`
 }
 
-// adminHandler serves the admin address.
 func (e *Emulator) adminHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+pathChange, e.serveChange)
@@ -149,7 +144,6 @@
 	}
 }
 
-// apply makes a change.
 func (e *Emulator) apply(change *Change) error {
 	if change.Store != nil {
 		e.store.SetFault(*change.Store)
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -59,7 +59,6 @@
 	}
 }
 
-// serve serves a request.
 func (e *engineServer) serve(ctx *fasthttp.RequestCtx) {
 	path := string(ctx.Path())
 	switch {
@@ -94,7 +93,6 @@
 	e.affected = 0
 }
 
-// writeRuns answers with the runs.
 func (e *engineServer) writeRuns(ctx *fasthttp.RequestCtx) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/standin/enginecompletion.go
+++ b/standin/enginecompletion.go
@@ -95,7 +95,6 @@
 	e.stream(ctx, r, int(offset+1))
 }
 
-// tokenEvent returns the event of one token.
 func tokenEvent(r *run, token string) engine.CompletionChunk {
 	return engine.CompletionChunk{
 		ID:      string(r.attempt),
@@ -103,7 +102,6 @@
 	}
 }
 
-// finishEvent returns the last event of an answer.
 func finishEvent(r *run, reason ryeford.FinishReason, usage *ryeford.Usage) engine.CompletionChunk {
 	return engine.CompletionChunk{
 		ID:      string(r.attempt),
@@ -112,7 +110,6 @@
 	}
 }
 
-// errorEvent returns the event of a failure.
 func errorEvent(r *run, message string) engine.CompletionChunk {
 	return engine.CompletionChunk{
 		ID:    string(r.attempt),
--- a/standin/enginerun.go
+++ b/standin/enginerun.go
@@ -26,7 +26,6 @@
 	e.decode(r, prompt, &fault, usage)
 }
 
-// recordEnd records when a run ended.
 func (e *engineServer) recordEnd(r *run) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -125,7 +124,6 @@
 	}
 }
 
-// append adds an event.
 func (r *run) append(event engine.CompletionChunk, last bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/standin/http.go
+++ b/standin/http.go
@@ -50,7 +50,6 @@
 	return true
 }
 
-// writeJSON answers with JSON.
 func writeJSON(ctx *fasthttp.RequestCtx, v any) {
 	body, err := json.Marshal(v)
 	if err != nil {
--- a/standin/service.go
+++ b/standin/service.go
@@ -36,7 +36,6 @@
 	runs  []RunRecord
 }
 
-// serve serves a request.
 func (s *service) serve(ctx *fasthttp.RequestCtx) {
 	switch string(ctx.Path()) {
 	case PathFault:
@@ -55,14 +54,12 @@
 	readJSON(ctx, &s.fault)
 }
 
-// writeRuns answers with the calls.
 func (s *service) writeRuns(ctx *fasthttp.RequestCtx) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	writeJSON(ctx, s.runs)
 }
 
-// call runs one call.
 func (s *service) call(ctx *fasthttp.RequestCtx) {
 	record := RunRecord{
 		Attempt: string(ctx.Request.Header.Peek(engine.HeaderAttempt)),
--- a/standin/slots.go
+++ b/standin/slots.go
@@ -14,13 +14,11 @@
 	waiting []*waiter
 }
 
-// A waiter is a request that waits for a slot.
 type waiter struct {
 	priority int
 	ready    chan struct{} // closed once the slot is its own
 }
 
-// acquire waits for a slot.
 func (s *slots) acquire(ctx context.Context, priority int) error {
 	s.mu.Lock()
 	if s.free > 0 {
@@ -50,7 +48,6 @@
 	return ctx.Err()
 }
 
-// release gives a slot back.
 func (s *slots) release() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/standin/standin.go
+++ b/standin/standin.go
@@ -63,7 +63,6 @@
 	return group.Wait()
 }
 
-// newEmulator returns the stand-in of the users' platform.
 func newEmulator(s *settings.Emulator) (*emulator.Emulator, error) {
 	if s.Configuration == "" {
 		return emulator.New(s, nil), nil
@@ -81,8 +80,6 @@
 	Err error
 }
 
-// Error returns the text of e.
 func (e *Error) Error() string { return "stand-in: " + e.Op + ": " + e.Err.Error() }
 
-// Unwrap returns the cause of e.
 func (e *Error) Unwrap() error { return e.Err }
--- a/trace/trace.go
+++ b/trace/trace.go
@@ -70,10 +70,8 @@
 	Err  error
 }
 
-// Error returns the text of e.
 func (e *LineError) Error() string { return fmt.Sprintf("line %d: %v", e.Line, e.Err) }
 
-// Unwrap returns the cause of e.
 func (e *LineError) Unwrap() error { return e.Err }
 
 // An EntryError says what is wrong with an entry.
@@ -81,7 +79,6 @@
 	Problem string
 }
 
-// Error returns the text of e.
 func (e *EntryError) Error() string { return e.Problem }
 
 // Read reads a trace. Its errors are of type *LineError, or those of r.
