refactor: what an engine is asked, a command and a stand-in's run stand in one file each

Ruled out: settings/derived.go, retry/spread.go, trace/make.go and replay/balancer.go, each a rule or a job of its own.

Change: completion, chunk and pool join engine.go, the object store table.go, the hashes route.go, the reader of events their writer, the slots of an engine stand-in its run, the demo its emulator, a turn the client that sends it, template's publish its command.

Lint and the tests of the root, docs, route, settings, replay, eventstream, agentfleet and gateway green.

Conclusion: file by file there is no import list left that serves one small type.

--- a/engine.go
+++ b/engine.go
@@ -1,6 +1,9 @@
 package ryeford
 
-import "context"
+import (
+	"context"
+	"strings"
+)
 
 // A CacheEvent says that an engine stored or evicted a chat's prefix. Events come
 // late and with gaps in Sequence.
@@ -54,3 +57,95 @@
 	// Call runs one call.
 	Call(ctx context.Context, call *Call) (ChunkReader, error)
 }
+
+// A Message is one message of a chat.
+type Message struct {
+	Role    string `cbor:"1,keyasint" json:"role"`
+	Content string `cbor:"2,keyasint" json:"content"`
+}
+
+// A Completion is what an engine is asked to run.
+type Completion struct {
+	Attempt  AttemptID `cbor:"1,keyasint"`
+	Pool     Pool      `cbor:"2,keyasint"`
+	Priority Priority  `cbor:"3,keyasint"`
+	Messages []Message `cbor:"4,keyasint"`
+	// MaxTokens bounds the answer; zero leaves the bound to the engine.
+	MaxTokens int `cbor:"5,keyasint,omitempty"`
+	// Prefix is text of the answer that the caller already has; the engine
+	// continues after it.
+	Prefix string `cbor:"6,keyasint,omitempty"`
+}
+
+// A Call is a call of a plain service.
+type Call struct {
+	Attempt     AttemptID `cbor:"1,keyasint"`
+	Method      string    `cbor:"2,keyasint"`
+	Path        string    `cbor:"3,keyasint"` // with the query, as the caller wrote it
+	ContentType string    `cbor:"4,keyasint,omitempty"`
+	Body        []byte    `cbor:"5,keyasint,omitempty"`
+	// Repeatable says that the caller allows the call to run more than once.
+	Repeatable bool `cbor:"6,keyasint"`
+}
+
+// A FinishReason says why an answer ended. The codes are those of the engines' API.
+type FinishReason string
+
+// The finish reasons. All but FinishError end a complete answer.
+const (
+	FinishStop          FinishReason = "stop"
+	FinishLength        FinishReason = "length"
+	FinishContentFilter FinishReason = "content_filter"
+	FinishError         FinishReason = "error"
+)
+
+// A Usage counts the tokens of an answer, as the engine reports them.
+type Usage struct {
+	PromptTokens int `cbor:"1,keyasint" json:"prompt_tokens"`
+	// CachedTokens are those of PromptTokens that the engine had in its cache.
+	CachedTokens     int `cbor:"2,keyasint" json:"cached_tokens"`
+	CompletionTokens int `cbor:"3,keyasint" json:"completion_tokens"`
+}
+
+// A Chunk is one piece of an answer. Chunks of an attempt are numbered from its
+// first offset without a gap.
+type Chunk struct {
+	Attempt AttemptID
+	// Offset counts the chunks of the answer before this one, not bytes.
+	Offset int64
+	Data   []byte
+	// Finish is set on the last chunk only.
+	Finish FinishReason
+	// Failure is the engine's own error text, with FinishError.
+	Failure string
+	// Reason is the system's own code for a failure, with FinishError.
+	Reason Reason
+	// NotRun says, with FinishError, that the attempt provably did not run.
+	NotRun bool
+	// Usage is set on the last chunk of a completion.
+	Usage Usage
+	// Status and ContentType are set on the first chunk of a service's answer.
+	Status      int
+	ContentType string
+}
+
+// A Pool is what an engine must have loaded to serve a request: a model, with an
+// adapter and a version if those are set. Pools that differ in a part are different.
+type Pool struct {
+	Model   string `cbor:"1,keyasint,omitempty" json:"model" yaml:"model"`
+	Adapter string `cbor:"2,keyasint,omitempty" json:"adapter,omitempty" yaml:"adapter"`
+	Version string `cbor:"3,keyasint,omitempty" json:"version,omitempty" yaml:"version"`
+}
+
+// String returns the pool as model[+adapter][@version].
+func (p Pool) String() string {
+	var b strings.Builder
+	b.WriteString(p.Model)
+	if p.Adapter != "" {
+		b.WriteString("+" + p.Adapter)
+	}
+	if p.Version != "" {
+		b.WriteString("@" + p.Version)
+	}
+	return b.String()
+}
--- a/internal/cmd/templatecmd.go
+++ b/internal/cmd/templatecmd.go
@@ -1,20 +1,24 @@
 package cmd
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"net/http"
 	"text/tabwriter"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/urfave/cli/v3"
 
 	"github.com/ryeford/ryeford"
+	"github.com/ryeford/ryeford/internal/clock"
 	"github.com/ryeford/ryeford/operator"
+	"github.com/ryeford/ryeford/settings"
 )
 
-// newTemplateCommand returns the commands on templates. Those that publish are in
-// templatepublish.go.
 func newTemplateCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "template",
@@ -100,3 +104,177 @@
 	}
 	return w.Flush()
 }
+
+// inForceInterval is how often template publish --wait reads the routers' status.
+// Not measured.
+const inForceInterval = 100 * time.Millisecond
+
+func newTemplatePublishCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "publish",
+		Usage:     "publish a template file",
+		ArgsUsage: "FILE",
+		Flags: operatorFlags(jsonFlag(), waitFlag(),
+			&cli.Int64Flag{Name: "based-on", Value: -1, Usage: "the `VERSION` that the file was made from; if another one is current, nothing is published; below 0 is the current one"},
+			&cli.StringFlag{Name: "change", Usage: "an `ID` of the change, under which it is published once, however often it is sent"},
+		),
+		Action: publishTemplate,
+	}
+}
+
+func newTemplateRollbackCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "rollback",
+		Usage:     "publish an earlier version of a template as a new one",
+		ArgsUsage: "ACCOUNT/NAME",
+		Flags: operatorFlags(jsonFlag(), waitFlag(),
+			&cli.Int64Flag{Name: "to", Usage: "the earlier `VERSION`", Required: true},
+		),
+		Action: rollbackTemplate,
+	}
+}
+
+func waitFlag() cli.Flag {
+	return &cli.DurationFlag{Name: "wait", Usage: "wait up to `TIME` until the version is in force at the routers of --operators and their agents"}
+}
+
+func publishTemplate(ctx context.Context, c *cli.Command) error {
+	file, err := oneArg(c, "FILE")
+	if err != nil {
+		return err
+	}
+	s, err := settings.LoadTemplate(file)
+	if err != nil {
+		return err
+	}
+	t := s.Publishable()
+	t.Change = cmp.Or(c.String("change"), uuid.NewString())
+	return firstOperator(c, func(client *operator.Client) error {
+		t.Sequence = c.Int64("based-on")
+		if t.Sequence < 0 {
+			if t.Sequence, err = currentSequence(ctx, client, t); err != nil {
+				return err
+			}
+		}
+		return publish(ctx, c, client, t)
+	})
+}
+
+// publish publishes a template, prints the outcome and waits if asked to.
+func publish(ctx context.Context, c *cli.Command, client *operator.Client, t *ryeford.Template) error {
+	published, err := client.Publish(ctx, t)
+	if err != nil {
+		return err
+	}
+	if c.Bool("json") {
+		if err := json.NewEncoder(c.Root().Writer).Encode(published); err != nil {
+			return err
+		}
+	} else {
+		fmt.Fprintf(c.Root().Writer, "%s/%s version %d accepted as revision %d\n",
+			published.Account, published.Name, published.Sequence, published.Revision)
+	}
+	if wait := c.Duration("wait"); wait > 0 {
+		return awaitInForce(ctx, c, published.Revision, wait)
+	}
+	return nil
+}
+
+// currentSequence returns the version of a template that is current.
+func currentSequence(ctx context.Context, client *operator.Client, t *ryeford.Template) (int64, error) {
+	current, err := client.Template(ctx, string(t.Account)+"/"+t.Name)
+	var operatorErr *operator.Error
+	if errors.As(err, &operatorErr) && operatorErr.Status == http.StatusNotFound {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, err
+	}
+	return current.Sequence, nil
+}
+
+func rollbackTemplate(ctx context.Context, c *cli.Command) error {
+	name, err := oneArg(c, "ACCOUNT/NAME")
+	if err != nil {
+		return err
+	}
+	to := c.Int64("to")
+	return firstOperator(c, func(client *operator.Client) error {
+		versions, err := client.History(ctx, name)
+		if err != nil {
+			return err
+		}
+		for i := range versions {
+			if versions[i].Sequence != to {
+				continue
+			}
+			t := versions[i]
+			t.Sequence = versions[len(versions)-1].Sequence
+			t.Change = uuid.NewString()
+			return publish(ctx, c, client, &t)
+		}
+		return &ryeford.NotFoundError{Kind: "version of " + name, Name: fmt.Sprint(to)}
+	})
+}
+
+// An InForceError says that a revision is not in force everywhere in time.
+type InForceError struct {
+	Revision int64
+	Behind   int
+}
+
+func (e *InForceError) Error() string {
+	return fmt.Sprintf("revision %d is accepted, but %d processes do not have it in force yet", e.Revision, e.Behind)
+}
+
+// awaitInForce waits until the routers of --operators and their agents have a
+// revision in force, and prints the progress.
+func awaitInForce(ctx context.Context, c *cli.Command, revision int64, wait time.Duration) error {
+	clients, err := operatorClients(c)
+	if err != nil {
+		return err
+	}
+	began := time.Now()
+	shown := -1
+	for {
+		behind, total := countBehind(ctx, clients, revision)
+		if behind != shown {
+			shown = behind
+			fmt.Fprintf(c.Root().ErrWriter, "revision %d in force on %d of %d processes\n", revision, total-behind, total)
+		}
+		switch {
+		case behind == 0:
+			return nil
+		case time.Since(began) > wait:
+			return &InForceError{Revision: revision, Behind: behind}
+		}
+		if !clock.Sleep(ctx, inForceInterval) {
+			return ctx.Err()
+		}
+	}
+}
+
+// countBehind counts the processes that do not have a revision in force.
+func countBehind(ctx context.Context, clients []*operator.Client, revision int64) (behind, total int) {
+	agents := make(map[ryeford.VMID]int64)
+	for _, client := range clients {
+		total++
+		s, err := client.Status(ctx)
+		if err != nil || s.Revision < revision {
+			behind++
+		}
+		if err != nil {
+			continue // counted as behind
+		}
+		for _, a := range s.Agents {
+			agents[a.VM] = max(agents[a.VM], a.Revision)
+		}
+	}
+	for _, has := range agents {
+		total++
+		if has < revision {
+			behind++
+		}
+	}
+	return behind, total
+}
--- a/route/route.go
+++ b/route/route.go
@@ -3,11 +3,13 @@
 // joins or leaves moves only the keys that it gains or loses.
 //
 // The fleet with agents ranks engines for a chat (Set.Rank). The gateway and the
-// peers' table use the hashes and the score alone (hash.go). The package owns no
-// state and does no I/O.
+// peers' table use the hashes and the score alone. The package owns no state and does
+// no I/O.
 package route
 
 import (
+	"encoding/binary"
+	"math/bits"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -152,3 +154,21 @@
 func Score(name string, engine ryeford.EngineID) uint64 {
 	return Mix(NameHash(name), NameHash(string(engine)))
 }
+
+// KeyHash returns the uniform hash of a number that names something.
+func KeyHash(key uint64) uint64 {
+	var bytes [8]byte
+	binary.LittleEndian.PutUint64(bytes[:], key)
+	return xxhash.Sum64(bytes[:])
+}
+
+// NameHash returns the uniform hash of a name.
+func NameHash(name string) uint64 { return xxhash.Sum64String(name) }
+
+// Mix returns the rendezvous score of a key and a target, given as uniform hashes:
+// the two halves of their product, folded. The target with the highest score is the
+// key's first.
+func Mix(key, target uint64) uint64 {
+	hi, lo := bits.Mul64(key, target)
+	return hi ^ lo
+}
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -154,12 +155,7 @@
 
 // serves reports whether a pool of this name is loaded.
 func (e *engineServer) serves(name string) bool {
-	for _, pool := range e.serving.Pools {
-		if pool.String() == name {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(e.serving.Pools, func(p ryeford.Pool) bool { return p.String() == name })
 }
 
 // cacheEvents answers with the cache events after a sequence number.
