refactor: operators' commands of one call are that call and how it is shown

Ruled out: the same for template list, which has no argument, and for publish and rollback, which make more than one call. Data in place of the functions in replay.Options: written as a trial, one line less, so not kept.

Change: operatorAction; exit codes of an operator's call stand in the one switch; trace.LineError is ryeford.InputError with the same text.

Conclusion: in the commands, what is left are flags, one call each and its output.

--- a/internal/cmd/exit.go
+++ b/internal/cmd/exit.go
@@ -50,20 +50,14 @@
 		return exitMissed
 	case errors.As(err, &failure):
 		return exitCodeOfRun(failure.Ran)
-	case errors.As(err, &operatorErr):
-		return exitCodeOfCall(operatorErr)
-	}
-	return exitFailure
-}
-
-func exitCodeOfCall(e *operator.Error) int {
-	switch e.Status {
-	case http.StatusConflict:
+	case !errors.As(err, &operatorErr):
+		return exitFailure
+	case operatorErr.Status == http.StatusConflict:
 		return exitConflict
-	case http.StatusBadRequest:
+	case operatorErr.Status == http.StatusBadRequest:
 		return exitUsage
 	}
-	return exitCodeOfRun(e.Ran)
+	return exitCodeOfRun(operatorErr.Ran)
 }
 
 // exitCodeOfRun returns the exit code of a failure whose answer says whether the
--- a/internal/cmd/operators.go
+++ b/internal/cmd/operators.go
@@ -1,6 +1,7 @@
 package cmd
 
 import (
+	"context"
 	"errors"
 	"net/netip"
 
@@ -55,6 +56,24 @@
 	return err
 }
 
+// operatorAction returns the action of a command with one argument: a call of the first
+// router that answers, whose result is shown.
+func operatorAction[A ~string, T any](argument string, call func(*operator.Client, context.Context, A) (T, error), show func(*cli.Command, T) error) cli.ActionFunc {
+	return func(ctx context.Context, c *cli.Command) error {
+		text, err := oneArg(c, argument)
+		if err != nil {
+			return err
+		}
+		return firstOperator(c, func(client *operator.Client) error {
+			result, err := call(client, ctx, A(text))
+			if err != nil {
+				return err
+			}
+			return show(c, result)
+		})
+	}
+}
+
 func addressesFlag(c *cli.Command, name string) ([]netip.AddrPort, error) {
 	var addresses []netip.AddrPort
 	for _, text := range c.StringSlice(name) {
--- a/internal/cmd/templatecmd.go
+++ b/internal/cmd/templatecmd.go
@@ -30,7 +30,7 @@
 				Usage:     "print a template as JSON",
 				ArgsUsage: "ACCOUNT/NAME",
 				Flags:     operatorFlags(),
-				Action:    getTemplate,
+				Action:    operatorAction("ACCOUNT/NAME", (*operator.Client).Template, printTemplate),
 			},
 			{
 				Name:   "list",
@@ -43,25 +43,15 @@
 				Usage:     "list the versions of a template, the oldest first",
 				ArgsUsage: "ACCOUNT/NAME",
 				Flags:     operatorFlags(jsonFlag()),
-				Action:    templateHistory,
+				Action:    operatorAction("ACCOUNT/NAME", (*operator.Client).History, printTemplates),
 			},
 			newTemplateRollbackCommand(),
 		},
 	}
 }
 
-func getTemplate(ctx context.Context, c *cli.Command) error {
-	name, err := oneArg(c, "ACCOUNT/NAME")
-	if err != nil {
-		return err
-	}
-	return firstOperator(c, func(client *operator.Client) error {
-		t, err := client.Template(ctx, name)
-		if err != nil {
-			return err
-		}
-		return json.NewEncoder(c.Root().Writer).Encode(t)
-	})
+func printTemplate(c *cli.Command, t *ryeford.Template) error {
+	return json.NewEncoder(c.Root().Writer).Encode(t)
 }
 
 func listTemplates(ctx context.Context, c *cli.Command) error {
@@ -74,20 +64,6 @@
 	})
 }
 
-func templateHistory(ctx context.Context, c *cli.Command) error {
-	name, err := oneArg(c, "ACCOUNT/NAME")
-	if err != nil {
-		return err
-	}
-	return firstOperator(c, func(client *operator.Client) error {
-		templates, err := client.History(ctx, name)
-		if err != nil {
-			return err
-		}
-		return printTemplates(c, templates)
-	})
-}
-
 func printTemplates(c *cli.Command, templates []ryeford.Template) error {
 	if c.Bool("json") {
 		return json.NewEncoder(c.Root().Writer).Encode(templates)
--- a/internal/cmd/vmcmd.go
+++ b/internal/cmd/vmcmd.go
@@ -1,7 +1,6 @@
 package cmd
 
 import (
-	"context"
 	"fmt"
 
 	"github.com/urfave/cli/v3"
@@ -19,22 +18,12 @@
 			Usage:     "begin a planned stop: the VM's agent takes no new requests, finishes those in flight and exits",
 			ArgsUsage: "VM",
 			Flags:     operatorFlags(),
-			Action:    stopVM,
+			Action:    operatorAction("VM", (*operator.Client).StopVM, printStopping),
 		}},
 	}
 }
 
-func stopVM(ctx context.Context, c *cli.Command) error {
-	id, err := oneArg(c, "VM")
-	if err != nil {
-		return err
-	}
-	return firstOperator(c, func(client *operator.Client) error {
-		vm, err := client.StopVM(ctx, ryeford.VMID(id))
-		if err != nil {
-			return err
-		}
-		_, err = fmt.Fprintf(c.Root().Writer, "%s (%s, %s) is leaving\n", vm.ID, vm.Role, vm.FailureDomain)
-		return err
-	})
+func printStopping(c *cli.Command, vm *ryeford.VM) error {
+	_, err := fmt.Fprintf(c.Root().Writer, "%s (%s, %s) is leaving\n", vm.ID, vm.Role, vm.FailureDomain)
+	return err
 }
--- a/trace/trace.go
+++ b/trace/trace.go
@@ -64,16 +64,6 @@
 	Max    *float64 `json:"max,omitempty"`
 }
 
-// A LineError says which line of a trace is wrong.
-type LineError struct {
-	Line int
-	Err  error
-}
-
-func (e *LineError) Error() string { return fmt.Sprintf("line %d: %v", e.Line, e.Err) }
-
-func (e *LineError) Unwrap() error { return e.Err }
-
 // An EntryError says what is wrong with an entry.
 type EntryError struct {
 	Problem string
@@ -81,7 +71,8 @@
 
 func (e *EntryError) Error() string { return e.Problem }
 
-// Read reads a trace. Its errors are of type *LineError, or those of r.
+// Read reads a trace. Its errors are of type *ryeford.InputError, with the number of the
+// wrong line, or those of r.
 func Read(r io.Reader) ([]Entry, error) {
 	var entries []Entry
 	scanner := bufio.NewScanner(r)
@@ -92,11 +83,12 @@
 			continue
 		}
 		var e Entry
-		if err := json.Unmarshal(scanner.Bytes(), &e); err != nil {
-			return nil, &LineError{Line: line, Err: err}
+		err := json.Unmarshal(scanner.Bytes(), &e)
+		if err == nil {
+			err = check(&e, last)
 		}
-		if err := check(&e, last); err != nil {
-			return nil, &LineError{Line: line, Err: err}
+		if err != nil {
+			return nil, &ryeford.InputError{Field: fmt.Sprintf("line %d", line), Problem: err.Error()}
 		}
 		last = max(last, e.AtMS)
 		entries = append(entries, e)
