refactor: httpserver listens for metrics and stand-ins, with one type of error

Ruled out: the emulator, which must listen before it enters an endpoint's row and thus keeps Serve; agentfleet/router, which belongs to another part of this work and can take ListenAndServe in place of its ListenError, with the same text.

Change: httpserver.ListenAndServe and httpserver.Error; telemetry.Error goes. The text of both errors is now that of the router's ("serve ADDRESS: ..."). replay's probes are plain GETs with the client's timeout.

--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net"
+	"net/netip"
 )
 
 // A Server serves connections: an *http.Server or a *fasthttp.Server.
@@ -13,6 +14,29 @@
 	Serve(listener net.Listener) error
 }
 
+// ListenAndServe serves the connections to a TCP address as Serve does. Its error is an
+// *Error.
+func ListenAndServe(ctx context.Context, address netip.AddrPort, server Server) error {
+	listener, err := net.Listen("tcp", address.String())
+	if err == nil {
+		err = Serve(ctx, listener, server)
+	}
+	if err != nil {
+		return &Error{Address: address, Err: err}
+	}
+	return nil
+}
+
+// An Error says that a server could not run at its address.
+type Error struct {
+	Address netip.AddrPort
+	Err     error
+}
+
+func (e *Error) Error() string { return "serve " + e.Address.String() + ": " + e.Err.Error() }
+
+func (e *Error) Unwrap() error { return e.Err }
+
 // Serve serves a listener's connections until ctx ends, and closes the listener then. It
 // returns nil after the end of ctx, and the server's error before. Connections that are
 // open at the end stay open: they end with the process, or by the server's own Close.
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -10,7 +10,6 @@
 	"bytes"
 	"context"
 	"fmt"
-	"net"
 	"net/netip"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -68,13 +67,9 @@
 }
 
 // Serve serves /metrics and /healthz over HTTP until ctx ends, and returns an
-// *Error if it can't.
+// *httpserver.Error if it can't.
 func Serve(ctx context.Context, address netip.AddrPort, set *Set) error {
-	listener, err := net.Listen("tcp", address.String())
-	if err != nil {
-		return &Error{Err: err}
-	}
-	server := &fasthttp.Server{
+	return httpserver.ListenAndServe(ctx, address, &fasthttp.Server{
 		NoDefaultServerHeader: true,
 		Handler: func(c *fasthttp.RequestCtx) {
 			switch string(c.Path()) {
@@ -86,18 +81,5 @@
 				c.SetStatusCode(fasthttp.StatusNotFound)
 			}
 		},
-	}
-	if err := httpserver.Serve(ctx, listener, server); err != nil {
-		return &Error{Err: err}
-	}
-	return nil
+	})
 }
-
-// An Error is a failure to serve metrics.
-type Error struct {
-	Err error
-}
-
-func (e *Error) Error() string { return "metrics: " + e.Err.Error() }
-
-func (e *Error) Unwrap() error { return e.Err }
--- a/replay/balancer.go
+++ b/replay/balancer.go
@@ -29,10 +29,10 @@
 // newBalancer returns a balancer that probes the routers until ctx ends.
 func newBalancer(ctx context.Context, routers []netip.AddrPort) *balancer {
 	b := &balancer{routers: routers}
-	b.probe(ctx)
+	b.probe()
 	go func() {
 		for clock.Sleep(ctx, probeInterval) {
-			b.probe(ctx)
+			b.probe()
 		}
 	}()
 	return b
@@ -40,15 +40,11 @@
 
 // probe sends each router a readiness probe. One that fails is the finding itself:
 // the router isn't ready.
-func (b *balancer) probe(ctx context.Context) {
+func (b *balancer) probe() {
 	client := &http.Client{Timeout: probeTimeout}
 	var ready []netip.AddrPort
 	for _, address := range b.routers {
-		request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address.String()+"/readyz", nil)
-		if err != nil {
-			continue
-		}
-		response, err := client.Do(request)
+		response, err := client.Get("http://" + address.String() + "/readyz")
 		if err != nil {
 			continue
 		}
--- a/standin/enginerun.go
+++ b/standin/enginerun.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -56,10 +57,7 @@
 
 // decode makes the answer, a token a step, and ends it as the fault says.
 func (e *engineServer) decode(r *run, prompt string, fault *EngineFault, usage *ryeford.Usage) {
-	tokens := r.request.MaxTokens
-	if tokens == 0 {
-		tokens = defaultTokens
-	}
+	tokens := cmp.Or(r.request.MaxTokens, defaultTokens)
 	tag := answerTag(r.chat, r.request.Messages)
 	text := r.request.Prefix
 	for i := countTokens(text); i < tokens; i++ {
--- a/standin/http.go
+++ b/standin/http.go
@@ -26,19 +26,11 @@
 
 // listenAndServe serves a stand-in until ctx ends.
 func listenAndServe(ctx context.Context, address settings.Address, serve fasthttp.RequestHandler) error {
-	listener, err := net.Listen("tcp", address.String())
-	if err != nil {
-		return &Error{Op: "listen", Err: err}
-	}
-	server := &fasthttp.Server{
+	return httpserver.ListenAndServe(ctx, address.AddrPort, &fasthttp.Server{
 		Handler:               serve,
 		NoDefaultServerHeader: true,
 		MaxRequestBodySize:    maxRequestBody,
-	}
-	if err := httpserver.Serve(ctx, listener, server); err != nil {
-		return &Error{Op: "serve", Err: err}
-	}
-	return nil
+	})
 }
 
 // readJSON decodes the request's body, or answers 400.
