--- a/caller/client.go
+++ b/caller/client.go
@@ -40,7 +40,12 @@
 // states is in the Answer; the error is one of the connection, and then the
 // Answer holds what came before it.
 func (c *Client) Complete(ctx context.Context, address netip.AddrPort, t *Turn) (*Answer, error) {
-	body, err := json.Marshal(&completionBody{MaxTokens: t.MaxTokens, Messages: t.Messages, Model: t.Model, Stream: true})
+	body, err := json.Marshal(&completionBody{
+		MaxTokens: t.MaxTokens,
+		Messages:  t.Messages,
+		Model:     t.Model,
+		Stream:    true,
+	})
 	if err != nil {
 		return &Answer{}, err
 	}
--- a/internal/cmd/agentcmd.go
+++ b/internal/cmd/agentcmd.go
@@ -13,7 +13,8 @@
 )
 
 func newAgentCommand() *cli.Command {
-	return newProcessCommand("agent", "run the agent of an endpoint VM (fleet with agents)", settings.LoadAgent, runAgent)
+	return newProcessCommand("agent", "run the agent of an endpoint VM (fleet with agents)",
+		settings.LoadAgent, runAgent)
 }
 
 func runAgent(ctx context.Context, s *settings.Agent, logger log.Logger) error {
--- a/internal/cmd/operators.go
+++ b/internal/cmd/operators.go
@@ -58,7 +58,11 @@
 
 // operatorAction returns the action of a command with one argument: a call of the first
 // router that answers, whose result is shown.
-func operatorAction[A ~string, T any](argument string, call func(*operator.Client, context.Context, A) (T, error), show func(*cli.Command, T) error) cli.ActionFunc {
+func operatorAction[A ~string, T any](
+	argument string,
+	call func(*operator.Client, context.Context, A) (T, error),
+	show func(*cli.Command, T) error,
+) cli.ActionFunc {
 	return func(ctx context.Context, c *cli.Command) error {
 		text, err := oneArg(c, argument)
 		if err != nil {
--- a/internal/cmd/process.go
+++ b/internal/cmd/process.go
@@ -12,7 +12,11 @@
 // newProcessCommand returns a command that runs one process from a settings file until
 // SIGINT or SIGTERM ends its context, which Main sees to. run returns once the process
 // has drained, or with the error that ended it; its log goes to standard error.
-func newProcessCommand[S any](name, usage string, load func(file string) (*S, error), run func(context.Context, *S, log.Logger) error) *cli.Command {
+func newProcessCommand[S any](
+	name, usage string,
+	load func(file string) (*S, error),
+	run func(context.Context, *S, log.Logger) error,
+) *cli.Command {
 	return &cli.Command{
 		Name:  name,
 		Usage: usage,
--- a/internal/cmd/routercmd.go
+++ b/internal/cmd/routercmd.go
@@ -13,7 +13,8 @@
 )
 
 func newRouterCommand() *cli.Command {
-	return newProcessCommand("router", "run a router on an entry VM (fleet with agents)", settings.LoadRouter, runRouter)
+	return newProcessCommand("router", "run a router on an entry VM (fleet with agents)",
+		settings.LoadRouter, runRouter)
 }
 
 func runRouter(ctx context.Context, s *settings.Router, logger log.Logger) error {
