--- a/gateway/configuration.go
+++ b/gateway/configuration.go
@@ -31,6 +31,8 @@
 	state    ryeford.ConfigurationState // of the last answer that counts, at the source
 	size     int                        // of the configuration in that answer, in bytes
 	answered bool                       // the last read brought an answer that counts
+	took     time.Duration              // the last transfer of the configuration
+	ended    time.Time                  // that transfer
 }
 
 // configurationOptions are what a configuration relies on.
@@ -110,9 +112,13 @@
 	}
 	confirmed, _ := c.lease.Confirmed()
 	rank, alive := c.peers.Rank(now, freshness.Shift(confirmed))
-	return freshness.ReadAge(c.refresh, rank, alive) - age
+	rest := freshness.Rest(c.took, now.Sub(c.ended), c.lease.Left(now))
+	return max(rest, freshness.ReadAge(c.refresh, rank, alive)-age)
 }
 
+// outdated reports whether a peer has a newer configuration than the one in force.
+func (c *configuration) outdated() bool { return c.newest.Load() > c.version() }
+
 // awaitNewer waits, at most for wait, until a peer has a newer configuration, and
 // reports whether one does. What peers sent while it was read counts no more.
 func (c *configuration) awaitNewer(ctx context.Context, wait time.Duration) bool {
@@ -120,7 +126,7 @@
 	defer timer.Stop()
 	select {
 	case <-c.newer:
-		return c.newest.Load() > c.version()
+		return c.outdated()
 	case <-timer.C:
 	case <-ctx.Done():
 	}
@@ -141,13 +147,17 @@
 		return false
 	}
 	c.outage.Answered()
-	c.answered = c.apply(&update, known, sent, time.Now())
+	c.answered = c.apply(&update, known, sent)
+	if !update.Unchanged {
+		c.ended = time.Now()
+		c.took = c.ended.Sub(sent)
+	}
 	return true
 }
 
 // fetch asks the source for the configuration, or for what has changed of it.
 func (c *configuration) fetch(ctx context.Context) (ryeford.ConfigurationUpdate, error) {
-	if freshness.Compares(c.size, c.answered) {
+	if freshness.Compares(freshness.Known{Size: c.size, Answered: c.answered, Outdated: c.outdated()}) {
 		return c.source.ConfigurationIfChanged(ctx, c.state)
 	}
 	return c.source.Configuration(ctx)
@@ -156,7 +166,7 @@
 // apply puts a configuration in force, unless it is already, and renews the lease. It
 // reports whether the answer counts. known is the newest revision that was known when
 // the read was sent.
-func (c *configuration) apply(update *ryeford.ConfigurationUpdate, known int64, sent, answered time.Time) bool {
+func (c *configuration) apply(update *ryeford.ConfigurationUpdate, known int64, sent time.Time) bool {
 	if !freshness.Confirms(update.Revision, known) {
 		c.metrics.Count("ryeford_stale_answers_total", "")
 		_ = c.log.Log("decision", "configuration", "revision", update.Revision, "known", known, "applied", false, "why", "stale answer")
@@ -165,20 +175,32 @@
 	c.revision.raise(update.Revision)
 	if !update.Unchanged {
 		c.state, c.size = update.State, update.Size
+		c.putInForce(update, sent)
 	}
-	if update.Configuration != nil && update.Configuration.Version != c.version() {
-		next := catalog.New(update.Configuration)
-		applied := c.inForce.Put(next)
-		_ = c.log.Log("decision", "configuration", "version", next.Version(), "revision", update.Revision,
-			"routes", len(update.Configuration.Routes), "accounts", len(update.Configuration.Accounts), "took", roundTime(answered.Sub(sent)), "applied", applied)
+	if c.current() == nil {
+		return true
 	}
-	if c.current() != nil {
-		c.lease.RenewRead(sent, answered, update.Clock)
-		c.onUpdate()
+	if !update.Unchanged && update.Configuration == nil {
+		_ = c.log.Log("decision", "configuration", "revision", update.Revision, "applied", false, "why", "the source has none any more")
+		return false
 	}
+	c.lease.RenewRead(sent, update.Begun, update.Clock)
+	c.onUpdate()
 	return true
 }
 
+// putInForce puts the configuration of an update in force, unless it is already. sent is
+// when the read was sent.
+func (c *configuration) putInForce(update *ryeford.ConfigurationUpdate, sent time.Time) {
+	if update.Configuration == nil || update.Configuration.Version == c.version() {
+		return
+	}
+	next := catalog.New(update.Configuration)
+	applied := c.inForce.Put(next)
+	_ = c.log.Log("decision", "configuration", "version", next.Version(), "revision", update.Revision,
+		"routes", len(update.Configuration.Routes), "accounts", len(update.Configuration.Accounts), "took", roundTime(time.Since(sent)), "applied", applied)
+}
+
 // confirmedByPeer takes a peer's confirmation that a version was the newest when
 // the source's steady clock showed at.
 func (c *configuration) confirmedByPeer(now time.Time, version int64, at time.Duration) {
--- a/gateway/freshness/lease.go
+++ b/gateway/freshness/lease.go
@@ -51,16 +51,17 @@
 	return l
 }
 
-// RenewRead renews the lease by a read of this process: when it was sent and
-// answered, and what the source's clock showed in between.
-func (l *Lease) RenewRead(sent, answered time.Time, clock time.Duration) {
+// RenewRead renews the lease by a read of this process: when it was sent, when its
+// answer began to come, and what the source's clock showed in between. How long the rest
+// of the answer took tells nothing of the clock.
+func (l *Lease) RenewRead(sent, begun time.Time, clock time.Duration) {
 	l.renew(sent)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.clock.observe(sent, clock)
 	// The state is as new as the moment of sending, when the source's clock
 	// showed at least this.
-	l.confirmed = clock - answered.Sub(sent)
+	l.confirmed = clock - begun.Sub(sent)
 }
 
 // RenewFromPeer renews the lease by a read of another process, at which the
--- a/gateway/freshness/transfer.go
+++ b/gateway/freshness/transfer.go
@@ -1,22 +1,41 @@
 package freshness
 
-// Whether a read of the configuration transfers it.
+import "time"
+
+// Whether a read of the configuration transfers it, and how soon after another one.
 //
 // Rule: a read of a large configuration that is known asks the source to compare it, and
-// to transfer it only if it has changed; a small one is transferred each time. So is any
-// after a read that failed or was stale.
+// to transfer it only if it has changed. It transfers a small one each time, and any one
+// if the last read failed or was stale, or if a peer has a newer version. After a
+// transfer, a router that knows of nothing newer rests for as long as that took, unless
+// its lease would end.
 //
 // Why: routers read again and again what seldom changes. On narrow links a large
 // configuration that is transferred with each read leaves no room for callers, nor for a
 // change of itself (incident inc1). To compare, the source takes a transaction, of which
 // it accepts fewer than reads; so a configuration that is quickly transferred is not
-// compared, and a source that fails to compare is asked for the whole.
+// compared, and a source that fails to compare is asked for the whole. The rest bounds
+// what that costs: half of the link at most.
 
 // minComparedSize is the size in bytes from which a configuration is compared. It takes
 // 70 ms on a link of 10 Mbit/s. Not measured.
 const minComparedSize = 64 << 10
 
-// Compares reports whether the next read asks the source only for what has changed. size
-// is that of the known configuration in bytes, zero if none is known; answered says that
-// the last read brought an answer that counts.
-func Compares(size int, answered bool) bool { return size >= minComparedSize && answered }
+// A Known is what a router knows of the configuration before it reads it.
+type Known struct {
+	Size     int  // of the configuration at the source, in bytes; zero if none is known
+	Answered bool // the last read brought an answer that counts
+	Outdated bool // a peer has a newer version
+}
+
+// Compares reports whether a read asks the source only for what has changed.
+func Compares(k Known) bool {
+	return k.Size >= minComparedSize && k.Answered && !k.Outdated
+}
+
+// Rest returns how long a router need not read after a transfer that took a time and
+// ended since ago: as long as it took, but so that the lease, of which left is left, lasts
+// for two more.
+func Rest(took, since, left time.Duration) time.Duration {
+	return max(0, min(took-since, left-2*took))
+}
--- a/source.go
+++ b/source.go
@@ -22,8 +22,10 @@
 	// Revision is the newest of the source. It rises with every change there, also of
 	// other things than the configuration.
 	Revision int64
-	// Clock is the source's monotonic clock when it answered. Its zero means nothing.
+	// Clock is the source's monotonic clock when it answered, which was no later than
+	// Begun, when its answer began to come. Its zero means nothing.
 	Clock time.Duration
+	Begun time.Time
 }
 
 // A ConfigurationSource is where the operators' accepted configuration is kept.
