--- a/gateway/troubledstore_test.go
+++ b/gateway/troubledstore_test.go
@@ -34,7 +34,10 @@
 type troubledStore struct {
 	timeout time.Duration
 	delay   time.Duration // of an answer while slow
-	began   time.Time
+	// transfer is how long the configuration takes on the way. It is as large as one
+	// that is compared before it is transferred, unless transfer is zero.
+	transfer time.Duration
+	began    time.Time
 
 	mu      sync.Mutex
 	current tables
@@ -165,15 +168,32 @@
 
 // Configuration implements ryeford.ConfigurationSource.
 func (s *troubledStore) Configuration(ctx context.Context) (ryeford.ConfigurationUpdate, error) {
+	return s.ConfigurationIfChanged(ctx, 0)
+}
+
+// ConfigurationIfChanged implements ryeford.ConfigurationSource.
+func (s *troubledStore) ConfigurationIfChanged(ctx context.Context, known ryeford.ConfigurationState) (ryeford.ConfigurationUpdate, error) {
+	const large = 1 << 20
 	now, trouble, _, _ := s.read()
 	if err := s.meet(ctx, trouble, time.Now().Add(s.timeout)); err != nil {
 		return ryeford.ConfigurationUpdate{}, err
 	}
-	return ryeford.ConfigurationUpdate{
-		Configuration: &ryeford.Configuration{Version: now.version, Accounts: []ryeford.AccountRule{}},
-		Revision:      now.revision,
-		Clock:         time.Since(s.began),
-	}, nil
+	update := ryeford.ConfigurationUpdate{
+		State:     ryeford.ConfigurationState(now.version),
+		Unchanged: ryeford.ConfigurationState(now.version) == known,
+		Revision:  now.revision,
+		Clock:     time.Since(s.began),
+		Begun:     time.Now(),
+	}
+	if update.Unchanged {
+		return update, nil
+	}
+	update.Configuration = &ryeford.Configuration{Version: now.version, Accounts: []ryeford.AccountRule{}}
+	if s.transfer > 0 {
+		update.Size = large
+		clock.Sleep(ctx, s.transfer)
+	}
+	return update, nil
 }
 
 // Endpoints implements ryeford.EndpointSource.
--- a/internal/cmd/exit.go
+++ b/internal/cmd/exit.go
@@ -27,7 +27,6 @@
 	Problem string
 }
 
-// Error returns the text of e.
 func (e *UsageError) Error() string { return e.Problem }
 
 // A MissedError says which stated outcomes a replay missed.
@@ -35,7 +34,6 @@
 	Missed []string
 }
 
-// Error returns the text of e.
 func (e *MissedError) Error() string { return "missed: " + strings.Join(e.Missed, "; ") }
 
 func exitCode(err error) int {
@@ -52,21 +50,14 @@
 		return exitMissed
 	case errors.As(err, &failure):
 		return exitCodeOfRun(failure.Ran)
-	case errors.As(err, &operatorErr):
-		return exitCodeOfCall(operatorErr)
-	}
-	return exitFailure
-}
-
-// exitCodeOfCall returns the exit code of a failed call of an operator.
-func exitCodeOfCall(e *operator.Error) int {
-	switch e.Status {
-	case http.StatusConflict:
+	case !errors.As(err, &operatorErr):
+		return exitFailure
+	case operatorErr.Status == http.StatusConflict:
 		return exitConflict
-	case http.StatusBadRequest:
+	case operatorErr.Status == http.StatusBadRequest:
 		return exitUsage
 	}
-	return exitCodeOfRun(e.Ran)
+	return exitCodeOfRun(operatorErr.Ran)
 }
 
 // exitCodeOfRun returns the exit code of a failure whose answer says whether the
--- a/standin/appserver/serve.go
+++ b/standin/appserver/serve.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 
@@ -10,9 +11,9 @@
 	"github.com/ryeford/ryeford/platform/wire"
 )
 
-// reportedSlots is the number of slots in the load that responses report. It bounds
-// nothing here.
-const reportedSlots = 64
+// ReportedSlots is the number of slots in the load that responses report, and in the
+// rows of the emulator's endpoints. It bounds nothing here.
+const ReportedSlots = 64
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -33,7 +34,7 @@
 	if fault != FaultShed {
 		s.begin(id)
 	}
-	w.Header().Set(wire.HeaderLoad, fmt.Sprintf("%d,0,%d", s.working, reportedSlots))
+	w.Header().Set(wire.HeaderLoad, fmt.Sprintf("%d,0,%d", s.working, ReportedSlots))
 	s.mu.Unlock()
 	if fault == FaultShed {
 		w.Header().Set(wire.HeaderNotRun, "1")
@@ -76,8 +77,8 @@
 
 // respondPlain responds as a plain service.
 func (s *Server) respondPlain(w http.ResponseWriter, r *http.Request, fault Fault) {
-	if !s.work(r) {
-		return
+	if !clock.Sleep(r.Context(), s.Step) {
+		return // the caller's connection broke
 	}
 	text := s.text(r)
 	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
@@ -93,7 +94,7 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	last := lastEvent(r)
 	for event := last + 1; event <= s.Events; event++ {
-		if !s.work(r) {
+		if !clock.Sleep(r.Context(), s.Step) {
 			return
 		}
 		if fault == FaultCut && event == last+2 {
@@ -121,8 +122,56 @@
 	return "answer to " + r.Header.Get(wire.HeaderRequestID) + " of " + s.ID
 }
 
-// work takes the time of one step, and reports whether the caller is still
-// connected.
-func (s *Server) work(r *http.Request) bool {
-	return clock.Sleep(r.Context(), s.Step)
+// closing in place of a length ends the body with the connection.
+const closing = "Connection: close\r\n"
+
+// respondRaw responds with bytes that net/http would not send. Errors of the
+// connection are dropped: the caller has closed it.
+func (s *Server) respondRaw(w http.ResponseWriter, r *http.Request, fault Fault) {
+	conn, buffer, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	if fault == FaultReset {
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0) // closing resets
+		}
+		return
+	}
+	_, _ = buffer.WriteString(s.raw(r, fault))
+	_ = buffer.Flush()
+	if fault == FaultUnframed || fault == FaultGarbage {
+		return
+	}
+	// The connection stays open until the caller closes it.
+	_, _ = io.Copy(io.Discard, conn)
+}
+
+// raw returns the bytes of a fault.
+func (s *Server) raw(r *http.Request, fault Fault) string {
+	id, text := r.Header.Get(wire.HeaderRequestID), s.text(r)
+	switch fault {
+	case FaultExtra:
+		const second = "a second answer"
+		return s.rawResponse(id, length(text), text) + s.rawResponse(id, length(second), second)
+	case FaultForeign:
+		const other = "another's answer"
+		return s.rawResponse("another", length(other), other) + s.rawResponse(id, length(text)+closing, text)
+	case FaultUnframed:
+		return s.rawResponse(id, closing, text)
+	default:
+		return "\x00\x01 no answer at all\r\n\r\n"
+	}
+}
+
+// length returns the header that frames a body.
+func length(text string) string {
+	return fmt.Sprintf("Content-Length: %d\r\n", len(text))
+}
+
+// rawResponse returns the bytes of a response with the given framing headers.
+func (s *Server) rawResponse(id, framing, text string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\n%s\r\n%s",
+		wire.HeaderRequestID, id, wire.HeaderSignature, s.ID, framing, text)
 }
--- a/standin/emulator/emulator.go
+++ b/standin/emulator/emulator.go
@@ -9,6 +9,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
@@ -22,10 +24,6 @@
 	"github.com/ryeford/ryeford/standin/rowstore"
 )
 
-// reportedSlots is the number of slots in the endpoints' rows. It bounds nothing
-// here.
-const reportedSlots = 64
-
 // An Emulator is the stand-in.
 type Emulator struct {
 	settings *settings.Emulator
@@ -94,8 +92,120 @@
 		Service:       server.Service,
 		Address:       server.Address.String(),
 		FailureDomain: server.FailureDomain,
-		Slots:         reportedSlots,
+		Slots:         appserver.ReportedSlots,
 		State:         state,
 	})
 	return err
 }
+
+// The paths of the admin address.
+const (
+	pathChange = "/fault" // POST: a Change
+	pathRuns   = "/runs"  // GET: how often each request has run
+)
+
+// stateGone in a Change removes an endpoint's row.
+const stateGone = "gone"
+
+// A Change is what a test does to the emulator. Each field may be left out.
+type Change struct {
+	// Store sets what is wrong with the store.
+	Store *rowstore.Fault `json:"store"`
+	// ForgetHistory makes the store forget its changes up to now.
+	ForgetHistory bool `json:"forget_history"`
+	// Configuration is the operators' next configuration.
+	Configuration json.RawMessage `json:"configuration"`
+	// Server is the ID of an endpoint, or empty for all of them. Fault applies to its
+	// next Requests requests, or to all if negative; State is what its row says from
+	// now on.
+	Server   string           `json:"server"`
+	Fault    *appserver.Fault `json:"fault"`
+	Requests int              `json:"requests"`
+	State    string           `json:"state"`
+}
+
+func (e *Emulator) adminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+pathChange, e.serveChange)
+	mux.HandleFunc("GET "+pathRuns, e.serveRuns)
+	return mux
+}
+
+// serveChange makes the change that a test posts.
+func (e *Emulator) serveChange(w http.ResponseWriter, r *http.Request) {
+	var change Change
+	decoder := json.NewDecoder(r.Body)
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&change); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if err := e.apply(&change); err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+	}
+}
+
+func (e *Emulator) apply(change *Change) error {
+	if change.Store != nil {
+		e.store.SetFault(*change.Store)
+	}
+	if len(change.Configuration) > 0 {
+		e.store.Put(wire.TableOperators, wire.KeyConfig, change.Configuration)
+	}
+	if change.ForgetHistory {
+		e.store.ForgetHistory()
+	}
+	for i, server := range e.servers {
+		if change.Server != "" && change.Server != server.ID {
+			continue
+		}
+		if change.Fault != nil {
+			server.SetFault(*change.Fault, change.Requests)
+		}
+		if change.State != "" {
+			if err := e.enter(i, change.State); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// serveRuns answers with how often each request has run, on all endpoints together.
+func (e *Emulator) serveRuns(w http.ResponseWriter, _ *http.Request) {
+	total := make(map[string]int)
+	for _, server := range e.servers {
+		for id, n := range server.AllRuns() {
+			total[id] += n
+		}
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(total) // fails only if the test has gone
+}
+
+// The demo's host and its services. The settings name their endpoints.
+const (
+	demoHost = "dev.example"
+	// DemoModel and DemoNotes are the services of the demo configuration.
+	DemoModel = "model"
+	DemoNotes = "notes"
+)
+
+// DemoConfiguration returns a small configuration for trials, in the platform's JSON,
+// with one client account and its key.
+func DemoConfiguration(key string) []byte {
+	return fmt.Appendf(nil, `{"version":1,
+"routes":[
+{"name":"chat","host":%[1]q,"pathPrefix":"/chat/","kind":"streaming","service":%[2]q,"timeoutMs":15000,"goalMs":500,"maxAttempts":2,"resumable":true,"priority":1},
+{"name":"notes","host":%[1]q,"pathPrefix":"/notes/","kind":"unsafe","service":%[3]q,"timeoutMs":4000,"goalMs":300,"maxAttempts":1,"priority":2}],
+"services":[{"name":%[3]q},{"name":%[2]q,"engine":{"slots":64,"kvCapacity":100000}}],
+"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
+"tenants":[{"name":"demo","apiKeys":[%[4]q]}]}`, demoHost, DemoModel, DemoNotes, key)
+}
+
+// DemoCommand returns a shell command that sends a request with the demo account's
+// key to a router.
+func DemoCommand(callers netip.AddrPort, key string) string {
+	return fmt.Sprintf("curl -sN http://%s/chat/1 -H 'Host: %s' -H '%s: 1' -H 'Authorization: Bearer %s' -d 'good morning'",
+		callers, demoHost, wire.HeaderRequestID, key)
+}
--- a/standin/enginerun.go
+++ b/standin/enginerun.go
@@ -1,9 +1,14 @@
 package standin
 
 import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/ryeford/ryeford"
+	"github.com/ryeford/ryeford/agentfleet/engine"
 	"github.com/ryeford/ryeford/internal/clock"
 )
 
@@ -23,7 +28,6 @@
 	e.decode(r, prompt, &fault, usage)
 }
 
-// recordEnd records when a run ended.
 func (e *engineServer) recordEnd(r *run) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -53,10 +57,7 @@
 
 // decode makes the answer, a token a step, and ends it as the fault says.
 func (e *engineServer) decode(r *run, prompt string, fault *EngineFault, usage *ryeford.Usage) {
-	tokens := r.request.MaxTokens
-	if tokens == 0 {
-		tokens = defaultTokens
-	}
+	tokens := cmp.Or(r.request.MaxTokens, defaultTokens)
 	tag := answerTag(r.chat, r.request.Messages)
 	text := r.request.Prefix
 	for i := countTokens(text); i < tokens; i++ {
@@ -92,3 +93,108 @@
 	}
 	return true
 }
+
+// A run is one attempt that an engine was given, with all events of its answer, so that
+// the answer can be read from any event on.
+type run struct {
+	attempt  ryeford.AttemptID
+	chat     ryeford.ChatID
+	request  engine.CompletionRequest
+	cancel   context.CancelFunc
+	ctx      context.Context
+	affected bool // by the fault
+	record   int  // its index in EngineCounts.Runs
+
+	mu      sync.Mutex
+	events  []engine.CompletionChunk
+	done    bool
+	changed chan struct{}
+}
+
+func newRun(attempt ryeford.AttemptID, chat ryeford.ChatID, request engine.CompletionRequest) *run {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &run{
+		attempt: attempt,
+		chat:    chat,
+		request: request,
+		ctx:     ctx,
+		cancel:  cancel,
+		changed: make(chan struct{}),
+	}
+}
+
+func (r *run) append(event engine.CompletionChunk, last bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.events = append(r.events, event)
+	r.done = r.done || last
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+// from returns the events from an index on, whether they are the last, and
+// what to wait on for more.
+func (r *run) from(index int) ([]engine.CompletionChunk, bool, <-chan struct{}) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.events[min(index, len(r.events)):], r.done, r.changed
+}
+
+// slots bounds how many requests run at once; of those that wait, the one of
+// the highest priority is next.
+type slots struct {
+	mu      sync.Mutex
+	free    int
+	waiting []*waiter
+}
+
+type waiter struct {
+	priority int
+	ready    chan struct{} // closed once the slot is its own
+}
+
+func (s *slots) acquire(ctx context.Context, priority int) error {
+	s.mu.Lock()
+	if s.free > 0 {
+		s.free--
+		s.mu.Unlock()
+		return nil
+	}
+	w := &waiter{priority: priority, ready: make(chan struct{})}
+	at := slices.IndexFunc(s.waiting, func(o *waiter) bool { return o.priority < priority })
+	if at < 0 {
+		at = len(s.waiting)
+	}
+	s.waiting = slices.Insert(s.waiting, at, w)
+	s.mu.Unlock()
+	select {
+	case <-w.ready:
+		return nil
+	case <-ctx.Done():
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if at := slices.Index(s.waiting, w); at >= 0 {
+		s.waiting = slices.Delete(s.waiting, at, at+1)
+		return ctx.Err()
+	}
+	s.handOver()
+	return ctx.Err()
+}
+
+func (s *slots) release() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.handOver()
+}
+
+// handOver passes a slot to the first waiter, or frees it if there is none.
+func (s *slots) handOver() {
+	if len(s.waiting) == 0 {
+		s.free++
+		return
+	}
+	next := s.waiting[0]
+	s.waiting = s.waiting[1:]
+	close(next.ready)
+}
--- a/standin/http.go
+++ b/standin/http.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -25,19 +26,11 @@
 
 // listenAndServe serves a stand-in until ctx ends.
 func listenAndServe(ctx context.Context, address settings.Address, serve fasthttp.RequestHandler) error {
-	listener, err := net.Listen("tcp", address.String())
-	if err != nil {
-		return &Error{Op: "listen", Err: err}
-	}
-	server := &fasthttp.Server{
+	return httpserver.ListenAndServe(ctx, address.AddrPort, &fasthttp.Server{
 		Handler:               serve,
 		NoDefaultServerHeader: true,
 		MaxRequestBodySize:    maxRequestBody,
-	}
-	if err := httpserver.Serve(ctx, listener, server); err != nil {
-		return &Error{Op: "serve", Err: err}
-	}
-	return nil
+	})
 }
 
 // readJSON decodes the request's body, or answers 400.
@@ -49,7 +42,6 @@
 	return true
 }
 
-// writeJSON answers with JSON.
 func writeJSON(ctx *fasthttp.RequestCtx, v any) {
 	body, err := json.Marshal(v)
 	if err != nil {
@@ -65,3 +57,20 @@
 	ctx.HijackSetNoResponse(true)
 	ctx.Hijack(func(c net.Conn) { _ = c.Close() })
 }
+
+// A RunRecord is one run of an engine or a service, as the stand-in saw it. Tests
+// compare these records with what callers were answered.
+type RunRecord struct {
+	Attempt string    `json:"attempt"`
+	Chat    string    `json:"chat,omitempty"`
+	Path    string    `json:"path,omitempty"` // of a service's call, with its query
+	Body    string    `json:"body,omitempty"` // of a service's call
+	At      time.Time `json:"at"`             // when it came
+	// End is when the run ended; zero while it goes on, and at a service.
+	End time.Time `json:"end,omitzero"`
+}
+
+// EngineCounts are the runs of an engine, the oldest first, as it answers at PathRuns.
+type EngineCounts struct {
+	Runs []RunRecord `json:"runs"`
+}
