refactor: join the small files of agentfleet that share one job

Cause: agentfleet had 110 files without tests (66 now), many of 20 to 40 lines with one small type; each repeated the package line and most of its neighbor's imports.

Ruled out: joining the parts of a package that have different jobs (agent/plan.go with gossip.go, router/status.go with operators.go), which saves the same lines and makes a file that has no name.

--- a/agentfleet/agent/admit.go
+++ b/agentfleet/agent/admit.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/ryeford/ryeford"
@@ -93,3 +95,99 @@
 		Incarnation: a.incarnation,
 	}
 }
+
+// maxQueued is how many dispatches may wait at one engine. The runs that set
+// warm_wait had it (commit 17576d5); other values were not measured.
+const maxQueued = 8
+
+// A queue holds the dispatches that wait for an engine's load to fall, those of
+// the highest priority first, and those of one priority in the order of arrival.
+type queue struct {
+	mu      sync.Mutex
+	waiters []*waiter
+}
+
+// A waiter is one dispatch that waits.
+type waiter struct {
+	priority ryeford.Priority
+	ready    chan struct{} // closed when it is the waiter's turn
+}
+
+// enter adds a waiter, or returns nil if the queue is full.
+func (q *queue) enter(priority ryeford.Priority) *waiter {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if len(q.waiters) >= maxQueued {
+		return nil
+	}
+	w := &waiter{priority: priority, ready: make(chan struct{})}
+	at := slices.IndexFunc(q.waiters, func(o *waiter) bool { return o.priority < priority })
+	if at < 0 {
+		at = len(q.waiters)
+	}
+	q.waiters = slices.Insert(q.waiters, at, w)
+	return w
+}
+
+// leave removes a waiter that is still in the queue.
+func (q *queue) leave(w *waiter) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if at := slices.Index(q.waiters, w); at >= 0 {
+		q.waiters = slices.Delete(q.waiters, at, at+1)
+	}
+}
+
+// wake removes the first waiter, which tries again to be admitted.
+func (q *queue) wake() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if len(q.waiters) > 0 {
+		close(q.waiters[0].ready)
+		q.waiters = q.waiters[1:]
+	}
+}
+
+// admitOrWait decides on a dispatch. One that is refused for the load alone waits
+// for a run to end, up to its Wait, if the engine holds the chat's prefix: that
+// takes less time than to build the prefix again elsewhere.
+func (a *Agent) admitOrWait(ctx context.Context, d *wire.Dispatch) (*run, *wire.Refused) {
+	r, refused := a.admit(d)
+	b, ok := a.backends[d.Engine]
+	if refused == nil || !ok || d.Wait <= 0 || !b.isWarm(d) {
+		return r, refused
+	}
+	return a.wait(ctx, b, d, refused)
+}
+
+// wait asks for admission again at each turn in the queue, for as long as the
+// load alone is the reason for the refusal and the dispatch's Wait is not over.
+func (a *Agent) wait(ctx context.Context, b *backend, d *wire.Dispatch, refused *wire.Refused) (*run, *wire.Refused) {
+	began := time.Now()
+	limit := time.NewTimer(d.Wait)
+	defer limit.Stop()
+	var r *run
+	for refused != nil && refused.Reason == ryeford.ReasonOverload {
+		w := b.queue.enter(d.Priority)
+		if w == nil {
+			break
+		}
+		// A run may have ended between the refusal and the entry.
+		if r, refused = a.admit(d); refused == nil {
+			b.queue.leave(w)
+			break
+		}
+		select {
+		case <-w.ready:
+			r, refused = a.admit(d)
+		case <-limit.C:
+			b.queue.leave(w)
+			return nil, refused
+		case <-ctx.Done():
+			b.queue.leave(w)
+			return nil, refused
+		}
+	}
+	a.metrics.Observe("ryeford_warm_wait_seconds", time.Since(began).Seconds())
+	return r, refused
+}
--- a/agentfleet/agent/attempts.go
+++ b/agentfleet/agent/attempts.go
@@ -9,7 +9,6 @@
 )
 
 // attempts remembers which attempts were admitted here and which were given up.
-// The rules are in attemptrules.go.
 type attempts struct {
 	keep time.Duration // how long a finished answer is kept
 	skew time.Duration // by how much the clock may step back
@@ -113,3 +112,100 @@
 	}
 	return count
 }
+
+// The rules of this file make "at most once" and "not run" true. They rest on
+// three facts of package wire: an attempt's id is never used for another request;
+// an agent that restarted has another incarnation and refuses older dispatches; a
+// dispatch's Expires is before its Forget.
+
+// An attemptState is what an agent remembers of an attempt.
+type attemptState int
+
+const (
+	attemptUnseen    attemptState = iota // not admitted here, or forgotten
+	attemptKept                          // admitted; it runs, or its answer is kept
+	attemptRan                           // admitted; its answer is gone
+	attemptTombstone                     // given up before it was admitted
+)
+
+// mayAdmit returns why an attempt may not be admitted; empty if it may.
+//
+// An attempt is admitted unless it was admitted before, was given up, or its
+// dispatch came after it expired: what was remembered of it may be forgotten then.
+func mayAdmit(s attemptState, now, expires time.Time) ryeford.Reason {
+	switch {
+	case s == attemptKept, s == attemptRan:
+		return ryeford.ReasonDuplicate
+	case s == attemptTombstone:
+		return ryeford.ReasonTombstone
+	case now.After(expires):
+		return ryeford.ReasonExpired
+	}
+	return ""
+}
+
+// A verdict is what an agent answers to a join.
+type verdict int
+
+const (
+	verdictRuns    verdict = iota // the run is here
+	verdictRan                    // it ran, but the answer is gone
+	verdictNotRun                 // it did not run and never will
+	verdictUnknown                // it may have run; nothing is remembered any more
+	verdictNotYet                 // it did not run so far (after a peek)
+)
+
+// judge returns the verdict on an attempt at a join.
+//
+// An attempt did not run if it was not admitted and an admission would still be
+// remembered. The caller then has to leave a tombstone, since its dispatch may
+// still be under way. A peek leaves none, so until the attempt expires it proves
+// nothing.
+func judge(s attemptState, now, expires, forget time.Time, peek bool) verdict {
+	switch {
+	case s == attemptKept:
+		return verdictRuns
+	case s == attemptRan:
+		return verdictRan
+	case now.After(later(forget, expires)):
+		return verdictUnknown
+	case peek && !now.After(expires):
+		return verdictNotYet
+	}
+	return verdictNotRun
+}
+
+// refusal returns the refusal of a join that does not get the answer. unknown
+// says that the attempt may have run, or may still.
+func (v verdict) refusal() (reason ryeford.Reason, unknown bool) {
+	switch v {
+	case verdictNotRun:
+		return ryeford.ReasonTombstone, false
+	case verdictNotYet:
+		return ryeford.ReasonRunning, true
+	case verdictUnknown:
+		return ryeford.ReasonExpired, true
+	}
+	return ryeford.ReasonDuplicate, true
+}
+
+// rememberUntil returns until when an admitted attempt is remembered: as long as
+// any router may ask for it or dispatch it again, on a clock that may step back by
+// skew.
+func rememberUntil(expires, forget time.Time, skew time.Duration) time.Time {
+	return later(forget, expires).Add(skew)
+}
+
+// tombstoneUntil returns until when a tombstone is kept: after the attempt has
+// expired, a dispatch is refused without it.
+func tombstoneUntil(expires time.Time, skew time.Duration) time.Time {
+	return expires.Add(skew)
+}
+
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/agentfleet/agent/execute.go
+++ b/agentfleet/agent/execute.go
@@ -2,10 +2,16 @@
 
 import (
 	"context"
+	"errors"
+	"io"
+	"sync"
 	"time"
 
 	"github.com/ryeford/ryeford"
 	"github.com/ryeford/ryeford/agentfleet/answer"
+	"github.com/ryeford/ryeford/agentfleet/engine"
+	"github.com/ryeford/ryeford/agentfleet/wire"
+	"github.com/ryeford/ryeford/settings"
 )
 
 // cancelTimeout bounds the call that cancels a failed run at its engine. Not
@@ -89,3 +95,149 @@
 		_ = a.log.Log("msg", "run not cancelled", "attempt", d.Attempt, "engine", d.Engine, "err", err)
 	}
 }
+
+// A streamError says why a stream ended before the answer did.
+type streamError struct {
+	reason ryeford.Reason
+	notRun bool // the attempt provably did not run
+	err    error
+}
+
+// readAnswer reads one stream of an answer into the run's log. It returns nil
+// once the answer is finished.
+func (a *Agent) readAnswer(r *run, asm *answer.Assembler, open func(context.Context) (ryeford.ChunkReader, error)) *streamError {
+	ctx, cancel := context.WithCancelCause(r.ctx)
+	defer cancel(nil)
+	limits := &a.settings.Limits
+	watchdog := time.AfterFunc(stallLimit(limits, asm.Next() > 0), func() { cancel(errStalled{}) })
+	defer watchdog.Stop()
+	reader, err := open(ctx)
+	if err != nil {
+		return newStreamError(ctx, err, asm.Next() == 0 && engine.NotRun(err))
+	}
+	defer func() { _ = reader.Close() }() // the answer is whole or failed already
+	for !asm.Finished() {
+		chunk, err := reader.Next()
+		if err != nil {
+			return newStreamError(ctx, err, false)
+		}
+		ready := asm.Add(chunk)
+		for i := range ready {
+			ready[i].Offset += r.dispatch.Offset
+			r.log.Append(ready[i])
+		}
+		if len(ready) > 0 {
+			watchdog.Reset(stallLimit(limits, true))
+		}
+	}
+	return nil
+}
+
+// An errStalled is the cause of a stream that was cancelled at its stallLimit.
+type errStalled struct{}
+
+// Error returns the text of the error.
+func (errStalled) Error() string { return "stalled" }
+
+// newStreamError returns the streamError of a failed open or read. A cancelled
+// context is the cause of whatever error came of it.
+func newStreamError(ctx context.Context, err error, notRun bool) *streamError {
+	e := &streamError{reason: ryeford.ReasonEngineLost, notRun: notRun, err: err}
+	switch {
+	case errors.Is(context.Cause(ctx), errStalled{}):
+		e.reason = ryeford.ReasonStalled
+	case ctx.Err() != nil:
+		e.reason = ryeford.ReasonCancelled
+	case errors.Is(err, io.EOF):
+		e.err = io.ErrUnexpectedEOF
+	}
+	return e
+}
+
+// maxResumes is how often an engine whose stream broke or stalled is asked for the
+// rest of the same run. Not measured.
+const maxResumes = 2
+
+// stallLimit returns how long an engine may send nothing new before its stream is
+// given up. begun reports whether a part of the answer has come. Until then the
+// engine may be reading the prompt, which takes longer than a token.
+//
+// The gateway's limit on the first byte only looks the same: there the request goes
+// to another endpoint, here the same engine is asked for the rest.
+func stallLimit(limits *settings.AgentLimits, begun bool) time.Duration {
+	if begun {
+		return limits.BetweenTokens
+	}
+	return limits.FirstToken
+}
+
+// mayResume reports whether the same engine is asked for the rest of a run whose
+// stream ended early: unless the run did not start, was cancelled, or was resumed
+// maxResumes times before. To resume runs nothing twice, so it is allowed for
+// requests that are not repeatable too.
+func mayResume(failure *streamError, resumes int, cancelled bool) bool {
+	return !failure.notRun && !cancelled && resumes < maxResumes
+}
+
+// A run is an attempt that was admitted here. Any number of streams read its
+// answer.
+//
+// A run goes on to its end, whatever becomes of its readers, unless its request is
+// repeatable: then it is cancelled when the caller gives the request up, or when it
+// has had no reader for the grace period, in which a router may join it again.
+type run struct {
+	dispatch *wire.Dispatch
+	backend  *backend
+	log      *answer.Log
+	ctx      context.Context
+	cancel   context.CancelFunc
+	warm     bool
+	load     float64 // of the engine, before the run was admitted
+
+	mu      sync.Mutex
+	readers int
+	idle    *time.Timer // cancels the run at the end of the grace period
+}
+
+// newRun returns a run that has not begun.
+func newRun(d *wire.Dispatch, b *backend, warm bool) *run {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &run{
+		dispatch: d,
+		backend:  b,
+		log:      answer.NewLog(d.Offset),
+		ctx:      ctx,
+		cancel:   cancel,
+		warm:     warm,
+	}
+}
+
+// attach counts a reader of the run and ends the grace period.
+func (r *run) attach() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.readers++
+	if r.idle != nil {
+		r.idle.Stop()
+		r.idle = nil
+	}
+}
+
+// detach counts a reader out. Without the last one, the grace period of a
+// repeatable run begins.
+func (r *run) detach(grace time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.readers--
+	if r.readers > 0 || !r.dispatch.Repeatable {
+		return
+	}
+	r.idle = time.AfterFunc(grace, r.cancel)
+}
+
+// cancelIfRepeatable ends the run if its request may be repeated.
+func (r *run) cancelIfRepeatable() {
+	if r.dispatch.Repeatable {
+		r.cancel()
+	}
+}
--- a/agentfleet/answer/log.go
+++ b/agentfleet/answer/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 
 	"github.com/ryeford/ryeford"
@@ -73,3 +74,16 @@
 	}
 	return l.chunks[index:], l.changed, nil
 }
+
+// An OffsetError says that an answer has no chunk at an offset, and will get none
+// next.
+type OffsetError struct {
+	Offset int64 // that was asked for
+	First  int64 // of the answer's first chunk
+	Next   int64 // after its last chunk so far
+}
+
+// Error returns the text of e.
+func (e *OffsetError) Error() string {
+	return fmt.Sprintf("offset %d is outside the answer's %d to %d", e.Offset, e.First, e.Next)
+}
--- a/agentfleet/placement/choose.go
+++ b/agentfleet/placement/choose.go
@@ -1,9 +1,12 @@
 package placement
 
 import (
+	"cmp"
+	"math"
 	"slices"
 
 	"github.com/ryeford/ryeford"
+	"github.com/ryeford/ryeford/route"
 )
 
 // choose gives each demand its engines: first those that serve its base already, in
@@ -62,3 +65,61 @@
 		return p.Model == b.model && p.Version == b.version
 	})
 }
+
+const (
+	// spareFactor is how many times its part of the engines a pool gets, so that a surge
+	// of its account finds room. Not measured.
+	spareFactor = 2
+
+	// minPoolEngines is the smallest number of engines for a pool, so that one may be
+	// lost. Not measured.
+	minPoolEngines = 2
+)
+
+// assignPools returns the pools of each chosen engine. Each pool of a demand is on some
+// of the demand's engines: poolSize says how many, and rendezvous hashing which.
+func assignPools(engines []Engine, demands []*demand, chosen map[ryeford.EngineID]*demand) map[ryeford.EngineID][]ryeford.Pool {
+	pools := make(map[ryeford.EngineID][]ryeford.Pool)
+	for _, d := range demands {
+		var ids []ryeford.EngineID
+		for i := range engines {
+			if id := engines[i].ID; chosen[id] == d {
+				ids = append(ids, id)
+			}
+		}
+		for _, pool := range sortedPools(d) {
+			size := poolSize(len(ids), d.pools[pool], d.share)
+			for _, id := range rank(ids, pool)[:size] {
+				pools[id] = append(pools[id], pool)
+			}
+		}
+	}
+	return pools
+}
+
+// sortedPools returns a demand's pools in a fixed order.
+func sortedPools(d *demand) []ryeford.Pool {
+	pools := make([]ryeford.Pool, 0, len(d.pools))
+	for p := range d.pools {
+		pools = append(pools, p)
+	}
+	slices.SortFunc(pools, func(a, b ryeford.Pool) int { return cmp.Compare(a.String(), b.String()) })
+	return pools
+}
+
+// poolSize returns how many of a demand's engines serve a pool with a share of the
+// demand's total.
+func poolSize(engines int, share, total float64) int {
+	due := int(math.Ceil(float64(engines) * share / total))
+	return min(max(spareFactor*due, minPoolEngines), engines)
+}
+
+// rank returns the engines in a pool's rendezvous order, the best first.
+func rank(engines []ryeford.EngineID, pool ryeford.Pool) []ryeford.EngineID {
+	ranked := slices.Clone(engines)
+	name := pool.String()
+	slices.SortFunc(ranked, func(a, b ryeford.EngineID) int {
+		return cmp.Compare(route.Score(name, b), route.Score(name, a))
+	})
+	return ranked
+}
--- a/agentfleet/placement/placement.go
+++ b/agentfleet/placement/placement.go
@@ -2,12 +2,15 @@
 // load them.
 //
 // It is a pure function of its input, does no I/O and owns no state: the router that
-// holds the planner's lease calls it. A plan is made in four steps, a file each: how
-// many engines each base model gets (demand.go), which (choose.go), which of a base's
-// pools each of them serves (pools.go), and when it loads them (schedule.go).
+// holds the planner's lease calls it. A plan is made in four steps: how many engines
+// each base model gets (apportion), which (choose), which of a base's pools each of them
+// serves (assignPools), and when it loads them (schedule).
 package placement
 
 import (
+	"cmp"
+	"math"
+	"slices"
 	"time"
 
 	"github.com/ryeford/ryeford"
@@ -64,3 +67,89 @@
 	pools := assignPools(in.Engines, demands, chosen)
 	return schedule(in, chosen, pools)
 }
+
+// A base is what an engine loads as a whole: a model and its version. Adapters
+// are added to it.
+type base struct {
+	model, version string
+}
+
+// A demand is what the templates ask of one base.
+type demand struct {
+	base    base
+	share   float64   // sum of the templates' shares
+	begin   time.Time // of the first event that needs more than runs now, or zero
+	pools   map[ryeford.Pool]float64
+	engines int // how many engines it gets
+}
+
+// horizon returns how long before its begin a template counts: long enough that all
+// engines can load anew, so many at once as the weight store allows.
+func (in *Input) horizon() time.Duration {
+	rounds := (len(in.Engines) + in.ParallelLoads - 1) / in.ParallelLoads
+	return in.Ahead + time.Duration(rounds)*in.LoadTime
+}
+
+// collect returns the demands of the templates that are in force, or that begin so soon
+// that their engines must load now, ordered by base.
+func collect(in *Input) []*demand {
+	byBase := make(map[base]*demand)
+	for i := range in.Templates {
+		t := &in.Templates[i]
+		if t.Begin.After(in.Now.Add(in.horizon())) {
+			continue
+		}
+		b := base{model: t.Model, version: t.ModelTag}
+		d, ok := byBase[b]
+		if !ok {
+			d = &demand{base: b, pools: make(map[ryeford.Pool]float64)}
+			byBase[b] = d
+		}
+		d.share += t.Share
+		d.pools[t.Pool()] += t.Share
+		if t.Begin.After(in.Now) && (d.begin.IsZero() || t.Begin.Before(d.begin)) {
+			d.begin = t.Begin
+		}
+	}
+	demands := make([]*demand, 0, len(byBase))
+	for _, d := range byBase {
+		demands = append(demands, d)
+	}
+	slices.SortFunc(demands, func(a, b *demand) int {
+		return cmp.Or(cmp.Compare(a.base.model, b.base.model), cmp.Compare(a.base.version, b.base.version))
+	})
+	return demands
+}
+
+// apportion divides the engines by share, with at least one for each demand while there
+// are enough, and the rest by largest remainder. If there are fewer engines than
+// demands, the last ones get none.
+func apportion(demands []*demand, engines int) {
+	total := 0.0
+	for _, d := range demands {
+		total += d.share
+	}
+	left := engines
+	for _, d := range demands {
+		d.engines = max(1, int(math.Floor(float64(engines)*d.share/total)))
+		left -= d.engines
+	}
+	byRemainder := slices.Clone(demands)
+	slices.SortStableFunc(byRemainder, func(a, b *demand) int {
+		return cmp.Compare(remainder(b, engines, total), remainder(a, engines, total))
+	})
+	for i := 0; left > 0; i = (i + 1) % len(byRemainder) {
+		byRemainder[i].engines++
+		left--
+	}
+	for left < 0 {
+		largest := slices.MaxFunc(demands, func(a, b *demand) int { return cmp.Compare(a.engines, b.engines) })
+		largest.engines--
+		left++
+	}
+}
+
+// remainder returns by how much a demand's part of the engines exceeds what it got.
+func remainder(d *demand, engines int, total float64) float64 {
+	return float64(engines)*d.share/total - float64(d.engines)
+}
--- a/agentfleet/router/agentlist.go
+++ b/agentfleet/router/agentlist.go
@@ -9,8 +9,12 @@
 
 	"github.com/ryeford/ryeford"
 	"github.com/ryeford/ryeford/agentfleet/decision"
+	"github.com/ryeford/ryeford/agentfleet/plan"
+	"github.com/ryeford/ryeford/agentfleet/template"
 	"github.com/ryeford/ryeford/agentfleet/transport"
+	"github.com/ryeford/ryeford/agentfleet/wire"
 	"github.com/ryeford/ryeford/internal/clock"
+	"github.com/ryeford/ryeford/route"
 )
 
 // An agentList follows the platform's list of VMs, and keeps a connection to each agent
@@ -85,3 +89,173 @@
 func jitter(d time.Duration) time.Duration {
 	return d*3/4 + time.Duration(rand.Int64N(int64(d)/2+1))
 }
+
+const (
+	// dialTimeout bounds one attempt to connect to an agent. Not measured.
+	dialTimeout = 3 * time.Second
+
+	// minRedial and maxRedial bound the time before the next attempt. Not measured.
+	minRedial = 50 * time.Millisecond
+	maxRedial = 2 * time.Second
+
+	// stableAfter is how long a connection must have held for its loss not to count as
+	// flapping. Not measured.
+	stableAfter = 10 * time.Second
+)
+
+// A redial is the backoff between connections to one agent: it doubles from minRedial
+// to maxRedial, and starts again after a connection that held for stableAfter.
+type redial struct {
+	wait time.Duration
+}
+
+// next returns how long to wait after a connection, or an attempt at one, that lasted
+// so long. The wait is still to be jittered.
+func (r *redial) next(lasted time.Duration) time.Duration {
+	if r.wait == 0 || lasted > stableAfter {
+		r.wait = minRedial
+		return r.wait
+	}
+	r.wait = min(2*r.wait, maxRedial)
+	return r.wait
+}
+
+// keepConnected connects to an agent, again and again, until ctx ends.
+func (l *agentList) keepConnected(ctx context.Context, vm ryeford.VM) {
+	var backoff redial
+	for ctx.Err() == nil {
+		began := time.Now()
+		err := l.connect(ctx, vm)
+		wait := backoff.next(time.Since(began))
+		if ctx.Err() == nil {
+			l.decisions.Record("", "decision", "agent_lost", "vm", vm.ID, "failure_domain", vm.FailureDomain, "redial", wait, "err", err)
+		}
+		clock.Sleep(ctx, jitter(wait))
+	}
+}
+
+// connect connects to an agent and follows its inventory until the connection is lost.
+// It always returns an error.
+func (l *agentList) connect(ctx context.Context, vm ryeford.VM) error {
+	conn, err := l.dial(ctx, vm)
+	if err != nil {
+		return err
+	}
+	defer conn.Close("watch ended")
+	stream, err := conn.Open(ctx)
+	if err != nil {
+		return err
+	}
+	stop := context.AfterFunc(ctx, func() { conn.Close("no longer listed") })
+	defer stop()
+	defer l.fleet.remove(vm.ID, conn)
+	go l.gossip.receive(ctx, conn)
+	go l.requests.serve(ctx, conn)
+	if err := stream.Send(&wire.Message{Watch: &wire.Watch{Router: l.vm}}); err != nil {
+		return err
+	}
+	for {
+		m, err := stream.Receive()
+		if err != nil {
+			return err
+		}
+		if m.Inventory != nil {
+			l.updateInventory(vm, conn, m.Inventory)
+		}
+	}
+}
+
+// dial returns a connection to the VM, whose certificate must name it.
+func (l *agentList) dial(ctx context.Context, vm ryeford.VM) (*transport.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := l.dialer.Dial(ctx, vm.Address)
+	if err != nil {
+		return nil, err
+	}
+	if conn.Peer() != vm.ID {
+		conn.Close("watch ended")
+		return nil, &PeerError{Want: vm.ID, Got: conn.Peer()}
+	}
+	return conn, nil
+}
+
+// updateInventory takes an agent's description of itself.
+func (l *agentList) updateInventory(vm ryeford.VM, conn *transport.Conn, inv *wire.Inventory) {
+	l.fleet.put(&agent{vm: vm, conn: conn, inventory: inv})
+	l.gossip.sendTo(conn, &wire.Gossip{}) // so that a new agent need not wait until it is drawn
+	l.decisions.Record("", "decision", "agent", "vm", vm.ID, "failure_domain", inv.FailureDomain,
+		"incarnation", inv.Incarnation, "leaving", inv.Leaving, "engines", len(inv.Engines))
+}
+
+// A PeerError says that another VM answered at an address than the one listed.
+type PeerError struct {
+	Want ryeford.VMID
+	Got  ryeford.VMID
+}
+
+// Error returns the text of e.
+func (e *PeerError) Error() string {
+	return "the address of " + string(e.Want) + " was answered by " + string(e.Got)
+}
+
+// An agentRequests answers what agents ask of a router: for templates, for their part of
+// the plan, and for the engines that take over their chats.
+type agentRequests struct {
+	book  *template.Book
+	plan  *plan.Current
+	fleet *fleet
+}
+
+// serve answers the requests of an agent until the connection ends.
+func (r *agentRequests) serve(ctx context.Context, conn *transport.Conn) {
+	for {
+		stream, err := conn.Accept(ctx)
+		if err != nil {
+			return // the connection ended, which connect logs
+		}
+		go r.serveStream(stream)
+	}
+}
+
+// serveStream answers one request of an agent. If that fails, the stream is closed and
+// the agent sees that it got no answer.
+func (r *agentRequests) serveStream(stream *transport.Stream) {
+	defer stream.Close()
+	m, err := stream.Receive()
+	if err != nil {
+		return
+	}
+	switch {
+	case m.Pull != nil:
+		revision, templates := r.book.Since(m.Pull.Revision)
+		stream.Reply(&wire.Message{Delta: &wire.Delta{Revision: revision, Templates: templates}})
+	case m.PullPlan != nil:
+		stream.Reply(&wire.Message{Plan: r.plan.PartOf(m.PullPlan.VM)})
+	case m.Successors != nil:
+		stream.Reply(&wire.Message{Placements: r.successors(m.Successors)})
+	}
+}
+
+// successors returns where the chats of a VM that is leaving go next: the first of each
+// chat's order that is connected and on another VM. A chat without one gets an empty
+// placement.
+func (r *agentRequests) successors(s *wire.Successors) *wire.Placements {
+	answer := &wire.Placements{Placements: make([]wire.Placement, len(s.Chats))}
+	set := r.fleet.pool(s.Pool)
+	if set == nil {
+		return answer
+	}
+	var ranking route.Ranking
+	for i, chat := range s.Chats {
+		set.Rank(route.ChatHash(chat.Account, chat.Chat), route.MaxCandidates, &ranking)
+		for _, index := range ranking.Index[:ranking.Len] {
+			target := set.Target(int(index))
+			if a, ok := r.fleet.vm(target.VM); ok && target.VM != s.Leaving {
+				answer.Placements[i] = wire.Placement{Engine: target.Engine, Address: a.vm.Address.String()}
+				break
+			}
+		}
+	}
+	return answer
+}
--- a/agentfleet/router/failure.go
+++ b/agentfleet/router/failure.go
@@ -1,15 +1,20 @@
 package router
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"math"
+	"net"
+	"net/netip"
 	"strconv"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"github.com/ryeford/ryeford"
 	"github.com/ryeford/ryeford/agentfleet/template"
+	"github.com/ryeford/ryeford/internal/httpserver"
 )
 
 // An errorBody is the JSON of a failure.
@@ -108,3 +113,83 @@
 	ctx.SetContentType("application/json")
 	ctx.SetBody(content)
 }
+
+// A ProtocolError says that an agent's message is no reply to what it was sent.
+type ProtocolError struct{}
+
+// Error returns the text of e.
+func (e *ProtocolError) Error() string { return "unexpected message" }
+
+// An EngineError carries what an engine, or its agent, said of a failure.
+type EngineError struct {
+	Text string
+}
+
+// Error returns the text of e.
+func (e *EngineError) Error() string { return e.Text }
+
+// reasonOf returns the reason of a failure.
+func reasonOf(err error) ryeford.Reason {
+	var unknown *ryeford.MayHaveRunError
+	if errors.As(err, &unknown) {
+		return unknown.Reason
+	}
+	var notRun *ryeford.NotRunError
+	if errors.As(err, &notRun) {
+		return notRun.Reason
+	}
+	return ryeford.ReasonEngineError
+}
+
+const (
+	// readTimeout bounds how long a client may take to send a request. Not measured.
+	readTimeout = 30 * time.Second
+
+	// idleTimeout is how long a connection without a request is kept. Not measured.
+	idleTimeout = 2 * time.Minute
+)
+
+// serveHTTP runs an HTTP server, for bodies of maxBody bytes at most, until ctx ends. Its
+// error is a *ListenError.
+func serveHTTP(ctx context.Context, address netip.AddrPort, maxBody int, handler fasthttp.RequestHandler) error {
+	listener, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return &ListenError{Address: address, Err: err}
+	}
+	server := &fasthttp.Server{
+		Handler:               handler,
+		MaxRequestBodySize:    maxBody,
+		NoDefaultServerHeader: true,
+		ReadTimeout:           readTimeout,
+		IdleTimeout:           idleTimeout,
+		ErrorHandler: func(ctx *fasthttp.RequestCtx, err error) {
+			writeError(ctx, "", newBadRequest(err, maxBody))
+		},
+	}
+	if err := httpserver.Serve(ctx, listener, server); err != nil {
+		return &ListenError{Address: address, Err: err}
+	}
+	return nil
+}
+
+// A ListenError says that a server could not run at its address.
+type ListenError struct {
+	Address netip.AddrPort
+	Err     error
+}
+
+// Error returns the text of e.
+func (e *ListenError) Error() string { return "serve " + e.Address.String() + ": " + e.Err.Error() }
+
+// Unwrap returns the cause of e.
+func (e *ListenError) Unwrap() error { return e.Err }
+
+// newBadRequest returns the failure of a request that is not HTTP, or is too large.
+func newBadRequest(err error, maxBody int) *ryeford.InputError {
+	problem := &ryeford.InputError{Field: "request", Problem: "not a valid HTTP request", Status: fasthttp.StatusBadRequest}
+	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
+		problem.Problem = "body larger than " + strconv.Itoa(maxBody) + " bytes"
+		problem.Status = fasthttp.StatusRequestEntityTooLarge
+	}
+	return problem
+}
--- a/agentfleet/router/planner.go
+++ b/agentfleet/router/planner.go
@@ -1,8 +1,12 @@
 package router
 
 import (
+	"cmp"
 	"context"
+	"encoding/json"
 	"errors"
+	"fmt"
+	"slices"
 	"time"
 
 	"github.com/go-kit/log"
@@ -111,3 +115,169 @@
 
 // Unwrap returns the cause of e.
 func (e *PlanError) Unwrap() error { return e.Err }
+
+// Where plans are stored: each as an object, and in one row which is current.
+const (
+	rowPlan        = "plan/current"
+	planObjectName = "plan-%d-%d" // epoch, sequence
+)
+
+// A planPointer is the row that says which plan is current.
+type planPointer struct {
+	Epoch    int64  `json:"epoch"`
+	Sequence int64  `json:"sequence"`
+	Object   string `json:"object"`
+}
+
+// readPointer returns the row that names the current plan, and its version.
+func (p *planner) readPointer(ctx context.Context) (planPointer, int64, error) {
+	var pointer planPointer
+	rows, err := p.table.Get(ctx, rowPlan)
+	if err != nil || rows[0].Version == 0 {
+		return pointer, 0, err
+	}
+	if err := json.Unmarshal(rows[0].Value, &pointer); err != nil {
+		return pointer, 0, &PlanError{Op: "read the current plan's row", Err: err}
+	}
+	return pointer, rows[0].Version, nil
+}
+
+// follow reads the plan that a row names, if it is newer than the one known here.
+func (p *planner) follow(ctx context.Context, pointer planPointer) error {
+	if !p.plan.OlderThan(pointer.Epoch, pointer.Sequence) {
+		return nil
+	}
+	content, err := p.objects.GetObject(ctx, pointer.Object)
+	if err != nil {
+		return err
+	}
+	plan := &ryeford.Plan{}
+	if err := json.Unmarshal(content, plan); err != nil {
+		return &PlanError{Op: "read plan " + pointer.Object, Err: err}
+	}
+	p.plan.Set(plan)
+	return nil
+}
+
+// publish makes a plan, and makes it current if it says something new.
+func (p *planner) publish(ctx context.Context, held *lease.Held, pointer planPointer, version int64) error {
+	out := placement.Plan(p.input())
+	if !worthPublishing(p.plan.Get(), out.Assignments) {
+		return nil
+	}
+	plan := &ryeford.Plan{Epoch: held.Epoch, Sequence: pointer.Sequence + 1, Assignments: out.Assignments}
+	object, err := p.putObject(ctx, plan)
+	if err != nil {
+		return err
+	}
+	err = p.makeCurrent(ctx, held, planPointer{Epoch: plan.Epoch, Sequence: plan.Sequence, Object: object}, version)
+	p.decisions.Record("", "decision", "place", "epoch", plan.Epoch, "sequence", plan.Sequence,
+		"assignments", len(plan.Assignments), "moves", out.Moves, "late", out.Late, "accepted", err == nil, "err", err)
+	if err != nil {
+		return err
+	}
+	p.plan.Set(plan)
+	return nil
+}
+
+// putObject stores a plan and returns the object's name.
+func (p *planner) putObject(ctx context.Context, plan *ryeford.Plan) (string, error) {
+	content, err := json.Marshal(plan)
+	if err != nil {
+		return "", &PlanError{Op: "write plan", Err: err}
+	}
+	object := fmt.Sprintf(planObjectName, plan.Epoch, plan.Sequence)
+	return object, p.objects.PutObject(ctx, object, content)
+}
+
+// makeCurrent points the row to a plan and renews the lease, in one transaction. It
+// fails if the lease was taken over or the row changed since they were read, so that a
+// holder that was paused changes nothing.
+func (p *planner) makeCurrent(ctx context.Context, held *lease.Held, pointer planPointer, version int64) error {
+	value, err := json.Marshal(&pointer)
+	if err != nil {
+		return &PlanError{Op: "write plan", Err: err}
+	}
+	renewal, err := held.Renewal()
+	if err != nil {
+		return err
+	}
+	_, err = p.table.Transact(ctx, renewal, ryeford.Write{Key: rowPlan, Value: value, IfVersion: version})
+	return err
+}
+
+// worthPublishing reports whether assignments differ from the current plan's in what an
+// engine serves. Other start times alone make no new plan, and a plan without any
+// assignment is no plan: no template or no engine is known.
+func worthPublishing(current *ryeford.Plan, next []ryeford.Assignment) bool {
+	if len(next) == 0 || current == nil {
+		return len(next) > 0
+	}
+	return !slices.EqualFunc(current.Assignments, next, func(a, b ryeford.Assignment) bool {
+		return a.Engine == b.Engine && slices.Equal(a.Pools, b.Pools)
+	})
+}
+
+// Which engines a plan is made for.
+//
+// An engine counts while its agent is connected, and for planner.patience after its
+// connection was lost, so that a VM that flaps, or a router that starts, moves nothing.
+// An engine of a VM that is leaving does not count from then on. What the current plan
+// says of an engine counts as what it serves: a load that is under way is kept.
+
+// recentEngines are the engines whose agents are connected, or were a short while ago.
+type recentEngines map[ryeford.EngineID]recentEngine
+
+// A recentEngine is an engine as it was when its agent was connected last.
+type recentEngine struct {
+	engine placement.Engine
+	at     time.Time
+}
+
+// update takes the engines that are connected now and drops those that count no more.
+// It returns those that count, ordered by id.
+func (r recentEngines) update(now time.Time, connected []placement.Engine, leaving map[ryeford.VMID]bool, patience time.Duration) []placement.Engine {
+	for _, e := range connected {
+		r[e.ID] = recentEngine{engine: e, at: now}
+	}
+	var engines []placement.Engine
+	for id, e := range r {
+		if leaving[e.engine.VM] || now.Sub(e.at) > patience {
+			delete(r, id)
+			continue
+		}
+		engines = append(engines, e.engine)
+	}
+	slices.SortFunc(engines, func(a, b placement.Engine) int { return cmp.Compare(a.ID, b.ID) })
+	return engines
+}
+
+// placeable returns the model engines of connected agents, with what they serve or are
+// to serve by the plan, and the VMs that are leaving. Instances of plain services are
+// not placed.
+func placeable(agents []*agent, plan *ryeford.Plan) (engines []placement.Engine, leaving map[ryeford.VMID]bool) {
+	planned := make(map[ryeford.EngineID][]ryeford.Pool)
+	if plan != nil {
+		for _, a := range plan.Assignments {
+			planned[a.Engine] = a.Pools
+		}
+	}
+	leaving = make(map[ryeford.VMID]bool)
+	for _, a := range agents {
+		if a.leaving() {
+			leaving[a.vm.ID] = true
+			continue
+		}
+		for _, e := range a.inventory.Engines {
+			if e.Service != "" {
+				continue
+			}
+			pools, ok := planned[e.ID]
+			if !ok {
+				pools = e.Pools
+			}
+			engines = append(engines, placement.Engine{ID: e.ID, VM: a.vm.ID, Domain: a.inventory.FailureDomain, Pools: pools})
+		}
+	}
+	return engines, leaving
+}
--- a/agentfleet/router/router.go
+++ b/agentfleet/router/router.go
@@ -14,8 +14,8 @@
 //
 // A request goes from callers.go through parse.go to an exchange (exchange.go), which
 // dispatches it (dispatch.go), receives the answer (receive.go) and recovers it
-// (recover.go, join.go); one with an idempotency key that must not run twice is claimed
-// first (claimed.go). What all exchanges share is in forwarder.go. The rules are functions
+// (recover.go); one with an idempotency key that must not run twice is claimed
+// first (claimed.go). What all exchanges share is a forwarder. The rules are functions
 // without I/O: afterFailure and finalError in retry.go, afterLostStream in recover.go,
 // afterClaim in claimed.go, mayWait and mayRedirect in dispatch.go, redirected in
 // candidates.go, newErrorBody in failure.go, ready in readiness.go. docs/decisions.md
--- a/agentfleet/template/book.go
+++ b/agentfleet/template/book.go
@@ -9,6 +9,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 	"sync"
 
 	"github.com/ryeford/ryeford"
@@ -137,3 +138,21 @@
 	}
 	return found, found != nil
 }
+
+// A Name names a template.
+type Name struct {
+	Account ryeford.AccountID
+	Name    string
+}
+
+// String returns the name as ACCOUNT/NAME.
+func (n Name) String() string { return string(n.Account) + "/" + n.Name }
+
+// ParseName returns the name that ACCOUNT/NAME means.
+func ParseName(text string) (Name, error) {
+	account, name, ok := strings.Cut(text, "/")
+	if !ok || account == "" || name == "" || strings.Contains(name, "/") {
+		return Name{}, &ryeford.InputError{Field: "template", Problem: "want ACCOUNT/NAME"}
+	}
+	return Name{Account: ryeford.AccountID(account), Name: name}, nil
+}
--- a/agentfleet/transport/dialer.go
+++ b/agentfleet/transport/dialer.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"net"
 	"net/netip"
+	"time"
 
 	"github.com/quic-go/quic-go"
 
@@ -49,3 +50,65 @@
 	}
 	return err
 }
+
+// A Listener accepts connections on a UDP socket of its own.
+type Listener struct {
+	quic *quic.Listener
+}
+
+// Listen returns a Listener on a UDP address; port 0 is any free one.
+func Listen(address netip.AddrPort, tlsConfig *tls.Config, s *settings.Transport) (*Listener, error) {
+	l, err := quic.ListenAddr(address.String(), tlsConfig, newQUICConfig(s))
+	if err != nil {
+		return nil, &Error{Op: "listen", Address: address, Err: err}
+	}
+	return &Listener{quic: l}, nil
+}
+
+// Accept returns the next connection whose peer proved its identity.
+func (l *Listener) Accept(ctx context.Context) (*Conn, error) {
+	c, err := l.quic.Accept(ctx)
+	if err != nil {
+		return nil, &Error{Op: "accept", Err: err}
+	}
+	return newConn(c), nil
+}
+
+// Address returns the address that l listens on.
+func (l *Listener) Address() netip.AddrPort {
+	return l.quic.Addr().(*net.UDPAddr).AddrPort()
+}
+
+// Close closes the listener and its connections.
+func (l *Listener) Close() error { return l.quic.Close() }
+
+// protocol is the name of the protocol in the TLS handshake.
+const protocol = "ryeford/1"
+
+// The bounds of a connection. None is measured.
+const (
+	handshakeTimeout = 3 * time.Second
+	maxStreams       = 1 << 16   // that a peer may have open at once
+	streamWindow     = 64 << 10  // bytes of a stream in flight, at first
+	connectionWindow = 256 << 10 // bytes of all streams in flight, at first
+	maxWindow        = 8 << 20   // bytes up to which both may grow
+)
+
+// newQUICConfig returns the QUIC settings of both ends. What the keep-alives of idle
+// connections cost: docs/CAPACITY.md, S10 and S11.
+func newQUICConfig(s *settings.Transport) *quic.Config {
+	return &quic.Config{
+		HandshakeIdleTimeout:           handshakeTimeout,
+		MaxIdleTimeout:                 s.IdleTimeout,
+		KeepAlivePeriod:                s.KeepAlive,
+		MaxIncomingStreams:             maxStreams,
+		InitialStreamReceiveWindow:     streamWindow,
+		MaxStreamReceiveWindow:         maxWindow,
+		InitialConnectionReceiveWindow: connectionWindow,
+		MaxConnectionReceiveWindow:     maxWindow,
+		EnableDatagrams:                true,
+		// Messages are small, and each probe for a larger packet goes along with a
+		// keep-alive of an idle connection.
+		DisablePathMTUDiscovery: true,
+	}
+}
--- a/agentfleet/wire/gossip.go
+++ b/agentfleet/wire/gossip.go
@@ -46,3 +46,78 @@
 type PullPlan struct {
 	VM ryeford.VMID `cbor:"1,keyasint"`
 }
+
+// A Successors asks a router for the next candidates of chats whose engine
+// is leaving.
+type Successors struct {
+	Pool    ryeford.Pool `cbor:"1,keyasint"` // that served the chats
+	Chats   []ChatKey    `cbor:"2,keyasint"`
+	Leaving ryeford.VMID `cbor:"3,keyasint"` // no candidate is on it
+}
+
+// A ChatKey names a chat among those of all accounts.
+type ChatKey struct {
+	Account ryeford.AccountID `cbor:"1,keyasint"`
+	Chat    ryeford.ChatID    `cbor:"2,keyasint"`
+}
+
+// A Placement is the next candidate of one chat.
+type Placement struct {
+	Engine ryeford.EngineID `cbor:"1,keyasint"`
+	// Address is that of the engine's agent, as IP:port.
+	Address string `cbor:"2,keyasint"`
+}
+
+// Placements answers Successors, in the order of its chats. An empty engine means
+// that there is no candidate.
+type Placements struct {
+	Placements []Placement `cbor:"1,keyasint"`
+}
+
+// An Import hands a chat's KV cache to another engine.
+type Import struct {
+	Engine ryeford.EngineID `cbor:"1,keyasint"`
+	Chat   ChatKey          `cbor:"2,keyasint"`
+	Cache  []byte           `cbor:"3,keyasint"` // as the engine exported it
+	Pool   ryeford.Pool     `cbor:"4,keyasint"` // that served the chat
+}
+
+// A Watch asks an agent for its inventory, now and at each change.
+type Watch struct {
+	Router ryeford.VMID `cbor:"1,keyasint"` // that asks
+}
+
+// An EngineState is the state of one engine or service of an agent's VM.
+type EngineState struct {
+	ID ryeford.EngineID `cbor:"1,keyasint"`
+	// Service is the name of a service; empty for an engine.
+	Service string `cbor:"2,keyasint,omitempty"`
+	// Pools are what an engine has loaded; none if it does not answer.
+	Pools []ryeford.Pool `cbor:"3,keyasint,omitempty"`
+	Load  float64        `cbor:"4,keyasint"` // in requests
+}
+
+// An Inventory is the state of an agent.
+type Inventory struct {
+	VM            ryeford.VMID        `cbor:"1,keyasint"`
+	Incarnation   ryeford.Incarnation `cbor:"2,keyasint"`
+	FailureDomain string              `cbor:"3,keyasint"`
+	Leaving       bool                `cbor:"4,keyasint"`
+	Engines       []EngineState       `cbor:"5,keyasint"`
+}
+
+// An Explain asks an agent for its decisions on a request.
+type Explain struct {
+	Request ryeford.RequestID `cbor:"1,keyasint"`
+}
+
+// Decisions holds the log lines of decisions, in logfmt and in the order of time.
+type Decisions struct {
+	Lines []string `cbor:"1,keyasint"`
+}
+
+// A Leave makes an agent drain: an operator stops its VM.
+type Leave struct{}
+
+// A Done confirms a message that has no other answer.
+type Done struct{}
