refactor: one list of what the parts of a router share

Ruled out: all parts as methods of Router.

Change: the parts embed *shared. agentRequests, whose three fields it holds, became methods of agentList, which alone used it; drain became methods of Router, as the agent's drain is of Agent, and the count of requests in flight went to readiness.

Tests: newTestRouter and TestFlappingMovesNothing fill a shared instead of the fields; their assertions are the same.

--- a/agentfleet/router/agentlist.go
+++ b/agentfleet/router/agentlist.go
@@ -5,12 +5,7 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/go-kit/log"
-
 	"github.com/ryeford/ryeford"
-	"github.com/ryeford/ryeford/agentfleet/decision"
-	"github.com/ryeford/ryeford/agentfleet/plan"
-	"github.com/ryeford/ryeford/agentfleet/template"
 	"github.com/ryeford/ryeford/agentfleet/transport"
 	"github.com/ryeford/ryeford/agentfleet/wire"
 	"github.com/ryeford/ryeford/internal/clock"
@@ -21,28 +16,22 @@
 // on it. The list only says which VMs there are: whether one can serve is seen from its
 // connection.
 type agentList struct {
-	vm        ryeford.VMID // of this router
-	vms       ryeford.VMList
-	interval  time.Duration // between reads of the list, before jitter
-	dialer    *transport.Dialer
-	fleet     *fleet
-	gossip    *agentGossip
-	requests  *agentRequests
-	decisions *decision.Log
-	log       log.Logger
+	*shared
+	dialer *transport.Dialer
+	gossip *agentGossip
 }
 
 // run reads the list until ctx ends.
 func (l *agentList) run(ctx context.Context) error {
 	watches := make(map[ryeford.VMID]*watch)
 	for {
-		vms, err := l.vms.VMs(ctx)
+		vms, err := l.platform.VMs(ctx)
 		if err == nil {
 			l.updateWatches(ctx, watches, vms)
 		} else if ctx.Err() == nil {
 			_ = l.log.Log("msg", "list of VMs not read", "err", err)
 		}
-		if !clock.Sleep(ctx, jitter(l.interval)) {
+		if !clock.Sleep(ctx, jitter(l.settings.Polls.VMList)) {
 			return nil
 		}
 	}
@@ -150,8 +139,8 @@
 	defer stop()
 	defer l.fleet.remove(vm.ID, conn)
 	go l.gossip.receive(ctx, conn)
-	go l.requests.serve(ctx, conn)
-	if err := stream.Send(&wire.Message{Watch: &wire.Watch{Router: l.vm}}); err != nil {
+	go l.serveAgent(ctx, conn)
+	if err := stream.Send(&wire.Message{Watch: &wire.Watch{Router: l.settings.VM}}); err != nil {
 		return err
 	}
 	for {
@@ -199,28 +188,21 @@
 	return "the address of " + string(e.Want) + " was answered by " + string(e.Got)
 }
 
-// An agentRequests answers what agents ask of a router: for templates, for their part of
-// the plan, and for the engines that take over their chats.
-type agentRequests struct {
-	book  *template.Book
-	plan  *plan.Current
-	fleet *fleet
-}
-
-// serve answers the requests of an agent until the connection ends.
-func (r *agentRequests) serve(ctx context.Context, conn *transport.Conn) {
+// serveAgent answers the requests of an agent until the connection ends.
+func (l *agentList) serveAgent(ctx context.Context, conn *transport.Conn) {
 	for {
 		stream, err := conn.Accept(ctx)
 		if err != nil {
 			return // the connection ended, which connect logs
 		}
-		go r.serveStream(stream)
+		go l.serveStream(stream)
 	}
 }
 
-// serveStream answers one request of an agent. If that fails, the stream is closed and
+// serveStream answers one request of an agent: for templates, for its part of the plan,
+// or for the engines that take over its chats. If that fails, the stream is closed and
 // the agent sees that it got no answer.
-func (r *agentRequests) serveStream(stream *transport.Stream) {
+func (l *agentList) serveStream(stream *transport.Stream) {
 	defer stream.Close()
 	m, err := stream.Receive()
 	if err != nil {
@@ -228,21 +210,21 @@
 	}
 	switch {
 	case m.Pull != nil:
-		revision, templates := r.book.Since(m.Pull.Revision)
+		revision, templates := l.book.Since(m.Pull.Revision)
 		stream.Reply(&wire.Message{Delta: &wire.Delta{Revision: revision, Templates: templates}})
 	case m.PullPlan != nil:
-		stream.Reply(&wire.Message{Plan: r.plan.PartOf(m.PullPlan.VM)})
+		stream.Reply(&wire.Message{Plan: l.plan.PartOf(m.PullPlan.VM)})
 	case m.Successors != nil:
-		stream.Reply(&wire.Message{Placements: r.successors(m.Successors)})
+		stream.Reply(&wire.Message{Placements: l.successors(m.Successors)})
 	}
 }
 
 // successors returns where the chats of a VM that is leaving go next: the first of each
 // chat's order that is connected and on another VM. A chat without one gets an empty
 // placement.
-func (r *agentRequests) successors(s *wire.Successors) *wire.Placements {
+func (l *agentList) successors(s *wire.Successors) *wire.Placements {
 	answer := &wire.Placements{Placements: make([]wire.Placement, len(s.Chats))}
-	set := r.fleet.pool(s.Pool)
+	set := l.fleet.pool(s.Pool)
 	if set == nil {
 		return answer
 	}
@@ -251,7 +233,7 @@
 		set.Rank(route.ChatHash(chat.Account, chat.Chat), route.MaxCandidates, &ranking)
 		for _, index := range ranking.Index[:ranking.Len] {
 			target := set.Target(int(index))
-			if a, ok := r.fleet.vm(target.VM); ok && target.VM != s.Leaving {
+			if a, ok := l.fleet.vm(target.VM); ok && target.VM != s.Leaving {
 				answer.Placements[i] = wire.Placement{Engine: target.Engine, Address: a.vm.Address.String()}
 				break
 			}
--- a/agentfleet/router/callers.go
+++ b/agentfleet/router/callers.go
@@ -9,10 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/ryeford/ryeford"
-	"github.com/ryeford/ryeford/agentfleet/template"
-	"github.com/ryeford/ryeford/internal/telemetry"
 	"github.com/ryeford/ryeford/retry"
-	"github.com/ryeford/ryeford/settings"
 )
 
 // The headers that callers use.
@@ -43,13 +40,8 @@
 // A callerHandler serves callers' HTTP: it parses a request, and has an exchange find the
 // answer.
 type callerHandler struct {
-	limits    *settings.RouterLimits
-	book      *template.Book
-	fleet     *fleet
-	readiness *readiness
-	drain     *drain
+	*shared
 	forwarder *forwarder
-	metrics   *telemetry.Set
 }
 
 // serve answers one request of a caller or of the load balancer.
@@ -101,7 +93,7 @@
 		writeError(ctx, req.id, err)
 		return
 	}
-	h.drain.inFlight.Add(1)
+	h.readiness.inFlight.Add(1)
 	began := time.Now()
 	work, cancel := context.WithDeadline(context.Background(), req.deadline)
 	x := h.forwarder.newExchange(req)
@@ -119,7 +111,7 @@
 func (h *callerHandler) finish(x *exchange, cancel context.CancelFunc) {
 	x.stream.close()
 	cancel()
-	h.drain.inFlight.Add(-1)
+	h.readiness.inFlight.Add(-1)
 }
 
 // serveResume goes on with an answer that the caller has a part of.
@@ -139,7 +131,7 @@
 		writeError(ctx, req.id, err)
 		return
 	}
-	h.drain.inFlight.Add(1)
+	h.readiness.inFlight.Add(1)
 	work, cancel := context.WithDeadline(context.Background(), req.deadline)
 	x := h.forwarder.resumeExchange(req, last)
 	if err := x.resume(work); err != nil {
--- a/agentfleet/router/callers_test.go
+++ b/agentfleet/router/callers_test.go
@@ -18,15 +18,17 @@
 // newTestRouter returns a router with one account and no engine.
 func newTestRouter() *Router {
 	fleet := newFleet()
-	r := &Router{
-		settings:  settings.DefaultRouter(),
+	s := settings.DefaultRouter()
+	r := &Router{shared: shared{
+		settings:  s,
+		limits:    &s.Limits,
 		book:      template.NewBook(),
 		fleet:     fleet,
 		loads:     newLoads(),
 		readiness: &readiness{fleet: fleet},
 		metrics:   telemetry.NewSet(),
 		decisions: decision.NewLog(log.NewNopLogger()),
-	}
+	}}
 	r.addCallers()
 	r.readiness.synced.Store(true)
 	r.book.Apply(0, 1, []ryeford.Template{{
--- a/agentfleet/router/exchange.go
+++ b/agentfleet/router/exchange.go
@@ -4,14 +4,11 @@
 	"context"
 	"time"
 
-	"github.com/go-kit/log"
 	"github.com/google/uuid"
 
 	"github.com/ryeford/ryeford"
 	"github.com/ryeford/ryeford/agentfleet/claim"
-	"github.com/ryeford/ryeford/agentfleet/decision"
 	"github.com/ryeford/ryeford/agentfleet/load"
-	"github.com/ryeford/ryeford/internal/telemetry"
 	"github.com/ryeford/ryeford/retry"
 	"github.com/ryeford/ryeford/route"
 	"github.com/ryeford/ryeford/settings"
@@ -191,20 +188,13 @@
 	}
 }
 
-// A forwarder is what all exchanges share: what is known of the engines, the
-// connections to their agents, and the accounts' budgets. It owns the suspects and the
-// budgets.
+// A forwarder is what all exchanges share. It owns the suspects and the budgets.
 type forwarder struct {
-	limits    *settings.RouterLimits
-	fleet     *fleet
-	loads     *loads
-	suspects  *suspects
-	claims    *claim.Claims
-	budgets   budgets
-	gossip    *agentGossip
-	decisions *decision.Log
-	log       log.Logger
-	metrics   *telemetry.Set
+	*shared
+	gossip   *agentGossip
+	claims   *claim.Claims
+	suspects *suspects
+	budgets  budgets
 }
 
 // newExchange returns the exchange that serves a request.
--- a/agentfleet/router/gossip.go
+++ b/agentfleet/router/gossip.go
@@ -5,10 +5,7 @@
 	"time"
 
 	"github.com/ryeford/ryeford"
-	"github.com/ryeford/ryeford/agentfleet/decision"
 	"github.com/ryeford/ryeford/agentfleet/gossip"
-	"github.com/ryeford/ryeford/agentfleet/plan"
-	"github.com/ryeford/ryeford/agentfleet/template"
 	"github.com/ryeford/ryeford/agentfleet/transport"
 	"github.com/ryeford/ryeford/agentfleet/wire"
 )
@@ -16,20 +13,14 @@
 // An agentGossip exchanges datagrams with the agents: it sends them the revision of the
 // templates, the plan's version, and where a chat went, and takes their loads.
 type agentGossip struct {
-	vm        ryeford.VMID  // of this router
-	interval  time.Duration // between datagrams while nothing changes
-	book      *template.Book
-	plan      *plan.Current
-	fleet     *fleet
-	loads     *loads
-	control   *transport.ControlLimiter
-	decisions *decision.Log
+	*shared
+	control *transport.ControlLimiter
 }
 
 // run sends the revision and the plan to agents until ctx ends.
 func (g *agentGossip) run(ctx context.Context) error {
 	loop := &gossip.Loop{
-		Interval:    g.interval,
+		Interval:    g.settings.Transport.GossipInterval,
 		Book:        g.book,
 		Decisions:   g.decisions,
 		PlanChanged: g.plan.Changed,
@@ -56,7 +47,7 @@
 
 // sendTo sends one datagram, with the revision and the plan that are known here.
 func (g *agentGossip) sendTo(conn *transport.Conn, m *wire.Gossip) {
-	m.VM = g.vm
+	m.VM = g.settings.VM
 	m.Revision = g.book.Revision()
 	m.PlanEpoch, m.PlanSequence = g.plan.Version()
 	gossip.Send(g.control, m, conn)
--- a/agentfleet/router/operators.go
+++ b/agentfleet/router/operators.go
@@ -9,12 +9,9 @@
 	"strings"
 	"time"
 
-	"github.com/go-kit/log"
 	"github.com/valyala/fasthttp"
 
 	"github.com/ryeford/ryeford"
-	"github.com/ryeford/ryeford/agentfleet/decision"
-	"github.com/ryeford/ryeford/agentfleet/plan"
 	"github.com/ryeford/ryeford/agentfleet/template"
 	"github.com/ryeford/ryeford/agentfleet/wire"
 )
@@ -38,19 +35,7 @@
 // An operatorHandler serves operators' HTTP: templates, planned stops, and what this
 // router knows.
 type operatorHandler struct {
-	key       string       // the operators' bearer token
-	vm        ryeford.VMID // of this router
-	domain    string       // its failure domain
-	vms       ryeford.VMList
-	templates *template.Store
-	book      *template.Book
-	plan      *plan.Current
-	fleet     *fleet
-	loads     *loads
-	readiness *readiness
-	drain     *drain
-	decisions *decision.Log
-	log       log.Logger
+	*shared
 }
 
 // serve answers one request of an operator.
@@ -78,7 +63,7 @@
 // isOperator checks the operators' key in constant time.
 func (h *operatorHandler) isOperator(ctx *fasthttp.RequestCtx) bool {
 	got := sha256.Sum256(ctx.Request.Header.Peek("Authorization"))
-	want := sha256.Sum256([]byte(bearerPrefix + h.key))
+	want := sha256.Sum256([]byte(bearerPrefix + h.settings.OperatorKey))
 	return subtle.ConstantTimeCompare(got[:], want[:]) == 1
 }
 
@@ -174,7 +159,7 @@
 // orders the agent there, if there is one, to leave at once. If the agent does not
 // answer, it reads the list itself.
 func (h *operatorHandler) stopVM(ctx context.Context, id ryeford.VMID) (*ryeford.VM, error) {
-	vms, err := h.vms.VMs(ctx)
+	vms, err := h.platform.VMs(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -184,7 +169,7 @@
 	}
 	vm := vms[at]
 	vm.State = ryeford.VMLeaving
-	if err := h.vms.PutVM(ctx, vm); err != nil {
+	if err := h.platform.PutVM(ctx, vm); err != nil {
 		return nil, err
 	}
 	h.fleet.setVM(vm)
--- a/agentfleet/router/planner.go
+++ b/agentfleet/router/planner.go
@@ -9,16 +9,10 @@
 	"slices"
 	"time"
 
-	"github.com/go-kit/log"
-
 	"github.com/ryeford/ryeford"
-	"github.com/ryeford/ryeford/agentfleet/decision"
 	"github.com/ryeford/ryeford/agentfleet/lease"
 	"github.com/ryeford/ryeford/agentfleet/placement"
-	"github.com/ryeford/ryeford/agentfleet/plan"
-	"github.com/ryeford/ryeford/agentfleet/template"
 	"github.com/ryeford/ryeford/internal/clock"
-	"github.com/ryeford/ryeford/settings"
 )
 
 const leaseName = "planner"
@@ -26,26 +20,18 @@
 // A planner keeps the current plan. On the router that holds the lease, it also makes
 // it.
 type planner struct {
-	settings  *settings.Planner
-	table     ryeford.Table
-	objects   ryeford.ObjectStore
-	lease     *lease.Lease
-	book      *template.Book
-	fleet     *fleet
-	readiness *readiness
-	recent    recentEngines // used by run only
-	plan      *plan.Current
-	decisions *decision.Log
-	log       log.Logger
+	*shared
+	lease  *lease.Lease
+	recent recentEngines // used by run only
 }
 
 // run plans, or follows another router's plan, until ctx ends.
 func (p *planner) run(ctx context.Context) error {
-	if !p.settings.Enabled {
+	if !p.settings.Planner.Enabled {
 		return nil
 	}
 	for {
-		if !clock.Sleep(ctx, jitter(p.settings.Interval)) {
+		if !clock.Sleep(ctx, jitter(p.settings.Planner.Interval)) {
 			return nil
 		}
 		if err := p.round(ctx); err != nil && ctx.Err() == nil {
@@ -90,7 +76,7 @@
 
 // input returns what the next plan depends on.
 func (p *planner) input() *placement.Input {
-	s := p.settings
+	s := &p.settings.Planner
 	now := time.Now()
 	_, templates := p.book.Since(0)
 	connected, leaving := placeable(p.fleet.all(), p.plan.Get())
@@ -132,7 +118,7 @@
 // readPointer returns the row that names the current plan, and its version.
 func (p *planner) readPointer(ctx context.Context) (planPointer, int64, error) {
 	var pointer planPointer
-	rows, err := p.table.Get(ctx, rowPlan)
+	rows, err := p.platform.Get(ctx, rowPlan)
 	if err != nil || rows[0].Version == 0 {
 		return pointer, 0, err
 	}
@@ -147,7 +133,7 @@
 	if !p.plan.OlderThan(pointer.Epoch, pointer.Sequence) {
 		return nil
 	}
-	content, err := p.objects.GetObject(ctx, pointer.Object)
+	content, err := p.platform.GetObject(ctx, pointer.Object)
 	if err != nil {
 		return err
 	}
@@ -187,7 +173,7 @@
 		return "", &PlanError{Op: "write plan", Err: err}
 	}
 	object := fmt.Sprintf(planObjectName, plan.Epoch, plan.Sequence)
-	return object, p.objects.PutObject(ctx, object, content)
+	return object, p.platform.PutObject(ctx, object, content)
 }
 
 // makeCurrent points the row to a plan and renews the lease, in one transaction. It
@@ -202,7 +188,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = p.table.Transact(ctx, renewal, ryeford.Write{Key: rowPlan, Value: value, IfVersion: version})
+	_, err = p.platform.Transact(ctx, renewal, ryeford.Write{Key: rowPlan, Value: value, IfVersion: version})
 	return err
 }
 
--- a/agentfleet/router/planner_test.go
+++ b/agentfleet/router/planner_test.go
@@ -28,13 +28,12 @@
 // then for longer.
 func TestFlappingMovesNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p := &planner{
-			settings: &settings.DefaultRouter().Planner,
+		p := &planner{recent: make(recentEngines), shared: &shared{
+			settings: settings.DefaultRouter(),
 			book:     newTestRouter().book,
 			fleet:    newFleet(),
-			recent:   make(recentEngines),
 			plan:     plan.NewCurrent(),
-		}
+		}}
 		lost := testAgent("endpoint-1", "lira")
 		p.fleet.put(lost)
 		p.fleet.put(testAgent("endpoint-2", "lira"))
--- a/agentfleet/router/router.go
+++ b/agentfleet/router/router.go
@@ -8,9 +8,8 @@
 // restart. Claims of idempotency keys, templates, plans and the planner's lease are rows
 // and objects of the platform.
 //
-// A Router wires its parts together (wiring.go) and runs them: agentList, agentGossip and
-// agentRequests for the agents, templateSync, planner, drain, callerHandler and
-// operatorHandler.
+// A Router makes its parts and runs them: agentList and agentGossip for the agents,
+// templateSync, planner, callerHandler and operatorHandler.
 //
 // A request goes from callers.go through parse.go to an exchange (exchange.go), which
 // dispatches it (dispatch.go), receives the answer (receive.go) and recovers it
@@ -25,13 +24,16 @@
 import (
 	"context"
 	"crypto/tls"
+	"time"
 
 	"github.com/go-kit/log"
+	"github.com/google/uuid"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/ryeford/ryeford"
 	"github.com/ryeford/ryeford/agentfleet/claim"
 	"github.com/ryeford/ryeford/agentfleet/decision"
+	"github.com/ryeford/ryeford/agentfleet/lease"
 	"github.com/ryeford/ryeford/agentfleet/plan"
 	"github.com/ryeford/ryeford/agentfleet/template"
 	"github.com/ryeford/ryeford/agentfleet/transport"
@@ -46,31 +48,33 @@
 	ryeford.VMList
 }
 
+// A shared is what the parts of a router have in common.
+type shared struct {
+	settings  *settings.Router
+	limits    *settings.RouterLimits // those of settings
+	platform  Platform
+	templates *template.Store
+	book      *template.Book // kept by templateSync and agentGossip
+	plan      *plan.Current  // kept by planner
+	fleet     *fleet         // kept by agentList
+	loads     *loads
+	readiness *readiness
+	decisions *decision.Log
+	metrics   *telemetry.Set
+	log       log.Logger
+}
+
 // A Router serves callers and operators.
 type Router struct {
-	settings *settings.Router
-	platform Platform
-	log      log.Logger
-	dialer   *transport.Dialer
-
+	shared
+	dialer       *transport.Dialer
 	agents       *agentList
 	gossip       *agentGossip
 	templateSync *templateSync
 	planner      *planner
-	drain        *drain
+	claims       *claim.Claims
 	callers      *callerHandler
 	operators    *operatorHandler
-
-	// What several parts use:
-	book      *template.Book // kept by templateSync and gossip
-	templates *template.Store
-	plan      *plan.Current // kept by planner
-	fleet     *fleet        // kept by agents
-	loads     *loads
-	claims    *claim.Claims
-	readiness *readiness
-	decisions *decision.Log
-	metrics   *telemetry.Set
 }
 
 // New returns a Router.
@@ -80,35 +84,56 @@
 		return nil, err
 	}
 	fleet := newFleet()
-	r := &Router{
+	r := &Router{dialer: dialer, claims: claim.New(platform), shared: shared{
 		settings:  s,
+		limits:    &s.Limits,
 		platform:  platform,
-		log:       logger,
-		dialer:    dialer,
-		book:      template.NewBook(),
 		templates: template.NewStore(platform),
+		book:      template.NewBook(),
 		plan:      plan.NewCurrent(),
 		fleet:     fleet,
 		loads:     newLoads(),
-		claims:    claim.New(platform),
 		readiness: &readiness{fleet: fleet},
 		decisions: decision.NewLog(logger),
 		metrics:   telemetry.NewSet(),
-	}
-	r.addAgents()
-	r.addTemplateSync()
-	r.addPlanner()
+		log:       logger,
+	}}
+	control := transport.NewControlLimiter(s.Transport.ControlBytesPerSecond, r.metrics.ControlSent)
+	r.gossip = &agentGossip{shared: &r.shared, control: control}
+	r.agents = &agentList{shared: &r.shared, dialer: dialer, gossip: r.gossip}
+	r.templateSync = &templateSync{shared: &r.shared}
+	held := lease.New(platform, leaseName, s.VM, uuid.NewString(), s.Planner.Lease)
+	r.planner = &planner{shared: &r.shared, lease: held, recent: make(recentEngines)}
 	r.addCallers()
-	r.addOperators()
-	r.addMetrics()
+	r.operators = &operatorHandler{shared: &r.shared}
+	r.addGauges()
 	return r, nil
 }
 
+// addCallers adds what serves callers.
+func (r *Router) addCallers() {
+	r.callers = &callerHandler{shared: &r.shared, forwarder: &forwarder{
+		shared:   &r.shared,
+		gossip:   r.gossip,
+		claims:   r.claims,
+		suspects: newSuspects(),
+		budgets:  newBudgets(r.limits),
+	}}
+}
+
+// addGauges adds the gauges.
+func (r *Router) addGauges() {
+	r.metrics.Gauge("ryeford_revision", func() float64 { return float64(r.book.Revision()) })
+	r.metrics.Gauge("ryeford_agents_connected", func() float64 { return float64(r.fleet.reachable()) })
+	r.metrics.Gauge("ryeford_in_flight", func() float64 { return float64(r.readiness.inFlight.Load()) })
+	r.metrics.Gauge("ryeford_skew", func() float64 { return r.loads.skew(time.Now()) })
+}
+
 // Run serves until ctx ends, and then until what is in flight has ended.
 func (r *Router) Run(ctx context.Context) error {
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	maxBody := r.settings.Limits.MaxBody
+	maxBody := r.limits.MaxBody
 	group, work := errgroup.WithContext(work)
 	group.Go(func() error { return r.agents.run(work) })
 	group.Go(func() error { return r.templateSync.run(work) })
@@ -119,7 +144,7 @@
 	group.Go(func() error { return serveHTTP(work, r.settings.Operators.AddrPort, maxBody, r.operators.serve) })
 	group.Go(func() error {
 		defer cancel()
-		return r.drain.run(ctx, work)
+		return r.drain(ctx, work)
 	})
 	_ = r.log.Log("msg", "started", "role", "router", "callers", r.settings.Callers, "operators", r.settings.Operators)
 	err := group.Wait()
--- a/agentfleet/router/status.go
+++ b/agentfleet/router/status.go
@@ -58,12 +58,12 @@
 // status returns what the router knows, with each agent's revision.
 func (h *operatorHandler) status(ctx context.Context) *Status {
 	s := &Status{
-		Router:   h.vm,
-		Domain:   h.domain,
+		Router:   h.settings.VM,
+		Domain:   h.settings.FailureDomain,
 		Ready:    h.readiness.ready(),
 		Leaving:  h.readiness.leaving.Load(),
 		Revision: h.book.Revision(),
-		InFlight: h.drain.inFlight.Load(),
+		InFlight: h.readiness.inFlight.Load(),
 		Skew:     h.loads.skew(time.Now()),
 	}
 	agents := h.fleet.all()
--- a/agentfleet/router/sync.go
+++ b/agentfleet/router/sync.go
@@ -4,11 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/go-kit/log"
-
-	"github.com/ryeford/ryeford/agentfleet/decision"
 	"github.com/ryeford/ryeford/agentfleet/gossip"
-	"github.com/ryeford/ryeford/agentfleet/template"
 	"github.com/ryeford/ryeford/internal/clock"
 )
 
@@ -24,13 +20,7 @@
 
 // A templateSync brings the book up to the templates that the fleet has accepted.
 type templateSync struct {
-	store     *template.Store
-	interval  time.Duration // between reads of the table, before jitter
-	book      *template.Book
-	fleet     *fleet
-	readiness *readiness
-	decisions *decision.Log
-	log       log.Logger
+	*shared
 }
 
 // run reads the accepted templates from the platform's table, until ctx ends.
@@ -38,7 +28,7 @@
 func (s *templateSync) run(ctx context.Context) error {
 	for {
 		s.syncOnce(ctx)
-		wait := jitter(s.interval)
+		wait := jitter(s.settings.Polls.Templates)
 		if !s.readiness.synced.Load() {
 			wait = syncInterval
 		}
@@ -52,7 +42,7 @@
 // asks agents, and one that has some goes on with them.
 func (s *templateSync) syncOnce(ctx context.Context) {
 	from := s.book.Revision()
-	revision, templates, err := s.store.Since(ctx, from)
+	revision, templates, err := s.templates.Since(ctx, from)
 	if err == nil {
 		s.book.Apply(from, revision, templates)
 		s.setSynced("store")
