refactor: one reader and writer of the table's JSON rows

Cause: the lease, the claims, the templates and the current plan each read a row, looked at its version, decoded its JSON, and wrapped the failure in a type of their own (RecordError, RowError, PlanError, or none). No caller looks for any of these types.

Ruled out: a place in the root package, which says what a table is and not what its rows hold; fmt.Errorf, as errors have types here.

Change: package row, with Get, Decode, Write and its Error. The router's other failures (a plan's object, a server's address) are one Error with the same texts; the texts of a row that can't be read now name the row's key.

imports_test.go: a line for the new package, as for each.

--- a/agentfleet/claim/claim.go
+++ b/agentfleet/claim/claim.go
@@ -12,10 +12,10 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
-	"encoding/json"
 	"time"
 
 	"github.com/ryeford/ryeford"
+	"github.com/ryeford/ryeford/agentfleet/row"
 )
 
 const prefix = "claim/" // of the rows' keys
@@ -97,11 +97,10 @@
 // write writes a record if the row still has a version, zero for no row. If the answer
 // is lost, or another write came first, it reads the row back.
 func (c *Claims) write(ctx context.Context, key Key, record Record, version int64) (*Claim, error) {
-	value, err := json.Marshal(&record)
+	w, err := row.Write(key.String(), &record, version)
 	if err != nil {
 		return nil, &Error{Key: key, Err: err}
 	}
-	w := ryeford.Write{Key: key.String(), Value: value, IfVersion: version}
 	for range maxWrites {
 		written, err := c.batcher.write(ctx, w)
 		if err == nil {
@@ -131,17 +130,12 @@
 
 // read returns a key's claim, or nil.
 func (c *Claims) read(ctx context.Context, key Key) (*Claim, error) {
-	rows, err := c.table.Get(ctx, key.String())
-	if err != nil {
-		return nil, err
-	}
-	if rows[0].Version == 0 {
-		return nil, nil
-	}
-	claim := &Claim{version: rows[0].Version}
-	if err := json.Unmarshal(rows[0].Value, &claim.Record); err != nil {
+	claim := &Claim{}
+	version, err := row.Get(ctx, c.table, key.String(), &claim.Record)
+	if err != nil || version == 0 {
 		return nil, err
 	}
+	claim.version = version
 	return claim, nil
 }
 
--- a/agentfleet/lease/lease.go
+++ b/agentfleet/lease/lease.go
@@ -10,11 +10,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"time"
 
 	"github.com/ryeford/ryeford"
+	"github.com/ryeford/ryeford/agentfleet/row"
 )
 
 // A record is the lease's row.
@@ -61,21 +61,16 @@
 // same time, the error is a *HeldError. After any other error it is not known who holds
 // the lease; the next call finds out.
 func (l *Lease) Acquire(ctx context.Context) (*Held, error) {
-	rows, err := l.table.Get(ctx, l.key)
+	var current record
+	version, err := row.Get(ctx, l.table, l.key, &current)
 	if err != nil {
 		return nil, err
 	}
-	var current record
-	if rows[0].Version != 0 {
-		if err := json.Unmarshal(rows[0].Value, &current); err != nil {
-			return nil, &RecordError{Err: err}
-		}
-	}
 	next, err := l.next(current, time.Now())
 	if err != nil {
 		return nil, err
 	}
-	return l.write(ctx, next, rows[0].Version)
+	return l.write(ctx, next, version)
 }
 
 // next is the rule of the lease: it returns the record with which this process takes or
@@ -101,16 +96,15 @@
 
 // write writes the lease's row if it has a version.
 func (l *Lease) write(ctx context.Context, next record, version int64) (*Held, error) {
-	value, err := json.Marshal(&next)
+	write, err := row.Write(l.key, &next, version)
 	if err != nil {
-		return nil, &RecordError{Err: err}
+		return nil, err
 	}
-	written, err := l.table.Transact(ctx, ryeford.Write{Key: l.key, Value: value, IfVersion: version})
-	var conflict *ryeford.ConflictError
-	switch {
-	case errors.As(err, &conflict):
+	written, err := l.table.Transact(ctx, write)
+	if _, ok := errors.AsType[*ryeford.ConflictError](err); ok {
 		return nil, &HeldError{} // by whom is read the next time
-	case err != nil:
+	}
+	if err != nil {
 		return nil, err
 	}
 	return &Held{Epoch: next.Epoch, version: written, lease: l}, nil
@@ -120,20 +114,5 @@
 // still being as it was when h was acquired, and renews it.
 func (h *Held) Renewal() (ryeford.Write, error) {
 	next := h.lease.record(h.Epoch, time.Now())
-	value, err := json.Marshal(&next)
-	if err != nil {
-		return ryeford.Write{}, &RecordError{Err: err}
-	}
-	return ryeford.Write{Key: h.lease.key, Value: value, IfVersion: h.version}, nil
-}
-
-// A RecordError says that the lease's row can't be read or written.
-type RecordError struct {
-	Err error
+	return row.Write(h.lease.key, &next, h.version)
 }
-
-// Error returns the text of e.
-func (e *RecordError) Error() string { return "lease record: " + e.Err.Error() }
-
-// Unwrap returns the cause of e.
-func (e *RecordError) Unwrap() error { return e.Err }
--- a/agentfleet/router/failure.go
+++ b/agentfleet/router/failure.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -42,10 +43,7 @@
 	switch {
 	case errors.As(err, &input):
 		detail.Code, detail.Ran = "invalid_request", "not_run"
-		status = fasthttp.StatusBadRequest
-		if input.Status != 0 {
-			status = input.Status
-		}
+		status = cmp.Or(input.Status, fasthttp.StatusBadRequest)
 	// This goes first: an unknown outcome that a refusal caused stays unknown.
 	case errors.As(err, &unknown):
 		detail.Code = string(unknown.Reason)
@@ -114,6 +112,16 @@
 	ctx.SetBody(content)
 }
 
+// An Error is a failure of something that the router itself does.
+type Error struct {
+	Op  string // what failed
+	Err error
+}
+
+func (e *Error) Error() string { return e.Op + ": " + e.Err.Error() }
+
+func (e *Error) Unwrap() error { return e.Err }
+
 // A ProtocolError says that an agent's message is no reply to what it was sent.
 type ProtocolError struct{}
 
@@ -130,12 +138,10 @@
 
 // reasonOf returns the reason of a failure.
 func reasonOf(err error) ryeford.Reason {
-	var unknown *ryeford.MayHaveRunError
-	if errors.As(err, &unknown) {
+	if unknown, ok := errors.AsType[*ryeford.MayHaveRunError](err); ok {
 		return unknown.Reason
 	}
-	var notRun *ryeford.NotRunError
-	if errors.As(err, &notRun) {
+	if notRun, ok := errors.AsType[*ryeford.NotRunError](err); ok {
 		return notRun.Reason
 	}
 	return ryeford.ReasonEngineError
@@ -150,11 +156,11 @@
 )
 
 // serveHTTP runs an HTTP server, for bodies of maxBody bytes at most, until ctx ends. Its
-// error is a *ListenError.
+// error is an *Error.
 func serveHTTP(ctx context.Context, address netip.AddrPort, maxBody int, handler fasthttp.RequestHandler) error {
 	listener, err := net.Listen("tcp", address.String())
 	if err != nil {
-		return &ListenError{Address: address, Err: err}
+		return &Error{Op: "serve " + address.String(), Err: err}
 	}
 	server := &fasthttp.Server{
 		Handler:               handler,
@@ -167,23 +173,11 @@
 		},
 	}
 	if err := httpserver.Serve(ctx, listener, server); err != nil {
-		return &ListenError{Address: address, Err: err}
+		return &Error{Op: "serve " + address.String(), Err: err}
 	}
 	return nil
 }
 
-// A ListenError says that a server could not run at its address.
-type ListenError struct {
-	Address netip.AddrPort
-	Err     error
-}
-
-// Error returns the text of e.
-func (e *ListenError) Error() string { return "serve " + e.Address.String() + ": " + e.Err.Error() }
-
-// Unwrap returns the cause of e.
-func (e *ListenError) Unwrap() error { return e.Err }
-
 // newBadRequest returns the failure of a request that is not HTTP, or is too large.
 func newBadRequest(err error, maxBody int) *ryeford.InputError {
 	problem := &ryeford.InputError{Field: "request", Problem: "not a valid HTTP request", Status: fasthttp.StatusBadRequest}
--- a/agentfleet/router/planner.go
+++ b/agentfleet/router/planner.go
@@ -12,6 +12,7 @@
 	"github.com/ryeford/ryeford"
 	"github.com/ryeford/ryeford/agentfleet/lease"
 	"github.com/ryeford/ryeford/agentfleet/placement"
+	"github.com/ryeford/ryeford/agentfleet/row"
 	"github.com/ryeford/ryeford/internal/clock"
 )
 
@@ -67,8 +68,7 @@
 		return nil, nil
 	}
 	held, err := p.lease.Acquire(ctx)
-	var other *lease.HeldError
-	if errors.As(err, &other) {
+	if _, ok := errors.AsType[*lease.HeldError](err); ok {
 		return nil, nil
 	}
 	return held, err
@@ -90,18 +90,6 @@
 	}
 }
 
-// A PlanError says that a plan can't be read or written.
-type PlanError struct {
-	Op  string
-	Err error
-}
-
-// Error returns the text of e.
-func (e *PlanError) Error() string { return e.Op + ": " + e.Err.Error() }
-
-// Unwrap returns the cause of e.
-func (e *PlanError) Unwrap() error { return e.Err }
-
 // Where plans are stored: each as an object, and in one row which is current.
 const (
 	rowPlan        = "plan/current"
@@ -118,14 +106,8 @@
 // readPointer returns the row that names the current plan, and its version.
 func (p *planner) readPointer(ctx context.Context) (planPointer, int64, error) {
 	var pointer planPointer
-	rows, err := p.platform.Get(ctx, rowPlan)
-	if err != nil || rows[0].Version == 0 {
-		return pointer, 0, err
-	}
-	if err := json.Unmarshal(rows[0].Value, &pointer); err != nil {
-		return pointer, 0, &PlanError{Op: "read the current plan's row", Err: err}
-	}
-	return pointer, rows[0].Version, nil
+	version, err := row.Get(ctx, p.platform, rowPlan, &pointer)
+	return pointer, version, err
 }
 
 // follow reads the plan that a row names, if it is newer than the one known here.
@@ -139,7 +121,7 @@
 	}
 	plan := &ryeford.Plan{}
 	if err := json.Unmarshal(content, plan); err != nil {
-		return &PlanError{Op: "read plan " + pointer.Object, Err: err}
+		return &Error{Op: "read plan " + pointer.Object, Err: err}
 	}
 	p.plan.Set(plan)
 	return nil
@@ -170,7 +152,7 @@
 func (p *planner) putObject(ctx context.Context, plan *ryeford.Plan) (string, error) {
 	content, err := json.Marshal(plan)
 	if err != nil {
-		return "", &PlanError{Op: "write plan", Err: err}
+		return "", &Error{Op: "write plan", Err: err}
 	}
 	object := fmt.Sprintf(planObjectName, plan.Epoch, plan.Sequence)
 	return object, p.platform.PutObject(ctx, object, content)
@@ -180,15 +162,15 @@
 // fails if the lease was taken over or the row changed since they were read, so that a
 // holder that was paused changes nothing.
 func (p *planner) makeCurrent(ctx context.Context, held *lease.Held, pointer planPointer, version int64) error {
-	value, err := json.Marshal(&pointer)
+	current, err := row.Write(rowPlan, &pointer, version)
 	if err != nil {
-		return &PlanError{Op: "write plan", Err: err}
+		return err
 	}
 	renewal, err := held.Renewal()
 	if err != nil {
 		return err
 	}
-	_, err = p.platform.Transact(ctx, renewal, ryeford.Write{Key: rowPlan, Value: value, IfVersion: version})
+	_, err = p.platform.Transact(ctx, renewal, current)
 	return err
 }
 
--- a/agentfleet/template/store.go
+++ b/agentfleet/template/store.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"strconv"
 
 	"github.com/ryeford/ryeford"
+	"github.com/ryeford/ryeford/agentfleet/row"
 )
 
 const (
@@ -97,14 +97,12 @@
 
 // Get returns one template as it was accepted last.
 func (s *Store) Get(ctx context.Context, name Name) (*ryeford.Template, error) {
-	rows, err := s.table.Get(ctx, templateKey(name))
-	if err != nil {
-		return nil, err
-	}
-	if rows[0].Version == 0 {
+	t := &ryeford.Template{}
+	version, err := row.Get(ctx, s.table, templateKey(name), t)
+	if err == nil && version == 0 {
 		return nil, &ryeford.NotFoundError{Kind: "template", Name: name.String()}
 	}
-	return decodeRow(rows[0])
+	return t, err
 }
 
 // History returns all versions of a template, the oldest first.
@@ -124,12 +122,12 @@
 		return nil, err
 	}
 	revisionRow, templateRow, publishedRow := rows[0], rows[1], rows[2]
+	current := &ryeford.Template{}
 	if publishedRow.Version != 0 {
-		return decodeRow(publishedRow)
+		return current, row.Decode(publishedRow, current)
 	}
-	current := &ryeford.Template{}
 	if templateRow.Version != 0 {
-		if current, err = decodeRow(templateRow); err != nil {
+		if err := row.Decode(templateRow, current); err != nil {
 			return nil, err
 		}
 	}
@@ -152,16 +150,16 @@
 // template still have these versions.
 func (s *Store) write(ctx context.Context, t *ryeford.Template, revisionVersion, templateVersion int64) error {
 	name := Name{Account: t.Account, Name: t.Name}
-	value, err := json.Marshal(t)
+	newest, err := row.Write(templateKey(name), t, templateVersion)
 	if err != nil {
-		return &RowError{Key: templateKey(name), Err: err}
+		return err
 	}
 	_, err = s.table.Transact(ctx,
+		newest,
 		ryeford.Write{Key: rowRevision, Value: []byte(strconv.FormatInt(t.Revision, 10)), IfVersion: revisionVersion},
-		ryeford.Write{Key: templateKey(name), Value: value, IfVersion: templateVersion},
-		ryeford.Write{Key: publishedKey(t.Change), Value: value},
-		ryeford.Write{Key: revisionKey(t.Revision), Value: value},
-		ryeford.Write{Key: historyKey(name, t.Sequence), Value: value},
+		ryeford.Write{Key: publishedKey(t.Change), Value: newest.Value},
+		ryeford.Write{Key: revisionKey(t.Revision), Value: newest.Value},
+		ryeford.Write{Key: historyKey(name, t.Sequence), Value: newest.Value},
 	)
 	return err
 }
@@ -197,47 +195,22 @@
 }
 
 // parseRevision returns the revision of its row; an absent row means zero.
-func parseRevision(row ryeford.Row) (int64, error) {
-	if row.Version == 0 {
-		return 0, nil
-	}
-	revision, err := strconv.ParseInt(string(row.Value), 10, 64)
-	if err != nil {
-		return 0, &RowError{Key: row.Key, Err: err}
+func parseRevision(r ryeford.Row) (revision int64, err error) {
+	if r.Version != 0 {
+		err = row.Decode(r, &revision)
 	}
-	return revision, nil
+	return revision, err
 }
 
 // decodeRows returns the templates of rows.
 func decodeRows(rows []ryeford.Row) ([]ryeford.Template, error) {
 	templates := make([]ryeford.Template, 0, len(rows))
-	for _, row := range rows {
-		t, err := decodeRow(row)
-		if err != nil {
+	for _, r := range rows {
+		var t ryeford.Template
+		if err := row.Decode(r, &t); err != nil {
 			return nil, err
 		}
-		templates = append(templates, *t)
+		templates = append(templates, t)
 	}
 	return templates, nil
 }
-
-// decodeRow returns the template of a row.
-func decodeRow(row ryeford.Row) (*ryeford.Template, error) {
-	t := &ryeford.Template{}
-	if err := json.Unmarshal(row.Value, t); err != nil {
-		return nil, &RowError{Key: row.Key, Err: err}
-	}
-	return t, nil
-}
-
-// A RowError says that a row of the table can't be read.
-type RowError struct {
-	Key string
-	Err error
-}
-
-// Error returns the text of e.
-func (e *RowError) Error() string { return "row " + e.Key + ": " + e.Err.Error() }
-
-// Unwrap returns the cause of e.
-func (e *RowError) Unwrap() error { return e.Err }
--- a/imports_test.go
+++ b/imports_test.go
@@ -82,6 +82,7 @@
 	"agentfleet/gossip":       {plumbing, agents},
 	"agentfleet/lease":        {plumbing, agents},
 	"agentfleet/plan":         {plumbing, agents},
+	"agentfleet/row":          {plumbing, agents},
 	"agentfleet/tableservice": {plumbing, agents},
 	"agentfleet/template":     {plumbing, agents},
 	"agentfleet/transport":    {plumbing, agents},
