refactor: the router's fleet as a view that is replaced whole

Cause: each of the fleet's eight look-ups took the lock of a map that a change rebuilds whole anyway. Beside it: an exchange's stream carried the metrics only to count in one place, started and resumed requests had the same tail, and router and agent the same loop over a connection's streams.

Ruled out: the pull of templates in gossip.Receive, which both do after a message: the agent reads templates before the plan, and a function that both share would turn that order round.

Change: put, remove and setVM replace an immutable fleetView; transport.Conn.Serve has the loop; callerHandler.run the tail; the exchange receives itself; errors.AsType instead of a variable and errors.As; a template by name is looked up in one function.

--- a/agentfleet/agent/connections.go
+++ b/agentfleet/agent/connections.go
@@ -34,23 +34,12 @@
 		a.mu.Unlock()
 	}()
 	go a.receiveGossip(ctx, conn)
-	for {
-		stream, err := conn.Accept(ctx)
-		if err != nil {
-			return // the connection, or ctx, has ended
-		}
-		go a.serveStream(ctx, conn, stream)
-	}
+	conn.Serve(ctx, func(stream *transport.Stream, m *wire.Message) { a.serveStream(ctx, conn, stream, m) })
 }
 
-// serveStream answers the one message that a stream begins with. A stream that ends
-// before it, or brings another message, is closed without an answer.
-func (a *Agent) serveStream(ctx context.Context, conn *transport.Conn, stream *transport.Stream) {
-	defer stream.Close()
-	m, err := stream.Receive()
-	if err != nil {
-		return
-	}
+// serveStream answers the one message that a stream begins with. Another message than
+// those of a router or an agent gets no answer.
+func (a *Agent) serveStream(ctx context.Context, conn *transport.Conn, stream *transport.Stream, m *wire.Message) {
 	switch {
 	case m.Dispatch != nil:
 		a.serveDispatch(ctx, stream, m.Dispatch)
--- a/agentfleet/router/agentlist.go
+++ b/agentfleet/router/agentlist.go
@@ -139,7 +139,7 @@
 	defer stop()
 	defer l.fleet.remove(vm.ID, conn)
 	go l.gossip.receive(ctx, conn)
-	go l.serveAgent(ctx, conn)
+	go conn.Serve(ctx, l.serveStream)
 	if err := stream.Send(&wire.Message{Watch: &wire.Watch{Router: l.settings.VM}}); err != nil {
 		return err
 	}
@@ -188,26 +188,9 @@
 	return "the address of " + string(e.Want) + " was answered by " + string(e.Got)
 }
 
-// serveAgent answers the requests of an agent until the connection ends.
-func (l *agentList) serveAgent(ctx context.Context, conn *transport.Conn) {
-	for {
-		stream, err := conn.Accept(ctx)
-		if err != nil {
-			return // the connection ended, which connect logs
-		}
-		go l.serveStream(stream)
-	}
-}
-
 // serveStream answers one request of an agent: for templates, for its part of the plan,
-// or for the engines that take over its chats. If that fails, the stream is closed and
-// the agent sees that it got no answer.
-func (l *agentList) serveStream(stream *transport.Stream) {
-	defer stream.Close()
-	m, err := stream.Receive()
-	if err != nil {
-		return
-	}
+// or for the engines that take over its chats.
+func (l *agentList) serveStream(stream *transport.Stream, m *wire.Message) {
 	switch {
 	case m.Pull != nil:
 		revision, templates := l.book.Since(m.Pull.Revision)
--- a/agentfleet/router/answers.go
+++ b/agentfleet/router/answers.go
@@ -43,7 +43,7 @@
 func writeCallAnswer(ctx *fasthttp.RequestCtx, body *answerStream) {
 	first, err := body.readChunk()
 	if err != nil {
-		body.close()
+		_ = body.Close()
 		writeError(ctx, body.exchange.request.id, err)
 		return
 	}
@@ -52,17 +52,17 @@
 	if first.Finish != "" {
 		ctx.SetBody(first.Data)
 		body.ended = true
-		body.close()
+		_ = body.Close()
 		return
 	}
-	body.encode = body.encodeData
+	body.encode = func(chunk *ryeford.Chunk) { body.buf.Write(chunk.Data) }
 	body.buf.Write(first.Data)
 	ctx.SetBodyStream(body, -1)
 }
 
 // writeWholeAnswer collects a completion and writes it at once, or the failure.
 func writeWholeAnswer(ctx *fasthttp.RequestCtx, body *answerStream) {
-	defer body.close()
+	defer func() { _ = body.Close() }()
 	x := body.exchange
 	text, last, err := body.collect()
 	body.ended = true
@@ -126,14 +126,9 @@
 	return s.buf.ReadOrFill(p, s.fill)
 }
 
-// Close implements io.Closer. It never fails.
+// Close implements io.Closer. It ends the exchange, and its run if the caller left before
+// the answer's end. It never fails.
 func (s *answerStream) Close() error {
-	s.close()
-	return nil
-}
-
-// close ends the exchange, and its run if the caller left before the answer's end.
-func (s *answerStream) close() {
 	s.once.Do(func() {
 		x := s.exchange
 		if !s.ended {
@@ -142,6 +137,7 @@
 		}
 		s.callers.finish(x, s.cancel)
 	})
+	return nil
 }
 
 // fill encodes the next chunk. It returns io.EOF after the last one.
@@ -172,11 +168,6 @@
 		"engine", x.stream.candidate.Engine, "offset", x.delivered.next, "reason", reasonOf(err), "err", err)
 }
 
-// encodeData passes the bytes of a chunk on.
-func (s *answerStream) encodeData(chunk *ryeford.Chunk) {
-	s.buf.Write(chunk.Data)
-}
-
 // encodeEvent writes a chunk as a server-sent event, and the end marker after the last
 // one of a complete answer.
 func (s *answerStream) encodeEvent(chunk *ryeford.Chunk) {
--- a/agentfleet/router/callers.go
+++ b/agentfleet/router/callers.go
@@ -93,17 +93,18 @@
 		writeError(ctx, req.id, err)
 		return
 	}
+	h.run(ctx, h.forwarder.newExchange(req), (*exchange).start)
+}
+
+// run begins an exchange and writes its answer, or the failure to get one.
+func (h *callerHandler) run(ctx *fasthttp.RequestCtx, x *exchange, begin func(*exchange, context.Context) error) {
 	h.readiness.inFlight.Add(1)
-	began := time.Now()
-	work, cancel := context.WithDeadline(context.Background(), req.deadline)
-	x := h.forwarder.newExchange(req)
-	if err := x.start(work); err != nil {
-		x.logGivenUp(err)
+	work, cancel := context.WithDeadline(context.Background(), x.request.deadline)
+	if err := begin(x, work); err != nil {
 		h.finish(x, cancel)
-		writeError(ctx, req.id, err)
+		writeError(ctx, x.request.id, err)
 		return
 	}
-	x.logRouted(time.Since(began))
 	h.writeAnswer(work, cancel, ctx, x)
 }
 
@@ -131,13 +132,5 @@
 		writeError(ctx, req.id, err)
 		return
 	}
-	h.readiness.inFlight.Add(1)
-	work, cancel := context.WithDeadline(context.Background(), req.deadline)
-	x := h.forwarder.resumeExchange(req, last)
-	if err := x.resume(work); err != nil {
-		h.finish(x, cancel)
-		writeError(ctx, req.id, err)
-		return
-	}
-	h.writeAnswer(work, cancel, ctx, x)
+	h.run(ctx, h.forwarder.resumeExchange(req, last), (*exchange).resume)
 }
--- a/agentfleet/router/candidates.go
+++ b/agentfleet/router/candidates.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -15,36 +16,13 @@
 	queue []claim.Candidate // not dispatched to yet
 }
 
-// next takes the next candidate from the queue, which must not be empty.
-func (c *candidates) next() claim.Candidate {
-	next := c.queue[0]
-	c.queue = c.queue[1:]
-	return next
-}
-
-// refill fills the queue anew from the ranked candidates, without the engine that was
-// lost.
-func (c *candidates) refill(ranked []claim.Candidate, lost ryeford.EngineID) {
-	c.queue = nil
-	for _, candidate := range ranked {
-		if candidate.Engine != lost {
-			c.queue = append(c.queue, candidate)
-		}
-	}
-}
-
 // redirected returns the queue after a home pointed to an engine: that engine first, if
 // it is connected and so has a candidate, the home next, then the others.
 func redirected(queue []claim.Candidate, home claim.Candidate, engine ryeford.EngineID, target claim.Candidate, connected bool) []claim.Candidate {
-	next := make([]claim.Candidate, 0, len(queue)+2)
+	others := slices.DeleteFunc(slices.Clone(queue), func(c claim.Candidate) bool { return c.Engine == engine })
+	next := append([]claim.Candidate{home}, others...)
 	if connected {
-		next = append(next, target)
-	}
-	next = append(next, home)
-	for _, c := range queue {
-		if c.Engine != engine {
-			next = append(next, c)
-		}
+		return append([]claim.Candidate{target}, next...)
 	}
 	return next
 }
@@ -62,7 +40,6 @@
 	until map[ryeford.VMID]time.Time
 }
 
-// newSuspects returns an empty suspects.
 func newSuspects() *suspects {
 	return &suspects{until: make(map[ryeford.VMID]time.Time)}
 }
@@ -86,17 +63,13 @@
 func (s *suspects) last(now time.Time, candidates []claim.Candidate) []claim.Candidate {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.until) == 0 {
-		return candidates
-	}
-	trusted := make([]claim.Candidate, 0, len(candidates))
-	var suspected []claim.Candidate
+	var trusted, suspected []claim.Candidate
 	for _, c := range candidates {
 		if now.Before(s.until[c.VM]) {
 			suspected = append(suspected, c)
-			continue
+		} else {
+			trusted = append(trusted, c)
 		}
-		trusted = append(trusted, c)
 	}
 	return append(trusted, suspected...)
 }
--- a/agentfleet/router/claimed.go
+++ b/agentfleet/router/claimed.go
@@ -87,8 +87,7 @@
 // not run, it gives the claim up while the caller already has its answer.
 func (x *exchange) dispatchClaimed(ctx context.Context, key claim.Key, held *claim.Claim) error {
 	err := x.dispatchQueue(ctx)
-	var notRun *ryeford.NotRunError
-	if errors.As(err, &notRun) {
+	if _, ok := errors.AsType[*ryeford.NotRunError](err); ok {
 		go x.forwarder.releaseClaim(context.WithoutCancel(ctx), x.request.id, key, held)
 	}
 	return err
--- a/agentfleet/router/exchange.go
+++ b/agentfleet/router/exchange.go
@@ -39,8 +39,20 @@
 	warm       bool          // the engine that admitted last had the chat's prefix cached
 }
 
-// start dispatches the request until the first chunk of an answer is there.
+// start dispatches the request until the first chunk of an answer is there, and logs how
+// that ended.
 func (x *exchange) start(ctx context.Context) error {
+	began := time.Now()
+	if err := x.dispatchAll(ctx); err != nil {
+		x.logGivenUp(err)
+		return err
+	}
+	x.logRouted(time.Since(began))
+	return nil
+}
+
+// dispatchAll dispatches the request, after a claim of its key if it needs one.
+func (x *exchange) dispatchAll(ctx context.Context) error {
 	if len(x.candidates.queue) == 0 {
 		return &ryeford.NotRunError{Reason: ryeford.ReasonNoCandidate, RetryAfter: retry.Spread(unavailableRetryAfter)}
 	}
@@ -80,7 +92,9 @@
 			last = &ryeford.NotRunError{Reason: ryeford.ReasonRetryBudget}
 			break
 		}
-		if last = x.dispatchTo(ctx, x.candidates.next()); last == nil {
+		next := x.candidates.queue[0]
+		x.candidates.queue = x.candidates.queue[1:]
+		if last = x.dispatchTo(ctx, next); last == nil {
 			return nil
 		}
 		x.logFailed(last)
@@ -199,7 +213,7 @@
 
 // newExchange returns the exchange that serves a request.
 func (f *forwarder) newExchange(req *request) *exchange {
-	x := &exchange{forwarder: f, request: req, stream: agentStream{metrics: f.metrics}}
+	x := &exchange{forwarder: f, request: req}
 	if ranked := f.rank(req); len(ranked) > 0 {
 		x.candidates.home = ranked[0].Engine
 		x.candidates.queue = f.suspects.last(time.Now(), ranked)
@@ -215,7 +229,7 @@
 		request:   req,
 		history:   history{rejoins: maxRejoins},
 		attempt:   attempt{id: last.attempt},
-		stream:    agentStream{metrics: f.metrics, candidate: last.candidate},
+		stream:    agentStream{candidate: last.candidate},
 		delivered: delivered{next: last.offset + 1},
 	}
 }
--- a/agentfleet/router/fleet.go
+++ b/agentfleet/router/fleet.go
@@ -1,9 +1,11 @@
 package router
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 
 	"github.com/ryeford/ryeford"
 	"github.com/ryeford/ryeford/agentfleet/claim"
@@ -29,66 +31,75 @@
 // A fleet is what the router knows of the agents and their engines. What it holds of an
 // agent is as old as the agent's last message on its connection, and goes with it.
 type fleet struct {
-	mu       sync.RWMutex
+	mu   sync.Mutex // held while view is replaced
+	view atomic.Pointer[fleetView]
+}
+
+// A fleetView is a fleet at one moment. It is not changed. Agents that are leaving are in
+// no set of candidates, but are still found by their engines, for answers that are under
+// way.
+type fleetView struct {
 	agents   map[ryeford.VMID]*agent
+	engines  map[ryeford.EngineID]*agent
 	pools    map[ryeford.Pool]*route.Set
 	services map[string]*route.Set
-	engines  map[ryeford.EngineID]*agent
 }
 
-// newFleet returns a fleet without agents.
 func newFleet() *fleet {
-	return &fleet{
-		agents:  make(map[ryeford.VMID]*agent),
-		engines: make(map[ryeford.EngineID]*agent),
-	}
+	f := &fleet{}
+	f.view.Store(&fleetView{})
+	return f
 }
 
 // put keeps an agent, in place of what was known of it.
 func (f *fleet) put(a *agent) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.agents[a.vm.ID] = a
-	f.rebuild()
+	f.change(func(agents map[ryeford.VMID]*agent) { agents[a.vm.ID] = a })
 }
 
 // remove drops an agent whose connection is lost, unless it has another one by now.
 func (f *fleet) remove(vm ryeford.VMID, conn *transport.Conn) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if a, ok := f.agents[vm]; ok && a.conn == conn {
-		delete(f.agents, vm)
-		f.rebuild()
-	}
+	f.change(func(agents map[ryeford.VMID]*agent) {
+		if a, ok := agents[vm]; ok && a.conn == conn {
+			delete(agents, vm)
+		}
+	})
 }
 
 // setVM takes what the platform's list says of a VM.
 func (f *fleet) setVM(vm ryeford.VM) {
+	if a, ok := f.vm(vm.ID); !ok || a.vm == vm {
+		return
+	}
+	f.change(func(agents map[ryeford.VMID]*agent) {
+		if a, ok := agents[vm.ID]; ok {
+			changed := *a
+			changed.vm = vm
+			agents[vm.ID] = &changed
+		}
+	})
+}
+
+// change replaces the view by one of changed agents.
+func (f *fleet) change(do func(agents map[ryeford.VMID]*agent)) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if a, ok := f.agents[vm.ID]; ok && a.vm != vm {
-		changed := *a
-		changed.vm = vm
-		f.agents[vm.ID] = &changed
-		f.rebuild()
-	}
+	agents := make(map[ryeford.VMID]*agent)
+	maps.Copy(agents, f.view.Load().agents)
+	do(agents)
+	f.view.Store(newFleetView(agents))
 }
 
-// rebuild makes the sets of candidates anew. Agents that are leaving are in none, but
-// are still found by their engines, for answers that are under way.
-func (f *fleet) rebuild() {
+func newFleetView(agents map[ryeford.VMID]*agent) *fleetView {
+	v := &fleetView{agents: agents, engines: make(map[ryeford.EngineID]*agent)}
 	pools := make(map[ryeford.Pool][]route.Target)
 	services := make(map[string][]route.Target)
-	f.engines = make(map[ryeford.EngineID]*agent)
-	for _, id := range f.sortedVMs() {
-		a := f.agents[id]
-		for _, e := range a.inventory.Engines {
-			f.engines[e.ID] = a
-		}
-		if a.leaving() {
-			continue
-		}
+	for _, id := range slices.Sorted(maps.Keys(agents)) {
+		a := agents[id]
 		for _, e := range a.inventory.Engines {
+			v.engines[e.ID] = a
+			if a.leaving() {
+				continue
+			}
 			target := route.Target{Engine: e.ID, VM: id, Domain: a.inventory.FailureDomain}
 			for _, pool := range e.Pools {
 				pools[pool] = append(pools[pool], target)
@@ -98,11 +109,11 @@
 			}
 		}
 	}
-	f.pools = newSets(pools)
-	f.services = newSets(services)
+	v.pools = newSets(pools)
+	v.services = newSets(services)
+	return v
 }
 
-// newSets returns the sets of targets.
 func newSets[K comparable](targets map[K][]route.Target) map[K]*route.Set {
 	sets := make(map[K]*route.Set, len(targets))
 	for key, list := range targets {
@@ -111,29 +122,15 @@
 	return sets
 }
 
-func (f *fleet) sortedVMs() []ryeford.VMID {
-	return slices.Sorted(maps.Keys(f.agents))
-}
-
 // pool returns the engines that serve a pool, or nil.
-func (f *fleet) pool(pool ryeford.Pool) *route.Set {
-	f.mu.RLock()
-	defer f.mu.RUnlock()
-	return f.pools[pool]
-}
+func (f *fleet) pool(pool ryeford.Pool) *route.Set { return f.view.Load().pools[pool] }
 
 // service returns the instances of a plain service, or nil.
-func (f *fleet) service(name string) *route.Set {
-	f.mu.RLock()
-	defer f.mu.RUnlock()
-	return f.services[name]
-}
+func (f *fleet) service(name string) *route.Set { return f.view.Load().services[name] }
 
 // engine returns the agent of an engine.
 func (f *fleet) engine(id ryeford.EngineID) (*agent, bool) {
-	f.mu.RLock()
-	defer f.mu.RUnlock()
-	a, ok := f.engines[id]
+	a, ok := f.view.Load().engines[id]
 	return a, ok
 }
 
@@ -148,35 +145,24 @@
 
 // vm returns the agent of a VM.
 func (f *fleet) vm(id ryeford.VMID) (*agent, bool) {
-	f.mu.RLock()
-	defer f.mu.RUnlock()
-	a, ok := f.agents[id]
+	a, ok := f.view.Load().agents[id]
 	return a, ok
 }
 
 // domain returns the failure domain of a connected agent, or nothing.
 func (f *fleet) domain(id ryeford.VMID) string {
-	a, ok := f.vm(id)
-	if !ok {
-		return ""
+	if a, ok := f.vm(id); ok {
+		return a.inventory.FailureDomain
 	}
-	return a.inventory.FailureDomain
+	return ""
 }
 
 // all returns the connected agents in the order of their VMs.
 func (f *fleet) all() []*agent {
-	f.mu.RLock()
-	defer f.mu.RUnlock()
-	agents := make([]*agent, 0, len(f.agents))
-	for _, id := range f.sortedVMs() {
-		agents = append(agents, f.agents[id])
-	}
+	agents := slices.Collect(maps.Values(f.view.Load().agents))
+	slices.SortFunc(agents, func(a, b *agent) int { return cmp.Compare(a.vm.ID, b.vm.ID) })
 	return agents
 }
 
 // reachable returns how many agents are connected.
-func (f *fleet) reachable() int {
-	f.mu.RLock()
-	defer f.mu.RUnlock()
-	return len(f.agents)
-}
+func (f *fleet) reachable() int { return len(f.view.Load().agents) }
--- a/agentfleet/router/operators.go
+++ b/agentfleet/router/operators.go
@@ -80,9 +80,9 @@
 	case path == PathTemplates:
 		return h.templates.All(work)
 	case isTemplate:
-		return h.getTemplate(work, name)
+		return byName(work, name, h.templates.Get)
 	case isHistory:
-		return h.getHistory(work, history)
+		return byName(work, history, h.templates.History)
 	case isVM && ctx.IsPost() && strings.HasSuffix(vm, stopSuffix):
 		return h.stopVM(work, ryeford.VMID(strings.TrimSuffix(vm, stopSuffix)))
 	case path == PathStatus:
@@ -137,22 +137,13 @@
 	h.book.Apply(from, revision, templates)
 }
 
-// getTemplate returns a template as it was accepted last.
-func (h *operatorHandler) getTemplate(ctx context.Context, text string) (*ryeford.Template, error) {
+// byName returns what read finds of the template that is named ACCOUNT/NAME.
+func byName[T any](ctx context.Context, text string, read func(context.Context, template.Name) (T, error)) (any, error) {
 	name, err := template.ParseName(text)
 	if err != nil {
 		return nil, err
 	}
-	return h.templates.Get(ctx, name)
-}
-
-// getHistory returns all versions of a template.
-func (h *operatorHandler) getHistory(ctx context.Context, text string) ([]ryeford.Template, error) {
-	name, err := template.ParseName(text)
-	if err != nil {
-		return nil, err
-	}
-	return h.templates.History(ctx, name)
+	return read(ctx, name)
 }
 
 // stopVM begins a planned stop: it marks the VM as leaving in the platform's list and
--- a/agentfleet/router/parse.go
+++ b/agentfleet/router/parse.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"strconv"
 	"strings"
 	"time"
@@ -238,22 +239,14 @@
 
 // String returns the id as callers see it.
 func (e *eventID) String() string {
-	return strings.Join([]string{
-		string(e.candidate.VM),
-		string(e.candidate.Incarnation),
-		string(e.attempt),
-		strconv.FormatInt(e.offset, 10),
-	}, "/")
+	return fmt.Sprintf("%s/%s/%s/%d", e.candidate.VM, e.candidate.Incarnation, e.attempt, e.offset)
 }
 
 // parseEventID returns the id that a caller sent.
 func parseEventID(text string) (*eventID, error) {
 	parts := strings.Split(text, "/")
-	if len(parts) != 4 {
-		return nil, &ryeford.InputError{Field: HeaderLastEvent, Problem: "not the id of an event"}
-	}
-	offset, err := strconv.ParseInt(parts[3], 10, 64)
-	if err != nil || offset < 0 {
+	offset, err := strconv.ParseInt(parts[len(parts)-1], 10, 64)
+	if len(parts) != 4 || err != nil || offset < 0 {
 		return nil, &ryeford.InputError{Field: HeaderLastEvent, Problem: "not the id of an event"}
 	}
 	return &eventID{
--- a/agentfleet/router/receive.go
+++ b/agentfleet/router/receive.go
@@ -10,7 +10,6 @@
 	"github.com/ryeford/ryeford/agentfleet/claim"
 	"github.com/ryeford/ryeford/agentfleet/transport"
 	"github.com/ryeford/ryeford/agentfleet/wire"
-	"github.com/ryeford/ryeford/internal/telemetry"
 )
 
 // A delivered is what the caller has received of an answer.
@@ -37,32 +36,46 @@
 }
 
 // receive waits until there are chunks to pass on, for limit or until the request's
-// deadline.
+// deadline. At the end of ctx it closes the stream.
 func (x *exchange) receive(ctx context.Context, limit time.Duration) error {
-	return x.stream.receive(ctx, x.request.id, x.request.within(limit))
+	s := &x.stream
+	s.conn.SetReadDeadline(x.request.within(limit))
+	stop := context.AfterFunc(ctx, s.conn.Close)
+	defer stop()
+	for len(s.ready) == 0 {
+		m, err := s.conn.Receive()
+		if err != nil {
+			return err
+		}
+		if m.Frame == nil || m.Frame.Request != x.request.id {
+			x.forwarder.metrics.Count("ryeford_frames_dropped_total", "foreign")
+			continue
+		}
+		s.ready = s.asm.Add(m.Frame.Chunk())
+	}
+	return nil
 }
 
 // read returns the answer's next chunk. After an error the answer is not complete and
 // will not be.
 func (x *exchange) read(ctx context.Context) (ryeford.Chunk, error) {
 	for {
+		var err error
 		if len(x.stream.ready) == 0 {
-			if err := x.receive(ctx, x.forwarder.limits.BetweenTokens); err != nil {
-				if err := x.recover(ctx, err); err != nil {
-					return ryeford.Chunk{}, err
-				}
-				continue
-			}
+			err = x.receive(ctx, x.forwarder.limits.BetweenTokens)
 		}
-		chunk := x.stream.next()
-		if chunk.Finish == ryeford.FinishError && chunk.Reason != "" {
-			if err := x.recover(ctx, chunkError(&chunk)); err != nil {
-				return ryeford.Chunk{}, err
+		if err == nil {
+			chunk := x.stream.ready[0]
+			x.stream.ready = x.stream.ready[1:]
+			if chunk.Finish != ryeford.FinishError || chunk.Reason == "" {
+				x.deliver(&chunk)
+				return chunk, nil
 			}
-			continue
+			err = chunkError(&chunk)
+		}
+		if err := x.recover(ctx, err); err != nil {
+			return ryeford.Chunk{}, err
 		}
-		x.deliver(&chunk)
-		return chunk, nil
 	}
 }
 
@@ -94,41 +107,12 @@
 // An agentStream is the stream on which the agent of one candidate sends its replies to
 // an attempt, and the answer. A later stream may go on with the answer of an earlier one.
 type agentStream struct {
-	metrics *telemetry.Set
-
 	candidate claim.Candidate
 	conn      *transport.Stream // nil unless one is open
 	asm       *answer.Assembler // set by the agent's admission
 	ready     []ryeford.Chunk   // received and not yet passed on
 }
 
-// receive waits for chunks of a request's answer, until a deadline. At the end of ctx it
-// closes the stream.
-func (s *agentStream) receive(ctx context.Context, request ryeford.RequestID, deadline time.Time) error {
-	s.conn.SetReadDeadline(deadline)
-	stop := context.AfterFunc(ctx, s.conn.Close)
-	defer stop()
-	for len(s.ready) == 0 {
-		m, err := s.conn.Receive()
-		if err != nil {
-			return err
-		}
-		if m.Frame == nil || m.Frame.Request != request {
-			s.metrics.Count("ryeford_frames_dropped_total", "foreign")
-			continue
-		}
-		s.ready = s.asm.Add(m.Frame.Chunk())
-	}
-	return nil
-}
-
-// next takes the next chunk, of which receive must have found one.
-func (s *agentStream) next() ryeford.Chunk {
-	chunk := s.ready[0]
-	s.ready = s.ready[1:]
-	return chunk
-}
-
 // cancel sends the agent that the caller is gone. If that can't be sent, the
 // connection is lost, and the agent stops the run itself once nobody has read its
 // answer for a while.
--- a/agentfleet/router/recover.go
+++ b/agentfleet/router/recover.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/ryeford/ryeford"
@@ -58,10 +59,9 @@
 
 // recover goes on with an answer whose stream was lost, as afterLostStream says.
 func (x *exchange) recover(ctx context.Context, cause error) error {
-	var reported *ryeford.MayHaveRunError // as chunkError makes it; a connection's errors are others
 	lost := lostStream{
 		expired:    ctx.Err() != nil || time.Now().After(x.request.deadline),
-		reported:   errors.As(cause, &reported),
+		reported:   mayHaveRun(cause), // as chunkError makes it; a connection's errors are others
 		repeatable: x.request.repeatable,
 		call:       x.request.call != nil,
 		rejoins:    x.history.rejoins,
@@ -81,8 +81,7 @@
 // since a part of the answer was sent.
 func (x *exchange) rejoin(ctx context.Context, cause error) error {
 	err := x.resolveLost(ctx, cause)
-	var notRun *ryeford.NotRunError
-	if errors.As(err, &notRun) {
+	if notRun, ok := errors.AsType[*ryeford.NotRunError](err); ok {
 		return &ryeford.MayHaveRunError{Reason: notRun.Reason, Err: cause}
 	}
 	return err
@@ -93,7 +92,8 @@
 	x.forwarder.metrics.Count("ryeford_continued_total", "")
 	x.history.mayHaveRun = true
 	ranked := x.forwarder.suspects.last(time.Now(), x.forwarder.rank(x.request))
-	x.candidates.refill(ranked, x.stream.candidate.Engine)
+	lost := x.stream.candidate.Engine
+	x.candidates.queue = slices.DeleteFunc(ranked, func(c claim.Candidate) bool { return c.Engine == lost })
 	if !x.forwarder.budgets.pay(x.request.account, stepRetry) {
 		return &ryeford.MayHaveRunError{Reason: ryeford.ReasonRetryBudget, RetryAfter: retry.Spread(x.history.retryAfter), Err: cause}
 	}
--- a/agentfleet/router/retry.go
+++ b/agentfleet/router/retry.go
@@ -81,9 +81,9 @@
 		}
 		return stepGiveUp
 	}
-	var notRun *ryeford.NotRunError
+	notRun, ok := errors.AsType[*ryeford.NotRunError](err)
 	switch {
-	case !errors.As(err, &notRun), notRun.Reason == ryeford.ReasonTombstone:
+	case !ok, notRun.Reason == ryeford.ReasonTombstone:
 		return stepGiveUp
 	case notRun.Reason == ryeford.ReasonRedirect:
 		return stepFree
@@ -94,8 +94,8 @@
 // mayHaveRun reports whether a failure leaves open that the attempt ran. An unknown
 // outcome stays unknown if a refusal caused it.
 func mayHaveRun(err error) bool {
-	var unknown *ryeford.MayHaveRunError
-	return errors.As(err, &unknown)
+	_, ok := errors.AsType[*ryeford.MayHaveRunError](err)
+	return ok
 }
 
 // anotherRound reports whether the first candidate gets another dispatch after so many
@@ -107,8 +107,8 @@
 // finalError returns the error that the caller gets after the last dispatch. A request
 // of which an earlier dispatch may have run is never said not to have run.
 func finalError(last error, mayHaveRun bool, retryAfter time.Duration) error {
-	var notRun *ryeford.NotRunError
-	if !errors.As(last, &notRun) {
+	notRun, ok := errors.AsType[*ryeford.NotRunError](last)
+	if !ok {
 		return last
 	}
 	if mayHaveRun {
--- a/agentfleet/transport/conn.go
+++ b/agentfleet/transport/conn.go
@@ -60,6 +60,25 @@
 	return &Stream{quic: s}, nil
 }
 
+// Serve calls serve, in a goroutine each, with the streams that the peer opens and the
+// message that each begins with, until the connection or ctx ends. A stream is closed when
+// serve returns, and one that ends before a message without it: the peer sees that it got
+// no answer.
+func (c *Conn) Serve(ctx context.Context, serve func(*Stream, *wire.Message)) {
+	for {
+		stream, err := c.Accept(ctx)
+		if err != nil {
+			return // the connection, or ctx, has ended
+		}
+		go func() {
+			defer stream.Close()
+			if m, err := stream.Receive(); err == nil {
+				serve(stream, m)
+			}
+		}()
+	}
+}
+
 // Ask sends one message on a new stream of c and returns the answer. It waits until
 // the deadline of ctx; to cancel ctx does not end the wait for the answer.
 func (c *Conn) Ask(ctx context.Context, m *wire.Message) (*wire.Message, error) {
