refactor: no comments in agentfleet that only repeat a name

Cause: 80 lines such as "Error returns the text of e", "newRun returns a run that has not begun": the name and the signature say the same.

Change: those 80 lines. The agent's poll of its engines uses every, as its other polls do.

--- a/agentfleet/agent/admit.go
+++ b/agentfleet/agent/admit.go
@@ -87,7 +87,6 @@
 	return r, nil
 }
 
-// refusal returns a Refused for a reason.
 func (a *Agent) refusal(d *wire.Dispatch, reason ryeford.Reason) *wire.Refused {
 	return &wire.Refused{
 		Attempt:     d.Attempt,
@@ -191,3 +190,19 @@
 	a.metrics.Observe("ryeford_warm_wait_seconds", time.Since(began).Seconds())
 	return r, refused
 }
+
+func (a *Agent) logAdmitted(d *wire.Dispatch, decided *admission.Decision, warm bool) {
+	a.metrics.Count("ryeford_admitted_total", "")
+	a.decisions.Record(d.Request,
+		"decision", "admit", "request", d.Request, "attempt", d.Attempt, "account", d.Account, "chat", d.Chat,
+		"engine", d.Engine, "failure_domain", a.settings.FailureDomain,
+		"load", decided.Load, "bound", decided.Bound, "mean", d.PoolMean, "held", decided.Held, "share", d.Share, "warm", warm)
+}
+
+func (a *Agent) logRefused(d *wire.Dispatch, refused *wire.Refused) {
+	a.metrics.Count("ryeford_refused_total", string(refused.Reason))
+	a.decisions.Record(d.Request,
+		"decision", "refuse", "request", d.Request, "attempt", d.Attempt, "account", d.Account, "chat", d.Chat,
+		"engine", d.Engine, "failure_domain", a.settings.FailureDomain, "reason", refused.Reason,
+		"load", refused.Load, "bound", refused.Bound, "mean", d.PoolMean, "share", d.Share, "redirect", refused.Engine)
+}
--- a/agentfleet/agent/agent.go
+++ b/agentfleet/agent/agent.go
@@ -105,7 +105,9 @@
 	group.Go(func() error { return a.pollEngines(work) })
 	group.Go(func() error { return a.pollVMs(work) })
 	group.Go(func() error { return a.gossip(work) })
-	group.Go(func() error { return a.sweep(work) })
+	group.Go(func() error {
+		return every(work, sweepInterval, func() { a.attempts.sweep(time.Now()) })
+	})
 	group.Go(func() error { return a.applyPlan(work) })
 	group.Go(func() error { return telemetry.Serve(work, a.settings.Metrics.AddrPort, a.metrics) })
 	group.Go(func() error {
@@ -130,7 +132,6 @@
 	a.inventoryChanged()
 }
 
-// addBackends makes the backends of the settings.
 func (a *Agent) addBackends() {
 	limits := admission.Limits{
 		PoolFactor: a.settings.Limits.PoolFactor,
@@ -152,17 +153,11 @@
 	}
 }
 
-// addBackend adds a backend and its metrics.
 func (a *Agent) addBackend(b *backend) {
 	a.backends[b.id] = b
 	a.metrics.Gauge(`ryeford_engine_load{engine="`+string(b.id)+`"}`, b.load)
 }
 
-// sweep forgets old attempts until ctx ends.
-func (a *Agent) sweep(ctx context.Context) error {
-	return every(ctx, sweepInterval, func() { a.attempts.sweep(time.Now()) })
-}
-
 // every calls do after each interval until ctx ends, one call at a time. It
 // returns nil.
 func every(ctx context.Context, interval time.Duration, do func()) error {
--- a/agentfleet/agent/attempts.go
+++ b/agentfleet/agent/attempts.go
@@ -19,7 +19,6 @@
 	tombstones map[ryeford.AttemptID]time.Time // until when they are remembered
 }
 
-// newAttempts returns an attempts that remembers none.
 func newAttempts(keep, skew time.Duration) *attempts {
 	return &attempts{
 		keep:       keep,
@@ -100,7 +99,6 @@
 	}
 }
 
-// unfinished returns how many runs have not finished.
 func (a *attempts) unfinished() int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -202,7 +200,6 @@
 	return expires.Add(skew)
 }
 
-// later returns the later of two times.
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/agentfleet/agent/backend.go
+++ b/agentfleet/agent/backend.go
@@ -29,7 +29,6 @@
 	overflow overflows
 }
 
-// newBackend returns a backend with nothing running.
 func newBackend(id ryeford.EngineID, limits admission.Limits, chats int) *backend {
 	return &backend{
 		id:       id,
@@ -112,7 +111,6 @@
 	b.overflow.add(now, o.Chat, o.Engine)
 }
 
-// forgetEvicted forgets the chats whose prefix the engine evicted.
 func (b *backend) forgetEvicted(events []ryeford.CacheEvent) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/agentfleet/agent/chatmemory.go
+++ b/agentfleet/agent/chatmemory.go
@@ -23,7 +23,6 @@
 	pool ryeford.Pool
 }
 
-// newChatMemory returns a chatMemory of so many chats.
 func newChatMemory(limit int) *chatMemory {
 	return &chatMemory{
 		limit: limit,
@@ -32,13 +31,11 @@
 	}
 }
 
-// has reports whether a chat is remembered.
 func (m *chatMemory) has(key wire.ChatKey) bool {
 	_, ok := m.chats[key]
 	return ok
 }
 
-// add remembers a chat that is served now.
 func (m *chatMemory) add(key wire.ChatKey, pool ryeford.Pool) {
 	m.drop(key)
 	m.chats[key] = m.order.PushFront(servedChat{key: key, pool: pool})
@@ -47,7 +44,6 @@
 	}
 }
 
-// drop forgets a chat.
 func (m *chatMemory) drop(key wire.ChatKey) {
 	if element, ok := m.chats[key]; ok {
 		m.order.Remove(element)
--- a/agentfleet/agent/connections.go
+++ b/agentfleet/agent/connections.go
@@ -23,7 +23,6 @@
 	}
 }
 
-// serveConn serves the streams and datagrams of one connection.
 func (a *Agent) serveConn(ctx context.Context, conn *transport.Conn) {
 	a.mu.Lock()
 	a.peers[conn] = struct{}{}
@@ -82,7 +81,6 @@
 	return inv, changed
 }
 
-// inventoryChanged wakes all that watch the inventory.
 func (a *Agent) inventoryChanged() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -90,7 +88,6 @@
 	a.changed = make(chan struct{})
 }
 
-// serveWatch sends the inventory, and again at each change.
 func (a *Agent) serveWatch(ctx context.Context, conn *transport.Conn, stream *transport.Stream) {
 	for {
 		inv, changed := a.inventory()
--- a/agentfleet/agent/execute.go
+++ b/agentfleet/agent/execute.go
@@ -70,6 +70,18 @@
 	}
 }
 
+// logDropped counts the chunks that were not part of an answer.
+func (a *Agent) logDropped(r *run, dropped answer.Dropped) {
+	if dropped == (answer.Dropped{}) {
+		return
+	}
+	a.metrics.Add("ryeford_chunks_dropped_total", "foreign", dropped.Foreign)
+	a.metrics.Add("ryeford_chunks_dropped_total", "repeated", dropped.Repeated)
+	a.metrics.Add("ryeford_chunks_dropped_total", "overflow", dropped.Overflow)
+	_ = a.log.Log("msg", "chunks dropped", "attempt", r.dispatch.Attempt, "engine", r.dispatch.Engine,
+		"foreign", dropped.Foreign, "repeated", dropped.Repeated, "overflow", dropped.Overflow)
+}
+
 // fail ends a run's answer with a failure, and cancels it at its engine unless it
 // did not start there.
 func (a *Agent) fail(r *run, next int64, failure *streamError) {
@@ -136,7 +148,6 @@
 // An errStalled is the cause of a stream that was cancelled at its stallLimit.
 type errStalled struct{}
 
-// Error returns the text of the error.
 func (errStalled) Error() string { return "stalled" }
 
 // newStreamError returns the streamError of a failed open or read. A cancelled
@@ -199,7 +210,6 @@
 	idle    *time.Timer // cancels the run at the end of the grace period
 }
 
-// newRun returns a run that has not begun.
 func newRun(d *wire.Dispatch, b *backend, warm bool) *run {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &run{
@@ -235,7 +245,6 @@
 	r.idle = time.AfterFunc(grace, r.cancel)
 }
 
-// cancelIfRepeatable ends the run if its request may be repeated.
 func (r *run) cancelIfRepeatable() {
 	if r.dispatch.Repeatable {
 		r.cancel()
--- a/agentfleet/agent/gossip.go
+++ b/agentfleet/agent/gossip.go
@@ -21,14 +21,12 @@
 	return loop.Run(ctx)
 }
 
-// sendGossip sends a datagram to n random peers.
 func (a *Agent) sendGossip(n int) {
 	if peers := a.randomPeers(n); len(peers) > 0 {
 		gossip.Send(a.control, a.gossipMessage(), peers...)
 	}
 }
 
-// gossipMessage returns the state that the agent sends to its peers.
 func (a *Agent) gossipMessage() *wire.Gossip {
 	epoch, sequence := a.plan.Version()
 	m := &wire.Gossip{
@@ -46,7 +44,6 @@
 	return m
 }
 
-// randomPeers returns up to n of the connected routers.
 func (a *Agent) randomPeers(n int) []*transport.Conn {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/agentfleet/agent/polls.go
+++ b/agentfleet/agent/polls.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/ryeford/ryeford"
 )
@@ -11,9 +10,7 @@
 // until ctx ends.
 func (a *Agent) pollEngines(ctx context.Context) error {
 	after := make(map[ryeford.EngineID]int64)
-	ticker := time.NewTicker(a.settings.Polls.Engine)
-	defer ticker.Stop()
-	for {
+	poll := func() {
 		changed := false
 		for _, s := range a.settings.Engines {
 			b := a.backends[s.ID]
@@ -23,12 +20,9 @@
 		if changed {
 			a.inventoryChanged()
 		}
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return nil
-		}
 	}
+	poll()
+	return every(ctx, a.settings.Polls.Engine, poll)
 }
 
 // pollServing asks an engine what it serves and reports whether that changed. An
--- a/agentfleet/answer/log.go
+++ b/agentfleet/answer/log.go
@@ -83,7 +83,6 @@
 	Next   int64 // after its last chunk so far
 }
 
-// Error returns the text of e.
 func (e *OffsetError) Error() string {
 	return fmt.Sprintf("offset %d is outside the answer's %d to %d", e.Offset, e.First, e.Next)
 }
--- a/agentfleet/claim/batcher.go
+++ b/agentfleet/claim/batcher.go
@@ -48,7 +48,6 @@
 	err     error
 }
 
-// newBatcher returns a batcher that writes to a table.
 func newBatcher(table ryeford.Table) *batcher {
 	return &batcher{table: table, queue: make(chan *pending, batchQueue)}
 }
@@ -70,7 +69,6 @@
 	}
 }
 
-// run writes batches until ctx ends.
 func (b *batcher) run(ctx context.Context) error {
 	slots := make(chan struct{}, maxBatches)
 	for {
--- a/agentfleet/claim/claim.go
+++ b/agentfleet/claim/claim.go
@@ -156,8 +156,6 @@
 	Err error
 }
 
-// Error returns the text of e.
 func (e *Error) Error() string { return "claim of " + e.Key.String() + ": " + e.Err.Error() }
 
-// Unwrap returns the cause of e.
 func (e *Error) Unwrap() error { return e.Err }
--- a/agentfleet/decision/log.go
+++ b/agentfleet/decision/log.go
@@ -54,7 +54,6 @@
 	_ = l.out.Log(pairs...)
 }
 
-// keep keeps a decision's line, with the time.
 func (l *Log) keep(request ryeford.RequestID, pairs []any) {
 	var b bytes.Buffer
 	e := logfmt.NewEncoder(&b)
--- a/agentfleet/engine/client.go
+++ b/agentfleet/engine/client.go
@@ -184,7 +184,6 @@
 	events *eventstream.Reader
 }
 
-// newEventReader returns an eventReader of a response body.
 func newEventReader(body io.ReadCloser) *eventReader {
 	return &eventReader{body: body, events: eventstream.NewReader(body)}
 }
@@ -207,7 +206,6 @@
 	return ryeford.Chunk{}, &Error{Op: "read stream", Err: io.ErrUnexpectedEOF}
 }
 
-// parseChunk returns the chunk of one event.
 func parseChunk(id, data string) (ryeford.Chunk, error) {
 	attempt, offset, err := ParseEventID(id)
 	if err != nil {
--- a/agentfleet/engine/errors.go
+++ b/agentfleet/engine/errors.go
@@ -16,7 +16,6 @@
 	Err    error  // nil if the status is the failure
 }
 
-// Error returns the text of e.
 func (e *Error) Error() string {
 	if e.Err == nil {
 		return fmt.Sprintf("engine: %s: status %d", e.Op, e.Status)
@@ -24,10 +23,8 @@
 	return fmt.Sprintf("engine: %s: %v", e.Op, e.Err)
 }
 
-// Unwrap returns the cause of e.
 func (e *Error) Unwrap() error { return e.Err }
 
-// statusError returns the error that an engine's status stands for.
 func statusError(op string, status int) error {
 	switch status {
 	case http.StatusNotFound:
--- a/agentfleet/lease/lease.go
+++ b/agentfleet/lease/lease.go
@@ -54,7 +54,6 @@
 	Holder ryeford.VMID
 }
 
-// Error returns the text of e.
 func (e *HeldError) Error() string { return "lease held by " + string(e.Holder) }
 
 // Acquire takes or renews the lease. If another process holds it, or took it at the
@@ -89,12 +88,10 @@
 	return l.record(epoch, now), nil
 }
 
-// record returns the record of this process's lease, renewed now.
 func (l *Lease) record(epoch int64, now time.Time) record {
 	return record{Holder: l.holder, Life: l.life, Epoch: epoch, Expires: now.Add(l.ttl)}
 }
 
-// write writes the lease's row if it has a version.
 func (l *Lease) write(ctx context.Context, next record, version int64) (*Held, error) {
 	write, err := row.Write(l.key, &next, version)
 	if err != nil {
--- a/agentfleet/placement/choose.go
+++ b/agentfleet/placement/choose.go
@@ -59,7 +59,6 @@
 	return best
 }
 
-// serves reports whether an engine has a base loaded.
 func serves(e *Engine, b base) bool {
 	return slices.ContainsFunc(e.Pools, func(p ryeford.Pool) bool {
 		return p.Model == b.model && p.Version == b.version
@@ -97,7 +96,6 @@
 	return pools
 }
 
-// sortedPools returns a demand's pools in a fixed order.
 func sortedPools(d *demand) []ryeford.Pool {
 	pools := make([]ryeford.Pool, 0, len(d.pools))
 	for p := range d.pools {
--- a/agentfleet/router/agentlist.go
+++ b/agentfleet/router/agentlist.go
@@ -21,7 +21,6 @@
 	gossip *agentGossip
 }
 
-// run reads the list until ctx ends.
 func (l *agentList) run(ctx context.Context) error {
 	watches := make(map[ryeford.VMID]*watch)
 	for {
@@ -183,7 +182,6 @@
 	Got  ryeford.VMID
 }
 
-// Error returns the text of e.
 func (e *PeerError) Error() string {
 	return "the address of " + string(e.Want) + " was answered by " + string(e.Got)
 }
--- a/agentfleet/router/answers.go
+++ b/agentfleet/router/answers.go
@@ -160,7 +160,6 @@
 	return nil
 }
 
-// logInterrupted logs an answer that broke off.
 func (s *answerStream) logInterrupted(err error) {
 	x, req := s.exchange, s.exchange.request
 	x.forwarder.metrics.Count("ryeford_interrupted_total", string(reasonOf(err)))
--- a/agentfleet/router/callers.go
+++ b/agentfleet/router/callers.go
@@ -67,7 +67,6 @@
 	}
 }
 
-// serveReady answers the load balancer's readiness probe.
 func (h *callerHandler) serveReady(ctx *fasthttp.RequestCtx) {
 	if h.readiness.ready() {
 		ctx.SetBodyString("ready\n")
@@ -77,7 +76,6 @@
 	ctx.SetBodyString("not ready\n")
 }
 
-// serveRequest parses a request, serves it and writes the answer.
 func (h *callerHandler) serveRequest(ctx *fasthttp.RequestCtx, parse func(*fasthttp.RequestCtx, *request) error) {
 	req := &request{id: ryeford.RequestID(uuid.NewString())}
 	if !h.readiness.synced.Load() {
@@ -108,7 +106,6 @@
 	h.writeAnswer(work, cancel, ctx, x)
 }
 
-// finish ends an exchange.
 func (h *callerHandler) finish(x *exchange, cancel context.CancelFunc) {
 	x.stream.close()
 	cancel()
--- a/agentfleet/router/candidates.go
+++ b/agentfleet/router/candidates.go
@@ -44,14 +44,12 @@
 	return &suspects{until: make(map[ryeford.VMID]time.Time)}
 }
 
-// add suspects a VM that left a dispatch unanswered.
 func (s *suspects) add(now time.Time, vm ryeford.VMID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.until[vm] = now.Add(suspectedFor)
 }
 
-// clear ends the suspicion of a VM that answered.
 func (s *suspects) clear(vm ryeford.VMID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/agentfleet/router/exchange.go
+++ b/agentfleet/router/exchange.go
@@ -142,7 +142,6 @@
 	x.forwarder.loads.addProbe(time.Now(), x.request.model, x.stream.candidate.Engine, &x.probes, value)
 }
 
-// logFailed logs a dispatch that failed.
 func (x *exchange) logFailed(err error) {
 	f, req, c := x.forwarder, x.request, x.stream.candidate
 	f.metrics.Count("ryeford_tries_failed_total", string(reasonOf(err)))
@@ -152,7 +151,6 @@
 		"reason", reasonOf(err), "mean", x.poolMean(), "left", len(x.candidates.queue), "err", err)
 }
 
-// logRouted logs which engine serves a request.
 func (x *exchange) logRouted(took time.Duration) {
 	f, req, c := x.forwarder, x.request, x.stream.candidate
 	f.metrics.Count("ryeford_requests_total", "routed")
@@ -167,7 +165,6 @@
 		"try", x.history.dispatches, "mean", x.poolMean(), "warm", x.history.warm, "first_chunk", took)
 }
 
-// logGivenUp logs why a request was not served.
 func (x *exchange) logGivenUp(err error) {
 	req := x.request
 	x.forwarder.metrics.Count("ryeford_requests_total", string(reasonOf(err)))
@@ -211,7 +208,6 @@
 	budgets  budgets
 }
 
-// newExchange returns the exchange that serves a request.
 func (f *forwarder) newExchange(req *request) *exchange {
 	x := &exchange{forwarder: f, request: req}
 	if ranked := f.rank(req); len(ranked) > 0 {
--- a/agentfleet/router/failure.go
+++ b/agentfleet/router/failure.go
@@ -88,7 +88,6 @@
 	return errorBody{Error: detail}, status
 }
 
-// writeError answers a caller with a failure.
 func writeError(ctx *fasthttp.RequestCtx, request ryeford.RequestID, err error) {
 	body, status := newErrorBody(request, err)
 	if ms := body.Error.RetryAfterMS; ms > 0 {
@@ -101,7 +100,6 @@
 	writeErrorBody(ctx, &body, status)
 }
 
-// writeErrorBody writes the JSON of a failure as the response.
 func writeErrorBody(ctx *fasthttp.RequestCtx, body *errorBody, status int) {
 	content, err := json.Marshal(body)
 	if err != nil { // not possible: the body is strings and a number
@@ -125,7 +123,6 @@
 // A ProtocolError says that an agent's message is no reply to what it was sent.
 type ProtocolError struct{}
 
-// Error returns the text of e.
 func (e *ProtocolError) Error() string { return "unexpected message" }
 
 // An EngineError carries what an engine, or its agent, said of a failure.
@@ -133,10 +130,8 @@
 	Text string
 }
 
-// Error returns the text of e.
 func (e *EngineError) Error() string { return e.Text }
 
-// reasonOf returns the reason of a failure.
 func reasonOf(err error) ryeford.Reason {
 	if unknown, ok := errors.AsType[*ryeford.MayHaveRunError](err); ok {
 		return unknown.Reason
--- a/agentfleet/router/gossip.go
+++ b/agentfleet/router/gossip.go
@@ -29,7 +29,6 @@
 	return loop.Run(ctx)
 }
 
-// send sends a datagram to n random agents.
 func (g *agentGossip) send(n int) {
 	for _, a := range gossip.Sample(g.fleet.all(), n) {
 		g.sendTo(a.conn, &wire.Gossip{})
--- a/agentfleet/router/operators.go
+++ b/agentfleet/router/operators.go
@@ -38,7 +38,6 @@
 	*shared
 }
 
-// serve answers one request of an operator.
 func (h *operatorHandler) serve(ctx *fasthttp.RequestCtx) {
 	if !h.isOperator(ctx) {
 		writeError(ctx, "", &ryeford.InputError{Field: "Authorization", Problem: "want the operators' bearer token", Status: fasthttp.StatusUnauthorized})
@@ -67,7 +66,6 @@
 	return subtle.ConstantTimeCompare(got[:], want[:]) == 1
 }
 
-// operate does what an operator asks.
 func (h *operatorHandler) operate(work context.Context, ctx *fasthttp.RequestCtx) (any, error) {
 	path := string(ctx.Path())
 	name, isTemplate := strings.CutPrefix(path, PathTemplates+"/")
--- a/agentfleet/router/parse.go
+++ b/agentfleet/router/parse.go
@@ -58,7 +58,6 @@
 	return nil
 }
 
-// parseDeadline reads how long the caller waits.
 func parseDeadline(ctx *fasthttp.RequestCtx, byDefault time.Duration) (time.Duration, error) {
 	text := string(ctx.Request.Header.Peek(HeaderDeadline))
 	if text == "" {
@@ -117,7 +116,6 @@
 	MaxTokens int               `json:"max_tokens"`
 }
 
-// parseCompletion reads a chat completion.
 func (h *callerHandler) parseCompletion(ctx *fasthttp.RequestCtx, req *request) error {
 	var body completionRequest
 	if err := json.Unmarshal(ctx.PostBody(), &body); err != nil {
@@ -166,7 +164,6 @@
 	return min(ryeford.Priority(n), highest), nil
 }
 
-// parseCall reads a call of a plain service.
 func (h *callerHandler) parseCall(ctx *fasthttp.RequestCtx, req *request) error {
 	uri := strings.TrimPrefix(string(ctx.RequestURI()), PathServices)
 	name, rest, _ := strings.Cut(uri, "/")
@@ -237,12 +234,10 @@
 	offset    int64
 }
 
-// String returns the id as callers see it.
 func (e *eventID) String() string {
 	return fmt.Sprintf("%s/%s/%s/%d", e.candidate.VM, e.candidate.Incarnation, e.attempt, e.offset)
 }
 
-// parseEventID returns the id that a caller sent.
 func parseEventID(text string) (*eventID, error) {
 	parts := strings.Split(text, "/")
 	offset, err := strconv.ParseInt(parts[len(parts)-1], 10, 64)
--- a/agentfleet/router/planner.go
+++ b/agentfleet/router/planner.go
@@ -148,7 +148,6 @@
 	return nil
 }
 
-// putObject stores a plan and returns the object's name.
 func (p *planner) putObject(ctx context.Context, plan *ryeford.Plan) (string, error) {
 	content, err := json.Marshal(plan)
 	if err != nil {
--- a/agentfleet/router/retry.go
+++ b/agentfleet/router/retry.go
@@ -46,7 +46,6 @@
 	retries  *retry.Budget // dispatches after a failure
 }
 
-// newBudgets returns budgets with the reserves that the limits give.
 func newBudgets(limits *settings.RouterLimits) budgets {
 	return budgets{
 		overflow: retry.NewBudget(retry.BudgetLimits{PerSuccess: limits.OverflowPerAnswer, Reserve: limits.OverflowReserve}),
--- a/agentfleet/router/router.go
+++ b/agentfleet/router/router.go
@@ -121,7 +121,6 @@
 	}}
 }
 
-// addGauges adds the gauges.
 func (r *Router) addGauges() {
 	r.metrics.Gauge("ryeford_revision", func() float64 { return float64(r.book.Revision()) })
 	r.metrics.Gauge("ryeford_agents_connected", func() float64 { return float64(r.fleet.reachable()) })
--- a/agentfleet/router/status.go
+++ b/agentfleet/router/status.go
@@ -78,7 +78,6 @@
 	return s
 }
 
-// agentStatus returns what is known of an agent without asking it.
 func agentStatus(a *agent) AgentStatus {
 	s := AgentStatus{
 		VM:          a.vm.ID,
@@ -94,7 +93,6 @@
 	return s
 }
 
-// explain returns the decisions on a request, here and at the agents that answer.
 func (h *operatorHandler) explain(ctx context.Context, request ryeford.RequestID) *Explanation {
 	e := &Explanation{Request: request, Decisions: h.decisions.Lines(request)}
 	query := &wire.Message{Explain: &wire.Explain{Request: request}}
--- a/agentfleet/tableservice/client.go
+++ b/agentfleet/tableservice/client.go
@@ -190,7 +190,6 @@
 	Status int
 }
 
-// Error returns the text of e.
 func (e *StatusError) Error() string { return http.StatusText(e.Status) }
 
 // The paths of the platform's services.
--- a/agentfleet/template/book.go
+++ b/agentfleet/template/book.go
@@ -82,7 +82,6 @@
 	b.templates[name] = &kept
 }
 
-// indexKeys makes the index of key hashes anew.
 func (b *Book) indexKeys() {
 	clear(b.accounts)
 	for _, t := range b.templates {
--- a/agentfleet/template/store.go
+++ b/agentfleet/template/store.go
@@ -27,7 +27,6 @@
 	Current int64
 }
 
-// Error returns the text of e.
 func (e *SequenceError) Error() string {
 	return fmt.Sprintf("template %s is at version %d, not %d: read it and publish again", e.Name, e.Current, e.Based)
 }
@@ -202,7 +201,6 @@
 	return revision, err
 }
 
-// decodeRows returns the templates of rows.
 func decodeRows(rows []ryeford.Row) ([]ryeford.Template, error) {
 	templates := make([]ryeford.Template, 0, len(rows))
 	for _, r := range rows {
--- a/agentfleet/transport/conn.go
+++ b/agentfleet/transport/conn.go
@@ -27,7 +27,6 @@
 	peer ryeford.VMID
 }
 
-// newConn returns a Conn of an established QUIC connection.
 func newConn(c *quic.Conn) *Conn {
 	conn := &Conn{quic: c}
 	if certs := c.ConnectionState().TLS.PeerCertificates; len(certs) > 0 {
@@ -176,7 +175,6 @@
 	Err     error
 }
 
-// Error returns the text of e.
 func (e *Error) Error() string {
 	if !e.Address.IsValid() {
 		return fmt.Sprintf("%s: %v", e.Op, e.Err)
@@ -184,5 +182,4 @@
 	return fmt.Sprintf("%s %s: %v", e.Op, e.Address, e.Err)
 }
 
-// Unwrap returns the cause of e.
 func (e *Error) Unwrap() error { return e.Err }
--- a/agentfleet/transport/identity.go
+++ b/agentfleet/transport/identity.go
@@ -149,5 +149,4 @@
 // An errNoCertificate says that a PEM file holds no certificate.
 type errNoCertificate struct{}
 
-// Error returns the text of the error.
 func (errNoCertificate) Error() string { return "no certificate in the file" }
--- a/agentfleet/wire/framing.go
+++ b/agentfleet/wire/framing.go
@@ -95,7 +95,6 @@
 	Size uint32
 }
 
-// Error returns the text of e.
 func (e *SizeError) Error() string {
 	return fmt.Sprintf("message of %d bytes is over %d", e.Size, maxMessageSize)
 }
@@ -105,8 +104,6 @@
 	Err error
 }
 
-// Error returns the text of e.
 func (e *MalformedError) Error() string { return "malformed message: " + e.Err.Error() }
 
-// Unwrap returns the cause of e.
 func (e *MalformedError) Unwrap() error { return e.Err }
