--- a/agentfleet/agent/admit.go
+++ b/agentfleet/agent/admit.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -120,11 +121,8 @@
 		return nil
 	}
 	w := &waiter{priority: priority, ready: make(chan struct{})}
-	at := slices.IndexFunc(q.waiters, func(o *waiter) bool { return o.priority < priority })
-	if at < 0 {
-		at = len(q.waiters)
-	}
-	q.waiters = slices.Insert(q.waiters, at, w)
+	q.waiters = append(q.waiters, w)
+	slices.SortStableFunc(q.waiters, func(a, b *waiter) int { return cmp.Compare(b.priority, a.priority) })
 	return w
 }
 
@@ -132,9 +130,7 @@
 func (q *queue) leave(w *waiter) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if at := slices.Index(q.waiters, w); at >= 0 {
-		q.waiters = slices.Delete(q.waiters, at, at+1)
-	}
+	q.waiters = slices.DeleteFunc(q.waiters, func(o *waiter) bool { return o == w })
 }
 
 // wake removes the first waiter, which tries again to be admitted.
@@ -163,8 +159,8 @@
 // load alone is the reason for the refusal and the dispatch's Wait is not over.
 func (a *Agent) wait(ctx context.Context, b *backend, d *wire.Dispatch, refused *wire.Refused) (*run, *wire.Refused) {
 	began := time.Now()
-	limit := time.NewTimer(d.Wait)
-	defer limit.Stop()
+	ctx, cancel := context.WithTimeout(ctx, d.Wait)
+	defer cancel()
 	var r *run
 	for refused != nil && refused.Reason == ryeford.ReasonOverload {
 		w := b.queue.enter(d.Priority)
@@ -179,9 +175,6 @@
 		select {
 		case <-w.ready:
 			r, refused = a.admit(d)
-		case <-limit.C:
-			b.queue.leave(w)
-			return nil, refused
 		case <-ctx.Done():
 			b.queue.leave(w)
 			return nil, refused
--- a/agentfleet/agent/connections.go
+++ b/agentfleet/agent/connections.go
@@ -135,7 +135,13 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	go receiveCancel(stream, r, cancel)
+	go func() {
+		defer cancel()
+		// A message is the router's cancel; an error says that this reader alone is gone.
+		if m, err := stream.Receive(); err == nil && m.Cancel != nil {
+			r.cancelIfRepeatable()
+		}
+	}()
 	for {
 		chunks, err := r.log.Read(ctx, offset)
 		if err != nil {
@@ -153,13 +159,3 @@
 		}
 	}
 }
-
-// receiveCancel calls gone once the router cancels, or closes the stream. Only the
-// first is for the run; an error means that this reader is gone.
-func receiveCancel(stream *transport.Stream, r *run, gone context.CancelFunc) {
-	defer gone()
-	m, err := stream.Receive()
-	if err == nil && m.Cancel != nil {
-		r.cancelIfRepeatable()
-	}
-}
--- a/agentfleet/agent/gossip.go
+++ b/agentfleet/agent/gossip.go
@@ -21,13 +21,8 @@
 	return loop.Run(ctx)
 }
 
+// sendGossip sends the agent's state to n random routers.
 func (a *Agent) sendGossip(n int) {
-	if peers := a.randomPeers(n); len(peers) > 0 {
-		gossip.Send(a.control, a.gossipMessage(), peers...)
-	}
-}
-
-func (a *Agent) gossipMessage() *wire.Gossip {
 	epoch, sequence := a.plan.Version()
 	m := &wire.Gossip{
 		VM:           a.settings.VM,
@@ -41,7 +36,7 @@
 			m.Loads = append(m.Loads, wire.EngineLoad{Model: state.Pools[0].Model, Load: state.Load})
 		}
 	}
-	return m
+	gossip.Send(a.control, m, a.randomPeers(n)...)
 }
 
 func (a *Agent) randomPeers(n int) []*transport.Conn {
--- a/agentfleet/answer/assembler.go
+++ b/agentfleet/answer/assembler.go
@@ -60,7 +60,14 @@
 		return nil
 	}
 	a.pending[chunk.Offset] = chunk
-	return a.contiguous()
+	var ready []ryeford.Chunk
+	for next, ok := a.pending[a.next]; ok && !a.finished; next, ok = a.pending[a.next] {
+		delete(a.pending, a.next)
+		a.next++
+		a.finished = next.Finish != ""
+		ready = append(ready, next)
+	}
+	return ready
 }
 
 // Dropped returns the counts so far.
@@ -71,19 +78,3 @@
 
 // Next returns the offset of the next chunk to pass on.
 func (a *Assembler) Next() int64 { return a.next }
-
-// contiguous takes the chunks from pending that follow without a gap.
-func (a *Assembler) contiguous() []ryeford.Chunk {
-	var ready []ryeford.Chunk
-	for !a.finished {
-		chunk, ok := a.pending[a.next]
-		if !ok {
-			break
-		}
-		delete(a.pending, a.next)
-		a.next++
-		a.finished = chunk.Finish != ""
-		ready = append(ready, chunk)
-	}
-	return ready
-}
--- a/agentfleet/claim/batcher.go
+++ b/agentfleet/claim/batcher.go
@@ -48,10 +48,6 @@
 	err     error
 }
 
-func newBatcher(table ryeford.Table) *batcher {
-	return &batcher{table: table, queue: make(chan *pending, batchQueue)}
-}
-
 // write makes one write. Its error is that of ryeford.Table; the end of ctx leaves open
 // whether the write takes effect once it is in the queue.
 func (b *batcher) write(ctx context.Context, w ryeford.Write) (int64, error) {
@@ -123,8 +119,8 @@
 			writes[i] = p.write
 		}
 		version, err := b.table.Transact(ctx, writes...)
-		var conflict *ryeford.ConflictError
-		if !errors.As(err, &conflict) {
+		conflict, ok := errors.AsType[*ryeford.ConflictError](err)
+		if !ok {
 			finish(batch, outcome{version: version, err: err})
 			return
 		}
--- a/agentfleet/claim/claim.go
+++ b/agentfleet/claim/claim.go
@@ -69,7 +69,7 @@
 
 // New returns Claims in a table.
 func New(table ryeford.Table) *Claims {
-	return &Claims{table: table, batcher: newBatcher(table)}
+	return &Claims{table: table, batcher: &batcher{table: table, queue: make(chan *pending, batchQueue)}}
 }
 
 // Run writes claims in batches until ctx ends.
--- a/agentfleet/engine/errors.go
+++ b/agentfleet/engine/errors.go
@@ -43,15 +43,13 @@
 // The gateway's rule only looks the same: its endpoints state in a header that a
 // request did not run, and neither 429, 503 nor 404 proves it without that.
 func NotRun(err error) bool {
-	var netErr *net.OpError
-	if errors.As(err, &netErr) && netErr.Op == "dial" {
+	if netErr, ok := errors.AsType[*net.OpError](err); ok && netErr.Op == "dial" {
 		return true
 	}
-	var notFound *ryeford.NotFoundError
-	if errors.As(err, &notFound) {
+	if _, ok := errors.AsType[*ryeford.NotFoundError](err); ok {
 		return true
 	}
-	var engineErr *Error
-	return errors.As(err, &engineErr) &&
+	engineErr, ok := errors.AsType[*Error](err)
+	return ok &&
 		(engineErr.Status == http.StatusServiceUnavailable || engineErr.Status == http.StatusTooManyRequests)
 }
--- a/agentfleet/placement/choose.go
+++ b/agentfleet/placement/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 
@@ -97,12 +98,7 @@
 }
 
 func sortedPools(d *demand) []ryeford.Pool {
-	pools := make([]ryeford.Pool, 0, len(d.pools))
-	for p := range d.pools {
-		pools = append(pools, p)
-	}
-	slices.SortFunc(pools, func(a, b ryeford.Pool) int { return cmp.Compare(a.String(), b.String()) })
-	return pools
+	return slices.SortedFunc(maps.Keys(d.pools), func(a, b ryeford.Pool) int { return cmp.Compare(a.String(), b.String()) })
 }
 
 // poolSize returns how many of a demand's engines serve a pool with a share of the
--- a/agentfleet/placement/placement.go
+++ b/agentfleet/placement/placement.go
@@ -9,6 +9,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -111,14 +112,9 @@
 			d.begin = t.Begin
 		}
 	}
-	demands := make([]*demand, 0, len(byBase))
-	for _, d := range byBase {
-		demands = append(demands, d)
-	}
-	slices.SortFunc(demands, func(a, b *demand) int {
+	return slices.SortedFunc(maps.Values(byBase), func(a, b *demand) int {
 		return cmp.Or(cmp.Compare(a.base.model, b.base.model), cmp.Compare(a.base.version, b.base.version))
 	})
-	return demands
 }
 
 // apportion divides the engines by share, with at least one for each demand while there
--- a/agentfleet/router/parse.go
+++ b/agentfleet/router/parse.go
@@ -44,11 +44,10 @@
 	if err := checkID(HeaderKey, req.key); err != nil {
 		return err
 	}
-	repeatable, err := parseRepeatable(ctx)
-	if err != nil {
+	var err error
+	if req.repeatable, err = parseRepeatable(ctx); err != nil {
 		return err
 	}
-	req.repeatable = repeatable
 	deadline, err := parseDeadline(ctx, h.limits.DefaultDeadline)
 	if err != nil {
 		return err
@@ -73,7 +72,7 @@
 // authenticate finds the client account of the request's key.
 func (h *callerHandler) authenticate(ctx *fasthttp.RequestCtx, req *request) error {
 	key, ok := strings.CutPrefix(string(ctx.Request.Header.Peek("Authorization")), bearerPrefix)
-	account, known := h.book.Account(key)
+	account, known := h.book.KeyOwner(ryeford.HashKey(key))
 	if !ok || !known {
 		return &ryeford.InputError{Field: "Authorization", Problem: "want the bearer token of a client account", Status: fasthttp.StatusUnauthorized}
 	}
@@ -133,17 +132,16 @@
 	if !ok {
 		return &ryeford.InputError{Field: "model", Problem: "no template of the account serves it", Status: fasthttp.StatusNotFound}
 	}
-	priority, err := parsePriority(ctx, template.Priority)
-	if err != nil {
+	var err error
+	if req.priority, err = parsePriority(ctx, template.Priority); err != nil {
 		return err
 	}
 	req.stream = body.Stream
-	req.priority = priority
 	req.share = template.Share
 	req.model = template.Model
 	req.completion = &ryeford.Completion{
 		Pool:      template.Pool(),
-		Priority:  priority,
+		Priority:  req.priority,
 		Messages:  body.Messages,
 		MaxTokens: body.MaxTokens,
 	}
@@ -171,13 +169,12 @@
 	if h.fleet.service(name) == nil {
 		return &ryeford.InputError{Field: "service", Problem: "no such service", Status: fasthttp.StatusNotFound}
 	}
-	priority, err := parsePriority(ctx, ryeford.PriorityHighest)
-	if err != nil {
+	var err error
+	if req.priority, err = parsePriority(ctx, ryeford.PriorityHighest); err != nil {
 		return err
 	}
 	req.service = name
 	req.model = "service:" + name
-	req.priority = priority
 	req.share = 1
 	req.call = &ryeford.Call{
 		Method:      string(ctx.Method()),
--- a/agentfleet/router/planner.go
+++ b/agentfleet/router/planner.go
@@ -134,8 +134,12 @@
 		return nil
 	}
 	plan := &ryeford.Plan{Epoch: held.Epoch, Sequence: pointer.Sequence + 1, Assignments: out.Assignments}
-	object, err := p.putObject(ctx, plan)
+	content, err := json.Marshal(plan)
 	if err != nil {
+		return &Error{Op: "write plan", Err: err}
+	}
+	object := fmt.Sprintf(planObjectName, plan.Epoch, plan.Sequence)
+	if err := p.platform.PutObject(ctx, object, content); err != nil {
 		return err
 	}
 	err = p.makeCurrent(ctx, held, planPointer{Epoch: plan.Epoch, Sequence: plan.Sequence, Object: object}, version)
@@ -148,15 +152,6 @@
 	return nil
 }
 
-func (p *planner) putObject(ctx context.Context, plan *ryeford.Plan) (string, error) {
-	content, err := json.Marshal(plan)
-	if err != nil {
-		return "", &Error{Op: "write plan", Err: err}
-	}
-	object := fmt.Sprintf(planObjectName, plan.Epoch, plan.Sequence)
-	return object, p.platform.PutObject(ctx, object, content)
-}
-
 // makeCurrent points the row to a plan and renews the lease, in one transaction. It
 // fails if the lease was taken over or the row changed since they were read, so that a
 // holder that was paused changes nothing.
--- a/agentfleet/router/readiness.go
+++ b/agentfleet/router/readiness.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/ryeford/ryeford/agentfleet/gossip"
 	"github.com/ryeford/ryeford/internal/clock"
 )
 
@@ -58,3 +59,82 @@
 		}
 	}
 }
+
+const (
+	// syncQuorum is how many agents must have answered a fresh router that can't read
+	// the table, before it takes the highest of their revisions for the accepted one.
+	// Not measured: one agent may have missed a change, three hardly the same.
+	syncQuorum = 3
+
+	// syncInterval is the time between two such attempts. Not measured.
+	syncInterval = 500 * time.Millisecond
+)
+
+// A templateSync brings the book up to the templates that the fleet has accepted.
+type templateSync struct {
+	*shared
+}
+
+// run reads the accepted templates from the platform's table, until ctx ends.
+// It makes up for what gossip loses.
+func (s *templateSync) run(ctx context.Context) error {
+	for {
+		s.syncOnce(ctx)
+		wait := jitter(s.settings.Polls.Templates)
+		if !s.readiness.synced.Load() {
+			wait = syncInterval
+		}
+		if !clock.Sleep(ctx, wait) {
+			return nil
+		}
+	}
+}
+
+// syncOnce reads the templates from the table. If that fails, a router that has none
+// asks agents, and one that has some goes on with them.
+func (s *templateSync) syncOnce(ctx context.Context) {
+	from := s.book.Revision()
+	revision, templates, err := s.templates.Since(ctx, from)
+	if err == nil {
+		s.book.Apply(from, revision, templates)
+		s.setSynced("store")
+		return
+	}
+	if ctx.Err() == nil {
+		_ = s.log.Log("msg", "templates not read", "err", err)
+	}
+	if !s.readiness.synced.Load() {
+		s.syncFromAgents(ctx)
+	}
+}
+
+// syncFromAgents brings a fresh router up while the table can't be read: it takes the
+// highest revision of several agents.
+func (s *templateSync) syncFromAgents(ctx context.Context) {
+	agents := s.fleet.all()
+	answered := 0
+	for _, a := range gossip.Sample(agents, len(agents)) {
+		if answered == syncQuorum {
+			break
+		}
+		if revision, ok := gossip.PullTemplates(ctx, a.conn, s.book); ok && revision > 0 {
+			answered++
+		}
+	}
+	if agentsSuffice(answered, len(agents)) {
+		s.setSynced("agents")
+	}
+}
+
+// agentsSuffice reports whether the templates of so many agents, of those connected, may
+// be taken for all that were accepted: of syncQuorum, or of all if there are fewer.
+func agentsSuffice(answered, connected int) bool {
+	return answered > 0 && answered >= min(syncQuorum, connected)
+}
+
+// setSynced marks the book as complete: it holds what the fleet had accepted.
+func (s *templateSync) setSynced(source string) {
+	if s.readiness.synced.CompareAndSwap(false, true) {
+		s.decisions.Record("", "decision", "synced", "source", source, "revision", s.book.Revision())
+	}
+}
--- a/agentfleet/template/book.go
+++ b/agentfleet/template/book.go
@@ -105,11 +105,6 @@
 	return b.revision, since
 }
 
-// Account returns the client account that a key belongs to.
-func (b *Book) Account(key string) (ryeford.AccountID, bool) {
-	return b.KeyOwner(ryeford.HashKey(key))
-}
-
 // KeyOwner returns the client account that a key's hash belongs to.
 func (b *Book) KeyOwner(hash string) (ryeford.AccountID, bool) {
 	b.mu.RLock()
--- a/agentfleet/template/store.go
+++ b/agentfleet/template/store.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"strconv"
+	"strings"
+
+	"github.com/go-playground/validator/v10"
 
 	"github.com/ryeford/ryeford"
 	"github.com/ryeford/ryeford/agentfleet/row"
@@ -212,3 +216,27 @@
 	}
 	return templates, nil
 }
+
+// checker may be used by several goroutines at once, and caches the types it has seen.
+var checker = validator.New(validator.WithRequiredStructEnabled())
+
+// Check checks a template that is to be published. The error is a
+// *ryeford.InputError.
+func Check(t *ryeford.Template) error {
+	if t.Change == "" {
+		return &ryeford.InputError{Field: "change", Problem: "missing; it names the publish"}
+	}
+	err := checker.Struct(t)
+	if err == nil {
+		return nil
+	}
+	var list validator.ValidationErrors
+	if !errors.As(err, &list) || len(list) == 0 {
+		return &ryeford.InputError{Field: "template", Problem: err.Error()}
+	}
+	first := list[0]
+	return &ryeford.InputError{
+		Field:   strings.ToLower(first.Field()),
+		Problem: "must satisfy " + strings.TrimSpace(first.Tag()+" "+first.Param()),
+	}
+}
--- a/agentfleet/wire/wire.go
+++ b/agentfleet/wire/wire.go
@@ -40,3 +40,123 @@
 	Leave      *Leave        `cbor:"18,keyasint,omitempty"`
 	Done       *Done         `cbor:"19,keyasint,omitempty"`
 }
+
+// A Gossip is one datagram of the control traffic. It may be lost: what it says is
+// sent again with the next one, but for Overflows, which are hints.
+type Gossip struct {
+	VM ryeford.VMID `cbor:"1,keyasint"` // the sender's
+	// Revision is that of the templates in force at the sender.
+	Revision int64 `cbor:"2,keyasint"`
+	// PlanEpoch and PlanSequence name the newest plan that the sender knows; zero
+	// if it knows none.
+	PlanEpoch    int64 `cbor:"3,keyasint,omitempty"`
+	PlanSequence int64 `cbor:"4,keyasint,omitempty"`
+	// Loads are the loads of the sender's engines (from agents).
+	Loads []EngineLoad `cbor:"5,keyasint,omitempty"`
+	// Overflows say to a chat's home where the chat was served (from routers).
+	Overflows []Overflow `cbor:"6,keyasint,omitempty"`
+}
+
+// An Overflow says that an engine other than a chat's home holds its prefix.
+type Overflow struct {
+	Home   ryeford.EngineID `cbor:"1,keyasint"`
+	Chat   ChatKey          `cbor:"2,keyasint"`
+	Engine ryeford.EngineID `cbor:"3,keyasint"`
+}
+
+// An EngineLoad is the load, in requests, of one engine that serves a model.
+type EngineLoad struct {
+	Model string  `cbor:"1,keyasint"`
+	Load  float64 `cbor:"2,keyasint"`
+}
+
+// A Pull asks a router or an agent for the templates above a revision.
+type Pull struct {
+	Revision int64 `cbor:"1,keyasint"`
+}
+
+// A Delta holds all templates above the asked revision, up to Revision.
+type Delta struct {
+	Revision  int64              `cbor:"1,keyasint"`
+	Templates []ryeford.Template `cbor:"2,keyasint,omitempty"`
+}
+
+// A PullPlan asks a router for a VM's part of the plan. A ryeford.Plan answers it.
+type PullPlan struct {
+	VM ryeford.VMID `cbor:"1,keyasint"`
+}
+
+// A Successors asks a router for the next candidates of chats whose engine
+// is leaving.
+type Successors struct {
+	Pool    ryeford.Pool `cbor:"1,keyasint"` // that served the chats
+	Chats   []ChatKey    `cbor:"2,keyasint"`
+	Leaving ryeford.VMID `cbor:"3,keyasint"` // no candidate is on it
+}
+
+// A ChatKey names a chat among those of all accounts.
+type ChatKey struct {
+	Account ryeford.AccountID `cbor:"1,keyasint"`
+	Chat    ryeford.ChatID    `cbor:"2,keyasint"`
+}
+
+// A Placement is the next candidate of one chat.
+type Placement struct {
+	Engine ryeford.EngineID `cbor:"1,keyasint"`
+	// Address is that of the engine's agent, as IP:port.
+	Address string `cbor:"2,keyasint"`
+}
+
+// Placements answers Successors, in the order of its chats. An empty engine means
+// that there is no candidate.
+type Placements struct {
+	Placements []Placement `cbor:"1,keyasint"`
+}
+
+// An Import hands a chat's KV cache to another engine.
+type Import struct {
+	Engine ryeford.EngineID `cbor:"1,keyasint"`
+	Chat   ChatKey          `cbor:"2,keyasint"`
+	Cache  []byte           `cbor:"3,keyasint"` // as the engine exported it
+	Pool   ryeford.Pool     `cbor:"4,keyasint"` // that served the chat
+}
+
+// A Watch asks an agent for its inventory, now and at each change.
+type Watch struct {
+	Router ryeford.VMID `cbor:"1,keyasint"` // that asks
+}
+
+// An EngineState is the state of one engine or service of an agent's VM.
+type EngineState struct {
+	ID ryeford.EngineID `cbor:"1,keyasint"`
+	// Service is the name of a service; empty for an engine.
+	Service string `cbor:"2,keyasint,omitempty"`
+	// Pools are what an engine has loaded; none if it does not answer.
+	Pools []ryeford.Pool `cbor:"3,keyasint,omitempty"`
+	Load  float64        `cbor:"4,keyasint"` // in requests
+}
+
+// An Inventory is the state of an agent.
+type Inventory struct {
+	VM            ryeford.VMID        `cbor:"1,keyasint"`
+	Incarnation   ryeford.Incarnation `cbor:"2,keyasint"`
+	FailureDomain string              `cbor:"3,keyasint"`
+	Leaving       bool                `cbor:"4,keyasint"`
+	Engines       []EngineState       `cbor:"5,keyasint"`
+}
+
+// An Explain asks an agent for its decisions on a request.
+type Explain struct {
+	Request ryeford.RequestID `cbor:"1,keyasint"`
+}
+
+// Decisions holds the log lines of decisions, in logfmt and in the order of time.
+type Decisions struct {
+	Lines []string `cbor:"1,keyasint"`
+}
+
+// A Leave makes an agent drain: an operator stops its VM.
+type Leave struct{}
+
+// A Done confirms a message that has no other answer.
+type Done struct{}
