refactor: one type serves the router's callers

Cause: callerHandler held nothing but the shared state and the forwarder, and finish passed the exchange, its cancel and the handler on to end an exchange; join had three results (docs/readability.md names it); three places wrote JSON as a response.

Ruled out: methods of Router for the operators and the sync of templates too: as types of their own they can be read without the router's other parts.

Change: the forwarder serves callers; an exchange has its own end; join keeps the stream that it opened, and closes it after a failure, as before; writeJSON; the transport wraps its errors in one place.

--- a/agentfleet/agent/admit.go
+++ b/agentfleet/agent/admit.go
@@ -126,7 +126,6 @@
 	return w
 }
 
-// leave removes a waiter that is still in the queue.
 func (q *queue) leave(w *waiter) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
--- a/agentfleet/agent/backend.go
+++ b/agentfleet/agent/backend.go
@@ -45,7 +45,6 @@
 	return float64(b.gate.Load())
 }
 
-// serves reports whether the backend can serve a dispatch now.
 func (b *backend) serves(d *wire.Dispatch) bool {
 	if d.Call != nil {
 		return b.service != nil
--- a/agentfleet/router/answers.go
+++ b/agentfleet/router/answers.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"io"
 	"strconv"
 	"sync"
@@ -17,12 +16,12 @@
 
 // writeAnswer writes the answer of a started exchange, in the form that the caller
 // asked for. From here on the answerStream ends the exchange.
-func (h *callerHandler) writeAnswer(work context.Context, cancel context.CancelFunc, ctx *fasthttp.RequestCtx, x *exchange) {
+func writeAnswer(work context.Context, ctx *fasthttp.RequestCtx, x *exchange) {
 	header := &ctx.Response.Header
 	header.Set(HeaderRequest, string(x.request.id))
 	header.Set(HeaderEngine, string(x.stream.candidate.Engine))
 	header.Set(HeaderTries, strconv.Itoa(x.history.dispatches))
-	body := &answerStream{callers: h, exchange: x, ctx: work, cancel: cancel}
+	body := &answerStream{exchange: x, ctx: work}
 	switch {
 	case x.request.call != nil:
 		writeCallAnswer(ctx, body)
@@ -72,13 +71,9 @@
 		return
 	}
 	choice := answerChoice{Message: &ryeford.Message{Role: "assistant", Content: text}}
-	content, err := json.Marshal(newAnswerBody(x, "chat.completion", choice, last))
-	if err != nil {
+	if err := writeJSON(ctx, fasthttp.StatusOK, newAnswerBody(x, "chat.completion", choice, last)); err != nil {
 		writeError(ctx, x.request.id, err)
-		return
 	}
-	ctx.SetContentType("application/json")
-	ctx.SetBody(content)
 }
 
 // collect reads a completion to its end. It returns the text and the last chunk.
@@ -108,10 +103,8 @@
 // An answerStream is the body of a streamed answer. The HTTP server reads it,
 // and closes it when the answer has ended or the caller is gone.
 type answerStream struct {
-	callers  *callerHandler
 	exchange *exchange
 	ctx      context.Context
-	cancel   context.CancelFunc
 	encode   func(chunk *ryeford.Chunk)
 	// encodeError writes a failure. If it is nil, a failure cuts the connection.
 	encodeError func(err error)
@@ -135,7 +128,7 @@
 			x.forwarder.decisions.Record(x.request.id, "decision", "caller_gone", "request", x.request.id, "offset", x.delivered.next)
 			x.stream.cancel()
 		}
-		s.callers.finish(x, s.cancel)
+		x.end()
 	})
 	return nil
 }
--- a/agentfleet/router/callers.go
+++ b/agentfleet/router/callers.go
@@ -37,29 +37,22 @@
 // configuration yet, or has no engine for the request. Not measured.
 const unavailableRetryAfter = time.Second
 
-// A callerHandler serves callers' HTTP: it parses a request, and has an exchange find the
-// answer.
-type callerHandler struct {
-	*shared
-	forwarder *forwarder
-}
-
 // serve answers one request of a caller or of the load balancer.
-func (h *callerHandler) serve(ctx *fasthttp.RequestCtx) {
+func (f *forwarder) serve(ctx *fasthttp.RequestCtx) {
 	path := string(ctx.Path())
 	switch {
 	case path == "/healthz":
 		ctx.SetBodyString("ok\n")
 	case path == "/readyz":
-		h.serveReady(ctx)
+		f.serveReady(ctx)
 	case path == "/metrics":
-		ctx.SetBody(h.metrics.Write())
+		ctx.SetBody(f.metrics.Write())
 	case path == PathCompletions && ctx.IsPost():
-		h.serveRequest(ctx, h.parseCompletion)
+		f.serveRequest(ctx, f.parseCompletion)
 	case path == PathAnswers && ctx.IsGet():
-		h.serveResume(ctx)
+		f.serveResume(ctx)
 	case strings.HasPrefix(path, PathServices):
-		h.serveRequest(ctx, h.parseCall)
+		f.serveRequest(ctx, f.parseCall)
 	case path == PathCompletions || path == PathAnswers:
 		writeError(ctx, "", &ryeford.InputError{Field: "method", Problem: "not allowed here", Status: fasthttp.StatusMethodNotAllowed})
 	default:
@@ -67,8 +60,8 @@
 	}
 }
 
-func (h *callerHandler) serveReady(ctx *fasthttp.RequestCtx) {
-	if h.readiness.ready() {
+func (f *forwarder) serveReady(ctx *fasthttp.RequestCtx) {
+	if f.readiness.ready() {
 		ctx.SetBodyString("ready\n")
 		return
 	}
@@ -76,51 +69,50 @@
 	ctx.SetBodyString("not ready\n")
 }
 
-func (h *callerHandler) serveRequest(ctx *fasthttp.RequestCtx, parse func(*fasthttp.RequestCtx, *request) error) {
+func (f *forwarder) serveRequest(ctx *fasthttp.RequestCtx, parse func(*fasthttp.RequestCtx, *request) error) {
 	req := &request{id: ryeford.RequestID(uuid.NewString())}
-	if !h.readiness.synced.Load() {
+	if !f.readiness.synced.Load() {
 		writeError(ctx, req.id, &ryeford.NotRunError{Reason: ryeford.ReasonNotReady, RetryAfter: retry.Spread(unavailableRetryAfter)})
 		return
 	}
-	err := h.parseCommon(ctx, req)
+	err := f.parseCommon(ctx, req)
 	if err == nil {
 		err = parse(ctx, req)
 	}
 	if err != nil {
-		h.metrics.Count("ryeford_requests_total", "input")
+		f.metrics.Count("ryeford_requests_total", "input")
 		writeError(ctx, req.id, err)
 		return
 	}
-	h.run(ctx, h.forwarder.newExchange(req), (*exchange).start)
+	f.run(ctx, f.newExchange(req), (*exchange).start)
 }
 
 // run begins an exchange and writes its answer, or the failure to get one.
-func (h *callerHandler) run(ctx *fasthttp.RequestCtx, x *exchange, begin func(*exchange, context.Context) error) {
-	h.readiness.inFlight.Add(1)
+func (f *forwarder) run(ctx *fasthttp.RequestCtx, x *exchange, begin func(*exchange, context.Context) error) {
+	f.readiness.inFlight.Add(1)
 	work, cancel := context.WithDeadline(context.Background(), x.request.deadline)
+	x.end = func() {
+		x.stream.close()
+		cancel()
+		f.readiness.inFlight.Add(-1)
+	}
 	if err := begin(x, work); err != nil {
-		h.finish(x, cancel)
+		x.end()
 		writeError(ctx, x.request.id, err)
 		return
 	}
-	h.writeAnswer(work, cancel, ctx, x)
-}
-
-func (h *callerHandler) finish(x *exchange, cancel context.CancelFunc) {
-	x.stream.close()
-	cancel()
-	h.readiness.inFlight.Add(-1)
+	writeAnswer(work, ctx, x)
 }
 
 // serveResume goes on with an answer that the caller has a part of.
-func (h *callerHandler) serveResume(ctx *fasthttp.RequestCtx) {
+func (f *forwarder) serveResume(ctx *fasthttp.RequestCtx) {
 	req := &request{
 		stream:     true,
 		chat:       "resume",
-		deadline:   time.Now().Add(h.limits.DefaultDeadline),
+		deadline:   time.Now().Add(f.limits.DefaultDeadline),
 		completion: &ryeford.Completion{},
 	}
-	if err := h.authenticate(ctx, req); err != nil {
+	if err := f.authenticate(ctx, req); err != nil {
 		writeError(ctx, req.id, err)
 		return
 	}
@@ -129,5 +121,5 @@
 		writeError(ctx, req.id, err)
 		return
 	}
-	h.run(ctx, h.forwarder.resumeExchange(req, last), (*exchange).resume)
+	f.run(ctx, f.resumeExchange(req, last), (*exchange).resume)
 }
--- a/agentfleet/router/claimed.go
+++ b/agentfleet/router/claimed.go
@@ -177,17 +177,15 @@
 // joinAt joins the attempt at one candidate. It reports whether the attempt was found
 // there; an error says that this is not known.
 func (x *exchange) joinAt(ctx context.Context, c claim.Candidate, peek bool) (bool, error) {
-	limit := time.Now().Add(x.forwarder.limits.Dispatch)
-	reply, stream, err := x.join(ctx, c, peek, limit)
+	reply, err := x.join(ctx, c, peek, time.Now().Add(x.forwarder.limits.Dispatch))
 	if err != nil {
 		return false, &ryeford.MayHaveRunError{Reason: ryeford.ReasonUnreachable, Err: err}
 	}
 	if reply.Admitted != nil {
-		x.stream.candidate, x.stream.conn = c, stream
 		x.beginAnswer(reply.Admitted)
 		return true, nil
 	}
-	stream.Close()
+	x.stream.close()
 	if reply.Refused != nil && !reply.Refused.Unknown {
 		return false, nil
 	}
--- a/agentfleet/router/exchange.go
+++ b/agentfleet/router/exchange.go
@@ -27,6 +27,7 @@
 	attempt    attempt
 	stream     agentStream
 	delivered  delivered
+	end        func() // gives up what the exchange holds; called once
 }
 
 // A history is what an exchange has done so far, as the rules are given it.
@@ -199,7 +200,8 @@
 	}
 }
 
-// A forwarder is what all exchanges share. It owns the suspects and the budgets.
+// A forwarder serves callers' HTTP: it parses a request, and has an exchange find the
+// answer. It is what all exchanges share, and owns the suspects and the budgets.
 type forwarder struct {
 	*shared
 	gossip   *agentGossip
--- a/agentfleet/router/failure.go
+++ b/agentfleet/router/failure.go
@@ -97,17 +97,19 @@
 	if request != "" {
 		ctx.Response.Header.Set(HeaderRequest, string(request))
 	}
-	writeErrorBody(ctx, &body, status)
+	_ = writeJSON(ctx, status, &body) // its parts are strings and a number
 }
 
-func writeErrorBody(ctx *fasthttp.RequestCtx, body *errorBody, status int) {
+// writeJSON writes a response. The error is that of encoding/json; nothing is written then.
+func writeJSON(ctx *fasthttp.RequestCtx, status int, body any) error {
 	content, err := json.Marshal(body)
-	if err != nil { // not possible: the body is strings and a number
-		content = []byte(`{"error":{"code":"internal"}}`)
+	if err != nil {
+		return err
 	}
 	ctx.SetStatusCode(status)
 	ctx.SetContentType("application/json")
 	ctx.SetBody(content)
+	return nil
 }
 
 // An Error is a failure of something that the router itself does.
--- a/agentfleet/router/fleet.go
+++ b/agentfleet/router/fleet.go
@@ -128,7 +128,6 @@
 // service returns the instances of a plain service, or nil.
 func (f *fleet) service(name string) *route.Set { return f.view.Load().services[name] }
 
-// engine returns the agent of an engine.
 func (f *fleet) engine(id ryeford.EngineID) (*agent, bool) {
 	a, ok := f.view.Load().engines[id]
 	return a, ok
@@ -143,7 +142,6 @@
 	return claim.Candidate{Engine: id, VM: a.vm.ID, Incarnation: a.inventory.Incarnation}, true
 }
 
-// vm returns the agent of a VM.
 func (f *fleet) vm(id ryeford.VMID) (*agent, bool) {
 	a, ok := f.view.Load().agents[id]
 	return a, ok
--- a/agentfleet/router/operators.go
+++ b/agentfleet/router/operators.go
@@ -46,17 +46,13 @@
 	work, cancel := context.WithTimeout(context.Background(), operatorTimeout)
 	defer cancel()
 	answer, err := h.operate(work, ctx)
-	var content []byte
 	if err == nil {
-		content, err = json.Marshal(answer)
+		err = writeJSON(ctx, fasthttp.StatusOK, answer)
 	}
 	if err != nil {
 		body, status := newOperatorErrorBody(err)
-		writeErrorBody(ctx, &body, status)
-		return
+		_ = writeJSON(ctx, status, &body) // its parts are strings and a number
 	}
-	ctx.SetContentType("application/json")
-	ctx.SetBody(content)
 }
 
 // isOperator checks the operators' key in constant time.
--- a/agentfleet/router/parse.go
+++ b/agentfleet/router/parse.go
@@ -27,9 +27,8 @@
 	bearerPrefix    = "Bearer "
 )
 
-// parseCommon reads what all requests carry.
-func (h *callerHandler) parseCommon(ctx *fasthttp.RequestCtx, req *request) error {
-	if err := h.authenticate(ctx, req); err != nil {
+func (f *forwarder) parseCommon(ctx *fasthttp.RequestCtx, req *request) error {
+	if err := f.authenticate(ctx, req); err != nil {
 		return err
 	}
 	header := &ctx.Request.Header
@@ -48,7 +47,7 @@
 	if req.repeatable, err = parseRepeatable(ctx); err != nil {
 		return err
 	}
-	deadline, err := parseDeadline(ctx, h.limits.DefaultDeadline)
+	deadline, err := parseDeadline(ctx, f.limits.DefaultDeadline)
 	if err != nil {
 		return err
 	}
@@ -69,10 +68,9 @@
 	return d, nil
 }
 
-// authenticate finds the client account of the request's key.
-func (h *callerHandler) authenticate(ctx *fasthttp.RequestCtx, req *request) error {
+func (f *forwarder) authenticate(ctx *fasthttp.RequestCtx, req *request) error {
 	key, ok := strings.CutPrefix(string(ctx.Request.Header.Peek("Authorization")), bearerPrefix)
-	account, known := h.book.KeyOwner(ryeford.HashKey(key))
+	account, known := f.book.KeyOwner(ryeford.HashKey(key))
 	if !ok || !known {
 		return &ryeford.InputError{Field: "Authorization", Problem: "want the bearer token of a client account", Status: fasthttp.StatusUnauthorized}
 	}
@@ -115,7 +113,7 @@
 	MaxTokens int               `json:"max_tokens"`
 }
 
-func (h *callerHandler) parseCompletion(ctx *fasthttp.RequestCtx, req *request) error {
+func (f *forwarder) parseCompletion(ctx *fasthttp.RequestCtx, req *request) error {
 	var body completionRequest
 	if err := json.Unmarshal(ctx.PostBody(), &body); err != nil {
 		return &ryeford.InputError{Field: "body", Problem: "not the JSON of a chat completion: " + err.Error()}
@@ -128,7 +126,7 @@
 	case body.MaxTokens < 0 || body.MaxTokens > maxTokens:
 		return &ryeford.InputError{Field: "max_tokens", Problem: "want 1 to 1048576, or none"}
 	}
-	template, ok := h.book.Find(req.account, body.Model)
+	template, ok := f.book.Find(req.account, body.Model)
 	if !ok {
 		return &ryeford.InputError{Field: "model", Problem: "no template of the account serves it", Status: fasthttp.StatusNotFound}
 	}
@@ -162,11 +160,11 @@
 	return min(ryeford.Priority(n), highest), nil
 }
 
-func (h *callerHandler) parseCall(ctx *fasthttp.RequestCtx, req *request) error {
+func (f *forwarder) parseCall(ctx *fasthttp.RequestCtx, req *request) error {
 	uri := strings.TrimPrefix(string(ctx.RequestURI()), PathServices)
 	name, rest, _ := strings.Cut(uri, "/")
 	name, _, _ = strings.Cut(name, "?")
-	if h.fleet.service(name) == nil {
+	if f.fleet.service(name) == nil {
 		return &ryeford.InputError{Field: "service", Problem: "no such service", Status: fasthttp.StatusNotFound}
 	}
 	var err error
--- a/agentfleet/router/planner.go
+++ b/agentfleet/router/planner.go
@@ -74,7 +74,6 @@
 	return held, err
 }
 
-// input returns what the next plan depends on.
 func (p *planner) input() *placement.Input {
 	s := &p.settings.Planner
 	now := time.Now()
--- a/agentfleet/router/recover.go
+++ b/agentfleet/router/recover.go
@@ -8,7 +8,6 @@
 
 	"github.com/ryeford/ryeford"
 	"github.com/ryeford/ryeford/agentfleet/claim"
-	"github.com/ryeford/ryeford/agentfleet/transport"
 	"github.com/ryeford/ryeford/agentfleet/wire"
 	"github.com/ryeford/ryeford/internal/clock"
 	"github.com/ryeford/ryeford/retry"
@@ -126,9 +125,8 @@
 	x.history.rejoins++
 	limit := x.request.within(rejoinTime)
 	for time.Now().Before(limit) {
-		reply, stream, err := x.join(ctx, x.stream.candidate, false, limit)
+		reply, err := x.join(ctx, x.stream.candidate, false, limit)
 		if err == nil {
-			x.stream.conn = stream
 			return x.handleReply(reply)
 		}
 		// The agent can't be asked yet; the first failure, cause, says more than this one.
@@ -144,18 +142,18 @@
 }
 
 // join asks a candidate's agent for the attempt's answer, from the caller's next offset
-// on. Unless peek is set, an agent that has not admitted the attempt never will after
-// it was asked.
-func (x *exchange) join(ctx context.Context, c claim.Candidate, peek bool, limit time.Time) (*wire.Message, *transport.Stream, error) {
+// on, and leaves the stream open after a reply. Unless peek is set, an agent that has not
+// admitted the attempt never will after it was asked.
+func (x *exchange) join(ctx context.Context, c claim.Candidate, peek bool, limit time.Time) (*wire.Message, error) {
 	a, ok := x.forwarder.fleet.vm(c.VM)
 	if !ok {
-		return nil, nil, &ryeford.NotFoundError{Kind: "VM", Name: string(c.VM)}
+		return nil, &ryeford.NotFoundError{Kind: "VM", Name: string(c.VM)}
 	}
 	ctx, cancel := context.WithDeadline(ctx, limit)
 	defer cancel()
 	stream, err := a.conn.Open(ctx)
 	if err != nil {
-		return nil, nil, err
+		return nil, err
 	}
 	stream.SetReadDeadline(limit)
 	query := &wire.Join{
@@ -167,14 +165,14 @@
 		Forget:      x.attempt.forget,
 		Peek:        peek,
 	}
-	if err := stream.Send(&wire.Message{Join: query}); err != nil {
-		stream.Close()
-		return nil, nil, err
+	var reply *wire.Message
+	if err = stream.Send(&wire.Message{Join: query}); err == nil {
+		reply, err = stream.Receive()
 	}
-	reply, err := stream.Receive()
 	if err != nil {
 		stream.Close()
-		return nil, nil, err
+		return nil, err
 	}
-	return reply, stream, nil
+	x.stream.candidate, x.stream.conn = c, stream
+	return reply, nil
 }
--- a/agentfleet/router/retry.go
+++ b/agentfleet/router/retry.go
@@ -65,7 +65,6 @@
 	return true
 }
 
-// earn adds to an account's budgets what a whole answer earns.
 func (b *budgets) earn(account ryeford.AccountID) {
 	b.overflow.Earn(account)
 	b.retries.Earn(account)
--- a/agentfleet/router/router.go
+++ b/agentfleet/router/router.go
@@ -9,16 +9,12 @@
 // and objects of the platform.
 //
 // A Router makes its parts and runs them: agentList and agentGossip for the agents,
-// templateSync, planner, callerHandler and operatorHandler.
+// templateSync, planner, forwarder and operatorHandler.
 //
 // A request goes from callers.go through parse.go to an exchange (exchange.go), which
 // dispatches it (dispatch.go), receives the answer (receive.go) and recovers it
-// (recover.go); one with an idempotency key that must not run twice is claimed
-// first (claimed.go). What all exchanges share is a forwarder. The rules are functions
-// without I/O: afterFailure and finalError in retry.go, afterLostStream in recover.go,
-// afterClaim in claimed.go, mayWait and mayRedirect in dispatch.go, redirected in
-// candidates.go, newErrorBody in failure.go, ready in readiness.go. docs/decisions.md
-// lists them.
+// (recover.go); one with an idempotency key that must not run twice is claimed first
+// (claimed.go). The rules are functions without I/O, which docs/decisions.md lists.
 package router
 
 import (
@@ -73,7 +69,7 @@
 	templateSync *templateSync
 	planner      *planner
 	claims       *claim.Claims
-	callers      *callerHandler
+	callers      *forwarder
 	operators    *operatorHandler
 }
 
@@ -112,13 +108,13 @@
 
 // addCallers adds what serves callers.
 func (r *Router) addCallers() {
-	r.callers = &callerHandler{shared: &r.shared, forwarder: &forwarder{
+	r.callers = &forwarder{
 		shared:   &r.shared,
 		gossip:   r.gossip,
 		claims:   r.claims,
 		suspects: newSuspects(),
 		budgets:  newBudgets(r.limits),
-	}}
+	}
 }
 
 func (r *Router) addGauges() {
--- a/agentfleet/transport/conn.go
+++ b/agentfleet/transport/conn.go
@@ -97,19 +97,13 @@
 
 // SendDatagram sends a datagram, which may be lost on the way.
 func (c *Conn) SendDatagram(data []byte) error {
-	if err := c.quic.SendDatagram(data); err != nil {
-		return &Error{Op: "send datagram", Err: err}
-	}
-	return nil
+	return failed("send datagram", c.quic.SendDatagram(data))
 }
 
 // ReceiveDatagram returns the next datagram.
 func (c *Conn) ReceiveDatagram(ctx context.Context) ([]byte, error) {
 	data, err := c.quic.ReceiveDatagram(ctx)
-	if err != nil {
-		return nil, &Error{Op: "receive datagram", Err: err}
-	}
-	return data, nil
+	return data, failed("receive datagram", err)
 }
 
 // Close closes the connection and sends the peer the reason. An error would say that
@@ -130,10 +124,7 @@
 
 // Send sends a message.
 func (s *Stream) Send(m *wire.Message) error {
-	if err := wire.WriteMessage(s.quic, m); err != nil {
-		return &Error{Op: "send", Err: err}
-	}
-	return nil
+	return failed("send", wire.WriteMessage(s.quic, m))
 }
 
 // Reply sends the only message that answers a stream, and ends the sending side. If it
@@ -148,10 +139,7 @@
 // sending side, and those of wire.ReadMessage.
 func (s *Stream) Receive() (*wire.Message, error) {
 	m, err := wire.ReadMessage(s.quic)
-	if err != nil {
-		return nil, &Error{Op: "receive", Err: err}
-	}
-	return m, nil
+	return m, failed("receive", err)
 }
 
 // SetReadDeadline bounds how long Receive waits. It can't fail: quic-go always
@@ -175,6 +163,14 @@
 	Err     error
 }
 
+// failed returns the failure of op, or nil if err is nil.
+func failed(op string, err error) error {
+	if err == nil {
+		return nil
+	}
+	return &Error{Op: op, Err: err}
+}
+
 func (e *Error) Error() string {
 	if !e.Address.IsValid() {
 		return fmt.Sprintf("%s: %v", e.Op, e.Err)
