refactor: one type for an engine's state on the wire and for operators

Cause: EngineStatus copied an inventory's EngineState field by field, without the load.

Ruled out: the router's own type for a completion's body in place of engine's: engine's has priority and prefix too, so a caller's body that names them otherwise would be refused; Frame as a Chunk with tags: a usage of zeros on the last frame would not be sent any more.

Compared by a throwaway test for an engine, a service and an engine without pools: the same JSON as EngineStatus, the same CBOR as before.

--- a/agentfleet/router/status.go
+++ b/agentfleet/router/status.go
@@ -39,14 +39,7 @@
 	Leaving     bool                `json:"leaving"`
 	Listed      ryeford.VMState     `json:"listed"`
 	Revision    int64               `json:"revision"` // -1 if it did not answer
-	Engines     []EngineStatus      `json:"engines"`
-}
-
-// An EngineStatus is what a router knows of an engine or a service.
-type EngineStatus struct {
-	ID      ryeford.EngineID `json:"id"`
-	Service string           `json:"service,omitempty"`
-	Pools   []ryeford.Pool   `json:"pools,omitempty"`
+	Engines     []wire.EngineState  `json:"engines"`
 }
 
 // An Explanation is the decisions on a request, in the order of time.
@@ -70,7 +63,15 @@
 	replies := h.queryAgents(ctx, agents, &wire.Message{Pull: &wire.Pull{Revision: s.Revision}})
 	s.Agents = make([]AgentStatus, len(agents))
 	for i, a := range agents {
-		s.Agents[i] = agentStatus(a)
+		s.Agents[i] = AgentStatus{
+			VM:          a.vm.ID,
+			Domain:      a.inventory.FailureDomain,
+			Incarnation: a.inventory.Incarnation,
+			Leaving:     a.inventory.Leaving,
+			Listed:      a.vm.State,
+			Revision:    -1,
+			Engines:     a.inventory.Engines,
+		}
 		if m := replies[i]; m != nil && m.Delta != nil {
 			s.Agents[i].Revision = m.Delta.Revision
 		}
@@ -78,21 +79,6 @@
 	return s
 }
 
-func agentStatus(a *agent) AgentStatus {
-	s := AgentStatus{
-		VM:          a.vm.ID,
-		Domain:      a.inventory.FailureDomain,
-		Incarnation: a.inventory.Incarnation,
-		Leaving:     a.inventory.Leaving,
-		Listed:      a.vm.State,
-		Revision:    -1,
-	}
-	for _, e := range a.inventory.Engines {
-		s.Engines = append(s.Engines, EngineStatus{ID: e.ID, Service: e.Service, Pools: e.Pools})
-	}
-	return s
-}
-
 func (h *operatorHandler) explain(ctx context.Context, request ryeford.RequestID) *Explanation {
 	e := &Explanation{Request: request, Decisions: h.decisions.Lines(request)}
 	query := &wire.Message{Explain: &wire.Explain{Request: request}}
--- a/agentfleet/wire/wire.go
+++ b/agentfleet/wire/wire.go
@@ -126,14 +126,15 @@
 	Router ryeford.VMID `cbor:"1,keyasint"` // that asks
 }
 
-// An EngineState is the state of one engine or service of an agent's VM.
+// An EngineState is the state of one engine or service of an agent's VM. Operators get it
+// in JSON, without the load, which is as old as the inventory.
 type EngineState struct {
-	ID ryeford.EngineID `cbor:"1,keyasint"`
+	ID ryeford.EngineID `cbor:"1,keyasint" json:"id"`
 	// Service is the name of a service; empty for an engine.
-	Service string `cbor:"2,keyasint,omitempty"`
+	Service string `cbor:"2,keyasint,omitempty" json:"service,omitempty"`
 	// Pools are what an engine has loaded; none if it does not answer.
-	Pools []ryeford.Pool `cbor:"3,keyasint,omitempty"`
-	Load  float64        `cbor:"4,keyasint"` // in requests
+	Pools []ryeford.Pool `cbor:"3,keyasint,omitempty" json:"pools,omitempty"`
+	Load  float64        `cbor:"4,keyasint" json:"-"` // in requests
 }
 
 // An Inventory is the state of an agent.
