refactor: one way to send in tableservice

Cause: do existed to leave out the response and the header that only the list of VMs needs; the dialer picked the first of two errors that no caller looks at.

Change: send takes the tag of the list; errors.Join.

--- a/agentfleet/placement/choose.go
+++ b/agentfleet/placement/choose.go
@@ -98,7 +98,9 @@
 }
 
 func sortedPools(d *demand) []ryeford.Pool {
-	return slices.SortedFunc(maps.Keys(d.pools), func(a, b ryeford.Pool) int { return cmp.Compare(a.String(), b.String()) })
+	return slices.SortedFunc(maps.Keys(d.pools), func(a, b ryeford.Pool) int {
+		return cmp.Compare(a.String(), b.String())
+	})
 }
 
 // poolSize returns how many of a demand's engines serve a pool with a share of the
--- a/agentfleet/router/operators.go
+++ b/agentfleet/router/operators.go
@@ -132,8 +132,8 @@
 }
 
 // byName returns what read finds of the template that is named ACCOUNT/NAME.
-func byName[T any](ctx context.Context, text string, read func(context.Context, template.Name) (T, error)) (any, error) {
-	name, err := template.ParseName(text)
+func byName[T any](ctx context.Context, s string, read func(context.Context, template.Name) (T, error)) (any, error) {
+	name, err := template.ParseName(s)
 	if err != nil {
 		return nil, err
 	}
--- a/agentfleet/tableservice/client.go
+++ b/agentfleet/tableservice/client.go
@@ -85,12 +85,13 @@
 
 // GetObject implements ryeford.ObjectStore.
 func (c *Client) GetObject(ctx context.Context, name string) ([]byte, error) {
-	return c.do(ctx, http.MethodGet, PathObjects+url.PathEscape(name), nil, false)
+	_, content, err := c.send(ctx, http.MethodGet, PathObjects+url.PathEscape(name), "", nil, false)
+	return content, err
 }
 
 // PutObject implements ryeford.ObjectStore.
 func (c *Client) PutObject(ctx context.Context, name string, content []byte) error {
-	_, err := c.do(ctx, http.MethodPut, PathObjects+url.PathEscape(name), content, true)
+	_, _, err := c.send(ctx, http.MethodPut, PathObjects+url.PathEscape(name), "", content, true)
 	return err
 }
 
@@ -99,11 +100,7 @@
 func (c *Client) VMs(ctx context.Context) ([]ryeford.VM, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	header := http.Header{}
-	if c.listTag != "" {
-		header.Set("If-None-Match", c.listTag)
-	}
-	response, body, err := c.send(ctx, http.MethodGet, PathVMs, header, nil, false)
+	response, body, err := c.send(ctx, http.MethodGet, PathVMs, c.listTag, nil, false)
 	if err != nil {
 		return nil, err
 	}
@@ -129,7 +126,7 @@
 	if err != nil {
 		return &ryeford.UnavailableError{Service: path, Err: err}
 	}
-	content, err := c.do(ctx, http.MethodPost, path, body, write)
+	_, content, err := c.send(ctx, http.MethodPost, path, "", body, write)
 	if err != nil || answer == nil {
 		return err
 	}
@@ -139,15 +136,9 @@
 	return nil
 }
 
-// do makes one HTTP call and returns the answer's body.
-func (c *Client) do(ctx context.Context, method, path string, body []byte, write bool) ([]byte, error) {
-	_, content, err := c.send(ctx, method, path, http.Header{}, body, write)
-	return content, err
-}
-
-// send makes one HTTP call. A write whose answer is lost may have been applied. The
-// response's body has been read and closed.
-func (c *Client) send(ctx context.Context, method, path string, header http.Header, body []byte, write bool) (*http.Response, []byte, error) {
+// send makes one HTTP call. If tag is set, an answer that has it is not sent again. A write
+// whose answer is lost may have been applied. The response's body has been read and closed.
+func (c *Client) send(ctx context.Context, method, path, tag string, body []byte, write bool) (*http.Response, []byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
@@ -155,8 +146,10 @@
 		return nil, nil, &ryeford.UnavailableError{Service: path, Err: err}
 	}
 	request.GetBody = nil // without it, net/http can't send the body twice
-	request.Header = header
 	request.Header.Set(HeaderVM, string(c.vm))
+	if tag != "" {
+		request.Header.Set("If-None-Match", tag)
+	}
 	response, err := c.http.Do(request)
 	if err != nil {
 		return nil, nil, &ryeford.UnavailableError{Service: path, MayHaveApplied: write, Err: err}
--- a/agentfleet/transport/dialer.go
+++ b/agentfleet/transport/dialer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"net"
 	"net/netip"
 	"time"
@@ -42,13 +43,9 @@
 	return newConn(c), nil
 }
 
-// Close closes the socket and all connections. It returns the first error.
+// Close closes all connections and the socket.
 func (d *Dialer) Close() error {
-	err := d.transport.Close()
-	if closeErr := d.transport.Conn.Close(); err == nil {
-		err = closeErr
-	}
-	return err
+	return errors.Join(d.transport.Close(), d.transport.Conn.Close())
 }
 
 // A Listener accepts connections on a UDP socket of its own.
