fix: what a stopping gateway can't finish is answered with a failure

(1) At the end of the grace period a stopping gateway closed connections whose requests an endpoint still ran: their callers got no answer, though a response had not begun. So LOST rested on the estimate for all requests. (2) The time that is left was counted from a request's arrival, before its body was read. (3) The mend of LOST refused short requests, too, once their deadline was later than the end. (4) With a grace period below 4.1 s the wait for the balancer went on after the close.

Ruled out: ending streams that have begun as well (their callers can't be told anything but the break, and the users' bound counts from the last sixth of the grace period).

Change: EndMargin (0.3 s) before the close, requests without a begun response are given up: 502 `leaving`, or 503 if they provably did not run. LeavesTimeFor counts from now, and takes requests that are no streams by the estimate until the end.

--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-kit/log"
 
+	"github.com/ryeford/ryeford"
 	"github.com/ryeford/ryeford/gateway/shutdown"
 )
 
@@ -24,12 +25,19 @@
 	stopping       atomic.Bool               // the process was ordered to stop
 	failedProbes   atomic.Int32              // since the order
 	lastConnection atomic.Pointer[time.Time] // when a caller connected last, or nil
+
+	// ending is done shortly before connections are closed: requests that are not
+	// answered by then are given up, so that their callers are told.
+	ending context.Context
+	end    context.CancelFunc
 }
 
 // newDrain returns the drain of a gateway that was not ordered to stop. grace is the
 // time from the order to the end of the process.
 func newDrain(grace time.Duration, logger log.Logger) *drain {
-	return &drain{grace: grace, log: logger}
+	d := &drain{grace: grace, log: logger}
+	d.ending, d.end = context.WithCancel(context.Background())
+	return d
 }
 
 // run awaits the order to stop and returns once callers is closed. If work ends
@@ -46,7 +54,9 @@
 	d.ordered.Store(&ordered)
 	d.stopping.Store(true)
 	_ = d.log.Log("msg", "stopping", "in_flight", d.inFlight.Load())
-	d.awaitNotice(ordered)
+	timer := time.AfterFunc(time.Until(closeBy)-shutdown.EndMargin, d.end)
+	defer timer.Stop()
+	d.awaitNotice(ordered, closeBy)
 	d.awaitQuiet(closeBy)
 	limit, cancel := context.WithDeadline(context.WithoutCancel(work), closeBy)
 	defer cancel()
@@ -59,12 +69,13 @@
 	}
 }
 
-// awaitNotice waits until the balancer has noticed that the gateway stops.
-func (d *drain) awaitNotice(ordered time.Time) {
-	for !shutdown.Noticed(time.Since(ordered), int(d.failedProbes.Load())) {
+// awaitNotice waits until the balancer has noticed that the gateway stops, but no longer
+// than until closeBy.
+func (d *drain) awaitNotice(ordered, closeBy time.Time) {
+	for !shutdown.Noticed(time.Since(ordered), int(d.failedProbes.Load())) && time.Now().Before(closeBy) {
 		time.Sleep(shutdown.CheckInterval)
 	}
-	time.Sleep(shutdown.NoticeMargin)
+	time.Sleep(min(shutdown.NoticeMargin, time.Until(closeBy)))
 }
 
 // awaitQuiet waits until no caller has connected for some time, but no longer than until
@@ -97,14 +108,15 @@
 	}
 }
 
-// leavesTimeFor reports whether a gateway that stops takes a request. slowest is the time
-// of the slowest requests on its route.
+// leavesTimeFor reports whether a gateway that stops takes a request now. slowest is the
+// time of the slowest requests on its route.
 func (d *drain) leavesTimeFor(q *request, slowest time.Duration) bool {
-	ordered := *d.ordered.Load()
+	now, ordered := time.Now(), *d.ordered.Load()
 	return shutdown.LeavesTimeFor(shutdown.Request{
-		SinceOrder: q.arrived.Sub(ordered),
-		Left:       shutdown.CloseBy(ordered, d.grace).Sub(q.arrived),
+		SinceOrder: now.Sub(ordered),
+		Left:       shutdown.CloseBy(ordered, d.grace).Sub(now),
 		Slowest:    slowest,
-		Longest:    q.deadline.Sub(q.arrived),
+		Longest:    q.deadline.Sub(now),
+		Stream:     q.rule.Kind == ryeford.RouteStream,
 	})
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -29,6 +29,27 @@
 	last       error // how the last attempt ended
 }
 
+// A stoppingError says that a request was given up since the gateway is about to close
+// its callers' connections.
+type stoppingError struct{}
+
+// Error returns the text of e.
+func (*stoppingError) Error() string { return "the gateway stops" }
+
+// serveUntil answers the request, at the latest when ending is done. A stream that has
+// begun by then goes on: its caller could not be told anything else.
+func (x *exchange) serveUntil(ctx, ending context.Context) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	stop := context.AfterFunc(ending, func() {
+		if !x.relay.begun.Load() {
+			cancel(&stoppingError{})
+		}
+	})
+	defer stop()
+	x.serve(ctx)
+}
+
 // serve answers the request.
 func (x *exchange) serve(ctx context.Context) {
 	step := retry.Step{Again: true}
@@ -93,16 +114,23 @@
 
 // stopped returns why a request can't go on once its context has ended.
 func (x *exchange) stopped(ctx context.Context) error {
-	return giveup.Stopped(errors.Is(ctx.Err(), context.DeadlineExceeded), x.mayHaveRun)
+	var stopping *stoppingError
+	switch {
+	case errors.As(context.Cause(ctx), &stopping):
+		return giveup.Stopped(ryeford.ReasonLeaving, x.mayHaveRun)
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return giveup.Stopped(ryeford.ReasonDeadline, x.mayHaveRun)
+	}
+	return giveup.Stopped(ryeford.ReasonCancelled, x.mayHaveRun)
 }
 
 // giveUp ends the request without a whole response of an endpoint.
 func (x *exchange) giveUp(err error) {
 	f, q := x.forwarder, x.request
-	verdict := giveup.Decide(giveup.Request{Err: err, Last: x.last, MayHaveRun: x.mayHaveRun, Begun: x.relay.begun})
+	verdict := giveup.Decide(giveup.Request{Err: err, Last: x.last, MayHaveRun: x.mayHaveRun, Begun: x.relay.begun.Load()})
 	f.metrics.Count("ryeford_given_up_total", verdict.Reason)
 	_ = f.log.Log("decision", "give_up", "request", q.meta.ID, "route", q.rule.Name, "account", q.accountID(), "service", q.service,
-		"sent", x.history.Sent, "unsent", x.history.Unsent, "may_have_run", x.mayHaveRun, "begun", x.relay.begun, "events", x.relay.events,
+		"sent", x.history.Sent, "unsent", x.history.Unsent, "may_have_run", x.mayHaveRun, "begun", x.relay.begun.Load(), "events", x.relay.events,
 		"version", q.catalog.Version(), "status", verdict.Status, "reason", verdict.Reason, "took", roundTime(time.Since(q.arrived)), "err", verdict.Err)
 	if verdict.Abort {
 		panic(http.ErrAbortHandler) // net/http then closes the connection
--- a/gateway/giveup/giveup.go
+++ b/gateway/giveup/giveup.go
@@ -46,13 +46,9 @@
 	return &ryeford.NotRunError{Reason: reason, RetryAfter: retryAfter}
 }
 
-// Stopped returns the error of a request whose deadline has passed, or else whose
-// caller has gone.
-func Stopped(deadlinePassed, mayHaveRun bool) error {
-	reason := ryeford.ReasonCancelled
-	if deadlinePassed {
-		reason = ryeford.ReasonDeadline
-	}
+// Stopped returns the error of a request that ends before an endpoint has answered it: its
+// deadline has passed, its caller has gone, or the router stops.
+func Stopped(reason ryeford.Reason, mayHaveRun bool) error {
 	if mayHaveRun {
 		return &ryeford.MayHaveRunError{Reason: reason}
 	}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -62,7 +62,7 @@
 	q.hasBody = r.ContentLength != 0 || len(body) > 0 || r.Header.Get("Content-Length") != ""
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
-	h.forwarder.newExchange(q, r, w).serve(ctx)
+	h.forwarder.newExchange(q, r, w).serveUntil(ctx, h.drain.ending)
 }
 
 // readBody reads a request's body whole. The returned function gives back the part of
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/ryeford/ryeford"
@@ -38,7 +39,7 @@
 
 	onFirst func()        // called for the first event, or once a whole response is read
 	first   time.Duration // from the request's arrival until then
-	begun   bool          // the head of a stream was sent to the caller
+	begun   atomic.Bool   // the head of a stream was sent to the caller
 	events  int           // that were sent to the caller
 	lastID  string        // of the last event with an ID that was sent to the caller
 }
@@ -63,7 +64,7 @@
 	}
 	r.recordFirst()
 	switch {
-	case r.begun: // it can't continue the stream
+	case r.begun.Load(): // it can't continue the stream
 		return retry.EndLost, newStatusError(response.Status)
 	case withheld:
 		return retry.EndFailed, newStatusError(response.Status)
@@ -97,7 +98,7 @@
 		}
 		r.recordFirst()
 		id := eventID(event)
-		if r.begun && id != "" && !follows(r.lastID, id) {
+		if r.begun.Load() && id != "" && !follows(r.lastID, id) {
 			continue // the caller has it already
 		}
 		if err := r.writeEvent(response, event); err != nil {
@@ -139,12 +140,12 @@
 
 // begin sends the head of a stream, unless it was sent.
 func (r *relay) begin(response *endpoint.Response) {
-	if r.begun {
+	if r.begun.Load() {
 		return
 	}
 	r.writeHeader(response)
 	r.writer.WriteHeader(response.Status)
-	r.begun = true
+	r.begun.Store(true)
 }
 
 // writeEvent sends one event to the caller at once.
--- a/gateway/shutdown/shutdown.go
+++ b/gateway/shutdown/shutdown.go
@@ -7,9 +7,10 @@
 // balancer has noticed and no new connection has come for quietTime. It closes what is
 // still open closeMargin before the end of its grace period, after which it is killed.
 //
-// It takes a request that ends before that even at its deadline; for the first
-// estimateSpan also one that is expected to, going by its route's slowest. It refuses
-// any other.
+// It takes a request that ends before that even at its deadline, or is expected to, going
+// by its route's slowest; a stream by that estimate only for the first estimateSpan. It
+// refuses any other. Requests that are not answered EndMargin before the close are given
+// up then, so that their callers are told.
 //
 // Why: the balancer sends new connections until it has seen two readiness probes in
 // a row fail, and, if all routers of a zone stop at once, even after that. A router
@@ -19,9 +20,10 @@
 //
 // An estimate is wrong at times: how long streams take is spread widely, and a stream that
 // was taken 3.2 s after the order took longer than any that its router remembered, and was
-// broken off (incident inc1). Callers accept that of requests that come with the order,
+// broken off (incident inc1). Callers accept that of streams that come with the order,
 // while most other routers may be stopping too; later ones have had the time to go to
-// another router.
+// another router. A stream that has begun can only be broken off; other requests are
+// answered with a failure, which is why the estimate holds for them until the end.
 package shutdown
 
 import "time"
@@ -50,9 +52,9 @@
 	// broken off at the end; the rest is for the way of the signal and of the request.
 	// Not measured.
 	estimateSpan = 2500 * time.Millisecond
-	// endMargin is how long before the process closes what is open the deadline of a
-	// request must be, for its last bytes. Not measured.
-	endMargin = 200 * time.Millisecond
+	// EndMargin is how long before the process closes what is open a request must end,
+	// for its last bytes: as long as they may take after its deadline. Not measured.
+	EndMargin = 300 * time.Millisecond
 	// CheckInterval is how often a stopping process looks whether it may go on to
 	// the next step. Not measured.
 	CheckInterval = 50 * time.Millisecond
@@ -78,16 +80,21 @@
 
 // A Request is what a stopping process knows of a request that comes to it.
 type Request struct {
-	SinceOrder time.Duration // from the order to stop to the request's arrival
-	Left       time.Duration // from then until the process closes what is open
+	SinceOrder time.Duration // since the order to stop
+	Left       time.Duration // until the process closes what is open
 	Slowest    time.Duration // that requests on its route took, as far as is known
-	Longest    time.Duration // from its arrival to its deadline, when it ends in any case
+	Longest    time.Duration // until its deadline, when it ends in any case
+	Stream     bool          // it is answered with a stream
 }
 
 // LeavesTimeFor reports whether a stopping process takes a request.
 func LeavesTimeFor(r Request) bool {
-	if r.Longest+endMargin <= r.Left {
+	left := r.Left - EndMargin
+	if left > 0 && r.Longest <= left {
 		return true
 	}
-	return r.SinceOrder < estimateSpan && r.Left > time.Duration(finishFactor*float64(r.Slowest))
+	if r.Stream && r.SinceOrder >= estimateSpan {
+		return false
+	}
+	return left > time.Duration(finishFactor*float64(r.Slowest))
 }
