--- a/agentfleet/agent/agent.go
+++ b/agentfleet/agent/agent.go
@@ -30,6 +30,7 @@
 	"github.com/ryeford/ryeford/agentfleet/plan"
 	"github.com/ryeford/ryeford/agentfleet/template"
 	"github.com/ryeford/ryeford/agentfleet/transport"
+	"github.com/ryeford/ryeford/internal/clock"
 	"github.com/ryeford/ryeford/internal/telemetry"
 	"github.com/ryeford/ryeford/settings"
 )
@@ -104,7 +105,9 @@
 	group.Go(func() error { return a.pollEngines(work) })
 	group.Go(func() error { return a.pollVMs(work) })
 	group.Go(func() error { return a.gossip(work) })
-	group.Go(func() error { return a.sweep(work) })
+	group.Go(func() error {
+		return every(work, sweepInterval, func() { a.attempts.sweep(time.Now()) })
+	})
 	group.Go(func() error { return a.applyPlan(work) })
 	group.Go(func() error { return telemetry.Serve(work, a.settings.Metrics.AddrPort, a.metrics) })
 	group.Go(func() error {
@@ -129,7 +132,6 @@
 	a.inventoryChanged()
 }
 
-// addBackends makes the backends of the settings.
 func (a *Agent) addBackends() {
 	limits := admission.Limits{
 		PoolFactor: a.settings.Limits.PoolFactor,
@@ -151,17 +153,11 @@
 	}
 }
 
-// addBackend adds a backend and its metrics.
 func (a *Agent) addBackend(b *backend) {
 	a.backends[b.id] = b
 	a.metrics.Gauge(`ryeford_engine_load{engine="`+string(b.id)+`"}`, b.load)
 }
 
-// sweep forgets old attempts until ctx ends.
-func (a *Agent) sweep(ctx context.Context) error {
-	return every(ctx, sweepInterval, func() { a.attempts.sweep(time.Now()) })
-}
-
 // every calls do after each interval until ctx ends, one call at a time. It
 // returns nil.
 func every(ctx context.Context, interval time.Duration, do func()) error {
@@ -176,3 +172,39 @@
 		}
 	}
 }
+
+const (
+	// drainCheck is how often a leaving agent looks whether its runs have ended.
+	// Not measured.
+	drainCheck = 20 * time.Millisecond
+	// drainGrace is how long a drained agent still answers: dispatches that are
+	// under way are refused, and so proved not to have run. Not measured.
+	drainGrace = time.Second
+)
+
+// drain waits until the agent is to leave. From then on admit refuses; runs may
+// end within the setting drain; then the chats' KV caches are handed on, and
+// drainGrace later the agent ends. Runs that are left then are lost.
+func (a *Agent) drain(ctx context.Context) error {
+	select {
+	case <-a.leave:
+	case <-ctx.Done():
+		return nil
+	}
+	a.awaitIdle(ctx)
+	a.exportCaches(ctx)
+	clock.Sleep(ctx, drainGrace)
+	a.decisions.Record("", "decision", "drained", "unfinished", a.attempts.unfinished())
+	return nil
+}
+
+// awaitIdle waits until all runs have finished, for the setting drain at most.
+func (a *Agent) awaitIdle(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, a.settings.Limits.Drain)
+	defer cancel()
+	for a.attempts.unfinished() > 0 {
+		if !clock.Sleep(ctx, drainCheck) {
+			return
+		}
+	}
+}
--- a/agentfleet/engine/errors.go
+++ b/agentfleet/engine/errors.go
@@ -1,7 +1,9 @@
 package engine
 
 import (
+	"errors"
 	"fmt"
+	"net"
 	"net/http"
 
 	"github.com/ryeford/ryeford"
@@ -14,7 +16,6 @@
 	Err    error  // nil if the status is the failure
 }
 
-// Error returns the text of e.
 func (e *Error) Error() string {
 	if e.Err == nil {
 		return fmt.Sprintf("engine: %s: status %d", e.Op, e.Status)
@@ -22,10 +23,8 @@
 	return fmt.Sprintf("engine: %s: %v", e.Op, e.Err)
 }
 
-// Unwrap returns the cause of e.
 func (e *Error) Unwrap() error { return e.Err }
 
-// statusError returns the error that an engine's status stands for.
 func statusError(op string, status int) error {
 	switch status {
 	case http.StatusNotFound:
@@ -35,3 +34,22 @@
 	}
 	return &Error{Op: op, Status: status}
 }
+
+// NotRun reports whether err, of the first call of an attempt, proves that the
+// attempt did not run: the connection was not made, or the engine refused it
+// because it is full (429, 503) or does not know the model (404). A connection that
+// broke later proves nothing.
+//
+// The gateway's rule only looks the same: its endpoints state in a header that a
+// request did not run, and neither 429, 503 nor 404 proves it without that.
+func NotRun(err error) bool {
+	if netErr, ok := errors.AsType[*net.OpError](err); ok && netErr.Op == "dial" {
+		return true
+	}
+	if _, ok := errors.AsType[*ryeford.NotFoundError](err); ok {
+		return true
+	}
+	engineErr, ok := errors.AsType[*Error](err)
+	return ok &&
+		(engineErr.Status == http.StatusServiceUnavailable || engineErr.Status == http.StatusTooManyRequests)
+}
--- a/agentfleet/router/answers.go
+++ b/agentfleet/router/answers.go
@@ -3,22 +3,25 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
+	"io"
 	"strconv"
+	"sync"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"github.com/ryeford/ryeford"
+	"github.com/ryeford/ryeford/internal/eventstream"
 )
 
 // writeAnswer writes the answer of a started exchange, in the form that the caller
 // asked for. From here on the answerStream ends the exchange.
-func (h *callerHandler) writeAnswer(work context.Context, cancel context.CancelFunc, ctx *fasthttp.RequestCtx, x *exchange) {
+func writeAnswer(work context.Context, ctx *fasthttp.RequestCtx, x *exchange) {
 	header := &ctx.Response.Header
 	header.Set(HeaderRequest, string(x.request.id))
 	header.Set(HeaderEngine, string(x.stream.candidate.Engine))
 	header.Set(HeaderTries, strconv.Itoa(x.history.dispatches))
-	body := &answerStream{callers: h, exchange: x, ctx: work, cancel: cancel}
+	body := &answerStream{exchange: x, ctx: work}
 	switch {
 	case x.request.call != nil:
 		writeCallAnswer(ctx, body)
@@ -39,7 +42,7 @@
 func writeCallAnswer(ctx *fasthttp.RequestCtx, body *answerStream) {
 	first, err := body.readChunk()
 	if err != nil {
-		body.close()
+		_ = body.Close()
 		writeError(ctx, body.exchange.request.id, err)
 		return
 	}
@@ -48,17 +51,17 @@
 	if first.Finish != "" {
 		ctx.SetBody(first.Data)
 		body.ended = true
-		body.close()
+		_ = body.Close()
 		return
 	}
-	body.encode = body.encodeData
+	body.encode = func(chunk *ryeford.Chunk) { body.buf.Write(chunk.Data) }
 	body.buf.Write(first.Data)
 	ctx.SetBodyStream(body, -1)
 }
 
 // writeWholeAnswer collects a completion and writes it at once, or the failure.
 func writeWholeAnswer(ctx *fasthttp.RequestCtx, body *answerStream) {
-	defer body.close()
+	defer func() { _ = body.Close() }()
 	x := body.exchange
 	text, last, err := body.collect()
 	body.ended = true
@@ -68,13 +71,9 @@
 		return
 	}
 	choice := answerChoice{Message: &ryeford.Message{Role: "assistant", Content: text}}
-	content, err := json.Marshal(newAnswerBody(x, "chat.completion", choice, last))
-	if err != nil {
+	if err := writeJSON(ctx, fasthttp.StatusOK, newAnswerBody(x, "chat.completion", choice, last)); err != nil {
 		writeError(ctx, x.request.id, err)
-		return
 	}
-	ctx.SetContentType("application/json")
-	ctx.SetBody(content)
 }
 
 // collect reads a completion to its end. It returns the text and the last chunk.
@@ -100,3 +99,139 @@
 	}
 	return chunk, err
 }
+
+// An answerStream is the body of a streamed answer. The HTTP server reads it,
+// and closes it when the answer has ended or the caller is gone.
+type answerStream struct {
+	exchange *exchange
+	ctx      context.Context
+	encode   func(chunk *ryeford.Chunk)
+	// encodeError writes a failure. If it is nil, a failure cuts the connection.
+	encodeError func(err error)
+
+	buf   eventstream.Buffer
+	ended bool
+	once  sync.Once
+}
+
+// Read implements io.Reader. It waits for the next chunk.
+func (s *answerStream) Read(p []byte) (int, error) {
+	return s.buf.ReadOrFill(p, s.fill)
+}
+
+// Close implements io.Closer. It ends the exchange, and its run if the caller left before
+// the answer's end. It never fails.
+func (s *answerStream) Close() error {
+	s.once.Do(func() {
+		x := s.exchange
+		if !s.ended {
+			x.forwarder.decisions.Record(x.request.id, "decision", "caller_gone", "request", x.request.id, "offset", x.delivered.next)
+			x.stream.cancel()
+		}
+		x.end()
+	})
+	return nil
+}
+
+// fill encodes the next chunk. It returns io.EOF after the last one.
+func (s *answerStream) fill() error {
+	if s.ended {
+		return io.EOF
+	}
+	chunk, err := s.exchange.read(s.ctx)
+	if err == nil {
+		s.ended = chunk.Finish != ""
+		s.encode(&chunk)
+		return nil
+	}
+	s.ended = true
+	s.logInterrupted(err)
+	if s.encodeError == nil {
+		return err
+	}
+	s.encodeError(err)
+	return nil
+}
+
+func (s *answerStream) logInterrupted(err error) {
+	x, req := s.exchange, s.exchange.request
+	x.forwarder.metrics.Count("ryeford_interrupted_total", string(reasonOf(err)))
+	x.forwarder.decisions.Record(req.id, "decision", "interrupt", "request", req.id, "account", req.account, "chat", req.chat,
+		"engine", x.stream.candidate.Engine, "offset", x.delivered.next, "reason", reasonOf(err), "err", err)
+}
+
+// encodeEvent writes a chunk as a server-sent event, and the end marker after the last
+// one of a complete answer.
+func (s *answerStream) encodeEvent(chunk *ryeford.Chunk) {
+	if chunk.Finish == ryeford.FinishError {
+		s.encodeErrorEvent(chunkError(chunk))
+		return
+	}
+	x := s.exchange
+	id := eventID{candidate: x.stream.candidate, attempt: chunk.Attempt, offset: chunk.Offset}
+	choice := answerChoice{Delta: &answerDelta{Content: string(chunk.Data)}}
+	var last *ryeford.Chunk
+	if chunk.Finish != "" {
+		last = chunk
+	}
+	s.writeEvent(eventstream.Event{ID: id.String(), Data: newAnswerBody(x, "chat.completion.chunk", choice, last)})
+	if last != nil {
+		s.buf.WriteDone()
+	}
+}
+
+// encodeErrorEvent writes a failure as a server-sent event. No end marker
+// follows it.
+func (s *answerStream) encodeErrorEvent(err error) {
+	body, _ := newErrorBody(s.exchange.request.id, err)
+	s.writeEvent(eventstream.Event{Name: "error", Data: &body})
+}
+
+// writeEvent writes one server-sent event. One that can't be encoded is left out: its
+// parts are strings and numbers of ours, so that it would be a fault of this program.
+func (s *answerStream) writeEvent(event eventstream.Event) {
+	if err := s.buf.WriteEvent(event); err != nil {
+		_ = s.exchange.forwarder.log.Log("msg", "event not encoded", "request", s.exchange.request.id, "err", err)
+	}
+}
+
+// An answerBody is the JSON of a whole completion, or of one event of a streamed one.
+type answerBody struct {
+	ID      string         `json:"id"`
+	Object  string         `json:"object"`
+	Created int64          `json:"created"`
+	Model   string         `json:"model"`
+	Choices []answerChoice `json:"choices"`
+	Usage   *ryeford.Usage `json:"usage,omitempty"`
+}
+
+// An answerChoice is the one choice of an answer: Message of a whole one, Delta
+// of a streamed one.
+type answerChoice struct {
+	Index        int              `json:"index"`
+	Message      *ryeford.Message `json:"message,omitempty"`
+	Delta        *answerDelta     `json:"delta,omitempty"`
+	FinishReason *string          `json:"finish_reason"`
+}
+
+type answerDelta struct {
+	Content string `json:"content,omitempty"`
+}
+
+// newAnswerBody returns an answer with one choice. If last is set, the choice ends as
+// that chunk says.
+func newAnswerBody(x *exchange, object string, choice answerChoice, last *ryeford.Chunk) *answerBody {
+	body := &answerBody{
+		ID:      string(x.request.id),
+		Object:  object,
+		Created: time.Now().Unix(),
+		Model:   x.request.model,
+	}
+	if last != nil {
+		finish := string(last.Finish)
+		choice.FinishReason = &finish
+		body.Usage = &last.Usage
+	}
+	body.Choices = []answerChoice{choice}
+	return body
+}
--- a/agentfleet/router/candidates.go
+++ b/agentfleet/router/candidates.go
@@ -1,6 +1,10 @@
 package router
 
 import (
+	"slices"
+	"sync"
+	"time"
+
 	"github.com/ryeford/ryeford"
 	"github.com/ryeford/ryeford/agentfleet/claim"
 )
@@ -12,36 +16,58 @@
 	queue []claim.Candidate // not dispatched to yet
 }
 
-// next takes the next candidate from the queue, which must not be empty.
-func (c *candidates) next() claim.Candidate {
-	next := c.queue[0]
-	c.queue = c.queue[1:]
-	return next
-}
-
-// refill fills the queue anew from the ranked candidates, without the engine that was
-// lost.
-func (c *candidates) refill(ranked []claim.Candidate, lost ryeford.EngineID) {
-	c.queue = nil
-	for _, candidate := range ranked {
-		if candidate.Engine != lost {
-			c.queue = append(c.queue, candidate)
-		}
-	}
-}
-
 // redirected returns the queue after a home pointed to an engine: that engine first, if
 // it is connected and so has a candidate, the home next, then the others.
 func redirected(queue []claim.Candidate, home claim.Candidate, engine ryeford.EngineID, target claim.Candidate, connected bool) []claim.Candidate {
-	next := make([]claim.Candidate, 0, len(queue)+2)
+	others := slices.DeleteFunc(slices.Clone(queue), func(c claim.Candidate) bool { return c.Engine == engine })
+	next := append([]claim.Candidate{home}, others...)
 	if connected {
-		next = append(next, target)
+		return append([]claim.Candidate{target}, next...)
 	}
-	next = append(next, home)
-	for _, c := range queue {
-		if c.Engine != engine {
-			next = append(next, c)
+	return next
+}
+
+// suspectedFor is how long a VM that left a dispatch unanswered is tried last. Not
+// measured: the time is a multiple of a dispatch's (2.25 s with its grace), so that a
+// frozen VM costs few requests that wait; freeze.txtar passes with it.
+const suspectedFor = 5 * time.Second
+
+// suspects are the VMs that left a dispatch unanswered a short while ago. Their
+// connections may still be up: that a process is frozen is noticed by a connection only
+// after the idle time-out.
+type suspects struct {
+	mu    sync.Mutex
+	until map[ryeford.VMID]time.Time
+}
+
+func newSuspects() *suspects {
+	return &suspects{until: make(map[ryeford.VMID]time.Time)}
+}
+
+func (s *suspects) add(now time.Time, vm ryeford.VMID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.until[vm] = now.Add(suspectedFor)
+}
+
+func (s *suspects) clear(vm ryeford.VMID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.until, vm)
+}
+
+// last returns the candidates with those of suspected VMs after the others, and keeps
+// the order otherwise. They are not left out: all may be suspected.
+func (s *suspects) last(now time.Time, candidates []claim.Candidate) []claim.Candidate {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var trusted, suspected []claim.Candidate
+	for _, c := range candidates {
+		if now.Before(s.until[c.VM]) {
+			suspected = append(suspected, c)
+		} else {
+			trusted = append(trusted, c)
 		}
 	}
-	return next
+	return append(trusted, suspected...)
 }
--- a/agentfleet/router/claimed.go
+++ b/agentfleet/router/claimed.go
@@ -87,8 +87,7 @@
 // not run, it gives the claim up while the caller already has its answer.
 func (x *exchange) dispatchClaimed(ctx context.Context, key claim.Key, held *claim.Claim) error {
 	err := x.dispatchQueue(ctx)
-	var notRun *ryeford.NotRunError
-	if errors.As(err, &notRun) {
+	if _, ok := errors.AsType[*ryeford.NotRunError](err); ok {
 		go x.forwarder.releaseClaim(context.WithoutCancel(ctx), x.request.id, key, held)
 	}
 	return err
@@ -178,17 +177,15 @@
 // joinAt joins the attempt at one candidate. It reports whether the attempt was found
 // there; an error says that this is not known.
 func (x *exchange) joinAt(ctx context.Context, c claim.Candidate, peek bool) (bool, error) {
-	limit := time.Now().Add(x.forwarder.limits.Dispatch)
-	reply, stream, err := x.join(ctx, c, peek, limit)
+	reply, err := x.join(ctx, c, peek, time.Now().Add(x.forwarder.limits.Dispatch))
 	if err != nil {
 		return false, &ryeford.MayHaveRunError{Reason: ryeford.ReasonUnreachable, Err: err}
 	}
 	if reply.Admitted != nil {
-		x.stream.candidate, x.stream.conn = c, stream
 		x.beginAnswer(reply.Admitted)
 		return true, nil
 	}
-	stream.Close()
+	x.stream.close()
 	if reply.Refused != nil && !reply.Refused.Unknown {
 		return false, nil
 	}
--- a/agentfleet/router/parse.go
+++ b/agentfleet/router/parse.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"strconv"
 	"strings"
 	"time"
@@ -26,9 +27,8 @@
 	bearerPrefix    = "Bearer "
 )
 
-// parseCommon reads what all requests carry.
-func (h *callerHandler) parseCommon(ctx *fasthttp.RequestCtx, req *request) error {
-	if err := h.authenticate(ctx, req); err != nil {
+func (f *forwarder) parseCommon(ctx *fasthttp.RequestCtx, req *request) error {
+	if err := f.authenticate(ctx, req); err != nil {
 		return err
 	}
 	header := &ctx.Request.Header
@@ -43,12 +43,11 @@
 	if err := checkID(HeaderKey, req.key); err != nil {
 		return err
 	}
-	repeatable, err := parseRepeatable(ctx)
-	if err != nil {
+	var err error
+	if req.repeatable, err = parseRepeatable(ctx); err != nil {
 		return err
 	}
-	req.repeatable = repeatable
-	deadline, err := parseDeadline(ctx, h.limits.DefaultDeadline)
+	deadline, err := parseDeadline(ctx, f.limits.DefaultDeadline)
 	if err != nil {
 		return err
 	}
@@ -57,7 +56,6 @@
 	return nil
 }
 
-// parseDeadline reads how long the caller waits.
 func parseDeadline(ctx *fasthttp.RequestCtx, byDefault time.Duration) (time.Duration, error) {
 	text := string(ctx.Request.Header.Peek(HeaderDeadline))
 	if text == "" {
@@ -70,10 +68,9 @@
 	return d, nil
 }
 
-// authenticate finds the client account of the request's key.
-func (h *callerHandler) authenticate(ctx *fasthttp.RequestCtx, req *request) error {
+func (f *forwarder) authenticate(ctx *fasthttp.RequestCtx, req *request) error {
 	key, ok := strings.CutPrefix(string(ctx.Request.Header.Peek("Authorization")), bearerPrefix)
-	account, known := h.book.Account(key)
+	account, known := f.book.KeyOwner(ryeford.HashKey(key))
 	if !ok || !known {
 		return &ryeford.InputError{Field: "Authorization", Problem: "want the bearer token of a client account", Status: fasthttp.StatusUnauthorized}
 	}
@@ -116,8 +113,7 @@
 	MaxTokens int               `json:"max_tokens"`
 }
 
-// parseCompletion reads a chat completion.
-func (h *callerHandler) parseCompletion(ctx *fasthttp.RequestCtx, req *request) error {
+func (f *forwarder) parseCompletion(ctx *fasthttp.RequestCtx, req *request) error {
 	var body completionRequest
 	if err := json.Unmarshal(ctx.PostBody(), &body); err != nil {
 		return &ryeford.InputError{Field: "body", Problem: "not the JSON of a chat completion: " + err.Error()}
@@ -130,21 +126,20 @@
 	case body.MaxTokens < 0 || body.MaxTokens > maxTokens:
 		return &ryeford.InputError{Field: "max_tokens", Problem: "want 1 to 1048576, or none"}
 	}
-	template, ok := h.book.Find(req.account, body.Model)
+	template, ok := f.book.Find(req.account, body.Model)
 	if !ok {
 		return &ryeford.InputError{Field: "model", Problem: "no template of the account serves it", Status: fasthttp.StatusNotFound}
 	}
-	priority, err := parsePriority(ctx, template.Priority)
-	if err != nil {
+	var err error
+	if req.priority, err = parsePriority(ctx, template.Priority); err != nil {
 		return err
 	}
 	req.stream = body.Stream
-	req.priority = priority
 	req.share = template.Share
 	req.model = template.Model
 	req.completion = &ryeford.Completion{
 		Pool:      template.Pool(),
-		Priority:  priority,
+		Priority:  req.priority,
 		Messages:  body.Messages,
 		MaxTokens: body.MaxTokens,
 	}
@@ -165,21 +160,19 @@
 	return min(ryeford.Priority(n), highest), nil
 }
 
-// parseCall reads a call of a plain service.
-func (h *callerHandler) parseCall(ctx *fasthttp.RequestCtx, req *request) error {
+func (f *forwarder) parseCall(ctx *fasthttp.RequestCtx, req *request) error {
 	uri := strings.TrimPrefix(string(ctx.RequestURI()), PathServices)
 	name, rest, _ := strings.Cut(uri, "/")
 	name, _, _ = strings.Cut(name, "?")
-	if h.fleet.service(name) == nil {
+	if f.fleet.service(name) == nil {
 		return &ryeford.InputError{Field: "service", Problem: "no such service", Status: fasthttp.StatusNotFound}
 	}
-	priority, err := parsePriority(ctx, ryeford.PriorityHighest)
-	if err != nil {
+	var err error
+	if req.priority, err = parsePriority(ctx, ryeford.PriorityHighest); err != nil {
 		return err
 	}
 	req.service = name
 	req.model = "service:" + name
-	req.priority = priority
 	req.share = 1
 	req.call = &ryeford.Call{
 		Method:      string(ctx.Method()),
@@ -190,3 +183,65 @@
 	}
 	return nil
 }
+
+// A request is one request of a caller: a chat completion, a call of a plain service,
+// or the rest of an answer that the caller has a part of.
+type request struct {
+	id         ryeford.RequestID
+	account    ryeford.AccountID
+	chat       ryeford.ChatID // orders the engines; the request's id if the caller named none
+	priority   ryeford.Priority
+	share      float64 // of the account's template, above 0 and up to 1
+	repeatable bool    // running it twice does no harm
+	key        string  // the caller's idempotency key
+	digest     string  // of method, path and body
+	deadline   time.Time
+	stream     bool // answer as an event stream
+
+	model string // whose engines' mean load counts
+
+	// Exactly one is set.
+	completion *ryeford.Completion
+	call       *ryeford.Call
+
+	service string // that call goes to
+}
+
+// claimed reports whether the request needs a claim on its key: it may not run twice,
+// and its caller may send it again.
+func (req *request) claimed() bool { return !req.repeatable && req.key != "" }
+
+// within returns the time after limit from now, or the request's deadline if that is
+// earlier.
+func (req *request) within(limit time.Duration) time.Time {
+	at := time.Now().Add(limit)
+	if req.deadline.Before(at) {
+		return req.deadline
+	}
+	return at
+}
+
+// An eventID names a chunk of an answer, and the agent that keeps it. Callers
+// treat it as opaque.
+type eventID struct {
+	candidate claim.Candidate
+	attempt   ryeford.AttemptID
+	offset    int64
+}
+
+func (e *eventID) String() string {
+	return fmt.Sprintf("%s/%s/%s/%d", e.candidate.VM, e.candidate.Incarnation, e.attempt, e.offset)
+}
+
+func parseEventID(text string) (*eventID, error) {
+	parts := strings.Split(text, "/")
+	offset, err := strconv.ParseInt(parts[len(parts)-1], 10, 64)
+	if len(parts) != 4 || err != nil || offset < 0 {
+		return nil, &ryeford.InputError{Field: HeaderLastEvent, Problem: "not the id of an event"}
+	}
+	return &eventID{
+		candidate: claim.Candidate{VM: ryeford.VMID(parts[0]), Incarnation: ryeford.Incarnation(parts[1])},
+		attempt:   ryeford.AttemptID(parts[2]),
+		offset:    offset,
+	}, nil
+}
--- a/agentfleet/template/store.go
+++ b/agentfleet/template/store.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
-	"encoding/json"
+	"errors"
 	"fmt"
 	"strconv"
+	"strings"
+
+	"github.com/go-playground/validator/v10"
 
 	"github.com/ryeford/ryeford"
+	"github.com/ryeford/ryeford/agentfleet/row"
 )
 
 const (
@@ -27,7 +31,6 @@
 	Current int64
 }
 
-// Error returns the text of e.
 func (e *SequenceError) Error() string {
 	return fmt.Sprintf("template %s is at version %d, not %d: read it and publish again", e.Name, e.Current, e.Based)
 }
@@ -97,14 +100,12 @@
 
 // Get returns one template as it was accepted last.
 func (s *Store) Get(ctx context.Context, name Name) (*ryeford.Template, error) {
-	rows, err := s.table.Get(ctx, templateKey(name))
-	if err != nil {
-		return nil, err
-	}
-	if rows[0].Version == 0 {
+	t := &ryeford.Template{}
+	version, err := row.Get(ctx, s.table, templateKey(name), t)
+	if err == nil && version == 0 {
 		return nil, &ryeford.NotFoundError{Kind: "template", Name: name.String()}
 	}
-	return decodeRow(rows[0])
+	return t, err
 }
 
 // History returns all versions of a template, the oldest first.
@@ -124,12 +125,12 @@
 		return nil, err
 	}
 	revisionRow, templateRow, publishedRow := rows[0], rows[1], rows[2]
+	current := &ryeford.Template{}
 	if publishedRow.Version != 0 {
-		return decodeRow(publishedRow)
+		return current, row.Decode(publishedRow, current)
 	}
-	current := &ryeford.Template{}
 	if templateRow.Version != 0 {
-		if current, err = decodeRow(templateRow); err != nil {
+		if err := row.Decode(templateRow, current); err != nil {
 			return nil, err
 		}
 	}
@@ -152,16 +153,16 @@
 // template still have these versions.
 func (s *Store) write(ctx context.Context, t *ryeford.Template, revisionVersion, templateVersion int64) error {
 	name := Name{Account: t.Account, Name: t.Name}
-	value, err := json.Marshal(t)
+	newest, err := row.Write(templateKey(name), t, templateVersion)
 	if err != nil {
-		return &RowError{Key: templateKey(name), Err: err}
+		return err
 	}
 	_, err = s.table.Transact(ctx,
+		newest,
 		ryeford.Write{Key: rowRevision, Value: []byte(strconv.FormatInt(t.Revision, 10)), IfVersion: revisionVersion},
-		ryeford.Write{Key: templateKey(name), Value: value, IfVersion: templateVersion},
-		ryeford.Write{Key: publishedKey(t.Change), Value: value},
-		ryeford.Write{Key: revisionKey(t.Revision), Value: value},
-		ryeford.Write{Key: historyKey(name, t.Sequence), Value: value},
+		ryeford.Write{Key: publishedKey(t.Change), Value: newest.Value},
+		ryeford.Write{Key: revisionKey(t.Revision), Value: newest.Value},
+		ryeford.Write{Key: historyKey(name, t.Sequence), Value: newest.Value},
 	)
 	return err
 }
@@ -175,3 +176,67 @@
 	t.Sequence++
 	return &t, nil
 }
+
+// The rows of the platform's table that hold the templates.
+const (
+	rowRevision     = "revision"  // the newest accepted one
+	prefixTemplate  = "template/" // by name: the newest version
+	prefixRevision  = "change/"   // by revision: the template that made it
+	prefixHistory   = "history/"  // by name and sequence
+	prefixPublished = "publish/"  // by change id: what it led to
+	sequenceDigits  = "%020d"     // so that history rows list in order
+)
+
+func templateKey(name Name) string { return prefixTemplate + name.String() }
+
+func publishedKey(change string) string { return prefixPublished + change }
+
+func revisionKey(revision int64) string { return prefixRevision + strconv.FormatInt(revision, 10) }
+
+func historyKey(name Name, sequence int64) string {
+	return prefixHistory + name.String() + "/" + fmt.Sprintf(sequenceDigits, sequence)
+}
+
+// parseRevision returns the revision of its row; an absent row means zero.
+func parseRevision(r ryeford.Row) (revision int64, err error) {
+	if r.Version != 0 {
+		err = row.Decode(r, &revision)
+	}
+	return revision, err
+}
+
+func decodeRows(rows []ryeford.Row) ([]ryeford.Template, error) {
+	templates := make([]ryeford.Template, 0, len(rows))
+	for _, r := range rows {
+		var t ryeford.Template
+		if err := row.Decode(r, &t); err != nil {
+			return nil, err
+		}
+		templates = append(templates, t)
+	}
+	return templates, nil
+}
+
+// checker may be used by several goroutines at once, and caches the types it has seen.
+var checker = validator.New(validator.WithRequiredStructEnabled())
+
+// Check checks a template that is to be published. The error is a
+// *ryeford.InputError.
+func Check(t *ryeford.Template) error {
+	if t.Change == "" {
+		return &ryeford.InputError{Field: "change", Problem: "missing; it names the publish"}
+	}
+	err := checker.Struct(t)
+	if err == nil {
+		return nil
+	}
+	var list validator.ValidationErrors
+	if !errors.As(err, &list) || len(list) == 0 {
+		return &ryeford.InputError{Field: "template", Problem: err.Error()}
+	}
+	first := list[0]
+	return &ryeford.InputError{
+		Field:   strings.ToLower(first.Field()),
+		Problem: "must satisfy " + strings.TrimSpace(first.Tag()+" "+first.Param()),
+	}
+}
--- a/agentfleet/transport/conn.go
+++ b/agentfleet/transport/conn.go
@@ -1,7 +1,7 @@
 // Package transport carries the messages of package wire between routers and agents
 // over QUIC with mutual TLS.
 //
-// It owns the sockets, the certificates' form (identity.go, tls.go) and the budget of control
+// It owns the sockets, the certificates' form (identity.go) and the budget of control
 // traffic. It relies on the fleet's authority to issue a certificate only to the VM
 // that it names: a peer is the VM in its certificate, whatever its address.
 //
@@ -10,8 +10,12 @@
 
 import (
 	"context"
+	"fmt"
+	"net/netip"
+	"time"
 
 	"github.com/quic-go/quic-go"
+	"golang.org/x/time/rate"
 
 	"github.com/ryeford/ryeford"
 	"github.com/ryeford/ryeford/agentfleet/wire"
@@ -24,7 +28,6 @@
 	peer ryeford.VMID
 }
 
-// newConn returns a Conn of an established QUIC connection.
 func newConn(c *quic.Conn) *Conn {
 	conn := &Conn{quic: c}
 	if certs := c.ConnectionState().TLS.PeerCertificates; len(certs) > 0 {
@@ -57,6 +60,25 @@
 	return &Stream{quic: s}, nil
 }
 
+// Serve calls serve, in a goroutine each, with the streams that the peer opens and the
+// message that each begins with, until the connection or ctx ends. A stream is closed when
+// serve returns, and one that ends before a message without it: the peer sees that it got
+// no answer.
+func (c *Conn) Serve(ctx context.Context, serve func(*Stream, *wire.Message)) {
+	for {
+		stream, err := c.Accept(ctx)
+		if err != nil {
+			return // the connection, or ctx, has ended
+		}
+		go func() {
+			defer stream.Close()
+			if m, err := stream.Receive(); err == nil {
+				serve(stream, m)
+			}
+		}()
+	}
+}
+
 // Ask sends one message on a new stream of c and returns the answer. It waits until
 // the deadline of ctx; to cancel ctx does not end the wait for the answer.
 func (c *Conn) Ask(ctx context.Context, m *wire.Message) (*wire.Message, error) {
@@ -76,19 +98,13 @@
 
 // SendDatagram sends a datagram, which may be lost on the way.
 func (c *Conn) SendDatagram(data []byte) error {
-	if err := c.quic.SendDatagram(data); err != nil {
-		return &Error{Op: "send datagram", Err: err}
-	}
-	return nil
+	return failed("send datagram", c.quic.SendDatagram(data))
 }
 
 // ReceiveDatagram returns the next datagram.
 func (c *Conn) ReceiveDatagram(ctx context.Context) ([]byte, error) {
 	data, err := c.quic.ReceiveDatagram(ctx)
-	if err != nil {
-		return nil, &Error{Op: "receive datagram", Err: err}
-	}
-	return data, nil
+	return data, failed("receive datagram", err)
 }
 
 // Close closes the connection and sends the peer the reason. An error would say that
@@ -96,3 +112,100 @@
 func (c *Conn) Close(why string) {
 	_ = c.quic.CloseWithError(0, why)
 }
+
+// codeClosed is the error code with which a stream's reading side is given up. It is
+// the only one: a peer need not know more.
+const codeClosed quic.StreamErrorCode = 1
+
+// A Stream carries messages both ways. One goroutine may send while another one
+// receives.
+type Stream struct {
+	quic *quic.Stream
+}
+
+// Send sends a message.
+func (s *Stream) Send(m *wire.Message) error {
+	return failed("send", wire.WriteMessage(s.quic, m))
+}
+
+// Reply sends the only message that answers a stream, and ends the sending side. If it
+// can't be sent, the connection is lost, and the peer sees that it got no answer.
+func (s *Stream) Reply(m *wire.Message) {
+	if s.Send(m) == nil {
+		s.CloseSend()
+	}
+}
+
+// Receive returns the next message. Its error wraps io.EOF if the peer has ended its
+// sending side, and those of wire.ReadMessage.
+func (s *Stream) Receive() (*wire.Message, error) {
+	m, err := wire.ReadMessage(s.quic)
+	return m, failed("receive", err)
+}
+
+// SetReadDeadline bounds how long Receive waits. It can't fail: quic-go always
+// returns nil.
+func (s *Stream) SetReadDeadline(t time.Time) { _ = s.quic.SetReadDeadline(t) }
+
+// CloseSend ends the sending side, after what was sent. An error would say that the
+// side was cancelled or the connection lost, which ends it as well.
+func (s *Stream) CloseSend() { _ = s.quic.Close() }
+
+// Close ends the sending side as CloseSend does, and gives the receiving side up.
+func (s *Stream) Close() {
+	s.quic.CancelRead(codeClosed)
+	_ = s.quic.Close()
+}
+
+// An Error is a failure of the transport.
+type Error struct {
+	Op      string         // what failed
+	Address netip.AddrPort // of the peer or the socket; invalid if it is not known
+	Err     error
+}
+
+// failed returns the failure of op, or nil if err is nil.
+func failed(op string, err error) error {
+	if err == nil {
+		return nil
+	}
+	return &Error{Op: op, Err: err}
+}
+
+func (e *Error) Error() string {
+	if !e.Address.IsValid() {
+		return fmt.Sprintf("%s: %v", e.Op, e.Err)
+	}
+	return fmt.Sprintf("%s %s: %v", e.Op, e.Address, e.Err)
+}
+
+func (e *Error) Unwrap() error { return e.Err }
+
+// controlBurst is for how many seconds of its rate a process may send control traffic
+// at once. Not measured.
+const controlBurst = 4
+
+// A ControlLimiter bounds and counts the control traffic that a process sends: gossip. Its
+// methods may be called concurrently.
+type ControlLimiter struct {
+	limiter *rate.Limiter
+	count   func(bytes int)
+}
+
+// NewControlLimiter returns a ControlLimiter of so many bytes a second. It calls count with the
+// bytes that may be sent, each time.
+func NewControlLimiter(bytesPerSecond int, count func(bytes int)) *ControlLimiter {
+	return &ControlLimiter{
+		limiter: rate.NewLimiter(rate.Limit(bytesPerSecond), controlBurst*bytesPerSecond),
+		count:   count,
+	}
+}
+
+// Allow takes bytes from the budget, or reports false if too few are left.
+func (c *ControlLimiter) Allow(bytes int) bool {
+	if !c.limiter.AllowN(time.Now(), bytes) {
+		return false
+	}
+	c.count(bytes)
+	return true
+}
