--- a/agentfleet/router/exchange.go
+++ b/agentfleet/router/exchange.go
@@ -4,10 +4,14 @@
 	"context"
 	"time"
 
+	"github.com/google/uuid"
+
 	"github.com/ryeford/ryeford"
 	"github.com/ryeford/ryeford/agentfleet/claim"
 	"github.com/ryeford/ryeford/agentfleet/load"
 	"github.com/ryeford/ryeford/retry"
+	"github.com/ryeford/ryeford/route"
+	"github.com/ryeford/ryeford/settings"
 )
 
 // An exchange serves one request: it dispatches it to engines until one has admitted
@@ -23,6 +27,7 @@
 	attempt    attempt
 	stream     agentStream
 	delivered  delivered
+	end        func() // gives up what the exchange holds; called once
 }
 
 // A history is what an exchange has done so far, as the rules are given it.
@@ -35,8 +40,20 @@
 	warm       bool          // the engine that admitted last had the chat's prefix cached
 }
 
-// start dispatches the request until the first chunk of an answer is there.
+// start dispatches the request until the first chunk of an answer is there, and logs how
+// that ended.
 func (x *exchange) start(ctx context.Context) error {
+	began := time.Now()
+	if err := x.dispatchAll(ctx); err != nil {
+		x.logGivenUp(err)
+		return err
+	}
+	x.logRouted(time.Since(began))
+	return nil
+}
+
+// dispatchAll dispatches the request, after a claim of its key if it needs one.
+func (x *exchange) dispatchAll(ctx context.Context) error {
 	if len(x.candidates.queue) == 0 {
 		return &ryeford.NotRunError{Reason: ryeford.ReasonNoCandidate, RetryAfter: retry.Spread(unavailableRetryAfter)}
 	}
@@ -76,7 +93,9 @@
 			last = &ryeford.NotRunError{Reason: ryeford.ReasonRetryBudget}
 			break
 		}
-		if last = x.dispatchTo(ctx, x.candidates.next()); last == nil {
+		next := x.candidates.queue[0]
+		x.candidates.queue = x.candidates.queue[1:]
+		if last = x.dispatchTo(ctx, next); last == nil {
 			return nil
 		}
 		x.logFailed(last)
@@ -124,7 +143,6 @@
 	x.forwarder.loads.addProbe(time.Now(), x.request.model, x.stream.candidate.Engine, &x.probes, value)
 }
 
-// logFailed logs a dispatch that failed.
 func (x *exchange) logFailed(err error) {
 	f, req, c := x.forwarder, x.request, x.stream.candidate
 	f.metrics.Count("ryeford_tries_failed_total", string(reasonOf(err)))
@@ -134,7 +152,6 @@
 		"reason", reasonOf(err), "mean", x.poolMean(), "left", len(x.candidates.queue), "err", err)
 }
 
-// logRouted logs which engine serves a request.
 func (x *exchange) logRouted(took time.Duration) {
 	f, req, c := x.forwarder, x.request, x.stream.candidate
 	f.metrics.Count("ryeford_requests_total", "routed")
@@ -149,10 +166,96 @@
 		"try", x.history.dispatches, "mean", x.poolMean(), "warm", x.history.warm, "first_chunk", took)
 }
 
-// logGivenUp logs why a request was not served.
 func (x *exchange) logGivenUp(err error) {
 	req := x.request
 	x.forwarder.metrics.Count("ryeford_requests_total", string(reasonOf(err)))
 	x.forwarder.decisions.Record(req.id, "decision", "give_up", "request", req.id, "account", req.account, "chat", req.chat,
 		"tries", x.history.dispatches, "reason", reasonOf(err), "mean", x.poolMean(), "err", err)
 }
+
+// forgetAfter is how long an agent must remember an attempt without a claim, which is
+// asked about for rejoinTime at most. Not measured: above the dispatch time and
+// rejoinTime together.
+const forgetAfter = 30 * time.Second
+
+// An attempt is what an agent admits at most once. One with a claim may be dispatched to
+// several agents, one after the other.
+type attempt struct {
+	id      ryeford.AttemptID
+	expires time.Time // until when it may be admitted
+	forget  time.Time // until when the agent that admitted it remembers it
+}
+
+// newAttempt names a new attempt, which may be admitted for limits.dispatch from now. One
+// with a claim is remembered for limits.claim_ttl, so long as its caller may come again.
+func newAttempt(now time.Time, limits *settings.RouterLimits, claimed bool) attempt {
+	remember := forgetAfter
+	if claimed {
+		remember = limits.ClaimTTL
+	}
+	return attempt{
+		id:      ryeford.AttemptID(uuid.NewString()),
+		expires: now.Add(limits.Dispatch),
+		forget:  now.Add(remember),
+	}
+}
+
+// A forwarder serves callers' HTTP: it parses a request, and has an exchange find the
+// answer. It is what all exchanges share, and owns the suspects and the budgets.
+type forwarder struct {
+	*shared
+	gossip   *agentGossip
+	claims   *claim.Claims
+	suspects *suspects
+	budgets  budgets
+}
+
+func (f *forwarder) newExchange(req *request) *exchange {
+	x := &exchange{forwarder: f, request: req}
+	if ranked := f.rank(req); len(ranked) > 0 {
+		x.candidates.home = ranked[0].Engine
+		x.candidates.queue = f.suspects.last(time.Now(), ranked)
+	}
+	return x
+}
+
+// resumeExchange returns the exchange that serves the rest of an answer, of which the
+// caller has the chunks up to last. It rejoins no further: the caller can come again.
+func (f *forwarder) resumeExchange(req *request, last *eventID) *exchange {
+	return &exchange{
+		forwarder: f,
+		request:   req,
+		history:   history{rejoins: maxRejoins},
+		attempt:   attempt{id: last.attempt},
+		stream:    agentStream{candidate: last.candidate},
+		delivered: delivered{next: last.offset + 1},
+	}
+}
+
+// rank returns the engines that can serve a request, in its chat's rendezvous order,
+// limits.candidates at most. Those of agents that are not connected are left out.
+func (f *forwarder) rank(req *request) []claim.Candidate {
+	set := f.targets(req)
+	if set == nil {
+		return nil
+	}
+	var ranking route.Ranking
+	set.Rank(route.ChatHash(req.account, req.chat), f.limits.Candidates, &ranking)
+	var ranked []claim.Candidate
+	for _, index := range ranking.Index[:ranking.Len] {
+		target := set.Target(int(index))
+		if c, ok := f.fleet.candidate(target.Engine); ok {
+			ranked = append(ranked, c)
+		}
+	}
+	return ranked
+}
+
+// targets returns the engines, or the service's instances, that can serve a request, or
+// nil if there are none.
+func (f *forwarder) targets(req *request) *route.Set {
+	if req.call != nil {
+		return f.fleet.service(req.service)
+	}
+	return f.fleet.pool(req.completion.Pool)
+}
--- a/agentfleet/router/failure.go
+++ b/agentfleet/router/failure.go
@@ -1,15 +1,21 @@
 package router
 
 import (
+	"cmp"
+	"context"
 	"encoding/json"
 	"errors"
 	"math"
+	"net"
+	"net/netip"
 	"strconv"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"github.com/ryeford/ryeford"
 	"github.com/ryeford/ryeford/agentfleet/template"
+	"github.com/ryeford/ryeford/internal/httpserver"
 )
 
 // An errorBody is the JSON of a failure.
@@ -37,10 +43,7 @@
 	switch {
 	case errors.As(err, &input):
 		detail.Code, detail.Ran = "invalid_request", "not_run"
-		status = fasthttp.StatusBadRequest
-		if input.Status != 0 {
-			status = input.Status
-		}
+		status = cmp.Or(input.Status, fasthttp.StatusBadRequest)
 	// This goes first: an unknown outcome that a refusal caused stays unknown.
 	case errors.As(err, &unknown):
 		detail.Code = string(unknown.Reason)
@@ -85,7 +88,6 @@
 	return errorBody{Error: detail}, status
 }
 
-// writeError answers a caller with a failure.
 func writeError(ctx *fasthttp.RequestCtx, request ryeford.RequestID, err error) {
 	body, status := newErrorBody(request, err)
 	if ms := body.Error.RetryAfterMS; ms > 0 {
@@ -95,16 +97,90 @@
 	if request != "" {
 		ctx.Response.Header.Set(HeaderRequest, string(request))
 	}
-	writeErrorBody(ctx, &body, status)
+	_ = writeJSON(ctx, status, &body) // its parts are strings and a number
 }
 
-// writeErrorBody writes the JSON of a failure as the response.
-func writeErrorBody(ctx *fasthttp.RequestCtx, body *errorBody, status int) {
+// writeJSON writes a response. The error is that of encoding/json; nothing is written then.
+func writeJSON(ctx *fasthttp.RequestCtx, status int, body any) error {
 	content, err := json.Marshal(body)
-	if err != nil { // not possible: the body is strings and a number
-		content = []byte(`{"error":{"code":"internal"}}`)
+	if err != nil {
+		return err
 	}
 	ctx.SetStatusCode(status)
 	ctx.SetContentType("application/json")
 	ctx.SetBody(content)
+	return nil
+}
+
+// An Error is a failure of something that the router itself does.
+type Error struct {
+	Op  string // what failed
+	Err error
+}
+
+func (e *Error) Error() string { return e.Op + ": " + e.Err.Error() }
+
+func (e *Error) Unwrap() error { return e.Err }
+
+// A ProtocolError says that an agent's message is no reply to what it was sent.
+type ProtocolError struct{}
+
+func (e *ProtocolError) Error() string { return "unexpected message" }
+
+// An EngineError carries what an engine, or its agent, said of a failure.
+type EngineError struct {
+	Text string
+}
+
+func (e *EngineError) Error() string { return e.Text }
+
+func reasonOf(err error) ryeford.Reason {
+	if unknown, ok := errors.AsType[*ryeford.MayHaveRunError](err); ok {
+		return unknown.Reason
+	}
+	if notRun, ok := errors.AsType[*ryeford.NotRunError](err); ok {
+		return notRun.Reason
+	}
+	return ryeford.ReasonEngineError
+}
+
+const (
+	// readTimeout bounds how long a client may take to send a request. Not measured.
+	readTimeout = 30 * time.Second
+
+	// idleTimeout is how long a connection without a request is kept. Not measured.
+	idleTimeout = 2 * time.Minute
+)
+
+// serveHTTP runs an HTTP server, for bodies of maxBody bytes at most, until ctx ends. Its
+// error is an *Error.
+func serveHTTP(ctx context.Context, address netip.AddrPort, maxBody int, handler fasthttp.RequestHandler) error {
+	listener, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return &Error{Op: "serve " + address.String(), Err: err}
+	}
+	server := &fasthttp.Server{
+		Handler:               handler,
+		MaxRequestBodySize:    maxBody,
+		NoDefaultServerHeader: true,
+		ReadTimeout:           readTimeout,
+		IdleTimeout:           idleTimeout,
+		ErrorHandler: func(ctx *fasthttp.RequestCtx, err error) {
+			writeError(ctx, "", newBadRequest(err, maxBody))
+		},
+	}
+	if err := httpserver.Serve(ctx, listener, server); err != nil {
+		return &Error{Op: "serve " + address.String(), Err: err}
+	}
+	return nil
+}
+
+// newBadRequest returns the failure of a request that is not HTTP, or is too large.
+func newBadRequest(err error, maxBody int) *ryeford.InputError {
+	problem := &ryeford.InputError{Field: "request", Problem: "not a valid HTTP request", Status: fasthttp.StatusBadRequest}
+	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
+		problem.Problem = "body larger than " + strconv.Itoa(maxBody) + " bytes"
+		problem.Status = fasthttp.StatusRequestEntityTooLarge
+	}
+	return problem
 }
--- a/agentfleet/router/operators.go
+++ b/agentfleet/router/operators.go
@@ -5,16 +5,15 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/json"
+	"slices"
 	"strings"
 	"time"
 
-	"github.com/go-kit/log"
 	"github.com/valyala/fasthttp"
 
 	"github.com/ryeford/ryeford"
-	"github.com/ryeford/ryeford/agentfleet/decision"
-	"github.com/ryeford/ryeford/agentfleet/plan"
 	"github.com/ryeford/ryeford/agentfleet/template"
+	"github.com/ryeford/ryeford/agentfleet/wire"
 )
 
 // The paths that operators use.
@@ -36,22 +35,9 @@
 // An operatorHandler serves operators' HTTP: templates, planned stops, and what this
 // router knows.
 type operatorHandler struct {
-	key       string       // the operators' bearer token
-	vm        ryeford.VMID // of this router
-	domain    string       // its failure domain
-	vms       ryeford.VMList
-	templates *template.Store
-	book      *template.Book
-	plan      *plan.Current
-	fleet     *fleet
-	loads     *loads
-	readiness *readiness
-	drain     *drain
-	decisions *decision.Log
-	log       log.Logger
+	*shared
 }
 
-// serve answers one request of an operator.
 func (h *operatorHandler) serve(ctx *fasthttp.RequestCtx) {
 	if !h.isOperator(ctx) {
 		writeError(ctx, "", &ryeford.InputError{Field: "Authorization", Problem: "want the operators' bearer token", Status: fasthttp.StatusUnauthorized})
@@ -60,27 +46,22 @@
 	work, cancel := context.WithTimeout(context.Background(), operatorTimeout)
 	defer cancel()
 	answer, err := h.operate(work, ctx)
-	var content []byte
 	if err == nil {
-		content, err = json.Marshal(answer)
+		err = writeJSON(ctx, fasthttp.StatusOK, answer)
 	}
 	if err != nil {
 		body, status := newOperatorErrorBody(err)
-		writeErrorBody(ctx, &body, status)
-		return
+		_ = writeJSON(ctx, status, &body) // its parts are strings and a number
 	}
-	ctx.SetContentType("application/json")
-	ctx.SetBody(content)
 }
 
 // isOperator checks the operators' key in constant time.
 func (h *operatorHandler) isOperator(ctx *fasthttp.RequestCtx) bool {
 	got := sha256.Sum256(ctx.Request.Header.Peek("Authorization"))
-	want := sha256.Sum256([]byte(bearerPrefix + h.key))
+	want := sha256.Sum256([]byte(bearerPrefix + h.settings.OperatorKey))
 	return subtle.ConstantTimeCompare(got[:], want[:]) == 1
 }
 
-// operate does what an operator asks.
 func (h *operatorHandler) operate(work context.Context, ctx *fasthttp.RequestCtx) (any, error) {
 	path := string(ctx.Path())
 	name, isTemplate := strings.CutPrefix(path, PathTemplates+"/")
@@ -93,9 +74,9 @@
 	case path == PathTemplates:
 		return h.templates.All(work)
 	case isTemplate:
-		return h.getTemplate(work, name)
+		return byName(work, name, h.templates.Get)
 	case isHistory:
-		return h.getHistory(work, history)
+		return byName(work, history, h.templates.History)
 	case isVM && ctx.IsPost() && strings.HasSuffix(vm, stopSuffix):
 		return h.stopVM(work, ryeford.VMID(strings.TrimSuffix(vm, stopSuffix)))
 	case path == PathStatus:
@@ -110,3 +91,76 @@
 	}
 	return nil, &ryeford.NotFoundError{Kind: "path", Name: path}
 }
+
+// publish accepts a template, and puts it in force here at once.
+func (h *operatorHandler) publish(ctx context.Context, body []byte) (*ryeford.Template, error) {
+	var t ryeford.Template
+	if err := json.Unmarshal(body, &t); err != nil {
+		return nil, &ryeford.InputError{Field: "body", Problem: err.Error()}
+	}
+	if err := template.Check(&t); err != nil {
+		return nil, err
+	}
+	for _, hash := range t.KeyHashes {
+		if owner, ok := h.book.KeyOwner(hash); ok && owner != t.Account {
+			return nil, &ryeford.InputError{Field: "keys", Problem: "a key belongs to another client account"}
+		}
+	}
+	from := h.book.Revision()
+	published, err := h.templates.Publish(ctx, t)
+	if err != nil {
+		h.decisions.Record("", "decision", "not_published", "account", t.Account, "template", t.Name, "change", t.Change, "based", t.Sequence, "err", err)
+		return nil, err
+	}
+	h.decisions.Record("", "decision", "published", "account", t.Account, "template", t.Name, "change", t.Change,
+		"sequence", published.Sequence, "revision", published.Revision)
+	if !h.book.Apply(published.Revision-1, published.Revision, []ryeford.Template{*published}) {
+		h.catchUp(ctx, from)
+	}
+	return published, nil
+}
+
+// catchUp reads the templates above a revision, which others published in between. If
+// that fails, templateSync or gossip does it later.
+func (h *operatorHandler) catchUp(ctx context.Context, from int64) {
+	revision, templates, err := h.templates.Since(ctx, from)
+	if err != nil {
+		_ = h.log.Log("msg", "templates not read", "err", err)
+		return
+	}
+	h.book.Apply(from, revision, templates)
+}
+
+// byName returns what read finds of the template that is named ACCOUNT/NAME.
+func byName[T any](ctx context.Context, s string, read func(context.Context, template.Name) (T, error)) (any, error) {
+	name, err := template.ParseName(s)
+	if err != nil {
+		return nil, err
+	}
+	return read(ctx, name)
+}
+
+// stopVM begins a planned stop: it marks the VM as leaving in the platform's list and
+// orders the agent there, if there is one, to leave at once. If the agent does not
+// answer, it reads the list itself.
+func (h *operatorHandler) stopVM(ctx context.Context, id ryeford.VMID) (*ryeford.VM, error) {
+	vms, err := h.platform.VMs(ctx)
+	if err != nil {
+		return nil, err
+	}
+	at := slices.IndexFunc(vms, func(vm ryeford.VM) bool { return vm.ID == id })
+	if at < 0 {
+		return nil, &ryeford.NotFoundError{Kind: "VM", Name: string(id)}
+	}
+	vm := vms[at]
+	vm.State = ryeford.VMLeaving
+	if err := h.platform.PutVM(ctx, vm); err != nil {
+		return nil, err
+	}
+	h.fleet.setVM(vm)
+	if a, ok := h.fleet.vm(id); ok {
+		_, err = a.conn.Ask(ctx, &wire.Message{Leave: &wire.Leave{}})
+	}
+	h.decisions.Record("", "decision", "stop_vm", "vm", id, "role", vm.Role, "failure_domain", vm.FailureDomain, "err", err)
+	return &vm, nil
+}
--- a/agentfleet/router/planner.go
+++ b/agentfleet/router/planner.go
@@ -1,20 +1,19 @@
 package router
 
 import (
+	"cmp"
 	"context"
+	"encoding/json"
 	"errors"
+	"fmt"
+	"slices"
 	"time"
 
-	"github.com/go-kit/log"
-
 	"github.com/ryeford/ryeford"
-	"github.com/ryeford/ryeford/agentfleet/decision"
 	"github.com/ryeford/ryeford/agentfleet/lease"
 	"github.com/ryeford/ryeford/agentfleet/placement"
-	"github.com/ryeford/ryeford/agentfleet/plan"
-	"github.com/ryeford/ryeford/agentfleet/template"
+	"github.com/ryeford/ryeford/agentfleet/row"
 	"github.com/ryeford/ryeford/internal/clock"
-	"github.com/ryeford/ryeford/settings"
 )
 
 const leaseName = "planner"
@@ -22,26 +21,18 @@
 // A planner keeps the current plan. On the router that holds the lease, it also makes
 // it.
 type planner struct {
-	settings  *settings.Planner
-	table     ryeford.Table
-	objects   ryeford.ObjectStore
-	lease     *lease.Lease
-	book      *template.Book
-	fleet     *fleet
-	readiness *readiness
-	recent    recentEngines // used by run only
-	plan      *plan.Current
-	decisions *decision.Log
-	log       log.Logger
+	*shared
+	lease  *lease.Lease
+	recent recentEngines // used by run only
 }
 
 // run plans, or follows another router's plan, until ctx ends.
 func (p *planner) run(ctx context.Context) error {
-	if !p.settings.Enabled {
+	if !p.settings.Planner.Enabled {
 		return nil
 	}
 	for {
-		if !clock.Sleep(ctx, jitter(p.settings.Interval)) {
+		if !clock.Sleep(ctx, jitter(p.settings.Planner.Interval)) {
 			return nil
 		}
 		if err := p.round(ctx); err != nil && ctx.Err() == nil {
@@ -77,16 +68,14 @@
 		return nil, nil
 	}
 	held, err := p.lease.Acquire(ctx)
-	var other *lease.HeldError
-	if errors.As(err, &other) {
+	if _, ok := errors.AsType[*lease.HeldError](err); ok {
 		return nil, nil
 	}
 	return held, err
 }
 
-// input returns what the next plan depends on.
 func (p *planner) input() *placement.Input {
-	s := p.settings
+	s := &p.settings.Planner
 	now := time.Now()
 	_, templates := p.book.Since(0)
 	connected, leaving := placeable(p.fleet.all(), p.plan.Get())
@@ -100,14 +89,156 @@
 	}
 }
 
-// A PlanError says that a plan can't be read or written.
-type PlanError struct {
-	Op  string
-	Err error
+// Where plans are stored: each as an object, and in one row which is current.
+const (
+	rowPlan        = "plan/current"
+	planObjectName = "plan-%d-%d" // epoch, sequence
+)
+
+// A planPointer is the row that says which plan is current.
+type planPointer struct {
+	Epoch    int64  `json:"epoch"`
+	Sequence int64  `json:"sequence"`
+	Object   string `json:"object"`
 }
 
-// Error returns the text of e.
-func (e *PlanError) Error() string { return e.Op + ": " + e.Err.Error() }
+// readPointer returns the row that names the current plan, and its version.
+func (p *planner) readPointer(ctx context.Context) (planPointer, int64, error) {
+	var pointer planPointer
+	version, err := row.Get(ctx, p.platform, rowPlan, &pointer)
+	return pointer, version, err
+}
 
-// Unwrap returns the cause of e.
-func (e *PlanError) Unwrap() error { return e.Err }
+// follow reads the plan that a row names, if it is newer than the one known here.
+func (p *planner) follow(ctx context.Context, pointer planPointer) error {
+	if !p.plan.OlderThan(pointer.Epoch, pointer.Sequence) {
+		return nil
+	}
+	content, err := p.platform.GetObject(ctx, pointer.Object)
+	if err != nil {
+		return err
+	}
+	plan := &ryeford.Plan{}
+	if err := json.Unmarshal(content, plan); err != nil {
+		return &Error{Op: "read plan " + pointer.Object, Err: err}
+	}
+	p.plan.Set(plan)
+	return nil
+}
+
+// publish makes a plan, and makes it current if it says something new.
+func (p *planner) publish(ctx context.Context, held *lease.Held, pointer planPointer, version int64) error {
+	out := placement.Plan(p.input())
+	if !worthPublishing(p.plan.Get(), out.Assignments) {
+		return nil
+	}
+	plan := &ryeford.Plan{Epoch: held.Epoch, Sequence: pointer.Sequence + 1, Assignments: out.Assignments}
+	content, err := json.Marshal(plan)
+	if err != nil {
+		return &Error{Op: "write plan", Err: err}
+	}
+	object := fmt.Sprintf(planObjectName, plan.Epoch, plan.Sequence)
+	if err := p.platform.PutObject(ctx, object, content); err != nil {
+		return err
+	}
+	err = p.makeCurrent(ctx, held, planPointer{Epoch: plan.Epoch, Sequence: plan.Sequence, Object: object}, version)
+	p.decisions.Record("", "decision", "place", "epoch", plan.Epoch, "sequence", plan.Sequence,
+		"assignments", len(plan.Assignments), "moves", out.Moves, "late", out.Late, "accepted", err == nil, "err", err)
+	if err != nil {
+		return err
+	}
+	p.plan.Set(plan)
+	return nil
+}
+
+// makeCurrent points the row to a plan and renews the lease, in one transaction. It
+// fails if the lease was taken over or the row changed since they were read, so that a
+// holder that was paused changes nothing.
+func (p *planner) makeCurrent(ctx context.Context, held *lease.Held, pointer planPointer, version int64) error {
+	current, err := row.Write(rowPlan, &pointer, version)
+	if err != nil {
+		return err
+	}
+	renewal, err := held.Renewal()
+	if err != nil {
+		return err
+	}
+	_, err = p.platform.Transact(ctx, renewal, current)
+	return err
+}
+
+// worthPublishing reports whether assignments differ from the current plan's in what an
+// engine serves. Other start times alone make no new plan, and a plan without any
+// assignment is no plan: no template or no engine is known.
+func worthPublishing(current *ryeford.Plan, next []ryeford.Assignment) bool {
+	if len(next) == 0 || current == nil {
+		return len(next) > 0
+	}
+	return !slices.EqualFunc(current.Assignments, next, func(a, b ryeford.Assignment) bool {
+		return a.Engine == b.Engine && slices.Equal(a.Pools, b.Pools)
+	})
+}
+
+// Which engines a plan is made for.
+//
+// An engine counts while its agent is connected, and for planner.patience after its
+// connection was lost, so that a VM that flaps, or a router that starts, moves nothing.
+// An engine of a VM that is leaving does not count from then on. What the current plan
+// says of an engine counts as what it serves: a load that is under way is kept.
+
+// recentEngines are the engines whose agents are connected, or were a short while ago.
+type recentEngines map[ryeford.EngineID]recentEngine
+
+// A recentEngine is an engine as it was when its agent was connected last.
+type recentEngine struct {
+	engine placement.Engine
+	at     time.Time
+}
+
+// update takes the engines that are connected now and drops those that count no more.
+// It returns those that count, ordered by id.
+func (r recentEngines) update(now time.Time, connected []placement.Engine, leaving map[ryeford.VMID]bool, patience time.Duration) []placement.Engine {
+	for _, e := range connected {
+		r[e.ID] = recentEngine{engine: e, at: now}
+	}
+	var engines []placement.Engine
+	for id, e := range r {
+		if leaving[e.engine.VM] || now.Sub(e.at) > patience {
+			delete(r, id)
+			continue
+		}
+		engines = append(engines, e.engine)
+	}
+	slices.SortFunc(engines, func(a, b placement.Engine) int { return cmp.Compare(a.ID, b.ID) })
+	return engines
+}
+
+// placeable returns the model engines of connected agents, with what they serve or are
+// to serve by the plan, and the VMs that are leaving. Instances of plain services are
+// not placed.
+func placeable(agents []*agent, plan *ryeford.Plan) (engines []placement.Engine, leaving map[ryeford.VMID]bool) {
+	planned := make(map[ryeford.EngineID][]ryeford.Pool)
+	if plan != nil {
+		for _, a := range plan.Assignments {
+			planned[a.Engine] = a.Pools
+		}
+	}
+	leaving = make(map[ryeford.VMID]bool)
+	for _, a := range agents {
+		if a.leaving() {
+			leaving[a.vm.ID] = true
+			continue
+		}
+		for _, e := range a.inventory.Engines {
+			if e.Service != "" {
+				continue
+			}
+			pools, ok := planned[e.ID]
+			if !ok {
+				pools = e.Pools
+			}
+			engines = append(engines, placement.Engine{ID: e.ID, VM: a.vm.ID, Domain: a.inventory.FailureDomain, Pools: pools})
+		}
+	}
+	return engines, leaving
+}
--- a/agentfleet/router/recover.go
+++ b/agentfleet/router/recover.go
@@ -3,9 +3,13 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/ryeford/ryeford"
+	"github.com/ryeford/ryeford/agentfleet/claim"
+	"github.com/ryeford/ryeford/agentfleet/wire"
+	"github.com/ryeford/ryeford/internal/clock"
 	"github.com/ryeford/ryeford/retry"
 )
 
@@ -54,10 +58,9 @@
 
 // recover goes on with an answer whose stream was lost, as afterLostStream says.
 func (x *exchange) recover(ctx context.Context, cause error) error {
-	var reported *ryeford.MayHaveRunError // as chunkError makes it; a connection's errors are others
 	lost := lostStream{
 		expired:    ctx.Err() != nil || time.Now().After(x.request.deadline),
-		reported:   errors.As(cause, &reported),
+		reported:   mayHaveRun(cause), // as chunkError makes it; a connection's errors are others
 		repeatable: x.request.repeatable,
 		call:       x.request.call != nil,
 		rejoins:    x.history.rejoins,
@@ -77,8 +80,7 @@
 // since a part of the answer was sent.
 func (x *exchange) rejoin(ctx context.Context, cause error) error {
 	err := x.resolveLost(ctx, cause)
-	var notRun *ryeford.NotRunError
-	if errors.As(err, &notRun) {
+	if notRun, ok := errors.AsType[*ryeford.NotRunError](err); ok {
 		return &ryeford.MayHaveRunError{Reason: notRun.Reason, Err: cause}
 	}
 	return err
@@ -89,7 +91,8 @@
 	x.forwarder.metrics.Count("ryeford_continued_total", "")
 	x.history.mayHaveRun = true
 	ranked := x.forwarder.suspects.last(time.Now(), x.forwarder.rank(x.request))
-	x.candidates.refill(ranked, x.stream.candidate.Engine)
+	lost := x.stream.candidate.Engine
+	x.candidates.queue = slices.DeleteFunc(ranked, func(c claim.Candidate) bool { return c.Engine == lost })
 	if !x.forwarder.budgets.pay(x.request.account, stepRetry) {
 		return &ryeford.MayHaveRunError{Reason: ryeford.ReasonRetryBudget, RetryAfter: retry.Spread(x.history.retryAfter), Err: cause}
 	}
@@ -98,3 +101,78 @@
 	}
 	return x.dispatchQueue(ctx)
 }
+
+const (
+	// rejoinTime is how long an agent is asked about an attempt whose stream was lost.
+	// Not measured.
+	rejoinTime = 5 * time.Second
+
+	// rejoinInterval is the time between two such joins. Not measured: short against a
+	// caller's wait, long against a connection's round trip.
+	rejoinInterval = 25 * time.Millisecond
+)
+
+// resolveLost finds out what became of an attempt whose stream was lost, by asking its
+// agent until it answers. If the agent has been restarted, what it knew is lost, and the
+// outcome is unknown. A repeatable request is not worth the wait: its outcome counts as
+// unknown at once, and it goes to another engine.
+func (x *exchange) resolveLost(ctx context.Context, cause error) error {
+	unknown := &ryeford.MayHaveRunError{Reason: ryeford.ReasonUnreachable, Err: cause}
+	if x.request.repeatable || ctx.Err() != nil {
+		return unknown
+	}
+	x.stream.close()
+	x.history.rejoins++
+	limit := x.request.within(rejoinTime)
+	for time.Now().Before(limit) {
+		reply, err := x.join(ctx, x.stream.candidate, false, limit)
+		if err == nil {
+			return x.handleReply(reply)
+		}
+		// The agent can't be asked yet; the first failure, cause, says more than this one.
+		if a, ok := x.forwarder.fleet.vm(x.stream.candidate.VM); ok && a.inventory.Incarnation != x.stream.candidate.Incarnation {
+			unknown.Reason = ryeford.ReasonIncarnation
+			return unknown
+		}
+		if !clock.Sleep(ctx, rejoinInterval) {
+			return unknown
+		}
+	}
+	return unknown
+}
+
+// join asks a candidate's agent for the attempt's answer, from the caller's next offset
+// on, and leaves the stream open after a reply. Unless peek is set, an agent that has not
+// admitted the attempt never will after it was asked.
+func (x *exchange) join(ctx context.Context, c claim.Candidate, peek bool, limit time.Time) (*wire.Message, error) {
+	a, ok := x.forwarder.fleet.vm(c.VM)
+	if !ok {
+		return nil, &ryeford.NotFoundError{Kind: "VM", Name: string(c.VM)}
+	}
+	ctx, cancel := context.WithDeadline(ctx, limit)
+	defer cancel()
+	stream, err := a.conn.Open(ctx)
+	if err != nil {
+		return nil, err
+	}
+	stream.SetReadDeadline(limit)
+	query := &wire.Join{
+		Account:     x.request.account,
+		Attempt:     x.attempt.id,
+		Incarnation: c.Incarnation,
+		Offset:      x.delivered.next,
+		Expires:     x.attempt.expires,
+		Forget:      x.attempt.forget,
+		Peek:        peek,
+	}
+	var reply *wire.Message
+	if err = stream.Send(&wire.Message{Join: query}); err == nil {
+		reply, err = stream.Receive()
+	}
+	if err != nil {
+		stream.Close()
+		return nil, err
+	}
+	x.stream.candidate, x.stream.conn = c, stream
+	return reply, nil
+}
--- a/agentfleet/router/retry.go
+++ b/agentfleet/router/retry.go
@@ -46,7 +46,6 @@
 	retries  *retry.Budget // dispatches after a failure
 }
 
-// newBudgets returns budgets with the reserves that the limits give.
 func newBudgets(limits *settings.RouterLimits) budgets {
 	return budgets{
 		overflow: retry.NewBudget(retry.BudgetLimits{PerSuccess: limits.OverflowPerAnswer, Reserve: limits.OverflowReserve}),
@@ -66,7 +65,6 @@
 	return true
 }
 
-// earn adds to an account's budgets what a whole answer earns.
 func (b *budgets) earn(account ryeford.AccountID) {
 	b.overflow.Earn(account)
 	b.retries.Earn(account)
@@ -81,9 +79,9 @@
 		}
 		return stepGiveUp
 	}
-	var notRun *ryeford.NotRunError
+	notRun, ok := errors.AsType[*ryeford.NotRunError](err)
 	switch {
-	case !errors.As(err, &notRun), notRun.Reason == ryeford.ReasonTombstone:
+	case !ok, notRun.Reason == ryeford.ReasonTombstone:
 		return stepGiveUp
 	case notRun.Reason == ryeford.ReasonRedirect:
 		return stepFree
@@ -94,8 +92,8 @@
 // mayHaveRun reports whether a failure leaves open that the attempt ran. An unknown
 // outcome stays unknown if a refusal caused it.
 func mayHaveRun(err error) bool {
-	var unknown *ryeford.MayHaveRunError
-	return errors.As(err, &unknown)
+	_, ok := errors.AsType[*ryeford.MayHaveRunError](err)
+	return ok
 }
 
 // anotherRound reports whether the first candidate gets another dispatch after so many
@@ -107,8 +105,8 @@
 // finalError returns the error that the caller gets after the last dispatch. A request
 // of which an earlier dispatch may have run is never said not to have run.
 func finalError(last error, mayHaveRun bool, retryAfter time.Duration) error {
-	var notRun *ryeford.NotRunError
-	if !errors.As(last, &notRun) {
+	notRun, ok := errors.AsType[*ryeford.NotRunError](last)
+	if !ok {
 		return last
 	}
 	if mayHaveRun {
--- a/agentfleet/template/book.go
+++ b/agentfleet/template/book.go
@@ -9,6 +9,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 	"sync"
 
 	"github.com/ryeford/ryeford"
@@ -81,7 +82,6 @@
 	b.templates[name] = &kept
 }
 
-// indexKeys makes the index of key hashes anew.
 func (b *Book) indexKeys() {
 	clear(b.accounts)
 	for _, t := range b.templates {
@@ -105,11 +105,6 @@
 	return b.revision, since
 }
 
-// Account returns the client account that a key belongs to.
-func (b *Book) Account(key string) (ryeford.AccountID, bool) {
-	return b.KeyOwner(ryeford.HashKey(key))
-}
-
 // KeyOwner returns the client account that a key's hash belongs to.
 func (b *Book) KeyOwner(hash string) (ryeford.AccountID, bool) {
 	b.mu.RLock()
@@ -137,3 +132,21 @@
 	}
 	return found, found != nil
 }
+
+// A Name names a template.
+type Name struct {
+	Account ryeford.AccountID
+	Name    string
+}
+
+// String returns the name as ACCOUNT/NAME.
+func (n Name) String() string { return string(n.Account) + "/" + n.Name }
+
+// ParseName returns the name that ACCOUNT/NAME means.
+func ParseName(text string) (Name, error) {
+	account, name, ok := strings.Cut(text, "/")
+	if !ok || account == "" || name == "" || strings.Contains(name, "/") {
+		return Name{}, &ryeford.InputError{Field: "template", Problem: "want ACCOUNT/NAME"}
+	}
+	return Name{Account: ryeford.AccountID(account), Name: name}, nil
+}
--- a/gateway/contact_test.go
+++ b/gateway/contact_test.go
@@ -23,6 +23,9 @@
 	// contactReserve is left of bounds.contact, beside a router's own waits, for the
 	// answer of the store itself.
 	contactReserve = 200 * time.Millisecond
+	// largeTransfer is how long the configuration of incident inc1 takes at the least on
+	// a narrow link.
+	largeTransfer = 840 * time.Millisecond
 )
 
 // A contactFixture is what a router knows of the store, without a gateway and without
@@ -35,11 +38,12 @@
 	endpoints     *endpointList
 }
 
-// newContactFixture starts one by the default settings, which ends with the test. It
-// must be called in a bubble of synctest.
-func newContactFixture(t *testing.T) *contactFixture {
+// newContactFixture starts one by the default settings, which ends with the test. delay
+// and transfer are those of its store. It must be called in a bubble of synctest.
+func newContactFixture(t *testing.T, delay, transfer time.Duration) *contactFixture {
 	s := settings.DefaultGateway()
 	f := &contactFixture{t: t, settings: s, store: newTroubledStore(s.Routing.StoreTimeout, "a", "b", "c")}
+	f.store.delay, f.store.transfer = delay, transfer
 	f.store.configure(1)
 	f.endpoints = newEndpointList(s, f.store)
 	f.configuration = newConfiguration(configurationOptions{
@@ -65,16 +69,18 @@
 
 // play plays a trouble that begins after a time and has a length. In its middle all
 // changes: the configuration, and endpoints that join, drain and leave. If busy is set,
-// an endpoint writes its entry again right before, so that the router pauses.
+// the configuration changes right before, too, and an endpoint writes its entry again, so
+// that the router is reading or pauses.
 func (f *contactFixture) play(trouble trouble, begins, length time.Duration, busy bool) {
 	time.Sleep(begins)
 	if busy {
+		f.store.configure(2)
 		f.store.put("a", ryeford.EndpointReady)
 		synctest.Wait()
 	}
 	f.store.set(trouble)
 	time.Sleep(length / 2)
-	f.store.configure(2)
+	f.store.configure(3)
 	f.store.put("d", ryeford.EndpointReady)
 	f.store.put("b", ryeford.EndpointDraining)
 	f.store.remove("c")
@@ -84,7 +90,7 @@
 
 // configured reports whether the new configuration is in force and may be relied on.
 func (f *contactFixture) configured() bool {
-	return f.configuration.version() == 2 && f.configuration.reliable(time.Now())
+	return f.configuration.version() == 3 && f.configuration.reliable(time.Now())
 }
 
 // listed reports whether the new list is in force, but for the endpoint that left: it
@@ -113,7 +119,7 @@
 // contactWaits are the bounds of a router's own waits after the end of a trouble, from
 // the default settings (docs/platform.md has the sums).
 type contactWaits struct {
-	lostRead, lostPoll, pollWait, settle, readPause, refresh time.Duration
+	lostRead, lostPoll, pollWait, settle, readPause, refresh, rest time.Duration
 }
 
 // newContactWaits returns the bounds.
@@ -126,6 +132,7 @@
 		settle:    s.SettleEndpoints(),
 		readPause: freshness.PauseAfterRead(false, true),
 		refresh:   s.RefreshConfiguration(),
+		rest:      freshness.Rest(largeTransfer, 0, freshness.Term(s.Bounds.Revoke)-largeTransfer),
 	}
 }
 
@@ -139,23 +146,24 @@
 	for _, test := range []struct {
 		name                string
 		trouble             trouble
-		delay               time.Duration // of slow
+		delay, transfer     time.Duration // of slow, and of a large configuration
 		configuration, list time.Duration // bounds
 	}{
-		{"silent", silent, 0, waits.lostRead + waits.readPause, waits.lostPoll + minFeedPause},
-		{"resetting", resetting, 0, waits.refresh, max(waits.settle, maxFeedPause)},
-		{"slow, but answering", slow, 600 * time.Millisecond, waits.refresh, waits.pollWait},
-		{"too slow", slow, 5 * time.Second, waits.lostRead + waits.readPause, waits.lostPoll + minFeedPause},
-		{"stale", stale, 0, waits.refresh, waits.pollWait + minFeedPause},
-		{"compacted", compacted, 0, waits.refresh, waits.settle},
+		{"silent", silent, 0, 0, waits.lostRead + waits.readPause, waits.lostPoll + minFeedPause},
+		{"resetting", resetting, 0, 0, waits.refresh, max(waits.settle, maxFeedPause)},
+		{"slow, but answering", slow, 600 * time.Millisecond, 0, waits.refresh, waits.pollWait},
+		{"too slow", slow, 5 * time.Second, 0, waits.lostRead + waits.readPause, waits.lostPoll + minFeedPause},
+		{"stale", stale, 0, 0, waits.refresh, waits.pollWait + minFeedPause},
+		{"compacted", compacted, 0, 0, waits.refresh, waits.settle},
+		{"silent, a large configuration", silent, 0, largeTransfer, waits.lostRead + waits.readPause + largeTransfer, waits.lostPoll + minFeedPause},
+		{"stale, a large configuration", stale, 0, largeTransfer, largeTransfer + waits.rest + largeTransfer, waits.pollWait + minFeedPause},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			var configuration, list time.Duration // the longest
 			for _, length := range []time.Duration{20 * time.Millisecond, time.Second, 3 * time.Second, 7 * time.Second} {
 				for phase := time.Duration(0); phase < waits.lostPoll; phase += 50 * time.Millisecond {
 					synctest.Test(t, func(t *testing.T) {
-						f := newContactFixture(t)
-						f.store.delay = test.delay
+						f := newContactFixture(t, test.delay, test.transfer)
 						f.play(test.trouble, 10*time.Second+phase, length, phase%(100*time.Millisecond) == 0)
 						c, l := f.follow()
 						configuration, list = max(configuration, c), max(list, l)
--- a/gateway/shutdown/shutdown_test.go
+++ b/gateway/shutdown/shutdown_test.go
@@ -48,18 +48,32 @@
 	}
 }
 
-// TestLeavesTimeFor checks which requests a stopping process still accepts.
+// TestLeavesTimeFor checks which requests a stopping process still takes: those that end
+// in time at their deadline, or are expected to, but streams by that only at first.
 func TestLeavesTimeFor(t *testing.T) {
+	const early, late = 2500*time.Millisecond - 1, 2500 * time.Millisecond
+	const long = 15 * time.Second
 	for _, test := range []struct {
-		left, slowest time.Duration
-		want          bool
+		name                               string
+		sinceOrder, left, slowest, longest time.Duration
+		stream, other                      bool
 	}{
-		{7 * time.Second, 4 * time.Second, true},
-		{6 * time.Second, 4 * time.Second, false},
-		{time.Second, 600 * time.Millisecond, true},
-		{0, 0, false},
-		{-time.Second, 0, false},
+		{"early, expected to end", early, 7 * time.Second, 4 * time.Second, long, true, true},
+		{"early, not expected to end", early, 6 * time.Second, 4 * time.Second, long, false, false},
+		{"early, expected to end soon", early, 1300 * time.Millisecond, 600 * time.Millisecond, long, true, true},
+		{"early, no time is left", early, 0, 0, long, false, false},
+		{"early, only the margin is left", early, EndMargin, 0, 0, false, false},
+		{"early, the time is over", early, -time.Second, 0, long, false, false},
+		{"early, ends at its deadline, though expected to take longer", early, 6 * time.Second, 5 * time.Second, 5 * time.Second, true, true},
+		{"late, expected to end", late, 4800 * time.Millisecond, 10 * time.Millisecond, long, false, true},
+		{"late, not expected to end", late, 4800 * time.Millisecond, 3 * time.Second, long, false, false},
+		{"late, ends at its deadline", late, 4800 * time.Millisecond, long, 4500 * time.Millisecond, true, true},
+		{"late, ends at its deadline, and not in time for its last bytes", late, 4800 * time.Millisecond, long, 4500*time.Millisecond + 1, false, false},
+		{"late, no time is left", late, 0, 0, 0, false, false},
 	} {
-		assert.Equal(t, LeavesTimeFor(test.left, test.slowest), test.want, "%s left, %s", test.left, test.slowest)
+		request := Request{SinceOrder: test.sinceOrder, Left: test.left, Slowest: test.slowest, Longest: test.longest}
+		assert.Equal(t, LeavesTimeFor(request), test.other, test.name)
+		request.Stream = true
+		assert.Equal(t, LeavesTimeFor(request), test.stream, "%s, a stream", test.name)
 	}
 }
--- a/settings/errors.go
+++ b/settings/errors.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"reflect"
 	"strings"
 
 	"github.com/go-playground/validator/v10"
@@ -17,10 +18,8 @@
 	Err  error
 }
 
-// Error returns the text of e.
 func (e *Error) Error() string { return e.File + ": " + e.Err.Error() }
 
-// Unwrap returns the cause of e.
 func (e *Error) Unwrap() error { return e.Err }
 
 // A FieldError says which key of the settings is wrong and what is allowed. It
@@ -31,7 +30,6 @@
 	Problem string
 }
 
-// Error returns the text of e.
 func (e *FieldError) Error() string {
 	if e.Line == 0 {
 		return fmt.Sprintf("%s: %s", e.Key, e.Problem)
@@ -118,3 +116,26 @@
 	}
 	return node.GetToken().Position.Line
 }
+
+// inlined stands in the validator's paths for an embedded struct, whose keys are
+// in the file those of the struct around it.
+const inlined = "inlined"
+
+// newValidator returns a validator that names keys as the file does.
+func newValidator() *validator.Validate {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	v.RegisterTagNameFunc(func(f reflect.StructField) string {
+		name, _, _ := strings.Cut(f.Tag.Get("yaml"), ",")
+		if f.Anonymous {
+			return inlined
+		}
+		return name
+	})
+	v.RegisterCustomTypeFunc(func(field reflect.Value) any {
+		if a, ok := field.Interface().(Address); ok && a.IsValid() {
+			return a.String()
+		}
+		return ""
+	}, Address{})
+	return v
+}
--- a/settings/process.go
+++ b/settings/process.go
@@ -1,9 +1,13 @@
 package settings
 
 import (
+	"net/netip"
 	"path/filepath"
+	"strings"
 	"time"
 
+	"github.com/goccy/go-yaml/ast"
+
 	"github.com/ryeford/ryeford"
 )
 
@@ -75,11 +79,30 @@
 	}
 }
 
-// resolve makes the names of the files relative to the settings file.
-func (t *TLS) resolve(file string) {
-	for _, name := range []*string{&t.Authority, &t.Certificate, &t.Key} {
+// resolveTLS makes the names of the files of TLS relative to the settings file.
+func (m *Membership) resolveTLS(file string) {
+	for _, name := range []*string{&m.TLS.Authority, &m.TLS.Certificate, &m.TLS.Key} {
 		if !filepath.IsAbs(*name) {
 			*name = filepath.Join(filepath.Dir(file), *name)
 		}
 	}
 }
+
+// An Address is an IP address and port in a settings file.
+type Address struct {
+	netip.AddrPort
+}
+
+// UnmarshalYAML implements yaml.NodeUnmarshaler.
+func (a *Address) UnmarshalYAML(node ast.Node) error {
+	parsed, err := netip.ParseAddrPort(node.GetToken().Value)
+	if err != nil {
+		return &FieldError{
+			Line:    node.GetToken().Position.Line,
+			Key:     strings.TrimPrefix(node.GetPath(), "$."),
+			Problem: "want an IP address and port such as 10.0.0.1:7000",
+		}
+	}
+	a.AddrPort = parsed
+	return nil
+}
