feat: a configuration that is known to be superseded is not used for long

Routes without keys needed no proof of the configuration at all.

Ruled out: a lease for public routes (they are to outlive an outage of the store); refusing while the store is out of reach (other routers are as badly off); passing the configuration on among routers (the same narrow links).

Change: freshness.Superseded: after half of bounds.configuration, if the store answers the router's calls, requests get 503 and the router is unready, until the newer version is in force. newerVersion keeps what peers have told.

--- a/gateway/admit/admit.go
+++ b/gateway/admit/admit.go
@@ -26,6 +26,9 @@
 	// Configured and Listed say that a configuration and a list of endpoints have
 	// been read since the process started.
 	Configured, Listed bool
+	// Superseded says that a newer configuration is known, which should be in force
+	// here.
+	Superseded bool
 	// Reliable says that the configuration was confirmed so recently that no key of
 	// it can have been revoked for too long: the lease is valid.
 	Reliable bool
@@ -45,7 +48,7 @@
 	switch {
 	case !s.Configured || !s.Listed:
 		return giveup.NotRun(ryeford.ReasonNotReady)
-	case !s.RouteFound && !s.Reliable:
+	case s.Superseded, !s.RouteFound && !s.Reliable:
 		return giveup.NotRun(ryeford.ReasonStaleConfiguration)
 	case !s.RouteFound:
 		return &ryeford.InputError{Field: "path", Problem: "no such route", Status: http.StatusNotFound}
--- a/gateway/admit/admit_test.go
+++ b/gateway/admit/admit_test.go
@@ -48,6 +48,8 @@
 		{"no list of endpoints yet", func(s *State) { s.Listed = false }, failure{503, "not_ready"}},
 		{"unknown route", func(s *State) { s.RouteFound = false }, failure{404, ""}},
 		{"unknown route, but the configuration may be stale", func(s *State) { s.RouteFound, s.Reliable = false, false }, failure{503, "stale_configuration"}},
+		{"known route, but the configuration is superseded", func(s *State) { s.Superseded, s.NeedsKey, s.KeyFound = true, false, false }, failure{503, "stale_configuration"}},
+		{"unknown route, but the configuration is superseded", func(s *State) { s.Superseded, s.RouteFound = true, false }, failure{503, "stale_configuration"}},
 		{"unknown key", func(s *State) { s.KeyFound = false }, failure{401, ""}},
 		{"unknown key, but the configuration may be stale", func(s *State) { s.KeyFound, s.Reliable = false, false }, failure{503, "stale_configuration"}},
 		{"known key, but it may be revoked", func(s *State) { s.Reliable = false }, failure{503, "stale_configuration"}},
--- a/gateway/configuration.go
+++ b/gateway/configuration.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -23,8 +22,8 @@
 	configurationOptions
 	inForce catalog.Current
 	lease   *freshness.Lease
-	newer   chan struct{} // holds one entry if a peer has a newer configuration
-	newest  atomic.Int64  // version that a peer has
+	newer   newerVersion
+	wake    chan struct{} // holds one entry if a peer has told of a newer version
 
 	// Only run uses what follows.
 	outage   watch.Outage
@@ -42,6 +41,9 @@
 	term time.Duration
 	// refresh is the age at which a router without peers reads it again.
 	refresh time.Duration
+	// bound is the time in which a change must be in force, and contact that after
+	// which a source that does not answer counts as out of reach.
+	bound, contact time.Duration
 	// peers says whose shift it is to read.
 	peers *peers.Table
 	// revision is the newest of the store, on any of its tables.
@@ -57,7 +59,7 @@
 	c := &configuration{
 		configurationOptions: options,
 		lease:                freshness.NewLease(options.term),
-		newer:                make(chan struct{}, 1),
+		wake:                 make(chan struct{}, 1),
 	}
 	c.outage = newOutage("configuration", c.leaseLeft, options.log, options.metrics)
 	return c
@@ -77,6 +79,17 @@
 	return current.Version()
 }
 
+// superseded reports whether the configuration in force must not be used since a newer one
+// is known.
+func (c *configuration) superseded(now time.Time) bool {
+	known, ok := c.newer.knownFor(now)
+	if !ok {
+		return false
+	}
+	answered, ever := c.revision.sinceAnswer(now)
+	return ever && freshness.Superseded(known, answered, c.bound, c.contact)
+}
+
 // reliable reports whether the configuration in force may be relied on.
 func (c *configuration) reliable(now time.Time) bool { return c.lease.Valid(now) }
 
@@ -116,17 +129,14 @@
 	return max(rest, freshness.ReadAge(c.refresh, rank, alive)-age)
 }
 
-// outdated reports whether a peer has a newer configuration than the one in force.
-func (c *configuration) outdated() bool { return c.newest.Load() > c.version() }
-
 // awaitNewer waits, at most for wait, until a peer has a newer configuration, and
 // reports whether one does. What peers sent while it was read counts no more.
 func (c *configuration) awaitNewer(ctx context.Context, wait time.Duration) bool {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
-	case <-c.newer:
-		return c.outdated()
+	case <-c.wake:
+		return c.newer.known()
 	case <-timer.C:
 	case <-ctx.Done():
 	}
@@ -157,7 +167,7 @@
 
 // fetch asks the source for the configuration, or for what has changed of it.
 func (c *configuration) fetch(ctx context.Context) (ryeford.ConfigurationUpdate, error) {
-	if freshness.Compares(freshness.Known{Size: c.size, Answered: c.answered, Outdated: c.outdated()}) {
+	if freshness.Compares(freshness.Known{Size: c.size, Answered: c.answered, Outdated: c.newer.known()}) {
 		return c.source.ConfigurationIfChanged(ctx, c.state)
 	}
 	return c.source.Configuration(ctx)
@@ -197,6 +207,7 @@
 	}
 	next := catalog.New(update.Configuration)
 	applied := c.inForce.Put(next)
+	c.newer.putInForce(time.Now(), c.version())
 	_ = c.log.Log("decision", "configuration", "version", next.Version(), "revision", update.Revision,
 		"routes", len(update.Configuration.Routes), "accounts", len(update.Configuration.Accounts), "took", roundTime(time.Since(sent)), "applied", applied)
 }
@@ -207,7 +218,7 @@
 	current := c.current()
 	switch freshness.AfterPeer(current != nil, versionOf(current), version) {
 	case freshness.PeerIsNewer:
-		c.newest.Store(max(version, c.newest.Load())) // only gossip's receiver stores it
+		c.newer.hear(now, version)
 		c.readSoon()
 	case freshness.PeerRenews:
 		c.lease.RenewFromPeer(now, at)
@@ -217,7 +228,7 @@
 // readSoon makes run read the configuration at once.
 func (c *configuration) readSoon() {
 	select {
-	case c.newer <- struct{}{}:
+	case c.wake <- struct{}{}:
 	default: // run is to read already
 	}
 }
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -117,6 +117,7 @@
 func (h *handler) lookUp(r *http.Request, q *request) admit.State {
 	state := admit.State{
 		Configured: q.catalog != nil,
+		Superseded: h.configuration.superseded(time.Now()),
 		Listed:     h.roster.Known(),
 		Reliable:   h.configuration.reliable(time.Now()),
 	}
--- a/gateway/peers_test.go
+++ b/gateway/peers_test.go
@@ -103,3 +103,21 @@
 	gateways[0].putConfiguration(keyRevoked())
 	gateways[1].awaitStatus(401, "GET", "/safe/a")
 }
+
+// TestPeersSupersede checks that a router that hears of a newer configuration and can't
+// read it, though the store answers its other calls, refuses requests on public routes,
+// too, and is unready, until it has read it.
+func TestPeersSupersede(t *testing.T) {
+	gateways := newPeers(t, 2, time.Hour, nil)
+	narrow, wide := gateways[0], gateways[1]
+	public := func(f *fixture) int { return f.do(f.request("GET", "/open/a", "", "")).status }
+	assert.Equal(t, public(narrow), 200)
+	narrow.storeRate.Store(10 << 10) // too little comes for a read of the configuration to go on
+	wide.putConfiguration(largeConfiguration(2))
+	narrow.await("a refusal on a public route", func() bool { return public(narrow) == 503 })
+	narrow.awaitReady(false)
+	assert.Equal(t, public(wide), 200)
+	narrow.storeRate.Store(0)
+	narrow.await("the configuration", func() bool { return public(narrow) == 200 })
+	narrow.awaitReady(true)
+}
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -51,5 +51,6 @@
 		EndpointsKnown: h.roster.Known(),
 		Keyed:          current != nil && current.Keyed(),
 		Reliable:       h.configuration.reliable(now),
+		Superseded:     h.configuration.superseded(now),
 	}
 }
--- a/gateway/readiness/readiness.go
+++ b/gateway/readiness/readiness.go
@@ -2,7 +2,8 @@
 // router, and names why not. It is pure: values in, values out.
 //
 // Rule: a router is ready if it is not stopping, knows a configuration and the list
-// of endpoints, and may rely on the configuration, unless requests need no keys.
+// of endpoints, no newer configuration should be in force, and it may rely on the one that
+// is, unless requests need no keys.
 //
 // Why: a router that can't tell whether a key was revoked has to refuse almost all
 // requests, while another one may serve them. Configurations without keys need no
@@ -16,6 +17,7 @@
 	EndpointsKnown bool // the list of endpoints has been read
 	Keyed          bool // requests carry keys
 	Reliable       bool // the lease on the configuration is valid
+	Superseded     bool // a newer configuration should be in force here
 }
 
 // A Reason is why a router is not ready, as it is logged.
@@ -39,7 +41,7 @@
 		return NoConfiguration
 	case !s.EndpointsKnown:
 		return NoEndpoints
-	case s.Keyed && !s.Reliable:
+	case s.Superseded, s.Keyed && !s.Reliable:
 		return StaleConfiguration
 	}
 	return Ready
--- a/gateway/readiness/readiness_test.go
+++ b/gateway/readiness/readiness_test.go
@@ -21,6 +21,7 @@
 		{"stopping before it knew anything", State{Stopping: true}, "leaving"},
 		{"no list of endpoints", State{Configured: true, Keyed: true, Reliable: true}, "no_endpoints"},
 		{"the lease has ended", State{Configured: true, EndpointsKnown: true, Keyed: true}, "stale_configuration"},
+		{"superseded, and there are no keys", State{Configured: true, EndpointsKnown: true, Reliable: true, Superseded: true}, "stale_configuration"},
 		{"the lease has ended, but there are no keys", State{Configured: true, EndpointsKnown: true}, Ready},
 	} {
 		assert.Equal(t, Check(test.state), test.want, test.name)
--- a/gateway/wiring.go
+++ b/gateway/wiring.go
@@ -17,6 +17,8 @@
 		source:   g.platform.Configurations,
 		term:     freshness.Term(g.settings.Bounds.Revoke),
 		refresh:  g.settings.RefreshConfiguration(),
+		bound:    g.settings.Bounds.Configuration,
+		contact:  g.settings.Bounds.Contact,
 		peers:    g.peers,
 		revision: g.revision,
 		onUpdate: g.checkSynced,
