fix: no rest after a transfer of the configuration

Ruled out: a rest bounded by the time in which a change must be in force: it is zero from transfers of 1 s on, and shorter ones end before the next read is due anyway.

--- a/gateway/configuration.go
+++ b/gateway/configuration.go
@@ -30,8 +30,6 @@
 	state    ryeford.ConfigurationState // of the last answer that counts, at the source
 	size     int                        // of the configuration in that answer, in bytes
 	answered bool                       // the last read brought an answer that counts
-	took     time.Duration              // the last transfer of the configuration
-	ended    time.Time                  // that transfer
 }
 
 // configurationOptions are what a configuration relies on.
@@ -125,8 +123,7 @@
 	}
 	confirmed, _ := c.lease.Confirmed()
 	rank, alive := c.peers.Rank(now, freshness.Shift(confirmed))
-	rest := freshness.Rest(c.took, now.Sub(c.ended), c.lease.Left(now))
-	return max(rest, freshness.ReadAge(c.refresh, rank, alive)-age)
+	return freshness.ReadAge(c.refresh, rank, alive) - age
 }
 
 // awaitNewer waits, at most for wait, until a peer has a newer configuration, and
@@ -158,10 +155,6 @@
 	}
 	c.outage.Answered()
 	c.answered = c.apply(&update, known, sent)
-	if !update.Unchanged {
-		c.ended = time.Now()
-		c.took = c.ended.Sub(sent)
-	}
 	return true
 }
 
--- a/gateway/freshness/transfer.go
+++ b/gateway/freshness/transfer.go
@@ -1,21 +1,16 @@
 package freshness
 
-import "time"
-
-// Whether a read of the configuration transfers it, and how soon after another one.
+// Whether a read of the configuration transfers it.
 //
 // Rule: a read of a large configuration that is known asks the source to compare it, and
 // to transfer it only if it has changed. It transfers a small one each time, and any one
-// if the last read failed or was stale, or if a peer has a newer version. After a
-// transfer, a router that knows of nothing newer rests for as long as that took, unless
-// its lease would end.
+// if the last read failed or was stale, or if a peer has a newer version.
 //
 // Why: routers read again and again what seldom changes. On narrow links a large
 // configuration that is transferred with each read leaves no room for callers, nor for a
 // change of itself (incident inc1). To compare, the source takes a transaction, of which
 // it accepts fewer than reads; so a configuration that is quickly transferred is not
-// compared, and a source that fails to compare is asked for the whole. The rest bounds
-// what that costs: half of the link at most.
+// compared, and a source that fails to compare is asked for the whole.
 
 // minComparedSize is the size in bytes from which a configuration is compared. It takes
 // 70 ms on a link of 10 Mbit/s. Not measured.
@@ -32,10 +27,3 @@
 func Compares(k Known) bool {
 	return k.Size >= minComparedSize && k.Answered && !k.Outdated
 }
-
-// Rest returns how long a router need not read after a transfer that took a time and
-// ended since ago: as long as it took, but so that the lease, of which left is left, lasts
-// for two more.
-func Rest(took, since, left time.Duration) time.Duration {
-	return max(0, min(took-since, left-2*took))
-}
