fix: calls of the table are judged by progress, and a long answer is an error

An object above maxAnswer was cut without an error.

Ruled out: a longer bound (the same cause at a larger size); http.Transport's ResponseHeaderTimeout (it bounds neither direction's body); a plain reader as the request's body (its size would no longer be stated: TestNarrowLink's handler asks for it).

Change: send uses transfer.Watch. The watch takes the request's body too, and awaits the response from its end on. SizeError for an answer above maxAnswer. A call with a small body that gets no answer ends after 2 s as before; one whose answer begins and then stalls after up to 4 s instead of 2.

Tests: new TestNarrowLink, TestStalled, TestTooLongAnswer (in tableservice, the clock paused, over pipes) and TestRequest. TestWatch only calls note by its new name.

--- a/agentfleet/tableservice/client.go
+++ b/agentfleet/tableservice/client.go
@@ -10,6 +10,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"net/netip"
@@ -19,14 +20,16 @@
 	"time"
 
 	"github.com/ryeford/ryeford"
+	"github.com/ryeford/ryeford/internal/transfer"
 )
 
 const (
-	// maxAnswer bounds an answer, in bytes. A longer one fails to decode. Not measured.
+	// maxAnswer bounds an answer, in bytes. Not measured.
 	maxAnswer = 64 << 20
 
-	// callTimeout bounds each call. Not measured: well above the some hundred
-	// milliseconds that a slow store takes, below what a caller waits.
+	// callTimeout bounds how long a call makes no progress (package transfer). Not
+	// measured: well above the some hundred milliseconds that a slow store takes, below
+	// what a caller waits.
 	callTimeout = 2 * time.Second
 
 	// maxIdle is how many connections are kept for later calls. Not measured.
@@ -138,14 +141,20 @@
 
 // send makes one HTTP call. If tag is set, an answer that has it is not sent again. A write
 // whose answer is lost may have been applied. The response's body has been read and closed.
+// It gives up once nothing more is transferred, however large the body and the answer are.
 func (c *Client) send(ctx context.Context, method, path, tag string, body []byte, write bool) (*http.Response, []byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watch := transfer.NewWatch(0, callTimeout, cancel)
+	defer watch.Stop()
 	request, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, nil, &ryeford.UnavailableError{Service: path, Err: err}
 	}
 	request.GetBody = nil // without it, net/http can't send the body twice
+	if len(body) > 0 {
+		request.Body = io.NopCloser(watch.Request(request.Body))
+	}
 	request.Header.Set(HeaderVM, string(c.vm))
 	if tag != "" {
 		request.Header.Set("If-None-Match", tag)
@@ -155,9 +164,12 @@
 		return nil, nil, &ryeford.UnavailableError{Service: path, MayHaveApplied: write, Err: err}
 	}
 	defer func() { _ = response.Body.Close() }() // all that counts of it has been read
-	content, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer))
+	content, err := io.ReadAll(watch.Reader(io.LimitReader(response.Body, maxAnswer+1)))
 	if err != nil {
-		return nil, nil, &ryeford.UnavailableError{Service: path, MayHaveApplied: write, Err: err}
+		return nil, nil, &ryeford.UnavailableError{Service: path, MayHaveApplied: write, Err: watch.Broken(err)}
+	}
+	if len(content) > maxAnswer {
+		return nil, nil, &ryeford.UnavailableError{Service: path, MayHaveApplied: write, Err: &SizeError{}}
 	}
 	if err := statusError(path, response.StatusCode); err != nil {
 		return nil, nil, err
@@ -185,6 +197,11 @@
 
 func (e *StatusError) Error() string { return http.StatusText(e.Status) }
 
+// A SizeError says that an answer is longer than maxAnswer.
+type SizeError struct{}
+
+func (e *SizeError) Error() string { return fmt.Sprintf("answer of more than %d bytes", maxAnswer) }
+
 // The paths of the platform's services.
 const (
 	PathGet      = "/table/get"
--- /dev/null
+++ b/agentfleet/tableservice/transfer_test.go
@@ -0,0 +1,210 @@
+package tableservice
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ryeford/ryeford"
+	"github.com/ryeford/ryeford/internal/transfer"
+)
+
+// A link is a listener whose connections are pipes, so that a test may pause the clock.
+type link struct {
+	conns chan net.Conn
+}
+
+// Accept implements net.Listener.
+func (l *link) Accept() (net.Conn, error) {
+	conn, ok := <-l.conns
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	return conn, nil
+}
+
+// Close implements net.Listener.
+func (l *link) Close() error {
+	close(l.conns)
+	return nil
+}
+
+// Addr implements net.Listener.
+func (l *link) Addr() net.Addr { return &net.UnixAddr{Name: "link"} }
+
+// dial returns the client's end of a new connection.
+func (l *link) dial(context.Context, string, string) (net.Conn, error) {
+	client, server := net.Pipe()
+	l.conns <- server
+	return client, nil
+}
+
+// overLink runs check, with the clock paused, on a client of a platform that answers with
+// a handler.
+func overLink(t *testing.T, handler http.HandlerFunc, check func(t *testing.T, c *Client)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		l := &link{conns: make(chan net.Conn)}
+		server := &http.Server{Handler: handler}
+		go func() { _ = server.Serve(l) }()
+		client := New(netip.MustParseAddrPort("192.0.2.1:80"), "router-1")
+		transport := &http.Transport{DialContext: l.dial}
+		client.http.Transport = transport
+		defer time.Sleep(time.Hour) // by then each handler has returned
+		defer func() { _ = server.Close() }()
+		defer transport.CloseIdleConnections()
+		check(t, client)
+	})
+}
+
+// Parts of a transfer over a narrow link: 1.28 MB in 10 s.
+const (
+	parts    = 40
+	partSize = 32 << 10
+	partTime = 250 * time.Millisecond
+)
+
+// sendSlowly answers with a list of rows of which a part comes each partTime.
+func sendSlowly(w http.ResponseWriter, _ *http.Request) {
+	for range parts {
+		time.Sleep(partTime)
+		_, _ = io.WriteString(w, strings.Repeat(" ", partSize)) // fails once the client has given up
+		_ = http.NewResponseController(w).Flush()
+	}
+	_, _ = io.WriteString(w, `{"rows":[{"key":"template/a/b","version":1}]}`)
+}
+
+// receiveSlowly takes a part of the request, whose size must be stated, each partTime.
+func receiveSlowly(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength != parts*partSize {
+		w.WriteHeader(http.StatusLengthRequired)
+		return
+	}
+	for {
+		_, err := io.CopyN(io.Discard, r.Body, partSize)
+		if errors.Is(err, io.EOF) {
+			return
+		}
+		if err != nil {
+			panic(http.ErrAbortHandler) // the client has given up
+		}
+		time.Sleep(partTime)
+	}
+}
+
+// TestNarrowLink checks that a transfer may take several times callTimeout, each way, while
+// it goes on.
+func TestNarrowLink(t *testing.T) {
+	content := make([]byte, parts*partSize)
+	for _, test := range []struct {
+		name    string
+		handler http.HandlerFunc
+		call    func(ctx context.Context, c *Client) error
+	}{
+		{"a list of rows", sendSlowly, func(ctx context.Context, c *Client) error {
+			rows, err := c.List(ctx, "template/")
+			if err == nil && len(rows) != 1 {
+				return errors.New("not the rows that were sent")
+			}
+			return err
+		}},
+		{"an object read", sendSlowly, func(ctx context.Context, c *Client) error {
+			_, err := c.GetObject(ctx, "plan-1-1")
+			return err
+		}},
+		{"an object written", receiveSlowly, func(ctx context.Context, c *Client) error {
+			return c.PutObject(ctx, "plan-1-1", content)
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			overLink(t, test.handler, func(t *testing.T, c *Client) {
+				began := time.Now()
+				assert.NilError(t, test.call(t.Context(), c))
+				assert.Assert(t, time.Since(began) > 4*callTimeout)
+			})
+		})
+	}
+}
+
+// TestStalled checks that a call is given up once its transfer has stalled for callTimeout,
+// each way, also if a byte comes now and then.
+func TestStalled(t *testing.T) {
+	silent := func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body) // ends with the request, or as the client gives up
+		<-r.Context().Done()
+	}
+	deaf := func(http.ResponseWriter, *http.Request) { time.Sleep(time.Minute) }
+	trickle := func(w http.ResponseWriter, r *http.Request) {
+		for r.Context().Err() == nil {
+			_, _ = io.WriteString(w, " ") // fails once the client has given up
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(partTime)
+		}
+	}
+	for _, test := range []struct {
+		name    string
+		handler http.HandlerFunc
+		size    int // bytes that are written
+		after   time.Duration
+	}{
+		{"no answer", silent, 100, callTimeout},
+		{"no answer to what took all of an interval's progress", silent, 2 * partSize, callTimeout},
+		{"a request of which only the first part is taken", deaf, parts * partSize, 2 * callTimeout},
+		{"a byte now and then", trickle, 100, callTimeout},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			overLink(t, test.handler, func(t *testing.T, c *Client) {
+				began := time.Now()
+				err := c.PutObject(t.Context(), "plan-1-1", make([]byte, test.size))
+				var stall *transfer.StallError
+				assert.Assert(t, errors.As(err, &stall), "%v", err)
+				var unavailable *ryeford.UnavailableError
+				assert.Assert(t, errors.As(err, &unavailable), "%v", err)
+				assert.Assert(t, unavailable.MayHaveApplied)
+				assert.Equal(t, time.Since(began), test.after)
+			})
+		})
+	}
+}
+
+// TestTooLongAnswer checks that an answer over the limit is an error: an object would be
+// cut.
+func TestTooLongAnswer(t *testing.T) {
+	const half = maxAnswer / 2
+	for _, test := range []struct {
+		name  string
+		extra int // bytes above the limit
+		fails bool
+	}{
+		{"at the limit", 0, false},
+		{"above it", 1, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			overLink(t, func(w http.ResponseWriter, _ *http.Request) {
+				for _, size := range []int{half, half, test.extra} {
+					_, _ = w.Write(make([]byte, size)) // fails once the client has enough
+				}
+			}, func(t *testing.T, c *Client) {
+				content, err := c.GetObject(t.Context(), "plan-1-1")
+				if !test.fails {
+					assert.NilError(t, err)
+					assert.Equal(t, len(content), maxAnswer)
+					return
+				}
+				var size *SizeError
+				assert.Assert(t, errors.As(err, &size), "%v", err)
+				var unavailable *ryeford.UnavailableError
+				assert.Assert(t, errors.As(err, &unavailable), "%v", err)
+			})
+		})
+	}
+}
--- a/internal/transfer/transfer_test.go
+++ b/internal/transfer/transfer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -39,7 +40,7 @@
 				w := NewWatch(2*time.Second, time.Second, cancel)
 				for range test.parts {
 					time.Sleep(test.every)
-					w.note(test.size)
+					w.noteReceived(test.size, nil)
 				}
 				if test.whole {
 					w.Stop()
@@ -67,3 +68,50 @@
 		assert.Error(t, err, "broken off after 5 bytes and 300ms: reset")
 	})
 }
+
+// TestRequest checks which calls with a large request are given up, and when. The interval
+// is a second.
+func TestRequest(t *testing.T) {
+	const part = 8 << 10
+	for _, test := range []struct {
+		name     string
+		parts    int           // of the request that are sent, one each 400 ms
+		all      bool          // they are the whole request
+		response time.Duration // until the response comes after that; zero for never
+		stall    time.Duration // when it is given up; zero for never
+	}{
+		{"it is sent slowly, and answered", 59, true, 900 * time.Millisecond, 0},
+		{"it is sent, and not answered", 59, true, 0, 24600 * time.Millisecond},
+		{"it is sent, and answered too late", 59, true, 1100 * time.Millisecond, 24600 * time.Millisecond},
+		{"it stalls", 59, false, 0, 25 * time.Second},
+		{"nothing of it is sent", 0, false, 0, time.Second},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancelCause(t.Context())
+				began := time.Now()
+				var stalled time.Duration
+				context.AfterFunc(ctx, func() { stalled = time.Since(began) })
+				w := NewWatch(0, time.Second, cancel)
+				request := w.Request(strings.NewReader(strings.Repeat(" ", test.parts*part)))
+				buffer := make([]byte, part)
+				for range test.parts {
+					time.Sleep(400 * time.Millisecond)
+					_, err := request.Read(buffer)
+					assert.NilError(t, err)
+				}
+				if test.all {
+					_, err := request.Read(buffer)
+					assert.Assert(t, errors.Is(err, io.EOF))
+				}
+				if test.response > 0 {
+					time.Sleep(test.response)
+					w.Stop()
+				}
+				time.Sleep(time.Minute)
+				synctest.Wait()
+				assert.Equal(t, stalled, test.stall)
+			})
+		})
+	}
+}
