fix: reads from a peer are judged by progress

PullTemplates and pullPlan had 3 s for the whole answer, by arithmetic 3.75 MB on a link of 10 Mbit/s; the next gossip began the read anew.

Ruled out: a read deadline that each part puts off (a byte now and then would hold the read); a change of Ask (its other callers bound a query, a leave or a drain on purpose).

Change: Conn.Fetch, judged by transfer.Watch. The end of ctx ends it, which Ask does not; its error says how much had come. PullTimeout is now time without progress; its row of docs/decisions.md stands with the rule.

What an answer above maxMessageSize (8 MiB) does is not mended.

--- a/agentfleet/agent/plan.go
+++ b/agentfleet/agent/plan.go
@@ -23,9 +23,7 @@
 // pullPlan reads this VM's part of the plan from a router. After an error the next
 // gossip of a router shows the newer plan again.
 func (a *Agent) pullPlan(ctx context.Context, conn *transport.Conn) {
-	ctx, cancel := context.WithTimeout(ctx, gossip.PullTimeout)
-	defer cancel()
-	m, err := conn.Ask(ctx, &wire.Message{PullPlan: &wire.PullPlan{VM: a.settings.VM}})
+	m, err := conn.Fetch(ctx, &wire.Message{PullPlan: &wire.PullPlan{VM: a.settings.VM}}, gossip.PullTimeout)
 	if err != nil || m.Plan == nil || !a.plan.Set(m.Plan) {
 		return
 	}
--- a/agentfleet/gossip/gossip.go
+++ b/agentfleet/gossip/gossip.go
@@ -26,7 +26,8 @@
 	// reached in four rounds (docs/CAPACITY.md, "A change in force within 9 s").
 	fanout = 8
 
-	// PullTimeout bounds one read of templates or of a plan from a peer. Not measured.
+	// PullTimeout bounds how long a read of templates or of a plan from a peer makes no
+	// progress (package transfer). Not measured.
 	PullTimeout = 3 * time.Second
 )
 
@@ -106,10 +107,8 @@
 // peer's revision, and whether the peer answered. A failure needs no repeat: a message
 // that shows templates to be missing comes again.
 func PullTemplates(ctx context.Context, conn *transport.Conn, book *template.Book) (int64, bool) {
-	ctx, cancel := context.WithTimeout(ctx, PullTimeout)
-	defer cancel()
 	from := book.Revision()
-	m, err := conn.Ask(ctx, &wire.Message{Pull: &wire.Pull{Revision: from}})
+	m, err := conn.Fetch(ctx, &wire.Message{Pull: &wire.Pull{Revision: from}}, PullTimeout)
 	if err != nil || m.Delta == nil {
 		return 0, false
 	}
--- a/agentfleet/transport/conn.go
+++ b/agentfleet/transport/conn.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/netip"
 	"time"
 
@@ -19,6 +20,7 @@
 
 	"github.com/ryeford/ryeford"
 	"github.com/ryeford/ryeford/agentfleet/wire"
+	"github.com/ryeford/ryeford/internal/transfer"
 )
 
 // A Conn is a connection to a peer whose certificate names its VM. Its methods may be
@@ -96,6 +98,39 @@
 	return s.Receive()
 }
 
+// Fetch sends one message on a new stream of c and returns the answer, however large it is.
+// It gives up once ctx ends or the transfer makes no progress for interval (package
+// transfer). The error then wraps ctx's cause or a *transfer.StallError.
+func (c *Conn) Fetch(ctx context.Context, m *wire.Message, interval time.Duration) (*wire.Message, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watch := transfer.NewWatch(0, interval, cancel)
+	defer watch.Stop()
+	s, err := c.Open(ctx)
+	if err != nil {
+		return nil, err
+	}
+	defer s.Close()
+	stop := context.AfterFunc(ctx, s.abort)
+	defer stop()
+	answer, err := exchange(s.quic, watch.Reader(s.quic), m)
+	if err == nil {
+		return answer, nil
+	}
+	if ctx.Err() != nil {
+		err = context.Cause(ctx)
+	}
+	return nil, failed("fetch", watch.Broken(err))
+}
+
+// exchange writes a message to w and reads the answer from r.
+func exchange(w io.Writer, r io.Reader, m *wire.Message) (*wire.Message, error) {
+	if err := wire.WriteMessage(w, m); err != nil {
+		return nil, err
+	}
+	return wire.ReadMessage(r)
+}
+
 // SendDatagram sends a datagram, which may be lost on the way.
 func (c *Conn) SendDatagram(data []byte) error {
 	return failed("send datagram", c.quic.SendDatagram(data))
@@ -113,8 +148,8 @@
 	_ = c.quic.CloseWithError(0, why)
 }
 
-// codeClosed is the error code with which a stream's reading side is given up. It is
-// the only one: a peer need not know more.
+// codeClosed is the error code with which a side of a stream is given up. It is the only
+// one: a peer need not know more.
 const codeClosed quic.StreamErrorCode = 1
 
 // A Stream carries messages both ways. One goroutine may send while another one
@@ -157,6 +192,12 @@
 	_ = s.quic.Close()
 }
 
+// abort gives both sides up, also what is being sent and received.
+func (s *Stream) abort() {
+	s.quic.CancelRead(codeClosed)
+	s.quic.CancelWrite(codeClosed)
+}
+
 // An Error is a failure of the transport.
 type Error struct {
 	Op      string         // what failed
--- a/agentfleet/transport/transport_test.go
+++ b/agentfleet/transport/transport_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"fmt"
 	"net/netip"
 	"runtime"
@@ -14,6 +15,7 @@
 
 	"github.com/ryeford/ryeford"
 	"github.com/ryeford/ryeford/agentfleet/wire"
+	"github.com/ryeford/ryeford/internal/transfer"
 	"github.com/ryeford/ryeford/settings"
 )
 
@@ -101,6 +103,63 @@
 	}
 }
 
+// TestFetchStalled checks that an answer which no longer comes is given up, also if a byte
+// comes now and then, and that the error says so; and that the end of the context ends the
+// wait.
+func TestFetchStalled(t *testing.T) {
+	const interval = 200 * time.Millisecond
+	errEnded := errors.New("ended")
+	header := []byte{0, 0x10, 0, 0} // of a message of 1 MiB
+	for _, test := range []struct {
+		name     string
+		part     int           // bytes of the message that are sent at once
+		trickle  bool          // and then a byte now and then
+		interval time.Duration // without progress that is allowed
+		ends     bool          // the context ends meanwhile
+	}{
+		{"a part, and no more", 64 << 10, false, interval, false},
+		{"a byte now and then", 0, true, interval, false},
+		{"the context ends", 0, false, time.Hour, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			authority, err := NewAuthority()
+			assert.NilError(t, err)
+			l, err := Listen(netip.AddrPortFrom(loopback, 0), testTLS(t, authority, "router-1"), testOptions)
+			assert.NilError(t, err)
+			t.Cleanup(func() { _ = l.Close() })
+			go func() {
+				peer, err := l.Accept(context.Background())
+				if err != nil {
+					return // the test has ended
+				}
+				peer.Serve(context.Background(), func(s *Stream, _ *wire.Message) {
+					_, err := s.quic.Write(append(header, make([]byte, test.part)...))
+					for err == nil && test.trickle {
+						time.Sleep(interval / 10)
+						_, err = s.quic.Write([]byte{0})
+					}
+					<-s.quic.Context().Done()
+				})
+			}()
+			conn, err := dial(t, testTLS(t, authority, "endpoint-1"), l.Address(), testOptions)
+			assert.NilError(t, err)
+			ctx, cancel := context.WithCancelCause(t.Context())
+			defer cancel(nil)
+			if test.ends {
+				time.AfterFunc(interval, func() { cancel(errEnded) })
+			}
+			_, err = conn.Fetch(ctx, &wire.Message{Pull: &wire.Pull{}}, test.interval)
+			var failure *Error
+			assert.Assert(t, errors.As(err, &failure), "%v", err)
+			var broken *transfer.BrokenError
+			assert.Assert(t, errors.As(err, &broken), "%v", err)
+			var stall *transfer.StallError
+			assert.Equal(t, errors.As(err, &stall), !test.ends, "%v", err)
+			assert.Equal(t, errors.Is(err, errEnded), test.ends, "%v", err)
+		})
+	}
+}
+
 // TestControlBudget checks that no more control bytes are sent than allowed.
 func TestControlBudget(t *testing.T) {
 	sent := 0
