--- /dev/null
+++ b/agentfleet/router/narrow_test.go
@@ -0,0 +1,78 @@
+package router
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"gotest.tools/v3/assert"
+
+	"github.com/ryeford/ryeford"
+	"github.com/ryeford/ryeford/agentfleet/plan"
+	"github.com/ryeford/ryeford/agentfleet/tableservice"
+	"github.com/ryeford/ryeford/agentfleet/template"
+)
+
+// newNarrowRouter returns a fresh router whose platform holds one template and one plan.
+// A list of rows and an object take 3 s to come, longer than a call of the table may make
+// no progress.
+func newNarrowRouter(t *testing.T) *Router {
+	t.Helper()
+	const parts, partTime = 12, 250 * time.Millisecond
+	accepted, err := json.Marshal(&ryeford.Template{Account: "bank", Name: "calls", Model: "lira", Revision: 1})
+	assert.NilError(t, err)
+	part := strings.Repeat(" ", 32<<10)
+	send := func(w http.ResponseWriter, answer any) {
+		for range parts {
+			time.Sleep(partTime)
+			_, _ = io.WriteString(w, part) // fails once the client has given up
+			_ = http.NewResponseController(w).Flush()
+		}
+		_ = json.NewEncoder(w).Encode(answer)
+	}
+	platform := http.NewServeMux()
+	platform.HandleFunc(tableservice.PathGet, func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(&tableservice.RowsAnswer{Rows: []ryeford.Row{{Value: []byte("1"), Version: 1}}})
+	})
+	platform.HandleFunc(tableservice.PathList, func(w http.ResponseWriter, _ *http.Request) {
+		send(w, &tableservice.RowsAnswer{Rows: []ryeford.Row{{Value: accepted, Version: 1}}})
+	})
+	platform.HandleFunc(tableservice.PathObjects, func(w http.ResponseWriter, _ *http.Request) {
+		send(w, &ryeford.Plan{Epoch: 1, Sequence: 1})
+	})
+	server := httptest.NewServer(platform)
+	t.Cleanup(server.Close)
+
+	r := newTestRouter()
+	client := tableservice.New(netip.MustParseAddrPort(server.Listener.Addr().String()), "router-1")
+	r.log = log.NewNopLogger()
+	r.book, r.plan = template.NewBook(), plan.NewCurrent()
+	r.platform, r.templates = client, template.NewStore(client)
+	r.readiness.synced.Store(false)
+	return r
+}
+
+// TestSyncNarrow checks that a fresh router gets all templates over a narrow link.
+func TestSyncNarrow(t *testing.T) {
+	t.Parallel()
+	r := newNarrowRouter(t)
+	s := &templateSync{shared: &r.shared}
+	s.syncOnce(t.Context())
+	assert.Assert(t, r.readiness.synced.Load())
+	assert.Equal(t, r.book.Revision(), int64(1))
+}
+
+// TestFollowNarrow checks that a router gets the current plan over a narrow link.
+func TestFollowNarrow(t *testing.T) {
+	t.Parallel()
+	r := newNarrowRouter(t)
+	p := &planner{shared: &r.shared}
+	assert.NilError(t, p.follow(t.Context(), planPointer{Epoch: 1, Sequence: 1, Object: "plan-1-1"}))
+	assert.Assert(t, r.plan.Get() != nil)
+}
