fix: the platform's stand-in answers while its state is being written

Each write wrote its state to the disk under the lock that every call takes, reads and faults included, so one write that the disk held up stopped them all. The client's calls end after 2 s, and all fail then. Ruled out: the table's own lock, which is not held while writing; a deadlock, looked for before. Change: a write takes a copy of the state under the lock and writes the file after it, one write at a time; a copy older than the file is not written. A write is answered once the file has it, as before, so what was answered still survives a kill.

--- a/standin/platform.go
+++ b/standin/platform.go
@@ -33,24 +33,23 @@
 // objects and rows never expire. All that it holds is lost with its process,
 // unless a state file is set.
 type platformServer struct {
-	logger log.Logger
-	file   string // of the state; empty keeps none
+	file   stateFile
 	reads  *rate.Limiter
 	writes *rate.Limiter
 	table  *memtable.Table
 
-	mu      sync.Mutex
-	objects map[string][]byte
-	vms     map[ryeford.VMID]ryeford.VM
-	fault   PlatformFault
-	frozen  []ryeford.VM // the list of VMs as the last fault was set
+	mu       sync.Mutex
+	revision int64 // of the state
+	objects  map[string][]byte
+	vms      map[ryeford.VMID]ryeford.VM
+	fault    PlatformFault
+	frozen   []ryeford.VM // the list of VMs as the last fault was set
 }
 
 // newPlatform returns a platformServer, with the state of its last life.
 func newPlatform(s *settings.StandinPlatform, logger log.Logger) (*platformServer, error) {
 	p := &platformServer{
-		logger:  logger,
-		file:    s.State,
+		file:    stateFile{name: s.State, logger: logger},
 		reads:   newLimiter(s.ReadsPerSecond),
 		writes:  newLimiter(s.WritesPerSecond),
 		table:   memtable.New(nil),
@@ -131,10 +130,20 @@
 
 // answerWrite answers a write, unless its answer is to be lost.
 func (p *platformServer) answerWrite(ctx *fasthttp.RequestCtx, answer any) {
-	if p.fault.LoseAnswers > 0 {
-		p.fault.LoseAnswers--
+	if p.loseAnswer() {
 		cutConnection(ctx)
 		return
 	}
 	writeJSON(ctx, answer)
 }
+
+// loseAnswer reports whether the answer of a write is to be lost.
+func (p *platformServer) loseAnswer() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.fault.LoseAnswers <= 0 {
+		return false
+	}
+	p.fault.LoseAnswers--
+	return true
+}
--- a/standin/platformobjects.go
+++ b/standin/platformobjects.go
@@ -19,11 +19,16 @@
 	if !allow(ctx, p.writes) {
 		return
 	}
+	p.file.save(p.setObject(name, slices.Clone(ctx.PostBody())))
+	p.answerWrite(ctx, struct{}{})
+}
+
+// setObject writes an object, and returns the state to save.
+func (p *platformServer) setObject(name string, content []byte) *platformState {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.objects[name] = slices.Clone(ctx.PostBody())
-	p.save()
-	p.answerWrite(ctx, struct{}{})
+	p.objects[name] = content
+	return p.state()
 }
 
 func (p *platformServer) getObject(ctx *fasthttp.RequestCtx, name string) {
--- a/standin/platformstate.go
+++ b/standin/platformstate.go
@@ -2,7 +2,11 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"os"
+	"sync"
+
+	"github.com/go-kit/log"
 
 	"github.com/ryeford/ryeford"
 	"github.com/ryeford/ryeford/internal/memtable"
@@ -13,15 +17,17 @@
 	memtable.Contents
 	Objects map[string][]byte           `json:"objects"`
 	VMs     map[ryeford.VMID]ryeford.VM `json:"vms"`
+
+	revision int64 // counts the changes of one life
 }
 
 // load reads the state from its file, if there is one. VMs of the file are added to
 // those of the settings.
 func (p *platformServer) load() error {
-	if p.file == "" {
+	if p.file.name == "" {
 		return nil
 	}
-	content, err := os.ReadFile(p.file)
+	content, err := os.ReadFile(p.file.name)
 	if os.IsNotExist(err) {
 		return nil
 	}
@@ -37,26 +43,54 @@
 	return nil
 }
 
-// save writes the state to its file, if there is one. A state that can't be written
+// A stateFile is the file of a platformServer's state. It is written without the server's
+// lock, so that a slow disk delays only the writes that wait for it.
+type stateFile struct {
+	name   string // empty keeps no state
+	logger log.Logger
+
+	mu    sync.Mutex
+	saved int64 // the newest revision that the file has
+}
+
+// state returns a copy of the state with the next revision. The caller holds the lock.
+func (p *platformServer) state() *platformState {
+	p.revision++
+	return &platformState{
+		Contents: p.table.Contents(),
+		Objects:  maps.Clone(p.objects),
+		VMs:      maps.Clone(p.vms),
+		revision: p.revision,
+	}
+}
+
+// save returns once the file has the state, or a newer one. A state that can't be written
 // is logged: the stand-in goes on with what it has in memory.
-func (p *platformServer) save() {
-	if p.file == "" {
+func (f *stateFile) save(state *platformState) {
+	if f.name == "" {
 		return
 	}
-	if err := p.writeState(); err != nil {
-		_ = p.logger.Log("msg", "state not saved", "file", p.file, "err", err)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.saved >= state.revision {
+		return
+	}
+	if err := f.write(state); err != nil {
+		_ = f.logger.Log("msg", "state not saved", "file", f.name, "err", err)
+		return
 	}
+	f.saved = state.revision
 }
 
-// writeState replaces the state's file as a whole.
-func (p *platformServer) writeState() error {
-	content, err := json.Marshal(&platformState{Contents: p.table.Contents(), Objects: p.objects, VMs: p.vms})
+// write replaces the file as a whole.
+func (f *stateFile) write(state *platformState) error {
+	content, err := json.Marshal(state)
 	if err != nil {
 		return err
 	}
-	next := p.file + ".next"
+	next := f.name + ".next"
 	if err := os.WriteFile(next, content, 0o600); err != nil {
 		return err
 	}
-	return os.Rename(next, p.file)
+	return os.Rename(next, f.name)
 }
--- a/standin/platformtable.go
+++ b/standin/platformtable.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"context"
 	"errors"
 
 	"github.com/valyala/fasthttp"
@@ -44,23 +45,32 @@
 	if !allow(ctx, p.writes) || !readJSON(ctx, &request) {
 		return
 	}
+	answer, state, err := p.write(ctx, request.Writes)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	if state != nil {
+		p.file.save(state)
+	}
+	p.answerWrite(ctx, answer)
+}
+
+// write makes all writes, or none if some conflict. It returns the answer, and the state
+// to save if there is a new one.
+func (p *platformServer) write(ctx context.Context, writes []ryeford.Write) (*tableservice.TransactAnswer, *platformState, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var answer tableservice.TransactAnswer
 	var conflict *ryeford.ConflictError
-	version, err := p.table.Transact(ctx, request.Writes...)
+	version, err := p.table.Transact(ctx, writes...)
 	switch {
 	case errors.As(err, &conflict):
-		answer.Conflicts = conflict.Keys
+		return &tableservice.TransactAnswer{Conflicts: conflict.Keys}, nil, nil
 	case err != nil:
-		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
-		return
-	default:
-		answer.Version = version
-		p.downAfter(request.Writes)
-		p.save()
+		return nil, nil, err
 	}
-	p.answerWrite(ctx, &answer)
+	p.downAfter(writes)
+	return &tableservice.TransactAnswer{Version: version}, p.state(), nil
 }
 
 // downAfter sets the platform down if one of the writes is the one that the fault
--- a/standin/platformvms.go
+++ b/standin/platformvms.go
@@ -14,26 +14,36 @@
 
 // serveVMs serves the list of VMs: a read of it, or a change of one entry.
 func (p *platformServer) serveVMs(ctx *fasthttp.RequestCtx) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	if !ctx.IsPost() {
-		reader := ryeford.VMID(ctx.Request.Header.Peek(tableservice.HeaderVM))
-		vms := p.listVMs()
-		if slices.Contains(p.fault.FreezeList, reader) {
-			vms = p.frozen
-		}
-		writeTagged(ctx, vms)
+		writeTagged(ctx, p.vmsFor(ryeford.VMID(ctx.Request.Header.Peek(tableservice.HeaderVM))))
 		return
 	}
 	var vm ryeford.VM
 	if !readJSON(ctx, &vm) {
 		return
 	}
-	p.vms[vm.ID] = vm
-	p.save()
+	p.file.save(p.setVM(vm))
 	writeJSON(ctx, struct{}{})
 }
 
+// vmsFor returns the list that a VM reads.
+func (p *platformServer) vmsFor(reader ryeford.VMID) []ryeford.VM {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if slices.Contains(p.fault.FreezeList, reader) {
+		return p.frozen
+	}
+	return p.listVMs()
+}
+
+// setVM changes one entry of the list, and returns the state to save.
+func (p *platformServer) setVM(vm ryeford.VM) *platformState {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.vms[vm.ID] = vm
+	return p.state()
+}
+
 // writeTagged answers with JSON and its entity tag, or with 304 if the reader has
 // that tag already.
 func writeTagged(ctx *fasthttp.RequestCtx, v any) {
