--- a/engine.go
+++ b/engine.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"time"
 	"strings"
+	"time"
 )
 
 // A CacheEvent says that an engine stored or evicted a chat's prefix. Events come
