test: benchmarks of large configurations

Ruled out: one process with its store for everything. The fleet's store is now a process of its own, and a control probe of the benchmark's own server shows the machine's delays. Limiting cores from outside: not used.

The fixture of gateway takes a testing.TB, so that benchmarks may use it.

--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -31,7 +31,7 @@
 // A fixture is a gateway among stand-ins, on loopback. It takes the platform's names
 // from platform/wire; tests that check a name spell it out.
 type fixture struct {
-	t         *testing.T
+	t         testing.TB
 	store     *rowstore.Store
 	endpoints map[string]*appserver.Server // by ID
 	base      string                       // URL that callers connect to
@@ -52,13 +52,13 @@
 
 // newFixture starts a gateway. config is the operators' configuration, nil for none;
 // change may change the gateway's settings.
-func newFixture(t *testing.T, config *wire.Configuration, change func(*settings.Gateway)) *fixture {
+func newFixture(t testing.TB, config *wire.Configuration, change func(*settings.Gateway)) *fixture {
 	t.Helper()
 	return newFixtureAt(t, rowstore.New(), config, change)
 }
 
 // newFixtureAt starts a gateway that shares its store with others.
-func newFixtureAt(t *testing.T, store *rowstore.Store, config *wire.Configuration, change func(*settings.Gateway)) *fixture {
+func newFixtureAt(t testing.TB, store *rowstore.Store, config *wire.Configuration, change func(*settings.Gateway)) *fixture {
 	t.Helper()
 	f := &fixture{
 		t:         t,
--- a/internal/cmd/fleet_bench_test.go
+++ b/internal/cmd/fleet_bench_test.go
@@ -207,22 +207,26 @@
 
 // usageOf returns what the process with a metrics address has used.
 func usageOf(b *testing.B, address string) usage {
+	metrics := metricsOf(b, address)
+	return usage{
+		cpu:     metrics["process_cpu_seconds_total"],
+		memory:  metrics["process_resident_memory_bytes"],
+		control: metrics["ryeford_control_sent_bytes_total"],
+	}
+}
+
+// metricsOf returns the metrics of the process with a metrics address, by name.
+func metricsOf(b *testing.B, address string) map[string]float64 {
 	response, err := http.Get("http://" + address + "/metrics")
 	assert.NilError(b, err)
 	defer func() { _, _ = io.Copy(io.Discard, response.Body); _ = response.Body.Close() }()
-	var u usage
+	metrics := make(map[string]float64)
 	scanner := bufio.NewScanner(response.Body)
 	for scanner.Scan() {
 		name, text, _ := strings.Cut(scanner.Text(), " ")
-		value, _ := strconv.ParseFloat(text, 64)
-		switch name {
-		case "process_cpu_seconds_total":
-			u.cpu = value
-		case "process_resident_memory_bytes":
-			u.memory = value
-		case "ryeford_control_sent_bytes_total":
-			u.control = value
+		if value, err := strconv.ParseFloat(text, 64); err == nil { // comments are no numbers
+			metrics[name] = value
 		}
 	}
-	return u
+	return metrics
 }
--- /dev/null
+++ b/internal/cmd/large_bench_test.go
@@ -0,0 +1,318 @@
+package cmd
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ryeford/ryeford/internal/freeport"
+	"github.com/ryeford/ryeford/platform"
+	"github.com/ryeford/ryeford/platform/wire"
+	"github.com/ryeford/ryeford/standin/largeconf"
+	"github.com/ryeford/ryeford/standin/rowstore"
+	"github.com/ryeford/ryeford/standin/slowlink"
+)
+
+const (
+	// largeLink is what a router's link to the store carries, in bytes a second: that of
+	// docs/incidents/2026-12-02-nordlytt-grown-inc1.md, 10 Mbit/s.
+	largeLink = 10_000_000 / 8
+	// largeLimit ends a run whose configuration never comes into force.
+	largeLimit = 60 * time.Second
+	// largeProbeInterval is the pause between two readiness probes of a router.
+	largeProbeInterval = 10 * time.Millisecond
+	// largeFirst and largeNext are the versions before and after the change.
+	largeFirst, largeNext = 1, 2
+	// largeFirstRoutes is how many routes there are before the change.
+	largeFirstRoutes = 100
+)
+
+// BenchmarkLargeConfiguration changes the operators' configuration of a fleet of
+// gateways, each a process with one scheduler thread (GOMAXPROCS=1) behind a slow link to
+// the store, and reports how long the change takes from its acknowledgement, what it
+// costs a router, and the longest time that a readiness probe waits meanwhile.
+func BenchmarkLargeConfiguration(b *testing.B) {
+	for _, routers := range []int{1, 26, 60} {
+		for _, routes := range []int{100, 1000, 3000, 10000} {
+			b.Run(fmt.Sprintf("routers=%d/routes=%d", routers, routes), func(b *testing.B) {
+				for range b.N {
+					benchLarge(b, routers, routes)
+				}
+			})
+		}
+	}
+}
+
+// benchLarge makes one change of a fleet that it starts.
+func benchLarge(b *testing.B, routers, routes int) {
+	f := startLargeFleet(b, routers)
+	before := f.usage(b)
+	stop := make(chan struct{})
+	var probes sync.WaitGroup
+	for _, p := range f.probers() {
+		probes.Go(func() { p.run(stop) })
+	}
+	time.Sleep(time.Second)
+	f.put(b, largeNext, routes)
+	acknowledged := time.Now()
+	var times []time.Duration
+	for _, r := range f.routers {
+		times = append(times, r.awaitNext(b, acknowledged))
+	}
+	close(stop)
+	probes.Wait()
+	b.ReportMetric(0, "ns/op")
+	b.ReportMetric(slices.Min(times).Seconds()*1000, "first-ms")
+	b.ReportMetric(slices.Max(times).Seconds()*1000, "last-ms")
+	f.report(b, before, f.usage(b))
+}
+
+// A largeFleet is a store and some gateways, each a process.
+type largeFleet struct {
+	store   string // URL by which operators reach the store
+	routers []*largeRouter
+	control prober // of a server of this process, for the machine's own delays
+}
+
+// startLargeFleet starts a fleet with a small configuration, and waits until its routers
+// are ready and know each other.
+func startLargeFleet(b *testing.B, routers int) *largeFleet {
+	store := freeport.Next()
+	control := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	b.Cleanup(control.Close)
+	f := &largeFleet{store: "http://" + store.String(), control: prober{url: control.URL}}
+	addresses := []string{store.String()}
+	for range routers {
+		addresses = append(addresses, freeport.Next().String())
+	}
+	startProcess(b, exec.Command(os.Args[0], addresses...), largeStoreCommand)
+	assert.Assert(b, eventually(func() bool {
+		connection, err := net.Dial("tcp", store.String())
+		return err == nil && connection.Close() == nil
+	}), "the store never listened")
+	f.put(b, largeFirst, largeFirstRoutes)
+	for i, link := range addresses[1:] {
+		f.routers = append(f.routers, startLargeRouter(b, i, link))
+	}
+	for _, r := range f.routers {
+		assert.Assert(b, eventually(r.isReady), "a router never became ready:\n%s", r.log)
+	}
+	time.Sleep(time.Second) // the routers learn of each other
+	return f
+}
+
+// put writes a configuration, as an operator does. It returns once the store has
+// acknowledged it.
+func (f *largeFleet) put(b *testing.B, version int64, routes int) {
+	value, err := json.Marshal(largeconf.New(version, routes))
+	assert.NilError(b, err)
+	body, err := json.Marshal(&wire.Transaction{
+		Expected: []wire.Row{}, Put: []wire.Row{{Table: wire.TableOperators, Key: wire.KeyConfig, Value: value}}, Remove: []wire.Row{},
+	})
+	assert.NilError(b, err)
+	response, err := http.Post(f.store+wire.PathTransaction, "application/json", bytes.NewReader(body))
+	assert.NilError(b, err)
+	_, err = io.Copy(io.Discard, response.Body)
+	assert.NilError(b, err)
+	assert.NilError(b, response.Body.Close())
+	assert.Equal(b, response.StatusCode, http.StatusOK)
+}
+
+// probers returns what probes the routers, and the control.
+func (f *largeFleet) probers() []*prober {
+	probers := []*prober{&f.control}
+	for _, r := range f.routers {
+		probers = append(probers, &r.prober)
+	}
+	return probers
+}
+
+// report reports what a change cost a router, and how long probes waited.
+func (f *largeFleet) report(b *testing.B, before, after largeUsage) {
+	var longest time.Duration
+	failed := 0
+	for _, r := range f.routers {
+		longest = max(longest, r.longest)
+		failed += r.failed
+	}
+	routers := float64(len(f.routers))
+	b.ReportMetric(longest.Seconds()*1000, "probe-max-ms")
+	b.ReportMetric(f.control.longest.Seconds()*1000, "control-max-ms")
+	b.ReportMetric(float64(failed), "probes-failed")
+	b.ReportMetric((after.cpu-before.cpu)/routers*1000, "cpu-ms/router")
+	b.ReportMetric((after.allocated-before.allocated)/routers/1e6, "alloc-MB/router")
+	b.ReportMetric(after.peak/1e6, "peak-MB")
+}
+
+// A largeRouter is one gateway of the benchmark.
+type largeRouter struct {
+	prober
+	metrics string // address
+	log     *largeLog
+}
+
+// startLargeRouter starts a gateway that reaches the store at an address, until the
+// benchmark ends.
+func startLargeRouter(b *testing.B, i int, store string) *largeRouter {
+	ready, metrics := freeport.Next().String(), freeport.Next().String()
+	r := &largeRouter{prober: prober{url: "http://" + ready + platform.PathReady}, metrics: metrics, log: newLargeLog()}
+	file := filepath.Join(b.TempDir(), fmt.Sprintf("gateway-%d.yaml", i))
+	// A read may take as long as the link needs: its time is measured here, not bounded.
+	content := fmt.Sprintf("vm: gateway-%d\nregion: north\nfailure_domain: a\ncallers: %s\nreadiness: %s\nmetrics: %s\nstore: %s\npeers: %s\n"+
+		"memory_mb: 184\nrouting: {store_timeout: 10s}\n", i, freeport.Next(), ready, metrics, store, freeport.Next())
+	assert.NilError(b, os.WriteFile(file, []byte(content), 0o600))
+	cmd := exec.Command(os.Args[0], "gateway", "--settings", file)
+	cmd.Env = append(os.Environ(), "GOMAXPROCS=1")
+	cmd.Stdout, cmd.Stderr = r.log, r.log
+	startProcess(b, cmd, "ryeford")
+	return r
+}
+
+// startProcess starts this program as one of the commands of TestMain, until the benchmark
+// ends.
+func startProcess(b *testing.B, cmd *exec.Cmd, name string) {
+	cmd.Args[0] = name
+	assert.NilError(b, cmd.Start())
+	b.Cleanup(func() {
+		_ = cmd.Process.Kill() // it may have ended by itself
+		_ = cmd.Wait()
+	})
+}
+
+// isReady reports whether a readiness probe succeeds.
+func (r *largeRouter) isReady() bool {
+	response, err := http.Get(r.url)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// awaitNext waits until the configuration after the change is in force, and returns how
+// long that took.
+func (r *largeRouter) awaitNext(b *testing.B, acknowledged time.Time) time.Duration {
+	select {
+	case at := <-r.log.inForce:
+		return at.Sub(acknowledged)
+	case <-time.After(largeLimit):
+		b.Fatalf("the configuration never came into force:\n%s", r.log)
+		return 0
+	}
+}
+
+// A prober sends probes, one after another.
+type prober struct {
+	url string
+	// What run has found, once it has returned.
+	longest time.Duration
+	failed  int
+}
+
+// run sends probes until stop is closed.
+func (p *prober) run(stop <-chan struct{}) {
+	client := &http.Client{Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(largeProbeInterval):
+		}
+		sent := time.Now()
+		response, err := client.Get(p.url)
+		if err != nil {
+			p.failed++
+			continue
+		}
+		_ = response.Body.Close()
+		p.longest = max(p.longest, time.Since(sent))
+		if response.StatusCode != http.StatusOK {
+			p.failed++
+		}
+	}
+}
+
+// A largeLog takes the log of a gateway and notes when the configuration after the change
+// came into force.
+type largeLog struct {
+	inForce chan time.Time
+
+	mu      sync.Mutex
+	content bytes.Buffer
+	noted   bool
+}
+
+// newLargeLog returns an empty largeLog.
+func newLargeLog() *largeLog { return &largeLog{inForce: make(chan time.Time, 1)} }
+
+// Write implements io.Writer.
+func (l *largeLog) Write(lines []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.content.Write(lines)
+	if !l.noted && strings.Contains(l.content.String(), fmt.Sprintf("decision=configuration version=%d ", largeNext)) {
+		l.noted = true
+		l.inForce <- time.Now()
+	}
+	return len(lines), nil
+}
+
+// String returns what was written.
+func (l *largeLog) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.content.String()
+}
+
+// A largeUsage is what gateways have used, by their own metrics.
+type largeUsage struct {
+	cpu       float64 // seconds, of all
+	allocated float64 // bytes, of all
+	peak      float64 // most resident bytes of one
+}
+
+// usage returns what a fleet's routers have used.
+func (f *largeFleet) usage(b *testing.B) largeUsage {
+	var sum largeUsage
+	for _, r := range f.routers {
+		metrics := metricsOf(b, r.metrics)
+		sum.cpu += metrics["process_cpu_seconds_total"]
+		sum.allocated += metrics["go_memstats_alloc_bytes_total"]
+		sum.peak = max(sum.peak, metrics["process_resident_memory_peak_bytes"])
+	}
+	return sum
+}
+
+// largeStoreCommand is the name of the command that runs runLargeStore.
+const largeStoreCommand = "ryeford-large-store"
+
+// runLargeStore serves an empty store at its first argument's address, and at each other
+// one behind a slow link of its own, until it is killed.
+func runLargeStore() {
+	store := rowstore.New()
+	servers := make(chan error)
+	for i, address := range os.Args[1:] {
+		handler := http.Handler(store)
+		if i > 0 {
+			handler = slowlink.New(store, largeLink)
+		}
+		go func() { servers <- http.ListenAndServe(address, handler) }()
+	}
+	fmt.Fprintln(os.Stderr, <-servers)
+	os.Exit(1)
+}
--- a/internal/cmd/script_test.go
+++ b/internal/cmd/script_test.go
@@ -23,7 +23,8 @@
 
 func TestMain(m *testing.M) {
 	testscript.Main(m, map[string]func(){
-		"ryeford": func() { os.Exit(Main(os.Args, os.Stdout, os.Stderr)) },
+		"ryeford":         func() { os.Exit(Main(os.Args, os.Stdout, os.Stderr)) },
+		largeStoreCommand: runLargeStore,
 	})
 }
 
--- /dev/null
+++ b/standin/largeconf/largeconf.go
@@ -0,0 +1,78 @@
+// Package largeconf makes operators' configurations of any size, for benchmarks and
+// tests of what a router does with thousands of routes.
+//
+// It plays the mix of the platform's own: several routes to a host, prefixes of two or
+// three segments, all kinds of routes, some with a split, client accounts with keys. A
+// route takes 314 bytes on the wire; the platform's took 236 (1.05 MB for 4,449 routes:
+// docs/incidents/2026-12-02-nordlytt-grown-inc1.md).
+package largeconf
+
+import (
+	"fmt"
+
+	"github.com/ryeford/ryeford/platform/wire"
+)
+
+// The mix: of so many routes each is one host's, one is public and so on.
+const (
+	routesOfHost  = 40
+	services      = 24
+	publicEvery   = 8
+	streamEvery   = 4
+	splitEvery    = 16
+	accounts      = 120
+	keysOfAccount = 2
+)
+
+// New returns a configuration of a version with so many routes. Those of a smaller one are
+// the first of a larger one.
+func New(version int64, routes int) *wire.Configuration {
+	list := make([]wire.Account, 0, accounts)
+	for i := range accounts {
+		list = append(list, account(i))
+	}
+	configuration := &wire.Configuration{
+		Version:  version,
+		Limits:   wire.Limits{MaxBodyBytes: 65536, HeaderTimeoutMs: 3000, IdleTimeoutMs: 15000},
+		Accounts: &list,
+	}
+	for i := range routes {
+		configuration.Routes = append(configuration.Routes, route(i))
+	}
+	return configuration
+}
+
+// route returns the i-th route.
+func route(i int) wire.Route {
+	r := wire.Route{
+		Name:        fmt.Sprintf("route-%05d", i),
+		Host:        fmt.Sprintf("host-%03d.example", i/routesOfHost),
+		Prefix:      fmt.Sprintf("/v%d/part-%d/", i%3, i),
+		Kind:        wire.KindIdempotent,
+		TimeoutMs:   4000,
+		GoalMs:      1500,
+		Rank:        i % 10,
+		MaxAttempts: 2,
+		Public:      i%publicEvery == 0,
+		Service:     service(i),
+	}
+	if i%streamEvery == 0 {
+		r.Kind, r.Resumable = wire.KindStream, true
+	}
+	if i%splitEvery == 0 {
+		r.Split = []wire.WeightedService{{Service: service(i), Weight: 3}, {Service: service(i + 1), Weight: 1}}
+	}
+	return r
+}
+
+// service returns the service of the i-th route.
+func service(i int) string { return fmt.Sprintf("service-%02d", i%services) }
+
+// account returns the i-th client account.
+func account(i int) wire.Account {
+	a := wire.Account{Name: fmt.Sprintf("account-%03d", i)}
+	for k := range keysOfAccount {
+		a.Keys = append(a.Keys, fmt.Sprintf("key-%03d-%d-0123456789abcdef", i, k))
+	}
+	return a
+}
