test: what a probe of a large fleet waits for, in processor time of the router

The bound counts from the process having a core. By the clock, 26 processes on a machine at a load of 130 to 140 had a probe wait for 56 to 776 ms, with no relation to the routes, and the clock cannot say whose time that was.

Ruled out: the gateway itself: BenchmarkProbe has 11 to 14 ms of processor time at 10,000 routes, in a process with the store and the prober.

Change: BenchmarkLargeConfiguration also reads the router's processor time around each probe (Linux; golang.org/x/sys, so far indirect, at the same version), and tells probes that were not answered from those that found the router unready.

--- a/internal/cmd/large_bench_test.go
+++ b/internal/cmd/large_bench_test.go
@@ -44,7 +44,10 @@
 // BenchmarkLargeConfiguration changes the operators' configuration of a fleet of
 // gateways, each a process with one scheduler thread (GOMAXPROCS=1) behind a slow link to
 // the store, and reports how long the change takes from its acknowledgement, what it
-// costs a router, and the longest time that a readiness probe waits meanwhile.
+// costs a router, and the longest time that a readiness probe waits meanwhile: by the
+// clock, and in processor time that the router uses in between. The second is what the
+// router makes it wait for; the first also has the machine's other processes in it, as
+// has the control.
 func BenchmarkLargeConfiguration(b *testing.B) {
 	for _, routers := range []int{1, 26, 60} {
 		for _, routes := range []int{100, 1000, 3000, 10000} {
@@ -85,7 +88,7 @@
 type largeFleet struct {
 	store   string // URL by which operators reach the store
 	routers []*largeRouter
-	control prober // of a server of this process, for the machine's own delays
+	control prober // of a server of this process
 }
 
 // startLargeFleet starts a fleet with a small configuration, and waits until its routers
@@ -94,7 +97,7 @@
 	store := freeport.Next()
 	control := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
 	b.Cleanup(control.Close)
-	f := &largeFleet{store: "http://" + store.String(), control: prober{url: control.URL}}
+	f := &largeFleet{store: "http://" + store.String(), control: prober{url: control.URL, pid: os.Getpid()}}
 	addresses := []string{store.String()}
 	for range routers {
 		addresses = append(addresses, freeport.Next().String())
@@ -143,16 +146,21 @@
 
 // report reports what a change cost a router, and how long probes waited.
 func (f *largeFleet) report(b *testing.B, before, after largeUsage) {
-	var longest time.Duration
-	failed := 0
+	var longest, longestCPU time.Duration
+	unanswered, unready := 0, 0
 	for _, r := range f.routers {
 		longest = max(longest, r.longest)
-		failed += r.failed
+		longestCPU = max(longestCPU, r.longestCPU)
+		assert.NilError(b, r.err)
+		unanswered += r.unanswered
+		unready += r.unready
 	}
 	routers := float64(len(f.routers))
 	b.ReportMetric(longest.Seconds()*1000, "probe-max-ms")
+	b.ReportMetric(longestCPU.Seconds()*1000, "probe-max-cpu-ms")
 	b.ReportMetric(f.control.longest.Seconds()*1000, "control-max-ms")
-	b.ReportMetric(float64(failed), "probes-failed")
+	b.ReportMetric(float64(unanswered), "probes-unanswered")
+	b.ReportMetric(float64(unready), "probes-unready")
 	b.ReportMetric((after.cpu-before.cpu)/routers*1000, "cpu-ms/router")
 	b.ReportMetric((after.allocated-before.allocated)/routers/1e6, "alloc-MB/router")
 	b.ReportMetric(after.peak/1e6, "peak-MB")
@@ -177,19 +185,20 @@
 	cmd := exec.Command(os.Args[0], "gateway", "--settings", file)
 	cmd.Env = append(os.Environ(), "GOMAXPROCS=1")
 	cmd.Stdout, cmd.Stderr = r.log, r.log
-	startProcess(b, cmd, "ryeford")
+	r.pid = startProcess(b, cmd, "ryeford")
 	return r
 }
 
 // startProcess starts this program as one of the commands of TestMain, until the benchmark
-// ends.
-func startProcess(b *testing.B, cmd *exec.Cmd, name string) {
+// ends, and returns the process's id.
+func startProcess(b *testing.B, cmd *exec.Cmd, name string) int {
 	cmd.Args[0] = name
 	assert.NilError(b, cmd.Start())
 	b.Cleanup(func() {
 		_ = cmd.Process.Kill() // it may have ended by itself
 		_ = cmd.Wait()
 	})
+	return cmd.Process.Pid
 }
 
 // isReady reports whether a readiness probe succeeds.
@@ -214,35 +223,50 @@
 	}
 }
 
-// A prober sends probes, one after another.
+// A prober sends probes to a process, one after another.
 type prober struct {
 	url string
+	pid int
 	// What run has found, once it has returned.
-	longest time.Duration
-	failed  int
+	longest    time.Duration
+	longestCPU time.Duration // of the process's processor time
+	unanswered int           // probes
+	unready    int           // probes that found the router unready
+	err        error         // of measuring
 }
 
 // run sends probes until stop is closed.
 func (p *prober) run(stop <-chan struct{}) {
 	client := &http.Client{Transport: &http.Transport{}}
 	defer client.CloseIdleConnections()
-	for {
+	for p.err == nil {
 		select {
 		case <-stop:
 			return
 		case <-time.After(largeProbeInterval):
 		}
-		sent := time.Now()
-		response, err := client.Get(p.url)
-		if err != nil {
-			p.failed++
-			continue
-		}
-		_ = response.Body.Close()
-		p.longest = max(p.longest, time.Since(sent))
-		if response.StatusCode != http.StatusOK {
-			p.failed++
-		}
+		p.probe(client)
+	}
+}
+
+// probe sends one probe.
+func (p *prober) probe(client *http.Client) {
+	var before, after time.Duration
+	if before, p.err = processorTimeOf(p.pid); p.err != nil {
+		return
+	}
+	sent := time.Now()
+	response, err := client.Get(p.url)
+	if err != nil {
+		p.unanswered++
+		return
+	}
+	_ = response.Body.Close()
+	p.longest = max(p.longest, time.Since(sent))
+	after, p.err = processorTimeOf(p.pid)
+	p.longestCPU = max(p.longestCPU, after-before)
+	if response.StatusCode != http.StatusOK {
+		p.unready++
 	}
 }
 
