feat: Retry-After by urgency, within the time in which callers honour it

A refused caller was told a time that went by the reason alone, and up to twice that: 100 to 300 ms, whatever its priority, the time that it has left, and how many were refused with it.

Change: giveup.returnBand. A return begins when it makes sense at the earliest: a constant by reason, or the end of the first ejection if all endpoints of the service are ejected. From there to 0.3 of the caller's remaining time (callers honour a third) returns are spread, over as much of that as requests of the service were refused lately, in bands of the priorities in use, the highest first. A caller that waits no longer is told nothing.

A wave stays, since callers come back within a third of their time whatever they are told.

--- a/gateway/balancer.go
+++ b/gateway/balancer.go
@@ -79,6 +79,20 @@
 	return result
 }
 
+// ejectedFor returns for how long all endpoints of a service that accept requests are
+// still ejected: until the first of them is back. It is zero if one is not ejected, or
+// if there is none.
+func (b *balancer) ejectedFor(now time.Time, service string) time.Duration {
+	var shortest time.Duration
+	for i, entry := range b.roster.Serving(service) {
+		left := b.detector.EjectedFor(now, entry.ID)
+		if i == 0 || left < shortest {
+			shortest = left
+		}
+	}
+	return shortest
+}
+
 // candidates returns what is known of some endpoints, of which the first ones, as
 // many as serving, accept requests.
 func (b *balancer) candidates(now time.Time, query *endpointQuery, entries []*roster.Entry, serving int) []choice.Candidate {
--- a/gateway/balancer_test.go
+++ b/gateway/balancer_test.go
@@ -93,3 +93,15 @@
 	assert.Assert(t, b.choose(now, query).to == nil)
 	assert.Assert(t, b.choose(now, &endpointQuery{service: "another"}).to == nil)
 }
+
+// TestEjectedFor checks for how long all endpoints of a service are still ejected.
+func TestEjectedFor(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := newTestBalancer(now)
+	assert.Equal(t, b.ejectedFor(now, "s"), time.Duration(0))
+	b.detector.Eject(now, "a", time.Second)
+	assert.Equal(t, b.ejectedFor(now, "s"), time.Duration(0), "b is not")
+	b.detector.Eject(now, "b", 3*time.Second)
+	assert.Equal(t, b.ejectedFor(now, "s"), time.Second, "a is back first")
+	assert.Equal(t, b.ejectedFor(now, "another"), time.Duration(0))
+}
--- a/gateway/catalog/catalog.go
+++ b/gateway/catalog/catalog.go
@@ -6,6 +6,8 @@
 package catalog
 
 import (
+	"cmp"
+	"slices"
 	"strings"
 
 	"github.com/ryeford/ryeford"
@@ -17,6 +19,7 @@
 	configuration *ryeford.Configuration
 	routes        map[string]map[string]*ryeford.RouteRule // by host and prefix
 	accounts      map[string]*ryeford.AccountRule          // by key
+	priorities    []ryeford.Priority                       // the highest first
 }
 
 // New returns the Catalog of a configuration, which must not be changed afterwards.
@@ -40,9 +43,29 @@
 			c.accounts[key] = account
 		}
 	}
+	c.priorities = prioritiesOf(configuration)
 	return c
 }
 
+// prioritiesOf returns the priorities that requests may have, the highest first.
+func prioritiesOf(configuration *ryeford.Configuration) []ryeford.Priority {
+	var priorities []ryeford.Priority
+	for i := range configuration.Routes {
+		priorities = append(priorities, configuration.Routes[i].Priority)
+	}
+	for i := range configuration.Accounts {
+		if priority := configuration.Accounts[i].Priority; priority != nil {
+			priorities = append(priorities, *priority)
+		}
+	}
+	slices.SortFunc(priorities, func(a, b ryeford.Priority) int { return cmp.Compare(b, a) })
+	return slices.Compact(priorities)
+}
+
+// Priorities returns the priorities that requests may have, the highest first. The
+// caller must not change them.
+func (c *Catalog) Priorities() []ryeford.Priority { return c.priorities }
+
 // Version returns the configuration's version.
 func (c *Catalog) Version() int64 { return c.configuration.Version }
 
--- a/gateway/catalog/catalog_test.go
+++ b/gateway/catalog/catalog_test.go
@@ -39,6 +39,17 @@
 	}
 }
 
+// TestPriorities checks that the priorities of routes and client accounts are listed
+// once each, the highest first.
+func TestPriorities(t *testing.T) {
+	priority := ryeford.Priority(8)
+	c := New(&ryeford.Configuration{
+		Routes:   []ryeford.RouteRule{{Priority: 5}, {Priority: 9}, {Priority: 5}},
+		Accounts: []ryeford.AccountRule{{Account: "a"}, {Account: "b", Priority: &priority}},
+	})
+	assert.DeepEqual(t, c.Priorities(), []ryeford.Priority{9, 8, 5})
+}
+
 // TestRouteLongest checks the choice of a route against the plain definition.
 func TestRouteLongest(t *testing.T) {
 	segment := rapid.SampledFrom([]string{"a", "b", "c"})
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -98,8 +98,12 @@
 
 // giveUp ends the request without a whole response of an endpoint.
 func (x *exchange) giveUp(err error) {
-	f, q := x.forwarder, x.request
-	verdict := giveup.Decide(giveup.Request{Err: err, Last: x.last, MayHaveRun: x.mayHaveRun, Begun: x.relay.begun})
+	f, q, now := x.forwarder, x.request, time.Now()
+	verdict := giveup.Decide(giveup.Request{
+		Err: err, Last: x.last, MayHaveRun: x.mayHaveRun, Begun: x.relay.begun,
+		Ejected: f.balancer.ejectedFor(now, q.service), Caller: q.caller(), Recent: f.refusals.of(now, q.service),
+	})
+	f.refusals.refused(now, q.service, &verdict)
 	f.metrics.Count("ryeford_given_up_total", verdict.Reason)
 	_ = f.log.Log("decision", "give_up", "request", q.meta.ID, "route", q.rule.Name, "account", q.accountID(), "service", q.service,
 		"sent", x.history.Sent, "unsent", x.history.Unsent, "may_have_run", x.mayHaveRun, "begun", x.relay.begun, "events", x.relay.events,
@@ -123,6 +127,7 @@
 	f, q := x.forwarder, x.request
 	took := time.Since(q.arrived)
 	f.durations.observe(q.rule, took)
+	f.refusals.answered(time.Now(), q.service)
 	f.metrics.Count("ryeford_answered_total", "")
 	f.metrics.Observe("ryeford_answer_seconds", took.Seconds())
 	_ = f.log.Log("decision", "answer", "request", q.meta.ID, "route", q.rule.Name, "endpoint", to.ID, "status", status,
--- a/gateway/forwarder.go
+++ b/gateway/forwarder.go
@@ -31,6 +31,7 @@
 	peers         *peers.Table
 	minSharers    int // of the retry budget's reserve, from the settings
 	durations     *durations
+	refusals      *refusals
 	log           log.Logger
 	metrics       *telemetry.Set
 }
--- a/gateway/giveup/giveup.go
+++ b/gateway/giveup/giveup.go
@@ -3,7 +3,8 @@
 //
 // A request is answered with a status of the gateway's own that says whether it may
 // have run: 503 and a Retry-After only if no attempt can have run it, 502 or 504 if
-// one may have. If part of a response has been sent, the connection is broken off.
+// one may have. If part of a response has been sent, the connection is broken off. When
+// callers are told to come back is in retryafter.go.
 //
 // The reason is that callers send a request again after 503 even if it must run
 // only once; and that a broken response must not look complete.
@@ -20,30 +21,10 @@
 	"github.com/ryeford/ryeford"
 )
 
-// The minimum times after which a caller is told to come back. Each caller is told
-// a time between that and twice that (retry.Spread). None is measured.
-const (
-	// retryNotReady is for a router that has not read the configuration or the
-	// endpoint list yet.
-	retryNotReady = 300 * time.Millisecond
-	// retryNoEndpoint is for a service of which no endpoint can be reached.
-	retryNoEndpoint = 150 * time.Millisecond
-	// retryElsewhere is for what another router or endpoint may not suffer from, or
-	// what ends soon: load, a stale configuration, a router that is stopping.
-	retryElsewhere = 100 * time.Millisecond
-)
-
-// NotRun returns the error of a request that has not run for a reason, with the
-// Retry-After of that reason.
+// NotRun returns the error of a request that has not run for a reason, with the time
+// after which a return makes sense.
 func NotRun(reason ryeford.Reason) *ryeford.NotRunError {
-	retryAfter := retryElsewhere
-	switch reason {
-	case ryeford.ReasonNotReady:
-		retryAfter = retryNotReady
-	case ryeford.ReasonNoCandidate, ryeford.ReasonUnreachable:
-		retryAfter = retryNoEndpoint
-	}
-	return &ryeford.NotRunError{Reason: reason, RetryAfter: retryAfter}
+	return &ryeford.NotRunError{Reason: reason, RetryAfter: returnAfter(reason)}
 }
 
 // Stopped returns the error of a request whose deadline has passed, or else whose
@@ -67,6 +48,11 @@
 	MayHaveRun bool
 	// Begun says that part of a response has been sent to the caller.
 	Begun bool
+	// Ejected is for how long all endpoints of the service are still ejected; zero if
+	// one is not, or if there is none.
+	Ejected time.Duration
+	Caller  Caller
+	Recent  Recent
 }
 
 // A Verdict is how a request ends.
@@ -75,9 +61,8 @@
 	Err error
 	// Status is the HTTP status that the caller gets, unless Abort is true.
 	Status int
-	// RetryAfter is the minimum time after which the caller may come back; zero for
-	// none.
-	RetryAfter time.Duration
+	// RetryAfter is when the caller is told to come back.
+	RetryAfter Band
 	// Reason is the code of the failure in logs and metrics.
 	Reason string
 	// Abort says that the caller's connection is broken off.
@@ -92,8 +77,11 @@
 		// The last attempt has not run, but an earlier one may have.
 		err = &ryeford.MayHaveRunError{Reason: notRun.Reason, Err: r.Last}
 	}
-	status, retryAfter := statusOf(err)
-	return Verdict{Err: err, Status: status, RetryAfter: retryAfter, Reason: reasonOf(err), Abort: r.Begun}
+	verdict := Verdict{Err: err, Status: statusOf(err), Reason: reasonOf(err), Abort: r.Begun}
+	if verdict.Status == http.StatusServiceUnavailable {
+		verdict.RetryAfter = returnBand(r.earliestReturn(), r.Caller, r.Recent)
+	}
+	return verdict
 }
 
 // ClosesConnection reports whether the connection of a caller whose request was not
@@ -104,26 +92,26 @@
 		v.Reason == string(ryeford.ReasonStaleConfiguration)
 }
 
-// statusOf returns the HTTP status of a failure, and its Retry-After. A
-// MayHaveRunError is looked for first: it may wrap the NotRunError of a later attempt,
-// which promises nothing for the earlier ones.
-func statusOf(err error) (int, time.Duration) {
+// statusOf returns the HTTP status of a failure. A MayHaveRunError is looked for first:
+// it may wrap the NotRunError of a later attempt, which promises nothing for the
+// earlier ones.
+func statusOf(err error) int {
 	var input *ryeford.InputError
 	var notRun *ryeford.NotRunError
 	var mayHaveRun *ryeford.MayHaveRunError
 	switch {
 	case errors.As(err, &input) && input.Status != 0:
-		return input.Status, 0
+		return input.Status
 	case errors.As(err, &input):
-		return http.StatusBadRequest, 0
+		return http.StatusBadRequest
 	case errors.As(err, &mayHaveRun) && mayHaveRun.Reason == ryeford.ReasonDeadline:
-		return http.StatusGatewayTimeout, 0
+		return http.StatusGatewayTimeout
 	case errors.As(err, &mayHaveRun):
-		return http.StatusBadGateway, 0
+		return http.StatusBadGateway
 	case errors.As(err, &notRun):
-		return http.StatusServiceUnavailable, notRun.RetryAfter
+		return http.StatusServiceUnavailable
 	}
-	return http.StatusBadGateway, 0
+	return http.StatusBadGateway
 }
 
 // reasonOf returns the code of a failure.
--- /dev/null
+++ b/gateway/giveup/retryafter_test.go
@@ -0,0 +1,84 @@
+package giveup
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ryeford/ryeford"
+)
+
+// allPriorities holds every priority, the highest first.
+var allPriorities = []ryeford.Priority{9, 8, 7, 6, 5, 4, 3, 2, 1, 0}
+
+// TestReturnBand checks, for callers that are told to come back, that a more urgent one
+// comes back before a less urgent one, that none is told a time that callers don't
+// honour, and that one that waits no longer is told nothing.
+func TestReturnBand(t *testing.T) {
+	for _, recent := range []Recent{{}, {Refused: 1}, {Answered: 1000}, {Refused: 1000}} {
+		for _, earliest := range []time.Duration{0, 100 * time.Millisecond, time.Second, time.Hour} {
+			for _, left := range []time.Duration{time.Millisecond, 100 * time.Millisecond, time.Second, 6 * time.Second, time.Minute, NoLimit} {
+				previous := Band{}
+				for i, priority := range allPriorities {
+					band := returnBand(earliest, Caller{Priority: priority, InUse: allPriorities, Left: left}, recent)
+					assert.Assert(t, band.From <= band.To)
+					assert.Assert(t, band.From >= previous.To, "%v %v: bands overlap", earliest, left)
+					assert.Assert(t, band.To <= left/3, "%v %v: callers don't honour it", earliest, left)
+					assert.Assert(t, band.To <= maxReturn)
+					assert.Assert(t, i > 0 || band.From == earliest || band.From > left/10 || band.From == maxReturn/2, "%v %v: %v", earliest, left, band)
+					previous = band
+				}
+			}
+		}
+	}
+	for _, left := range []time.Duration{0, -time.Second} {
+		assert.Equal(t, returnBand(time.Second, Caller{Left: left}, Recent{Refused: 9}), Band{})
+	}
+}
+
+// TestReturnSpread checks that a lone refusal costs its caller little time, and that a
+// crowd's returns are spread over all the time in which callers honour them.
+func TestReturnSpread(t *testing.T) {
+	caller := Caller{Left: 4 * time.Second}
+	const first, last = 100 * time.Millisecond, 1200 * time.Millisecond
+	lone := returnBand(first, caller, Recent{Answered: 100})
+	assert.Equal(t, lone.From, first)
+	assert.Assert(t, lone.To < first+20*time.Millisecond, "%v", lone)
+	crowd := returnBand(first, caller, Recent{Refused: 10000})
+	assert.Equal(t, crowd.From, first)
+	assert.Assert(t, crowd.To > last-time.Millisecond && crowd.To <= last, "%v", crowd)
+	half := returnBand(first, caller, Recent{Refused: 10000, Answered: 10000})
+	assert.Assert(t, half.To > 640*time.Millisecond && half.To < 660*time.Millisecond, "%v", half)
+}
+
+// TestReturnPriority checks that the span is divided among the priorities in use, and
+// that a priority that is not in use has its place among them.
+func TestReturnPriority(t *testing.T) {
+	at := func(p ryeford.Priority) Band {
+		return returnBand(0, Caller{Priority: p, InUse: []ryeford.Priority{9, 7}, Left: 10 * time.Second}, Recent{Refused: 1 << 20})
+	}
+	second := func(b Band) Band {
+		return Band{From: b.From.Round(10 * time.Millisecond), To: b.To.Round(10 * time.Millisecond)}
+	}
+	assert.Equal(t, second(at(9)), Band{From: 0, To: 1500 * time.Millisecond})
+	assert.Equal(t, second(at(7)), Band{From: 1500 * time.Millisecond, To: 3 * time.Second})
+	assert.Equal(t, at(8), at(7))
+	assert.Equal(t, second(at(5)), Band{From: 2 * time.Second, To: 3 * time.Second}, "not in use: after those that are")
+}
+
+// TestReturnAfterEjection checks that a caller whose endpoints are all ejected comes back
+// when the first of them does, and one that was refused for another reason sooner.
+func TestReturnAfterEjection(t *testing.T) {
+	caller := Caller{Priority: ryeford.PriorityHighest, Left: time.Minute}
+	for reason, want := range map[ryeford.Reason]time.Duration{
+		ryeford.ReasonNoCandidate: 700 * time.Millisecond,
+		ryeford.ReasonUnreachable: 700 * time.Millisecond,
+		ryeford.ReasonOverload:    100 * time.Millisecond,
+	} {
+		verdict := Decide(Request{Err: NotRun(reason), Ejected: 700 * time.Millisecond, Caller: caller})
+		assert.Equal(t, verdict.RetryAfter.From, want, string(reason))
+	}
+	verdict := Decide(Request{Err: NotRun(ryeford.ReasonNoCandidate), Ejected: time.Millisecond, Caller: caller})
+	assert.Equal(t, verdict.RetryAfter.From, retryNoEndpoint)
+}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -12,6 +12,7 @@
 
 	"github.com/ryeford/ryeford"
 	"github.com/ryeford/ryeford/gateway/admit"
+	"github.com/ryeford/ryeford/gateway/catalog"
 	"github.com/ryeford/ryeford/gateway/roster"
 	"github.com/ryeford/ryeford/internal/telemetry"
 	"github.com/ryeford/ryeford/retry"
@@ -35,27 +36,27 @@
 
 // ServeHTTP implements http.Handler.
 func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	arrived := time.Now()
 	h.drain.inFlight.Add(1)
 	defer h.drain.inFlight.Add(-1)
 	if h.drain.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	meta, err := h.protocol.ParseRequest(r.Header)
-	if err != nil {
-		h.refuse(w, r, meta, arrived, err)
+	var err error
+	q := &request{arrived: time.Now()}
+	if q.meta, err = h.protocol.ParseRequest(r.Header); err != nil {
+		h.refuse(w, r, q, err)
 		return
 	}
 	body, release, err := h.readBody(w, r)
 	if err != nil {
-		h.refuse(w, r, meta, arrived, err)
+		h.lookUp(r, q)
+		h.refuse(w, r, q, err)
 		return
 	}
 	defer release()
 	h.initialSync.await(r.Context())
-	q, err := h.admit(r, meta, arrived)
-	if err != nil {
-		h.refuse(w, r, meta, arrived, err)
+	if err := h.admit(r, q); err != nil {
+		h.refuse(w, r, q, err)
 		return
 	}
 	q.body = body
@@ -98,42 +99,50 @@
 	return 0
 }
 
-// admit returns an admitted request with its route, client account and service. An
-// error says why the request is refused.
-func (h *handler) admit(r *http.Request, meta *ryeford.RequestMeta, arrived time.Time) (*request, error) {
-	q := &request{meta: meta, arrived: arrived, catalog: h.configuration.current()}
-	if err := admit.Check(h.lookUp(r, q)); err != nil {
-		return nil, err
+// admit admits a request with its route, client account and service. An error says why
+// it is refused.
+func (h *handler) admit(r *http.Request, q *request) error {
+	h.lookUp(r, q)
+	if err := admit.Check(h.state(q)); err != nil {
+		return err
 	}
 	q.setDeadline()
 	q.setAffinity()
 	q.setService()
 	q.budget = h.budgets.Of(q.service)
-	q.budget.CountRequest(arrived)
-	return q, nil
+	q.budget.CountRequest(q.arrived)
+	return nil
+}
+
+// lookUp looks up a request's route and client account in the configuration in force.
+func (h *handler) lookUp(r *http.Request, q *request) {
+	if q.catalog = h.configuration.current(); q.catalog == nil {
+		return
+	}
+	if q.rule = findRoute(q.catalog, r); q.rule != nil && q.needsKey() {
+		q.account = q.catalog.Account(q.meta.Key)
+	}
 }
 
-// lookUp looks up a request's route and client account, and returns what decides
-// whether it is admitted.
-func (h *handler) lookUp(r *http.Request, q *request) admit.State {
+// findRoute returns the route of a request in a configuration, or nil.
+func findRoute(catalog *catalog.Catalog, r *http.Request) *ryeford.RouteRule {
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	return catalog.Route(r.Host, path)
+}
+
+// state returns what decides whether a request is admitted.
+func (h *handler) state(q *request) admit.State {
 	state := admit.State{
 		Configured: q.catalog != nil,
 		Listed:     h.roster.Known(),
 		Reliable:   h.configuration.reliable(time.Now()),
 	}
-	if q.catalog == nil {
-		return state
-	}
-	path, _, _ := strings.Cut(r.RequestURI, "?")
-	if q.rule = q.catalog.Route(r.Host, path); q.rule == nil {
+	if q.rule == nil {
 		return state
 	}
 	state.RouteFound = true
 	state.NoTimeLeft = h.drain.stopping.Load() && !h.drain.leavesTimeFor(q.arrived, h.durations.slowest(q.rule))
-	if q.catalog.Keyed() && !q.rule.Public {
-		q.account = q.catalog.Account(q.meta.Key)
-		state.NeedsKey = true
-		state.KeyFound = q.account != nil
-	}
+	state.NeedsKey = q.needsKey()
+	state.KeyFound = q.account != nil
 	return state
 }
--- a/gateway/outlier/outlier.go
+++ b/gateway/outlier/outlier.go
@@ -131,6 +131,16 @@
 	return true
 }
 
+// EjectedFor returns for how long an endpoint is still ejected; zero if it is not.
+func (d *Detector) EjectedFor(now time.Time, id ryeford.EndpointID) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if s := d.states[id]; s != nil {
+		return max(0, s.until.Sub(now))
+	}
+	return 0
+}
+
 // Forget drops the record of an endpoint that is gone.
 func (d *Detector) Forget(id ryeford.EndpointID) {
 	d.mu.Lock()
--- a/gateway/outlier/outlier_test.go
+++ b/gateway/outlier/outlier_test.go
@@ -63,3 +63,13 @@
 	d.End(now, "a", number, true)
 	assert.Assert(t, d.Healthy(now, "a"))
 }
+
+// TestEjectedFor checks for how long an endpoint is still ejected.
+func TestEjectedFor(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := New(limits)
+	assert.Equal(t, d.EjectedFor(now, "a"), time.Duration(0))
+	d.Eject(now, "a", 3*time.Second)
+	assert.Equal(t, d.EjectedFor(now.Add(2*time.Second), "a"), time.Second)
+	assert.Equal(t, d.EjectedFor(now.Add(4*time.Second), "a"), time.Duration(0))
+}
--- /dev/null
+++ b/gateway/refusals_test.go
@@ -0,0 +1,31 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ryeford/ryeford/gateway/giveup"
+)
+
+// TestRefusalCounts checks that refusals and answers count for at least a window, and for at
+// most two, each for its service; and that a failure that is no refusal doesn't count.
+func TestRefusalCounts(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := newRefusals()
+	refused := &giveup.Verdict{Status: 503}
+	r.refused(now, "s", refused)
+	r.refused(now, "s", &giveup.Verdict{Status: 404})
+	r.refused(now, "s", &giveup.Verdict{Status: 502})
+	r.answered(now, "s")
+	assert.Equal(t, r.of(now, "s"), giveup.Recent{Refused: 1, Answered: 1})
+	assert.Equal(t, r.of(now, "another"), giveup.Recent{})
+	now = now.Add(refusalsWindow)
+	r.refused(now, "s", refused)
+	assert.Equal(t, r.of(now, "s"), giveup.Recent{Refused: 2, Answered: 1})
+	now = now.Add(refusalsWindow)
+	assert.Equal(t, r.of(now, "s"), giveup.Recent{Refused: 1})
+	now = now.Add(2 * refusalsWindow)
+	assert.Equal(t, r.of(now, "s"), giveup.Recent{})
+}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -5,6 +5,7 @@
 
 	"github.com/ryeford/ryeford"
 	"github.com/ryeford/ryeford/gateway/catalog"
+	"github.com/ryeford/ryeford/gateway/giveup"
 	"github.com/ryeford/ryeford/retry"
 	"github.com/ryeford/ryeford/route"
 )
@@ -13,8 +14,8 @@
 // measured.
 const defaultTimeout = 30 * time.Second
 
-// A request is one caller's request as it was read and admitted. It doesn't change
-// while it is served.
+// A request is one caller's request. What is read and looked up before it is admitted
+// is missing as long as that has not happened; once it is served it doesn't change.
 type request struct {
 	meta     *ryeford.RequestMeta
 	arrived  time.Time
@@ -32,15 +33,48 @@
 	shared   bool
 }
 
+// needsKey reports whether the request's route, which is known, needs a key.
+func (q *request) needsKey() bool { return q.catalog.Keyed() && !q.rule.Public }
+
 // keyed reports whether the request was admitted for its key.
 func (q *request) keyed() bool { return q.account != nil }
 
-// priority returns the priority of the request: its account's, or else its route's.
+// priority returns the priority of the request: its account's, or else its route's. As
+// long as the route is not known, it is the default.
 func (q *request) priority() ryeford.Priority {
-	if q.account != nil && q.account.Priority != nil {
+	switch {
+	case q.account != nil && q.account.Priority != nil:
 		return *q.account.Priority
+	case q.rule != nil:
+		return q.rule.Priority
+	}
+	return ryeford.PriorityDefault
+}
+
+// id returns the request's ID, or none if it can't be read.
+func (q *request) id() ryeford.RequestID {
+	if q.meta == nil {
+		return ""
+	}
+	return q.meta.ID
+}
+
+// caller returns what the caller's return goes by if the request is refused now.
+func (q *request) caller() giveup.Caller {
+	caller := giveup.Caller{Priority: q.priority(), Left: q.callerLeft()}
+	if q.catalog != nil {
+		caller.InUse = q.catalog.Priorities()
+	}
+	return caller
+}
+
+// callerLeft returns for how long the caller still waits for a response. The request's
+// deadline may be sooner.
+func (q *request) callerLeft() time.Duration {
+	if q.meta == nil || q.meta.Timeout <= 0 {
+		return giveup.NoLimit
 	}
-	return q.rule.Priority
+	return q.meta.Timeout - time.Since(q.arrived)
 }
 
 // accountID returns the request's client account, or none.
--- a/gateway/wiring.go
+++ b/gateway/wiring.go
@@ -98,6 +98,7 @@
 		peers:         g.peers,
 		minSharers:    s.Routing.Routers,
 		durations:     durations,
+		refusals:      newRefusals(),
 		log:           g.log,
 		metrics:       g.metrics,
 	}
--- a/retry/doc.go
+++ b/retry/doc.go
@@ -6,7 +6,7 @@
 //   - Window is the retry budget of one service at one router on the platform;
 //     share.go divides the fleet's budget among the routers.
 //   - Budget is the retry budget of one client account in the fleet with agents.
-//   - Spread tells refused callers when to come back.
+//   - Spread and Between tell refused callers when to come back.
 //
 // The package owns the counts of Window and Budget. It does no I/O and relies on
 // no other state: times are passed in.
--- a/retry/spread.go
+++ b/retry/spread.go
@@ -14,5 +14,13 @@
 	if base <= 0 {
 		base = defaultSpread
 	}
-	return base + time.Duration(rand.Int64N(int64(base)))
+	return Between(base, 2*base)
+}
+
+// Between returns a time from from on and before to, or from if to is not later.
+func Between(from, to time.Duration) time.Duration {
+	if to <= from {
+		return from
+	}
+	return from + time.Duration(rand.Int64N(int64(to-from)))
 }
--- a/retry/spread_test.go
+++ b/retry/spread_test.go
@@ -18,3 +18,17 @@
 	}
 	assert.Assert(t, len(seen) > 50)
 }
+
+// TestBetween checks that a time is drawn from a span, and that an empty span is its
+// beginning.
+func TestBetween(t *testing.T) {
+	seen := make(map[time.Duration]bool)
+	for range 100 {
+		d := Between(time.Second, 3*time.Second)
+		assert.Assert(t, d >= time.Second && d < 3*time.Second)
+		seen[d] = true
+	}
+	assert.Assert(t, len(seen) > 50)
+	assert.Equal(t, Between(time.Second, time.Second), time.Second)
+	assert.Equal(t, Between(0, 0), time.Duration(0))
+}
