fix: a request that can't be served any more is answered at once

Lease and key were checked only right before the first byte, so after up to 400 ms of connecting, for each of up to four endpoints; a removed route was not checked; a request whose deadline had passed was still given an endpoint; and one with less time left than any endpoint needs was sent, to end as 504, unknown whether it ran. A caller whose key was revoked meanwhile got 503 and came back for its 401.

Ruled out: to estimate how long an endpoint will take, since a wrong guess refuses a request that can be served. The bound used is the fastest response of the service in the last 5 to 10 s, which expires, so that a service that was slow is tried again. To abandon a connection that is being opened when the key is revoked was left out.

Change: before each attempt lease, key, route and time are checked (admit.CheckSend, admit.CheckTime, exchange.unservable). A revoked key and a removed route end with 401 and 404, without Retry-After, and only if the configuration is reliable; 502 if an attempt may have run. New reason route_removed.

Tests: TestUnservable and TestUnservableBetweenAttempts fail on (a send for a request past its deadline, 503 in place of 401, 200 in place of 404).

Conclusion: what is left to wait for is one connection that is being opened.

--- a/gateway/admit/admit.go
+++ b/gateway/admit/admit.go
@@ -59,11 +59,13 @@
 	return nil
 }
 
-// A Sending is what a router knows right before the first byte of a request is sent
-// to an endpoint, some time after it was admitted.
+// A Sending is what a router knows before an attempt begins, and again right before the
+// first byte of the request is sent to an endpoint, some time after it was admitted.
 type Sending struct {
 	// EndpointServes says that the endpoint still takes requests.
 	EndpointServes bool
+	// RouteFound says that the configuration still has a route for the request.
+	RouteFound bool
 	// NeedsKey says that the request was admitted for its key.
 	NeedsKey bool
 	// Reliable is as in State.
@@ -79,6 +81,10 @@
 	switch {
 	case !s.EndpointServes:
 		return giveup.NotRun(ryeford.ReasonLeaving)
+	case !s.RouteFound && !s.Reliable:
+		return giveup.NotRun(ryeford.ReasonStaleConfiguration)
+	case !s.RouteFound:
+		return giveup.NotRun(ryeford.ReasonRouteRemoved)
 	case s.NeedsKey && !s.Reliable:
 		return giveup.NotRun(ryeford.ReasonStaleConfiguration)
 	case s.NeedsKey && !s.KeyFound:
@@ -87,6 +93,17 @@
 	return nil
 }
 
+// CheckTime returns why a request can't be answered in the time that it has left, or
+// nil: its deadline has passed, or no endpoint of its service has answered as fast as
+// that lately. fastest is the time of their fastest response, zero if none is known.
+// The error is a *ryeford.NotRunError.
+func CheckTime(left, fastest time.Duration) error {
+	if left <= 0 || left < fastest {
+		return giveup.NotRun(ryeford.ReasonDeadline)
+	}
+	return nil
+}
+
 // StartWait returns how long a request may wait for the first configuration and the
 // first list of endpoints: until patience has passed since the process started. Zero or
 // less means that it may not wait.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -21,10 +21,12 @@
 	x.tried[to.ID] = true
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	if timeout, ok := x.policy.PerTryTimeout(x.history.Sent); ok {
-		timer := time.AfterFunc(timeout, func() { cancel(&perTryTimeoutError{}) })
-		defer timer.Stop()
-		x.relay.onFirst = func() { timer.Stop() }
+	stopTimer := x.startPerTryTimeout(cancel)
+	defer stopTimer()
+	sent := time.Now()
+	x.relay.onFirst = func() {
+		stopTimer()
+		f.fastest.observe(time.Now(), x.request.service, time.Since(sent))
 	}
 	f.loads.Begin(to.ID)
 	defer f.loads.End(to.ID)
@@ -42,6 +44,17 @@
 	return x.receive(ctx, attemptCtx, to, response)
 }
 
+// startPerTryTimeout starts the attempt's timeout, if it has one, and returns what stops
+// it.
+func (x *exchange) startPerTryTimeout(cancel context.CancelCauseFunc) (stop func()) {
+	timeout, ok := x.policy.PerTryTimeout(x.history.Sent)
+	if !ok {
+		return func() {}
+	}
+	timer := time.AfterFunc(timeout, func() { cancel(&perTryTimeoutError{}) })
+	return func() { timer.Stop() }
+}
+
 // send sends the request and waits for the head of the response.
 func (x *exchange) send(ctx context.Context, to, source *roster.Entry) (*endpoint.Response, error) {
 	f, q := x.forwarder, x.request
@@ -76,14 +89,21 @@
 // checkSend is called right before the first byte is sent. Its error is a
 // *ryeford.NotRunError.
 func (x *exchange) checkSend(to *roster.Entry) error {
+	return admit.CheckSend(x.sending(time.Now(), x.forwarder.roster.Accepts(to.ID)))
+}
+
+// sending returns what decides whether the request may still be sent to an endpoint.
+func (x *exchange) sending(now time.Time, endpointServes bool) admit.Sending {
 	f, q := x.forwarder, x.request
-	sending := admit.Sending{EndpointServes: f.roster.Accepts(to.ID), NeedsKey: q.keyed()}
-	if q.keyed() {
-		current := f.configuration.current()
-		sending.Reliable = f.configuration.reliable(time.Now())
-		sending.KeyFound = current == q.catalog || current.Account(q.meta.Key) != nil
+	current := f.configuration.current()
+	same := current == q.catalog
+	return admit.Sending{
+		EndpointServes: endpointServes,
+		RouteFound:     same || findRoute(current, x.incoming) != nil,
+		NeedsKey:       q.keyed(),
+		Reliable:       f.configuration.reliable(now),
+		KeyFound:       same || current.Account(q.meta.Key) != nil,
 	}
-	return admit.CheckSend(sending)
 }
 
 // endUnanswered ends an attempt that brought no response, or none that may be used.
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/ryeford/ryeford"
+	"github.com/ryeford/ryeford/gateway/admit"
 	"github.com/ryeford/ryeford/gateway/giveup"
 	"github.com/ryeford/ryeford/gateway/roster"
 	"github.com/ryeford/ryeford/retry"
@@ -33,6 +34,10 @@
 func (x *exchange) serve(ctx context.Context) {
 	step := retry.Step{Again: true}
 	for step.Again {
+		if err := x.unservable(); err != nil {
+			x.giveUp(err)
+			return
+		}
 		to, source := x.chooseFor(step)
 		if to == nil {
 			x.giveUp(giveup.NotRun(ryeford.ReasonNoCandidate))
@@ -48,6 +53,15 @@
 	x.giveUp(x.last)
 }
 
+// unservable returns why no endpoint may or can serve the request any more, or nil.
+func (x *exchange) unservable() error {
+	now, q := time.Now(), x.request
+	if err := admit.CheckSend(x.sending(now, true)); err != nil {
+		return err
+	}
+	return admit.CheckTime(q.deadline.Sub(now), x.forwarder.fastest.of(now, q.service))
+}
+
 // chooseFor chooses the endpoint of an attempt, and the endpoint from which it may fetch
 // cached parts of the prompt. Either may be nil.
 func (x *exchange) chooseFor(step retry.Step) (to, source *roster.Entry) {
--- /dev/null
+++ b/gateway/exchange_test.go
@@ -0,0 +1,194 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"gotest.tools/v3/assert"
+
+	"github.com/ryeford/ryeford"
+	"github.com/ryeford/ryeford/gateway/catalog"
+	"github.com/ryeford/ryeford/gateway/endpoint"
+	"github.com/ryeford/ryeford/internal/telemetry"
+	"github.com/ryeford/ryeford/platform"
+	"github.com/ryeford/ryeford/retry"
+	"github.com/ryeford/ryeford/standin/appserver"
+)
+
+// An exchangeTest is an exchange of a keyed request, of service s, whose endpoints are
+// the test's own. Its request came now and its caller waits for four seconds, as does
+// the route.
+type exchangeTest struct {
+	t             testing.TB
+	forwarder     *forwarder
+	configuration *ryeford.Configuration
+	request       *request
+	retries       retry.WindowLimits
+	log           strings.Builder
+}
+
+// newExchangeTest returns an exchangeTest without endpoints, in which nothing keeps the
+// request from being sent.
+func newExchangeTest(t testing.TB) *exchangeTest {
+	e := &exchangeTest{t: t, retries: retry.WindowLimits{Span: time.Second, Reserve: 100}}
+	e.configuration = &ryeford.Configuration{
+		Version:  1,
+		Accounts: []ryeford.AccountRule{{Account: "bank", Keys: []string{"key"}}},
+		Routes: []ryeford.RouteRule{{
+			Name: "keyed", Host: "host", Prefix: "/keyed/", Kind: ryeford.RouteIdempotent, MaxAttempts: 2,
+			Timeout: 4 * time.Second, Split: []ryeford.WeightedService{{Service: "s", Weight: 1}},
+		}},
+	}
+	balancer := newTestBalancer(time.Now())
+	balancer.roster.Apply(time.Now(), &ryeford.EndpointUpdate{Snapshot: true, Revision: 1}, false)
+	e.forwarder = &forwarder{
+		protocol:      platform.Protocol{},
+		configuration: newConfiguration(configurationOptions{term: time.Minute}),
+		balancer:      balancer,
+		roster:        balancer.roster,
+		detector:      balancer.detector,
+		pool:          endpoint.New(platform.Protocol{}),
+		loads:         balancer.loads,
+		prefixes:      balancer.prefixes,
+		peers:         balancer.peers,
+		minSharers:    1,
+		durations:     newDurations(),
+		fastest:       newFastest(),
+		refusals:      newRefusals(),
+		log:           log.NewLogfmtLogger(&e.log),
+		metrics:       telemetry.NewSet(),
+	}
+	e.forwarder.configuration.lease.RenewRead(time.Now(), time.Now(), 0)
+	e.forwarder.configuration.inForce.Put(catalog.New(e.configuration))
+	e.request = &request{
+		meta:    &ryeford.RequestMeta{ID: "r1", Key: "key", Timeout: 4 * time.Second},
+		arrived: time.Now(),
+		catalog: e.forwarder.configuration.current(),
+	}
+	e.request.rule = e.request.catalog.Route("host", "/keyed/a")
+	e.request.account = e.request.catalog.Account("key")
+	e.request.setDeadline()
+	e.request.setService()
+	return e
+}
+
+// setEndpoints lists endpoints by their addresses; they are named e1, e2 and so on.
+func (e *exchangeTest) setEndpoints(addresses ...string) {
+	update := &ryeford.EndpointUpdate{Snapshot: true, Revision: 2}
+	for i, address := range addresses {
+		update.Present = append(update.Present, ryeford.Endpoint{
+			ID: ryeford.EndpointID("e" + strconv.Itoa(i+1)), Service: "s", Slots: 8, Address: netip.MustParseAddrPort(address),
+		})
+	}
+	e.forwarder.roster.Apply(time.Now(), update, false)
+}
+
+// serve returns the response to the request.
+func (e *exchangeTest) serve() *httptest.ResponseRecorder {
+	e.request.budget = retry.NewWindow(time.Now(), e.retries)
+	r := httptest.NewRequest(http.MethodGet, "/keyed/a", nil)
+	r.Host = "host"
+	w := httptest.NewRecorder()
+	ctx, cancel := context.WithDeadline(context.Background(), e.request.deadline)
+	defer cancel()
+	e.forwarder.newExchange(e.request, r, w).serve(ctx)
+	return w
+}
+
+// sends returns how many attempts began.
+func (e *exchangeTest) sends() int { return strings.Count(e.log.String(), "decision=send ") }
+
+// revokeKey puts a configuration in force that lacks the request's key.
+func (e *exchangeTest) revokeKey() {
+	next := *e.configuration
+	next.Version, next.Accounts = 2, []ryeford.AccountRule{}
+	e.forwarder.configuration.inForce.Put(catalog.New(&next))
+}
+
+// removeRoute puts a configuration in force that lacks the request's route.
+func (e *exchangeTest) removeRoute() {
+	next := *e.configuration
+	next.Version, next.Routes = 2, nil
+	e.forwarder.configuration.inForce.Put(catalog.New(&next))
+}
+
+// startEndpoint starts an endpoint, before whose responses change is called, and returns
+// its address.
+func startEndpoint(t testing.TB, server *appserver.Server, change func()) string {
+	httpServer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		change()
+		server.ServeHTTP(w, r)
+	}))
+	t.Cleanup(httpServer.Close)
+	return strings.TrimPrefix(httpServer.URL, "http://")
+}
+
+// TestUnservable checks that a request that can't be served any more is answered at once:
+// nothing is sent for it, and the answer promises that it has not run.
+func TestUnservable(t *testing.T) {
+	for _, row := range []struct {
+		rule   string
+		change func(*exchangeTest)
+		status int
+		reason string
+		again  bool // a return makes sense
+	}{
+		{"the deadline has passed", func(e *exchangeTest) { e.request.deadline = time.Now().Add(-time.Millisecond) }, 503, "deadline", true},
+		{"its caller's deadline has passed too", func(e *exchangeTest) {
+			e.request.arrived = time.Now().Add(-time.Minute)
+			e.request.deadline = time.Now().Add(-time.Millisecond)
+		}, 503, "deadline", false},
+		{"no endpoint was ever so fast", func(e *exchangeTest) { e.forwarder.fastest.observe(time.Now(), "s", time.Hour) }, 503, "deadline", true},
+		{"the key was revoked while it waited", (*exchangeTest).revokeKey, 401, "key_taken", false},
+		{"the route was removed while it waited", (*exchangeTest).removeRoute, 404, "route_removed", false},
+		{"the configuration went stale while it waited", func(e *exchangeTest) {
+			e.forwarder.configuration = newConfiguration(configurationOptions{})
+			e.forwarder.configuration.inForce.Put(e.request.catalog)
+		}, 503, "stale_configuration", true},
+		{"all endpoints are gone", func(e *exchangeTest) { e.setEndpoints() }, 503, "no_candidate", true},
+	} {
+		t.Run(row.rule, func(t *testing.T) {
+			e := newExchangeTest(t)
+			e.setEndpoints(startEndpoint(t, &appserver.Server{ID: "e1"}, func() {}))
+			row.change(e)
+			w := e.serve()
+			assert.Equal(t, w.Code, row.status)
+			assert.Equal(t, w.Header().Get("Retry-After") != "", row.again)
+			assert.Equal(t, e.sends(), 0)
+			assert.Assert(t, strings.Contains(e.log.String(), "reason="+row.reason+" "), e.log.String())
+		})
+	}
+}
+
+// TestUnservableBetweenAttempts checks that a request whose key is revoked, or whose route
+// is removed, during an attempt that an endpoint refuses is sent nowhere else.
+func TestUnservableBetweenAttempts(t *testing.T) {
+	for name, row := range map[string]struct {
+		change func(*exchangeTest)
+		status int
+	}{
+		"key":   {(*exchangeTest).revokeKey, 401},
+		"route": {(*exchangeTest).removeRoute, 404},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := newExchangeTest(t)
+			var addresses []string
+			for i := range 2 {
+				server := &appserver.Server{ID: fmt.Sprintf("e%d", i+1)}
+				server.SetFault(appserver.FaultShed, -1)
+				addresses = append(addresses, startEndpoint(t, server, func() { row.change(e) }))
+			}
+			e.setEndpoints(addresses...)
+			assert.Equal(t, e.serve().Code, row.status)
+			assert.Equal(t, e.sends(), 1)
+		})
+	}
+}
--- a/gateway/forwarder.go
+++ b/gateway/forwarder.go
@@ -31,6 +31,7 @@
 	peers         *peers.Table
 	minSharers    int // of the retry budget's reserve, from the settings
 	durations     *durations
+	fastest       *fastest
 	refusals      *refusals
 	log           log.Logger
 	metrics       *telemetry.Set
--- a/gateway/giveup/giveup.go
+++ b/gateway/giveup/giveup.go
@@ -22,7 +22,7 @@
 )
 
 // NotRun returns the error of a request that has not run for a reason, with the time
-// after which a return makes sense.
+// after which a return makes sense. It is zero if none does.
 func NotRun(reason ryeford.Reason) *ryeford.NotRunError {
 	return &ryeford.NotRunError{Reason: reason, RetryAfter: returnAfter(reason)}
 }
@@ -109,11 +109,24 @@
 	case errors.As(err, &mayHaveRun):
 		return http.StatusBadGateway
 	case errors.As(err, &notRun):
-		return http.StatusServiceUnavailable
+		return notRunStatus(notRun.Reason)
 	}
 	return http.StatusBadGateway
 }
 
+// notRunStatus returns the HTTP status of a request that has not run. If the
+// configuration no longer allows it, the caller is told what it would be told if it
+// came back.
+func notRunStatus(reason ryeford.Reason) int {
+	switch reason {
+	case ryeford.ReasonKeyRevoked:
+		return http.StatusUnauthorized
+	case ryeford.ReasonRouteRemoved:
+		return http.StatusNotFound
+	}
+	return http.StatusServiceUnavailable
+}
+
 // reasonOf returns the code of a failure.
 func reasonOf(err error) string {
 	var input *ryeford.InputError
--- a/gateway/giveup/retryafter.go
+++ b/gateway/giveup/retryafter.go
@@ -38,7 +38,8 @@
 	fewAnswers = 4
 )
 
-// returnAfter returns the time after which a return makes sense.
+// returnAfter returns the time after which a return makes sense, or zero if the
+// configuration no longer allows the request.
 func returnAfter(reason ryeford.Reason) time.Duration {
 	switch reason {
 	case ryeford.ReasonNotReady:
@@ -47,6 +48,8 @@
 		return retryNoEndpoint
 	case ryeford.ReasonLeaving:
 		return retryElsewhere
+	case ryeford.ReasonKeyRevoked, ryeford.ReasonRouteRemoved:
+		return 0
 	}
 	return retryLoaded
 }
--- a/gateway/wiring.go
+++ b/gateway/wiring.go
@@ -99,6 +99,7 @@
 		minSharers:    s.Routing.Routers,
 		durations:     durations,
 		refusals:      newRefusals(),
+		fastest:       newFastest(),
 		log:           g.log,
 		metrics:       g.metrics,
 	}
--- a/reason.go
+++ b/reason.go
@@ -21,6 +21,7 @@
 const (
 	ReasonStaleConfiguration Reason = "stale_configuration" // the configuration may be out of date
 	ReasonKeyRevoked         Reason = "key_taken"           // the key was revoked after the request came (codes never change)
+	ReasonRouteRemoved       Reason = "route_removed"       // the route was removed after the request came
 )
 
 // The reasons of the fleet with agents.
