fix: one attempt, not four, where no endpoint takes connections

With all endpoints of a service known to take no connection, each request still walked to four of them, up to 400 ms each where a VM is gone, before it was answered 503: 1.6 s of its caller's time, in which it could have come back.

Ruled out: no attempt at all. An endpoint that is full refuses connections as well and serves on those it has, so "unreachable" is no proof; one attempt also finds an endpoint that is back before its ejection ends. Endpoints that are ejected for their failures stay the last resort (docs/decisions.md, Choose an endpoint).

Change: the outlier detector tells endpoints that one event has proved unusable, no connection or another's address, from those that fail (Detector.Unusable). After an attempt that was not sent no unusable endpoint is tried (retry.History.Tries).

Tests: TestUnusableEndpoints fails without the rule (3 sends in place of 1), TestTries, TestUnusable; the latter takes over what TestEjectedFor of package outlier checked.

--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -18,12 +18,21 @@
 		query.shared = q.sharedParts()
 	}
 	selected := x.forwarder.balancer.choose(time.Now(), &query)
+	for selected.to != nil && !x.tries(selected.to) {
+		x.tried[selected.to.ID] = true
+		selected = x.forwarder.balancer.choose(time.Now(), &query)
+	}
 	if selected.to != nil {
 		x.logChoice(&selected)
 	}
 	return selected.to, selected.source
 }
 
+// tries reports whether an attempt may go to an endpoint.
+func (x *exchange) tries(to *roster.Entry) bool {
+	return x.history.Tries(x.forwarder.detector.Unusable(time.Now(), to.ID))
+}
+
 // logChoice logs where an attempt goes and why.
 func (x *exchange) logChoice(s *selection) {
 	f, q := x.forwarder, x.request
--- a/gateway/exchange_test.go
+++ b/gateway/exchange_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -120,6 +121,14 @@
 	e.forwarder.configuration.inForce.Put(catalog.New(&next))
 }
 
+// closedPort returns an address that accepts no connection.
+func closedPort(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	assert.NilError(t, listener.Close())
+	return listener.Addr().String()
+}
+
 // startEndpoint starts an endpoint, before whose responses change is called, and returns
 // its address.
 func startEndpoint(t testing.TB, server *appserver.Server, change func()) string {
@@ -192,3 +201,22 @@
 		})
 	}
 }
+
+// TestUnusableEndpoints checks that a request walks to all endpoints that can't be
+// reached only if that is not known of them; else one attempt is made, in case one is
+// back. Its caller comes back when an ejection ends, if it still waits then.
+func TestUnusableEndpoints(t *testing.T) {
+	e := newExchangeTest(t)
+	e.setEndpoints(closedPort(t), closedPort(t), closedPort(t))
+	assert.Equal(t, e.serve().Code, 503)
+	assert.Equal(t, e.sends(), 3, "not known yet")
+	e.log.Reset()
+	e.request.meta.Timeout = time.Minute
+	w := e.serve()
+	assert.Equal(t, w.Code, 503)
+	assert.Equal(t, e.sends(), 1, "known")
+	seconds, err := strconv.ParseFloat(w.Header().Get("Retry-After"), 64)
+	assert.NilError(t, err)
+	ejected := e.forwarder.balancer.ejectedFor(time.Now(), "s")
+	assert.Assert(t, time.Duration(seconds*float64(time.Second)) >= ejected-time.Millisecond, "%v, ejected for %v", seconds, ejected)
+}
--- a/gateway/outlier/outlier.go
+++ b/gateway/outlier/outlier.go
@@ -27,6 +27,7 @@
 	record
 	ejections    int // in succession; each makes the next longer
 	until        time.Time
+	unusable     bool                 // until then, as one event proved; no response has come since
 	lastResponse time.Time            // when it last began a response
 	waiting      map[uint64]time.Time // when each request was sent that has no response yet
 	lastAttempt  uint64
@@ -79,6 +80,7 @@
 	s.decay(now, d.limits.HalfLife)
 	s.responses++
 	s.consecutive = 0
+	s.unusable = false
 	if s.ejections > 0 && now.After(s.until.Add(d.limits.MaxEjection)) {
 		s.ejections = 0
 	}
@@ -97,16 +99,19 @@
 	if now.Before(s.until) || !d.limits.ejects(&s.record) {
 		return
 	}
+	s.unusable = false
 	s.until = now.Add(d.limits.term(s.ejections))
 	s.ejections++
 	s.consecutive, s.responses, s.failures = 0, 0, 0
 }
 
-// Eject ejects an endpoint for at least a term, whatever its record.
+// Eject ejects an endpoint for at least a term, whatever its record: one event has
+// proved it unusable.
 func (d *Detector) Eject(now time.Time, id ryeford.EndpointID, term time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	s := d.get(id)
+	s.unusable = true
 	if until := now.Add(term); until.After(s.until) {
 		s.until = until
 	}
@@ -131,6 +136,15 @@
 	return true
 }
 
+// Unusable reports whether an endpoint is ejected because one event has proved it
+// unusable: it accepts no connection, or its address is another's.
+func (d *Detector) Unusable(now time.Time, id ryeford.EndpointID) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := d.states[id]
+	return s != nil && s.unusable && now.Before(s.until)
+}
+
 // EjectedFor returns for how long an endpoint is still ejected; zero if it is not.
 func (d *Detector) EjectedFor(now time.Time, id ryeford.EndpointID) time.Duration {
 	d.mu.Lock()
--- a/gateway/outlier/outlier_test.go
+++ b/gateway/outlier/outlier_test.go
@@ -64,12 +64,23 @@
 	assert.Assert(t, d.Healthy(now, "a"))
 }
 
-// TestEjectedFor checks for how long an endpoint is still ejected.
-func TestEjectedFor(t *testing.T) {
+// TestUnusable checks that an endpoint is unusable after an event that proves it, until
+// its ejection ends or it responds, and not when its failures eject it.
+func TestUnusable(t *testing.T) {
 	now := time.Unix(1000, 0)
 	d := New(limits)
+	assert.Assert(t, !d.Unusable(now, "a"))
 	assert.Equal(t, d.EjectedFor(now, "a"), time.Duration(0))
 	d.Eject(now, "a", 3*time.Second)
+	assert.Assert(t, d.Unusable(now.Add(2*time.Second), "a"))
 	assert.Equal(t, d.EjectedFor(now.Add(2*time.Second), "a"), time.Second)
+	assert.Assert(t, !d.Unusable(now.Add(3*time.Second), "a"), "the ejection is over")
 	assert.Equal(t, d.EjectedFor(now.Add(4*time.Second), "a"), time.Duration(0))
+	d.Succeeded(now.Add(2*time.Second), "a")
+	assert.Assert(t, !d.Unusable(now.Add(2*time.Second), "a"), "it has responded")
+	for range limits.ConsecutiveFailures {
+		d.Failed(now, "b")
+	}
+	assert.Assert(t, !d.Healthy(now, "b") && !d.Unusable(now, "b"), "it fails, but may serve")
+	assert.Equal(t, d.EjectedFor(now, "b"), limits.BaseEjection)
 }
--- a/retry/policy.go
+++ b/retry/policy.go
@@ -138,6 +138,13 @@
 	return Step{Again: true, Budgeted: true, AllowTried: allowTried}
 }
 
+// Tries reports whether an attempt may go to an endpoint. Unusable says that a moment ago
+// it took no connection, or answered for another endpoint; such a one is chosen only if
+// no other is left, and is tried once in case it is back. After an attempt that was not
+// sent it isn't, since each costs the caller up to the time to connect, which it has
+// then no longer for a return.
+func (h History) Tries(unusable bool) bool { return !unusable || h.Unsent == 0 }
+
 // PerTryTimeout returns how long the next attempt may wait for the first event of a
 // stream, or for the whole of any other response, before the request is sent to
 // another endpoint, and false if it may wait until the request's deadline. A slow
--- a/retry/policy_test.go
+++ b/retry/policy_test.go
@@ -49,6 +49,25 @@
 	}
 }
 
+// TestTries checks that an endpoint that is known to be unusable is tried, but not after
+// another one could not be reached.
+func TestTries(t *testing.T) {
+	for _, row := range []struct {
+		rule     string
+		history  History
+		unusable bool
+		want     bool
+	}{
+		{"usable", History{}, false, true},
+		{"usable, after others could not be reached", History{Unsent: 2}, false, true},
+		{"unusable, but there is no other: once", History{}, true, true},
+		{"unusable, after one that refused the request", History{Sent: 1}, true, true},
+		{"unusable, after one that could not be reached", History{Unsent: 1}, true, false},
+	} {
+		assert.Equal(t, row.history.Tries(row.unusable), row.want, row.rule)
+	}
+}
+
 // TestEnds checks what each end proves, and its code in logs and metrics.
 func TestEnds(t *testing.T) {
 	for _, row := range []struct {
