fix: a late attempt is given up only if the retry budget has another one

The per-try timeout gave an attempt up first and asked the retry budget afterwards. With the budget used up, as in an overload, the endpoint's work was thrown away and the caller got 502, though its response might still have come.

Ruled out: to reserve a retry for each attempt as it begins, which would use the budget up with attempts that are not late.

Change: the timeout takes the retry itself; without one the attempt goes on until the deadline. If the timeout and the response meet, a retry may be taken for nothing: the bound holds.

Tests: TestLateWithoutBudget: 502 before, 200 now.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -21,6 +21,7 @@
 	x.tried[to.ID] = true
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	defer func() { x.paid = timedOut(attemptCtx) }()
 	stopTimer := x.startPerTryTimeout(cancel)
 	defer stopTimer()
 	sent := time.Now()
@@ -45,13 +46,18 @@
 }
 
 // startPerTryTimeout starts the attempt's timeout, if it has one, and returns what stops
-// it.
+// it. An attempt is given up only if the retry budget has the retry that follows: without
+// one the endpoint's late response is the only one that can come.
 func (x *exchange) startPerTryTimeout(cancel context.CancelCauseFunc) (stop func()) {
 	timeout, ok := x.policy.PerTryTimeout(x.history.Sent)
 	if !ok {
 		return func() {}
 	}
-	timer := time.AfterFunc(timeout, func() { cancel(&perTryTimeoutError{}) })
+	timer := time.AfterFunc(timeout, func() {
+		if x.takeRetry() {
+			cancel(&perTryTimeoutError{})
+		}
+	})
 	return func() { timer.Stop() }
 }
 
@@ -196,5 +202,11 @@
 // response came in time.
 type perTryTimeoutError struct{}
 
+// timedOut reports whether the per-try timeout ended an attempt.
+func timedOut(attemptCtx context.Context) bool {
+	var timeout *perTryTimeoutError
+	return errors.As(context.Cause(attemptCtx), &timeout)
+}
+
 // Error returns the text of e.
 func (*perTryTimeoutError) Error() string { return "no response within the per-try timeout" }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -26,6 +26,7 @@
 
 	tried      map[ryeford.EndpointID]bool // endpoints that are not chosen again
 	history    retry.History
+	paid       bool  // the retry after the last attempt was taken from the budget
 	mayHaveRun bool  // at any endpoint
 	last       error // how the last attempt ended
 }
@@ -81,7 +82,7 @@
 		x.history.Unsent++
 	}
 	step := x.policy.Next(end, x.history, over)
-	if step.Budgeted && !x.takeRetry() {
+	if step.Budgeted && !x.paid && !x.takeRetry() {
 		return retry.Step{}
 	}
 	return step
--- a/gateway/exchange_test.go
+++ b/gateway/exchange_test.go
@@ -20,6 +20,7 @@
 	"github.com/ryeford/ryeford/gateway/endpoint"
 	"github.com/ryeford/ryeford/internal/telemetry"
 	"github.com/ryeford/ryeford/platform"
+	"github.com/ryeford/ryeford/platform/wire"
 	"github.com/ryeford/ryeford/retry"
 	"github.com/ryeford/ryeford/standin/appserver"
 )
@@ -220,3 +221,31 @@
 	ejected := e.forwarder.balancer.ejectedFor(time.Now(), "s")
 	assert.Assert(t, time.Duration(seconds*float64(time.Second)) >= ejected-time.Millisecond, "%v, ejected for %v", seconds, ejected)
 }
+
+// TestLateWithoutBudget checks that an attempt that is late is not given up if the retry
+// budget allows no other one: its response is the only one that can come.
+func TestLateWithoutBudget(t *testing.T) {
+	for name, row := range map[string]struct {
+		reserve float64
+		runs    int // at both endpoints
+	}{
+		"without budget": {0, 1},
+		"with budget":    {100, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := newExchangeTest(t)
+			e.retries.Reserve = row.reserve
+			e.request.rule.Goal = 20 * time.Millisecond
+			servers := []*appserver.Server{{ID: "e1"}, {ID: "e2"}}
+			var addresses []string
+			for _, server := range servers {
+				addresses = append(addresses, startEndpoint(t, server, func() { time.Sleep(300 * time.Millisecond) }))
+			}
+			e.setEndpoints(addresses...)
+			w := e.serve()
+			assert.Equal(t, w.Code, 200)
+			assert.Equal(t, e.sends(), row.runs)
+			assert.Equal(t, w.Header().Get(wire.HeaderRequestID), "r1")
+		})
+	}
+}
