fix: a body and the first read are awaited no longer than the caller waits

A body was awaited for 15 s, whatever the time that its caller stated; the memory for it was taken all the while, and others got 503 for want of it. A request that came in the router's first moments waited for start_patience, also past its own deadline.

Ruled out: to answer before the body is read if route or key are unknown. net/http reads the rest of a body before it answers, unless the connection is closed, which costs the caller one.

Change: admit.BodyTimeout is the caller's time, 15 s at most. admit.StartWait is half of the caller's time at most: the rest is for a return, here or at another router.

Tests: TestSlowBody fails before (no answer in 8 s), TestBodyTimeout; TestStartWait and TestAwaitLearned have new rows, and pass a caller without a limit where they had none.

Figures, from the rule: a caller of 100 ms whose body doesn't come, 15 s -> 0.1 s; a caller of 200 ms at a router that reads nothing, 500 -> 100 ms. Half is not measured.

--- a/gateway/admit/admit.go
+++ b/gateway/admit/admit.go
@@ -104,15 +104,21 @@
 	return nil
 }
 
+// startWaitShare is the part of a caller's remaining time for which its request may
+// wait for a router that has just started: the rest is for a return, to this router or
+// another. Not measured.
+const startWaitShare = 0.5
+
 // StartWait returns how long a request may wait for the first configuration and the
-// first list of endpoints: until patience has passed since the process started. Zero or
-// less means that it may not wait.
+// first list of endpoints: until patience has passed since the process started, but no
+// longer than a part of the time for which its caller still waits. Zero or less means
+// that it may not wait.
 //
 // When a whole fleet starts at once, all callers come back as soon as the routers listen
 // again, some 30 ms before the configuration is read (commit 7ad34e2, incident
 // inc-762f: 14 requests refused in the worst window before, none after). Later on, a
 // router that knows nothing refuses at once, so that requests are not held through an
 // outage of the store.
-func StartWait(sinceStart, patience time.Duration) time.Duration {
-	return patience - sinceStart
+func StartWait(sinceStart, patience, left time.Duration) time.Duration {
+	return min(patience-sinceStart, time.Duration(startWaitShare*float64(left)))
 }
--- a/gateway/admit/admit_test.go
+++ b/gateway/admit/admit_test.go
@@ -128,11 +128,20 @@
 	assert.Equal(t, failureOf(t, BodyFailure(errors.New("reset"))), failure{status: 400})
 }
 
-// TestStartWait checks for how long requests of a router that has just started wait.
+// TestBodyTimeout checks for how long a body is awaited: no longer than its caller waits.
+func TestBodyTimeout(t *testing.T) {
+	assert.Equal(t, BodyTimeout(time.Second), time.Second)
+	assert.Equal(t, BodyTimeout(giveup.NoLimit), 15*time.Second)
+}
+
+// TestStartWait checks for how long requests of a router that has just started wait: no
+// longer than half of the time that their callers wait.
 func TestStartWait(t *testing.T) {
 	const patience = 500 * time.Millisecond
-	assert.Equal(t, StartWait(0, patience), patience)
-	assert.Equal(t, StartWait(400*time.Millisecond, patience), 100*time.Millisecond)
-	assert.Assert(t, StartWait(patience, patience) <= 0, "the patience is over")
-	assert.Assert(t, StartWait(time.Hour, patience) <= 0)
+	assert.Equal(t, StartWait(0, patience, giveup.NoLimit), patience)
+	assert.Equal(t, StartWait(400*time.Millisecond, patience, giveup.NoLimit), 100*time.Millisecond)
+	assert.Assert(t, StartWait(patience, patience, giveup.NoLimit) <= 0, "the patience is over")
+	assert.Assert(t, StartWait(time.Hour, patience, giveup.NoLimit) <= 0)
+	assert.Equal(t, StartWait(0, patience, 200*time.Millisecond), 100*time.Millisecond, "the rest is for a return")
+	assert.Assert(t, StartWait(0, patience, -1) <= 0, "the caller has given up")
 }
--- a/gateway/admit/body.go
+++ b/gateway/admit/body.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// BodyTimeout is how long a caller may take to send its body. Not measured.
-	BodyTimeout = 15 * time.Second
+	// maxBodyTimeout is how long a caller may take to send its body. Not measured.
+	maxBodyTimeout = 15 * time.Second
 	// defaultMaxBody bounds a body, in bytes, until a configuration that says more is
 	// known. Not measured.
 	defaultMaxBody = 4 << 20
@@ -34,6 +34,10 @@
 	return defaultMaxBody
 }
 
+// BodyTimeout returns how long a caller may take to send the rest of its body, given for
+// how long it waits for the response: what comes later helps nobody.
+func BodyTimeout(left time.Duration) time.Duration { return min(maxBodyTimeout, left) }
+
 // BodySize returns how many bytes are reserved for a body before it is read, given
 // its Content-Length, or -1 if that is not known.
 func BodySize(contentLength, maxBody int64) int64 {
--- a/gateway/callers_test.go
+++ b/gateway/callers_test.go
@@ -110,6 +110,23 @@
 	}
 }
 
+// TestSlowBody checks that a body is awaited no longer than its caller waits for the
+// response: the memory for it is then free again.
+func TestSlowBody(t *testing.T) {
+	const limit = 8 * time.Second // shorter than the time for a body whose caller waits for long
+	f := startedFixture(t, nil)
+	conn, err := net.Dial("tcp", strings.TrimPrefix(f.base, "http://"))
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "POST /once/a HTTP/1.1\r\nHost: host.example\r\nRyeford-Request-Id: s1\r\n"+
+		"Authorization: Bearer key-1\r\nRyeford-Deadline-Ms: 100\r\nContent-Length: 10\r\n\r\nhalf")
+	assert.NilError(t, err)
+	assert.NilError(t, conn.SetReadDeadline(time.Now().Add(limit)))
+	line, err := bufio.NewReader(conn).ReadString('\n')
+	assert.NilError(t, err, "the body is still awaited")
+	assert.Assert(t, strings.HasPrefix(line, "HTTP/1.1 400"), line)
+}
+
 // TestCallerGone checks that an endpoint's work ends once its caller has gone.
 func TestCallerGone(t *testing.T) {
 	f := startedFixture(t, nil)
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -47,14 +47,14 @@
 		h.refuse(w, r, q, err)
 		return
 	}
-	body, release, err := h.readBody(w, r)
+	body, release, err := h.readBody(w, r, q)
 	if err != nil {
 		h.lookUp(r, q)
 		h.refuse(w, r, q, err)
 		return
 	}
 	defer release()
-	h.initialSync.await(r.Context())
+	h.initialSync.await(r.Context(), q.callerLeft())
 	if err := h.admit(r, q); err != nil {
 		h.refuse(w, r, q, err)
 		return
@@ -66,9 +66,9 @@
 	h.forwarder.newExchange(q, r, w).serve(ctx)
 }
 
-// readBody reads a request's body whole. The returned function gives back the part of
+// readBody reads a request's body whole, as long as its caller waits for a response. The returned function gives back the part of
 // the memory for bodies that it took.
-func (h *handler) readBody(w http.ResponseWriter, r *http.Request) ([]byte, func(), error) {
+func (h *handler) readBody(w http.ResponseWriter, r *http.Request, q *request) ([]byte, func(), error) {
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil, func() {}, nil
 	}
@@ -81,7 +81,7 @@
 	control := http.NewResponseController(w)
 	// An error of setting a deadline means that the connection is closed already, which
 	// reading it shows.
-	_ = control.SetReadDeadline(time.Now().Add(admit.BodyTimeout))
+	_ = control.SetReadDeadline(time.Now().Add(admit.BodyTimeout(q.callerLeft())))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
 	if err != nil {
 		release()
--- a/gateway/initialsync.go
+++ b/gateway/initialsync.go
@@ -26,14 +26,15 @@
 // complete lets all requests go on. It may be called again.
 func (s *initialSync) complete() { s.once.Do(func() { close(s.done) }) }
 
-// await waits until the sync is complete, ctx ends or the wait is over.
-func (s *initialSync) await(ctx context.Context) {
+// await waits until the sync is complete, ctx ends or the wait is over. left is for how
+// long the caller still waits for a response.
+func (s *initialSync) await(ctx context.Context, left time.Duration) {
 	select {
 	case <-s.done:
 		return
 	default:
 	}
-	wait := admit.StartWait(time.Since(s.started), s.patience)
+	wait := admit.StartWait(time.Since(s.started), s.patience, left)
 	if wait <= 0 {
 		return
 	}
--- a/gateway/initialsync_test.go
+++ b/gateway/initialsync_test.go
@@ -7,10 +7,13 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/ryeford/ryeford/gateway/giveup"
 )
 
 // TestAwaitLearned checks that requests of a router that has just started wait until its
-// initial sync is complete, until its patience ends, or until their callers are gone.
+// initial sync is complete, until its patience or half of their callers' ends, or until
+// their callers are gone.
 func TestAwaitLearned(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const patience = time.Second
@@ -21,22 +24,26 @@
 			s.complete()
 			s.complete()
 		}()
-		s.await(t.Context())
+		s.await(t.Context(), giveup.NoLimit)
 		assert.Equal(t, time.Since(began), patience/4)
-		s.await(t.Context())
+		s.await(t.Context(), giveup.NoLimit)
 		assert.Equal(t, time.Since(began), patience/4, "already complete")
 
 		never := newInitialSync(patience)
 		began = time.Now()
-		never.await(t.Context())
+		never.await(t.Context(), giveup.NoLimit)
 		assert.Equal(t, time.Since(began), patience)
-		never.await(t.Context())
+		never.await(t.Context(), giveup.NoLimit)
 		assert.Equal(t, time.Since(began), patience, "the patience is over")
 
+		began = time.Now()
+		newInitialSync(patience).await(t.Context(), patience)
+		assert.Equal(t, time.Since(began), patience/2, "the rest of the caller's time is for a return")
+
 		gone, cancel := context.WithCancel(t.Context())
 		cancel()
 		began = time.Now()
-		newInitialSync(patience).await(gone)
+		newInitialSync(patience).await(gone, giveup.NoLimit)
 		assert.Equal(t, time.Since(began), time.Duration(0), "the caller is gone")
 	})
 }
