--- a/gateway/admit/admit.go
+++ b/gateway/admit/admit.go
@@ -62,11 +62,13 @@
 	return nil
 }
 
-// A Sending is what a router knows right before the first byte of a request is sent
-// to an endpoint, some time after it was admitted.
+// A Sending is what a router knows before an attempt begins, and again right before the
+// first byte of the request is sent to an endpoint, some time after it was admitted.
 type Sending struct {
 	// EndpointServes says that the endpoint still takes requests.
 	EndpointServes bool
+	// RouteFound says that the configuration still has a route for the request.
+	RouteFound bool
 	// NeedsKey says that the request was admitted for its key.
 	NeedsKey bool
 	// Reliable is as in State.
@@ -82,6 +84,10 @@
 	switch {
 	case !s.EndpointServes:
 		return giveup.NotRun(ryeford.ReasonLeaving)
+	case !s.RouteFound && !s.Reliable:
+		return giveup.NotRun(ryeford.ReasonStaleConfiguration)
+	case !s.RouteFound:
+		return giveup.NotRun(ryeford.ReasonRouteRemoved)
 	case s.NeedsKey && !s.Reliable:
 		return giveup.NotRun(ryeford.ReasonStaleConfiguration)
 	case s.NeedsKey && !s.KeyFound:
@@ -90,15 +96,32 @@
 	return nil
 }
 
+// CheckTime returns why a request can't be answered in the time that it has left, or
+// nil: its deadline has passed, or no endpoint of its service has answered as fast as
+// that lately. fastest is the time of their fastest response, zero if none is known.
+// The error is a *ryeford.NotRunError.
+func CheckTime(left, fastest time.Duration) error {
+	if left <= 0 || left < fastest {
+		return giveup.NotRun(ryeford.ReasonDeadline)
+	}
+	return nil
+}
+
+// startWaitShare is the part of a caller's remaining time for which its request may
+// wait for a router that has just started: the rest is for a return, to this router or
+// another. Not measured.
+const startWaitShare = 0.5
+
 // StartWait returns how long a request may wait for the first configuration and the
-// first list of endpoints: until patience has passed since the process started. Zero or
-// less means that it may not wait.
+// first list of endpoints: until patience has passed since the process started, but no
+// longer than a part of the time for which its caller still waits. Zero or less means
+// that it may not wait.
 //
 // When a whole fleet starts at once, all callers come back as soon as the routers listen
 // again, some 30 ms before the configuration is read (commit 7ad34e2, incident
 // inc-762f: 14 requests refused in the worst window before, none after). Later on, a
 // router that knows nothing refuses at once, so that requests are not held through an
 // outage of the store.
-func StartWait(sinceStart, patience time.Duration) time.Duration {
-	return patience - sinceStart
+func StartWait(sinceStart, patience, left time.Duration) time.Duration {
+	return min(patience-sinceStart, time.Duration(startWaitShare*float64(left)))
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/ryeford/ryeford"
+	"github.com/ryeford/ryeford/gateway/admit"
 	"github.com/ryeford/ryeford/gateway/giveup"
 	"github.com/ryeford/ryeford/gateway/roster"
 	"github.com/ryeford/ryeford/retry"
@@ -25,6 +26,7 @@
 
 	tried      map[ryeford.EndpointID]bool // endpoints that are not chosen again
 	history    retry.History
+	paid       bool  // the retry after the last attempt was taken from the budget
 	mayHaveRun bool  // at any endpoint
 	last       error // how the last attempt ended
 }
@@ -54,6 +56,10 @@
 func (x *exchange) serve(ctx context.Context) {
 	step := retry.Step{Again: true}
 	for step.Again {
+		if err := x.unservable(); err != nil {
+			x.giveUp(err)
+			return
+		}
 		to, source := x.chooseFor(step)
 		if to == nil {
 			x.giveUp(giveup.NotRun(ryeford.ReasonNoCandidate))
@@ -69,6 +75,15 @@
 	x.giveUp(x.last)
 }
 
+// unservable returns why no endpoint may or can serve the request any more, or nil.
+func (x *exchange) unservable() error {
+	now, q := time.Now(), x.request
+	if err := admit.CheckSend(x.sending(now, true)); err != nil {
+		return err
+	}
+	return admit.CheckTime(q.deadline.Sub(now), x.forwarder.fastest.of(now, q.service))
+}
+
 // chooseFor chooses the endpoint of an attempt, and the endpoint from which it may fetch
 // cached parts of the prompt. Either may be nil.
 func (x *exchange) chooseFor(step retry.Step) (to, source *roster.Entry) {
@@ -88,7 +103,7 @@
 		x.history.Unsent++
 	}
 	step := x.policy.Next(end, x.history, over)
-	if step.Budgeted && !x.takeRetry() {
+	if step.Budgeted && !x.paid && !x.takeRetry() {
 		return retry.Step{}
 	}
 	return step
@@ -126,8 +141,12 @@
 
 // giveUp ends the request without a whole response of an endpoint.
 func (x *exchange) giveUp(err error) {
-	f, q := x.forwarder, x.request
-	verdict := giveup.Decide(giveup.Request{Err: err, Last: x.last, MayHaveRun: x.mayHaveRun, Begun: x.relay.begun.Load()})
+	f, q, now := x.forwarder, x.request, time.Now()
+	verdict := giveup.Decide(giveup.Request{
+		Err: err, Last: x.last, MayHaveRun: x.mayHaveRun, Begun: x.relay.begun.Load(),
+		Ejected: f.balancer.ejectedFor(now, q.service), Caller: q.caller(), Recent: f.refusals.of(now, q.service),
+	})
+	f.refusals.refused(now, q.service, &verdict)
 	f.metrics.Count("ryeford_given_up_total", verdict.Reason)
 	_ = f.log.Log("decision", "give_up", "request", q.meta.ID, "route", q.rule.Name, "account", q.accountID(), "service", q.service,
 		"sent", x.history.Sent, "unsent", x.history.Unsent, "may_have_run", x.mayHaveRun, "begun", x.relay.begun.Load(), "events", x.relay.events,
@@ -151,6 +170,7 @@
 	f, q := x.forwarder, x.request
 	took := time.Since(q.arrived)
 	f.durations.observe(q.rule, took)
+	f.refusals.answered(time.Now(), q.service)
 	f.metrics.Count("ryeford_answered_total", "")
 	f.metrics.Observe("ryeford_answer_seconds", took.Seconds())
 	_ = f.log.Log("decision", "answer", "request", q.meta.ID, "route", q.rule.Name, "endpoint", to.ID, "status", status,
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -12,6 +12,7 @@
 
 	"github.com/ryeford/ryeford"
 	"github.com/ryeford/ryeford/gateway/admit"
+	"github.com/ryeford/ryeford/gateway/catalog"
 	"github.com/ryeford/ryeford/gateway/roster"
 	"github.com/ryeford/ryeford/internal/telemetry"
 	"github.com/ryeford/ryeford/retry"
@@ -35,27 +36,27 @@
 
 // ServeHTTP implements http.Handler.
 func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	arrived := time.Now()
 	h.drain.inFlight.Add(1)
 	defer h.drain.inFlight.Add(-1)
 	if h.drain.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	meta, err := h.protocol.ParseRequest(r.Header)
-	if err != nil {
-		h.refuse(w, r, meta, arrived, err)
+	var err error
+	q := &request{arrived: time.Now()}
+	if q.meta, err = h.protocol.ParseRequest(r.Header); err != nil {
+		h.refuse(w, r, q, err)
 		return
 	}
-	body, release, err := h.readBody(w, r)
+	body, release, err := h.readBody(w, r, q)
 	if err != nil {
-		h.refuse(w, r, meta, arrived, err)
+		h.lookUp(r, q)
+		h.refuse(w, r, q, err)
 		return
 	}
 	defer release()
-	h.initialSync.await(r.Context())
-	q, err := h.admit(r, meta, arrived)
-	if err != nil {
-		h.refuse(w, r, meta, arrived, err)
+	h.initialSync.await(r.Context(), q.callerLeft())
+	if err := h.admit(r, q); err != nil {
+		h.refuse(w, r, q, err)
 		return
 	}
 	q.body = body
@@ -65,9 +66,9 @@
 	h.forwarder.newExchange(q, r, w).serveUntil(ctx, h.drain.ending)
 }
 
-// readBody reads a request's body whole. The returned function gives back the part of
-// the memory for bodies that it took.
-func (h *handler) readBody(w http.ResponseWriter, r *http.Request) ([]byte, func(), error) {
+// readBody reads a request's body whole, as long as its caller waits for a response. The
+// returned function gives back the part of the memory for bodies that it took.
+func (h *handler) readBody(w http.ResponseWriter, r *http.Request, q *request) ([]byte, func(), error) {
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil, func() {}, nil
 	}
@@ -80,7 +81,7 @@
 	control := http.NewResponseController(w)
 	// An error of setting a deadline means that the connection is closed already, which
 	// reading it shows.
-	_ = control.SetReadDeadline(time.Now().Add(admit.BodyTimeout))
+	_ = control.SetReadDeadline(time.Now().Add(admit.BodyTimeout(q.callerLeft())))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
 	if err != nil {
 		release()
@@ -98,43 +99,52 @@
 	return 0
 }
 
-// admit returns an admitted request with its route, client account and service. An
-// error says why the request is refused.
-func (h *handler) admit(r *http.Request, meta *ryeford.RequestMeta, arrived time.Time) (*request, error) {
-	q := &request{meta: meta, arrived: arrived, catalog: h.configuration.current()}
-	if err := admit.Check(h.lookUp(r, q)); err != nil {
-		return nil, err
+// admit admits a request with its route, client account and service. An error says why
+// it is refused.
+func (h *handler) admit(r *http.Request, q *request) error {
+	h.lookUp(r, q)
+	if err := admit.Check(h.state(q)); err != nil {
+		return err
 	}
 	q.setAffinity()
 	q.setService()
 	q.budget = h.budgets.Of(q.service)
-	q.budget.CountRequest(arrived)
-	return q, nil
+	q.budget.CountRequest(q.arrived)
+	return nil
+}
+
+// lookUp looks up a request's route and client account in the configuration in force.
+func (h *handler) lookUp(r *http.Request, q *request) {
+	if q.catalog = h.configuration.current(); q.catalog == nil {
+		return
+	}
+	if q.rule = findRoute(q.catalog, r); q.rule != nil && q.needsKey() {
+		q.account = q.catalog.Account(q.meta.Key)
+	}
 }
 
-// lookUp looks up a request's route, with its deadline, and its client account, and
-// returns what decides whether it is admitted.
-func (h *handler) lookUp(r *http.Request, q *request) admit.State {
+// findRoute returns the route of a request in a configuration, or nil.
+func findRoute(catalog *catalog.Catalog, r *http.Request) *ryeford.RouteRule {
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	return catalog.Route(r.Host, path)
+}
+
+// state returns what decides whether a request is admitted, and sets its deadline once its
+// route is known.
+func (h *handler) state(q *request) admit.State {
 	state := admit.State{
 		Configured: q.catalog != nil,
 		Superseded: h.configuration.superseded(time.Now()),
 		Listed:     h.roster.Known(),
 		Reliable:   h.configuration.reliable(time.Now()),
 	}
-	if q.catalog == nil {
-		return state
-	}
-	path, _, _ := strings.Cut(r.RequestURI, "?")
-	if q.rule = q.catalog.Route(r.Host, path); q.rule == nil {
+	if q.rule == nil {
 		return state
 	}
 	state.RouteFound = true
 	q.setDeadline()
 	state.NoTimeLeft = h.drain.stopping.Load() && !h.drain.leavesTimeFor(q, h.durations.slowest(q.rule))
-	if q.catalog.Keyed() && !q.rule.Public {
-		q.account = q.catalog.Account(q.meta.Key)
-		state.NeedsKey = true
-		state.KeyFound = q.account != nil
-	}
+	state.NeedsKey = q.needsKey()
+	state.KeyFound = q.account != nil
 	return state
 }
--- a/gateway/wiring.go
+++ b/gateway/wiring.go
@@ -102,6 +102,8 @@
 		peers:         g.peers,
 		minSharers:    s.Routing.Routers,
 		durations:     durations,
+		refusals:      newRefusals(),
+		fastest:       newFastest(),
 		log:           g.log,
 		metrics:       g.metrics,
 	}
