test: a store that makes calls and loses its answers

Change: rowstore.Fault has LoseAnswers. A write is made first and then held until its caller gives up; a read is held, which is the same for its caller. serveTransaction no longer writes its response under the store's lock.

Ruled out: losing the answer by closing the connection, which callers can tell from silence.

Conclusion: the other faults are unchanged.

--- a/standin/rowstore/fault.go
+++ b/standin/rowstore/fault.go
@@ -15,13 +15,17 @@
 	Silent bool `json:"silent"`
 	// Slow delays each response.
 	Slow time.Duration `json:"slow"`
+	// LoseAnswers makes each call, also a write, and never answers it.
+	LoseAnswers bool `json:"lose_answers"`
 	// DeafFeed withholds changes from calls that wait for them.
 	DeafFeed bool `json:"deaf_feed"`
 	// StaleReads answers reads as of when the fault was set.
 	StaleReads bool `json:"stale_reads"`
 }
 
-// serve applies the fault to a call, and reports whether that ended the call.
+// serve applies the fault to a call, and reports whether that ended the call. A write
+// whose answer is to be lost is made first, by serveTransaction; for a read it makes no
+// difference.
 func (f Fault) serve(w http.ResponseWriter, r *http.Request) bool {
 	if f.Slow > 0 {
 		if !clock.Sleep(r.Context(), f.Slow) {
@@ -29,7 +33,7 @@
 		}
 	}
 	switch {
-	case f.Silent:
+	case f.Silent, f.LoseAnswers && r.Method != http.MethodPost:
 		<-r.Context().Done()
 		return true
 	case f.Status != 0:
--- a/standin/rowstore/serve.go
+++ b/standin/rowstore/serve.go
@@ -109,11 +109,20 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	status, response, fault := s.transact(&transaction)
+	if fault.LoseAnswers {
+		<-r.Context().Done()
+		return
+	}
+	s.write(w, status, response)
+}
+
+// transact makes a change and returns the answer, and what was wrong with the store then.
+func (s *Store) transact(transaction *wire.Transaction) (int, *wire.RowsResponse, Fault) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if differ := s.unexpected(transaction.Expected); len(differ) > 0 {
-		s.write(w, http.StatusPreconditionFailed, &wire.RowsResponse{Rows: differ, Version: s.version})
-		return
+		return http.StatusPreconditionFailed, &wire.RowsResponse{Rows: differ, Version: s.version}, s.fault
 	}
 	for _, row := range transaction.Put {
 		s.apply(row)
@@ -123,7 +132,7 @@
 		s.apply(row)
 	}
 	s.wake()
-	s.write(w, http.StatusOK, &wire.RowsResponse{Version: s.version})
+	return http.StatusOK, &wire.RowsResponse{Version: s.version}, s.fault
 }
 
 // unexpected returns the rows whose version is not the expected one, as they are.
