test: a soak of series of faults, and two single cases

Change: - TestSoak keeps its faults, checks and seeds as basicPlan. TestSoakSeries runs seriesPlan: series of signals in a drain, stops of most gateways, stops at a slow store, freezes and changes in a drain, narrow links to the store and squeezes, a stale store and one that loses answers, configurations of 2,500 routes, gossip that is cut, lossy, late or doubled, one way or both, servers that hang, lie and vanish, and rare slow streams. Each run draws a half of the kinds. Callers stay with a connection until it is closed, rest on it, or open one for each call; the balancer uses all if fewer than half are ready. - New checks: drain, closed, unanswered, configuration, denied, and stops (a process ends within its grace period).

Changed in what was there, both stricter: gateways get GORACE=atexit_sleep_ms=0, since with -race each slept for 1 s at its end and outlasted its grace period of 6 s whenever it closed busy connections at 5.3 s; and a gateway that is killed for that excuses calls only from the kill on, no longer from SIGTERM on. "All gateways serve again" no longer ends a run before its calls are checked.

Ruled out: a proxy between peers without rewriting (a gateway tells others the address at which it listens), clocks that step (needs root; freezes stand in for jumps forward).

--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -5,9 +5,11 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -15,24 +17,32 @@
 type call struct {
 	id        string
 	route     string
+	probes    int  // the version whose own route it asks for, or zero
 	gateway   int  // its index in the fleet
 	secondKey bool // with the second client account's key
 	sent      time.Time
+	written   time.Time // when it was sent whole; zero if it was not
 	ended     time.Time
 	status    int // 0 if no answer came
 	body      string
+	closes    bool  // the answer says that the connection is closed
 	err       error // the answer broke off, or none came
 }
 
 // served reports whether the call got an answer with status 200 that looks whole.
 func (c *call) served() bool { return c.status == http.StatusOK && c.err == nil }
 
+// idempotent reports whether the call's route is: the own route of a version is, too.
+func (c *call) idempotent() bool { return c.route == routeSafe || c.probes > 0 }
+
 // callers send requests until they are stopped, and record each call.
 type callers struct {
-	fleet *fleet
-	seed  uint64
-	stop  chan struct{}
-	group sync.WaitGroup
+	fleet  *fleet
+	plan   *plan
+	newest func() int // the newest version of the configuration
+	seed   uint64
+	stop   chan struct{}
+	group  sync.WaitGroup
 
 	mu    sync.Mutex
 	calls []call
@@ -40,32 +50,47 @@
 
 const (
 	callerCount = 8
-	// callPause is the mean time between two calls of a caller.
-	callPause = 15 * time.Millisecond
 	// callTime is how long a caller waits for a call to end. It is also the deadline
 	// that the request states.
 	callTime = 4 * time.Second
 )
 
+// A habit is how a caller uses its connections.
+type habit struct {
+	// pause bounds the time between two calls.
+	pause time.Duration
+	// stays says that it stays with its gateway until its connection is closed, and
+	// chooses the next one only then.
+	stays bool
+	// reconnects says that it opens a connection for each call.
+	reconnects bool
+}
+
 // newCallers starts callers.
-func newCallers(f *fleet, seed uint64) *callers {
-	c := &callers{fleet: f, seed: seed, stop: make(chan struct{})}
+func newCallers(f *fleet, p *plan, in *injector, seed uint64) *callers {
+	c := &callers{fleet: f, plan: p, newest: in.newestVersion, seed: seed, stop: make(chan struct{})}
 	for i := range callerCount {
 		c.group.Go(func() { c.run(i) })
 	}
 	return c
 }
 
-// run is one caller. It keeps its connections, and uses them until they are closed.
+// run is one caller. It keeps its connections, and uses them until they are closed,
+// unless it has another habit.
 func (c *callers) run(number int) {
 	random := rand.New(rand.NewPCG(c.seed, uint64(number)))
-	client := &http.Client{Timeout: callTime, Transport: &http.Transport{DisableCompression: true}}
+	habit := c.plan.habits[number%len(c.plan.habits)]
+	client := &http.Client{
+		Timeout:   callTime + c.plan.answerMargin,
+		Transport: &http.Transport{DisableCompression: true, DisableKeepAlives: habit.reconnects},
+	}
 	defer client.CloseIdleConnections()
+	last := call{closes: true}
 	for n := 0; ; n++ {
 		select {
 		case <-c.stop:
 			return
-		case <-time.After(time.Duration(random.Int64N(int64(2 * callPause)))):
+		case <-time.After(time.Duration(random.Int64N(int64(habit.pause)))):
 		}
 		one := call{
 			id:        fmt.Sprintf("s%d-c%d-%d", c.seed, number, n),
@@ -73,16 +98,41 @@
 			gateway:   c.pick(random),
 			secondKey: random.IntN(2) == 0,
 		}
+		if c.plan.first.Probed {
+			c.probe(random, &one)
+		}
+		if habit.stays && !last.closes && last.err == nil {
+			one.gateway = last.gateway
+		}
 		c.fleet.send(client, &one)
+		last = one
 		c.mu.Lock()
 		c.calls = append(c.calls, one)
 		c.mu.Unlock()
 	}
 }
 
-// pick picks a gateway as the load balancer does: one that is ready, or any if none is.
+// probeShare is one in how many calls that asks for the own route of a version.
+const probeShare = 4
+
+// probe makes a call one that asks for the own route of the newest version or, in half
+// of the cases, of the one before.
+func (c *callers) probe(random *rand.Rand, one *call) {
+	if random.IntN(probeShare) > 0 {
+		return
+	}
+	one.probes = max(1, c.newest()-random.IntN(2))
+	one.route = probeRoute(one.probes)
+	one.secondKey = false
+}
+
+// pick picks a gateway as the load balancer does: one that is ready, or any if none is
+// or, for some plans, if fewer than half are.
 func (c *callers) pick(random *rand.Rand) int {
 	start := random.IntN(len(c.fleet.gateways))
+	if c.plan.halfReady && 2*c.fleet.readyGateways() < len(c.fleet.gateways) {
+		return start
+	}
 	for i := range c.fleet.gateways {
 		number := (start + i) % len(c.fleet.gateways)
 		if c.fleet.gateways[number].isReady() {
@@ -109,15 +159,27 @@
 		key = secondKey
 	}
 	request.Header.Set("Authorization", "Bearer "+key)
+	var written atomic.Pointer[time.Time] // net/http may call the trace after the answer
+	trace := &httptrace.ClientTrace{WroteRequest: func(info httptrace.WroteRequestInfo) {
+		if now := time.Now(); info.Err == nil {
+			written.Store(&now)
+		}
+	}}
+	request = request.WithContext(httptrace.WithClientTrace(request.Context(), trace))
 	one.sent = time.Now()
-	defer func() { one.ended = time.Now() }()
+	defer func() {
+		one.ended = time.Now()
+		if at := written.Load(); at != nil {
+			one.written = *at
+		}
+	}()
 	response, err := client.Do(request)
 	if err != nil {
 		one.err = err
 		return
 	}
 	defer func() { _ = response.Body.Close() }()
-	one.status = response.StatusCode
+	one.status, one.closes = response.StatusCode, response.Close
 	body, err := io.ReadAll(response.Body)
 	one.body, one.err = string(body), err
 }
--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -16,13 +16,13 @@
 	check func(c *call, seen *evidence) string
 }
 
-// checks are all checks of calls. Besides, a run fails if a gateway ends by itself
-// (keep), and if the fleet does not serve again within conditionLimit after the last
-// fault (soak).
-var checks = []check{
+// basicChecks are the checks of basicPlan. Besides, a run fails if a gateway ends by
+// itself (keep), and if the fleet does not serve again within conditionLimit after the
+// last fault (soak).
+var basicChecks = []check{
 	{"answer", "a 200 carries the whole answer to the call's own request", checkAnswer},
 	{"runs", "a request runs at most once, an idempotent one twice; one refused as not run, never", checkRuns},
-	{"key", "nothing runs whose key was revoked more than revocationBound ago", checkKey},
+	{"key", "nothing runs whose key was revoked more than bounds.revoke ago", checkKey},
 	{"stop", "a request that ran is cut off only beside a fault that may cut it", checkStop},
 }
 
@@ -31,16 +31,33 @@
 	runs    int      // how often the call's request ran, on all servers
 	changes []change // of the configuration, in their order
 	cuts    []cut
+	outages []cut // times in which gateways were out of touch
+	stops   []stop
+	bounds  bounds
+	stalls  *stallRecorder
 }
 
+// mayBeCut reports whether a fault could cut a call off although its request ran.
+func (e *evidence) mayBeCut(c *call) bool {
+	for _, cut := range e.cuts {
+		if cut.strikes(c.gateway) && c.ended.After(cut.from.Add(-cutMargin)) && c.sent.Before(cut.until.Add(cutMargin)) {
+			return true
+		}
+	}
+	return false
+}
+
+// strikes reports whether a cut is felt through a gateway.
+func (c *cut) strikes(gateway int) bool { return c.gateway == gateway || c.gateway == allGateways }
+
 // checkCalls checks all calls of a run.
 func checkCalls(t *testing.T, calls []call, runs map[string]int, in *injector) {
 	t.Helper()
-	served := 0
+	served, probes, late := 0, 0, 0
 	for i := range calls {
 		c := &calls[i]
-		seen := &evidence{runs: runs[c.id], changes: in.changes, cuts: in.cuts}
-		for _, one := range checks {
+		seen := in.evidence(runs[c.id])
+		for _, one := range in.plan.checks {
 			if problem := one.check(c, seen); problem != "" {
 				t.Errorf("%s: %s of %s at %s, sent %6.3f, ended %6.3f: %s", one.name, c.id, c.route, in.fleet.gateways[c.gateway].name,
 					c.sent.Sub(in.began).Seconds(), c.ended.Sub(in.began).Seconds(), problem)
@@ -49,8 +66,54 @@
 		if c.served() {
 			served++
 		}
+		if c.probes > 0 && c.status > 0 && seen.inTouch(c) {
+			probes++
+		}
+		if s := seen.stopOf(c); s != nil && c.sent.Sub(s.ordered) > admitTime && c.status > 0 {
+			late++
+		}
+	}
+	t.Logf("%d calls, %d served, %d judged by their version, %d late in a stop, %d gateways, %d lines of the timeline, stalls of %s",
+		len(calls), served, probes, late, len(in.fleet.gateways), len(in.timeline), in.fleet.stalls.between(in.began, time.Now()))
+}
+
+// checkStops checks that each process that was stopped has ended within its grace
+// period, unless it was frozen meanwhile or the machine stood still.
+func checkStops(t *testing.T, in *injector) {
+	t.Helper()
+	seen := in.evidence(0)
+	for i := range in.stops {
+		s := &in.stops[i]
+		if s.overdue && !seen.delayed(s) {
+			t.Errorf("stops: %s was still there %s after SIGTERM at %6.3f", in.fleet.gateways[s.gateway].name,
+				in.plan.bounds.grace, s.ordered.Sub(in.began).Seconds())
+		}
+	}
+}
+
+// delayed reports whether something else than its gateway made a stop take longer.
+func (e *evidence) delayed(s *stop) bool {
+	end := s.ordered.Add(e.bounds.grace)
+	for _, cut := range e.cuts {
+		if cut.gateway == s.gateway && cut.from.Before(end) && cut.until.After(s.ordered) {
+			return true
+		}
+	}
+	return e.stalls.between(s.ordered, end) > 0
+}
+
+// evidence returns what the checks are given besides a call whose request has run some
+// times.
+func (in *injector) evidence(runs int) *evidence {
+	return &evidence{
+		runs:    runs,
+		changes: in.changes,
+		cuts:    in.cuts,
+		outages: in.outages,
+		stops:   in.stops,
+		bounds:  in.plan.bounds,
+		stalls:  &in.fleet.stalls,
 	}
-	t.Logf("%d calls, %d served, %d gateways, %d lines of the timeline", len(calls), served, len(in.fleet.gateways), len(in.timeline))
 }
 
 // checkAnswer checks that a success is the whole answer to the call's own request: a
@@ -90,7 +153,7 @@
 // caller was told so, and at least once if it was served.
 func checkRuns(c *call, seen *evidence) string {
 	limit := 1
-	if c.route == routeSafe {
+	if c.idempotent() {
 		limit = maxAttempts
 	}
 	switch {
@@ -111,7 +174,7 @@
 		return ""
 	}
 	for i, change := range seen.changes {
-		if change.SecondKey || !c.sent.After(change.accepted.Add(revocationBound)) {
+		if change.SecondKey || !c.sent.After(change.accepted.Add(seen.bounds.revoke)) {
 			continue
 		}
 		if i+1 == len(seen.changes) || c.ended.Before(seen.changes[i+1].sent) {
@@ -131,13 +194,8 @@
 	if c.err == nil || seen.runs == 0 || c.ended.Sub(c.sent) >= callTime {
 		return "" // nothing is wrong, nothing ran, or the caller's own time was over
 	}
-	for _, cut := range seen.cuts {
-		if cut.gateway != c.gateway && cut.gateway != allGateways {
-			continue
-		}
-		if c.ended.After(cut.from.Add(-cutMargin)) && c.sent.Before(cut.until.Add(cutMargin)) {
-			return ""
-		}
+	if seen.mayBeCut(c) {
+		return ""
 	}
 	return fmt.Sprintf("cut off though nothing but stops could strike it: %v", c.err)
 }
--- a/internal/soak/configuration_test.go
+++ b/internal/soak/configuration_test.go
@@ -1,6 +1,9 @@
 package soak
 
-import "fmt"
+import (
+	"fmt"
+	"strings"
+)
 
 // The routes of the configuration, by which the checks judge.
 const (
@@ -26,10 +29,15 @@
 type configuration struct {
 	Version   int
 	SecondKey bool
+	// Probed says that it has a public route that no other version has (probeRoute).
+	Probed bool
+	// Unused is how many routes it has that no caller uses.
+	Unused int
 }
 
-// firstConfiguration is what a fleet starts with.
-var firstConfiguration = configuration{Version: 1, SecondKey: true}
+// probeRoute returns the name of the route that only one version has. The answer to a
+// request on it shows whether that version is in force.
+func probeRoute(version int) string { return fmt.Sprintf("probe-%d", version) }
 
 // content returns the configuration in the platform's JSON.
 func (c configuration) content() string {
@@ -37,12 +45,24 @@
 	if c.SecondKey {
 		accounts += fmt.Sprintf(`,{"name":"church","apiKeys":[%q]}`, secondKey)
 	}
+	var more strings.Builder
+	if c.Probed {
+		fmt.Fprintf(&more, moreRoute, probeRoute(c.Version), host, true)
+	}
+	for i := range c.Unused {
+		fmt.Fprintf(&more, moreRoute, fmt.Sprintf("unused-%d", i), host, false)
+	}
 	return fmt.Sprintf(`{"version":%[1]d,
 "routes":[
 {"name":"once","host":%[2]q,"pathPrefix":"/once/","kind":"unsafe","service":"plain","timeoutMs":3000,"goalMs":500,"priority":1,"maxAttempts":2},
 {"name":"safe","host":%[2]q,"pathPrefix":"/safe/","kind":"safe","service":"plain","timeoutMs":3000,"goalMs":500,"priority":1,"maxAttempts":%[3]d},
-{"name":"stream","host":%[2]q,"pathPrefix":"/stream/","kind":"streaming","service":"model","timeoutMs":5000,"goalMs":500,"priority":1,"maxAttempts":2}],
+{"name":"stream","host":%[2]q,"pathPrefix":"/stream/","kind":"streaming","service":"model","timeoutMs":5000,"goalMs":500,"priority":1,"maxAttempts":2}%[5]s],
 "services":[{"name":"plain"},{"name":"model","engine":{"slots":64,"kvCapacity":100000}}],
 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":65536,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
-"tenants":[%[4]s]}`, c.Version, host, maxAttempts, accounts)
+"tenants":[%[4]s]}`, c.Version, host, maxAttempts, accounts, more.String())
 }
+
+// moreRoute is the form of a further route to the plain service: its name, which is also
+// its path, its host, and whether it is public.
+const moreRoute = `,
+{"name":%[1]q,"host":%[2]q,"pathPrefix":"/%[1]s/","kind":"safe","service":"plain","timeoutMs":3000,"goalMs":500,"priority":1,"maxAttempts":2,"public":%[3]t}`
--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -4,22 +4,31 @@
 //
 // The files in the order in which to read them:
 //
-//   - soak_test.go: TestSoak, one run from its seed to its verdict;
-//   - seeds_test.go: the seeds that failed once, each with its cause;
-//   - faults_test.go: the faults, and when they strike;
-//   - checks_test.go: what must hold of each call;
-//   - callers_test.go, fleet_test.go, gateway_test.go, process_test.go, proxy_test.go:
-//     the callers and the processes;
-//   - hangup_test.go: a failure that the soak found, held by a test of its own.
+//   - soak_test.go: TestSoak and TestSoakSeries, one run from its seed to its verdict;
+//   - plan_test.go: how the runs of these two differ;
+//   - seeds_test.go: the seeds that are run each time, and why each was kept;
+//   - faults_test.go, seriesfaults_test.go: the faults, and when they strike;
+//   - checks_test.go, serieschecks_test.go: what must hold of each call;
+//   - callers_test.go, fleet_test.go, gateway_test.go, process_test.go: the callers and
+//     the processes;
+//   - proxy_test.go, byterate_test.go, peerlinks_test.go: the links that faults impair;
+//   - stalls_test.go: by how much bounds in time are extended, and why;
+//   - crowd_test.go: TestSoakCrowd, one run with many processes;
+//   - hangup_test.go, largeconfiguration_test.go, laterequest_test.go,
+//     peerlinkscheck_test.go: single cases.
 //
-// The kept seeds alone, as CI runs them:
+// The kept seeds and the single cases, as CI runs them:
 //
 //	go test ./internal/soak
 //
-// Fresh seeds too, here 50 of them:
+// Fresh seeds too, here 50 of each plan:
 //
 //	RYEFORD_SOAK_SEEDS=50 go test -timeout 60m ./internal/soak
 //
+// One run with up to 150 gateways, which takes up to half of the machine's memory:
+//
+//	RYEFORD_SOAK_CROWD=150 go test -run TestSoakCrowd ./internal/soak
+//
 // A failed run prints its seed, the calls that broke a check, and its timeline of
 // faults, and keeps the gateways' logs. The seed draws the faults, not the processes'
 // timing: a seed may have to run several times until it fails again. What it shows goes
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"syscall"
 	"time"
 
@@ -12,10 +13,11 @@
 
 // A fault is a kind of fault. It lasts until inject returns.
 type fault struct {
-	name   string
-	does   string
-	mayCut reach
-	inject func(in *injector, random *rand.Rand, gateway int)
+	name     string
+	does     string
+	mayCut   reach
+	disturbs reach // the gateways that are out of touch meanwhile: none, one, or all
+	inject   func(in *injector, random *rand.Rand, gateway int)
 }
 
 // A reach says which requests a fault may cut off although they have run.
@@ -27,28 +29,28 @@
 	anyRequest                  // those through any gateway
 )
 
-// faults are all faults. A seed draws from them by their index, so rows keep their
-// order, and are repeated if a fault is to come more often.
-var faults = []fault{
-	{"kill", "kill a gateway; it starts anew", throughGateway, (*injector).kill},
-	{"stop", "SIGTERM to a gateway, a planned stop; it starts anew", noRequest, (*injector).stop},
-	{"freeze", "SIGSTOP to a gateway, SIGCONT after up to 3 s", throughGateway, (*injector).freeze},
-	{"hangup", "SIGHUP to a gateway, which reads its settings again", noRequest, (*injector).hangup},
-	{"link", "a gateway's way to the store silent, mute one way, slow or reset, up to 3 s", noRequest, (*injector).link},
-	{"link", "the same", noRequest, (*injector).link},
-	{"store", "the store refuses, hangs, is slow, sends its feeds no changes or forgets its history, up to 3 s", noRequest, (*injector).store},
-	{"server", "a server misbehaves for 1 to 20 requests, up to 1.5 s", anyRequest, (*injector).server},
-	{"server", "the same", anyRequest, (*injector).server},
-	{"leave", "a server drains, is perhaps gone, and is back", noRequest, (*injector).leave},
-	{"configure", "the second account's key is revoked, or valid again", noRequest, (*injector).configure},
-	{"configure", "the same", noRequest, (*injector).configure},
+// basicFaults are the faults of basicPlan. A seed draws from them by their index, so rows
+// keep their order, and are repeated if a fault is to come more often.
+var basicFaults = []fault{
+	{"kill", "kill a gateway; it starts anew", throughGateway, throughGateway, (*injector).kill},
+	{"stop", "SIGTERM to a gateway, a planned stop; it starts anew", noRequest, throughGateway, (*injector).stop},
+	{"freeze", "SIGSTOP to a gateway, SIGCONT after up to 3 s", throughGateway, throughGateway, (*injector).freeze},
+	{"hangup", "SIGHUP to a gateway, which reads its settings again", noRequest, noRequest, (*injector).hangup},
+	{"link", "a gateway's way to the store silent, mute one way, slow or reset, up to 3 s", noRequest, throughGateway, (*injector).link},
+	{"link", "the same", noRequest, throughGateway, (*injector).link},
+	{"store", "the store refuses, hangs, is slow, sends its feeds no changes or forgets its history, up to 3 s", noRequest, anyRequest, (*injector).store},
+	{"server", "a server misbehaves for 1 to 20 requests, up to 1.5 s", anyRequest, noRequest, (*injector).server},
+	{"server", "the same", anyRequest, noRequest, (*injector).server},
+	{"leave", "a server drains, is perhaps gone, and is back", noRequest, noRequest, (*injector).leave},
+	{"configure", "the second account's key is revoked, or valid again", noRequest, noRequest, (*injector).configure},
+	{"configure", "the same", noRequest, noRequest, (*injector).configure},
 }
 
 // The longest that faults last. Each lasts a time that is drawn below.
 const (
-	maxGatewayFault = 2 * revocationBound // freezes and cut links outlast the lease
-	maxStoreFault   = 2 * revocationBound
-	maxServerFault  = revocationBound
+	maxGatewayFault = 3 * time.Second // freezes and cut links outlast the lease of basicPlan
+	maxStoreFault   = 3 * time.Second
+	maxServerFault  = 1500 * time.Millisecond
 )
 
 // kill kills a gateway.
@@ -59,15 +61,27 @@
 // stop stops a gateway as planned, and kills it if it outlasts its grace period. Then
 // it may cut off requests after all.
 func (in *injector) stop(_ *rand.Rand, gateway int) {
-	from := time.Now()
+	in.stopBeside(gateway, func(*process) {})
+}
+
+// stopBeside stops a gateway as planned while something else is done to its process.
+func (in *injector) stopBeside(gateway int, beside func(p *process)) {
 	p := in.fleet.gateways[gateway].end(syscall.SIGTERM)
+	ordered, overdue := time.Now(), false
+	var group sync.WaitGroup
+	group.Go(func() { beside(p) })
 	select {
 	case <-p.done:
-	case <-time.After(grace):
+	case <-time.After(in.fleet.bounds.grace):
+		killed := time.Now()
 		p.signal(syscall.SIGKILL)
 		<-p.done
-		in.addCut(gateway, from)
+		in.addCut(gateway, killed)
+		in.logf("%s has outlasted its grace period", in.fleet.gateways[gateway].name)
+		overdue = true
 	}
+	in.addStop(stop{gateway: gateway, ordered: ordered, ended: time.Now(), overdue: overdue})
+	group.Wait()
 }
 
 // freeze stops a gateway's process and lets it go on.
@@ -136,25 +150,30 @@
 // come back.
 func (in *injector) leave(random *rand.Rand, _ int) {
 	id := servers[random.IntN(len(servers))]
-	in.post(fmt.Sprintf(`{"server":%q,"state":"draining"}`, id))
+	in.post(serverState(id, stateDraining))
 	pause(random, maxServerFault)
 	if random.IntN(2) == 0 {
-		in.post(fmt.Sprintf(`{"server":%q,"state":"gone"}`, id))
+		in.post(serverState(id, stateGone))
 		pause(random, maxServerFault)
 	}
-	in.post(fmt.Sprintf(`{"server":%q,"state":"ready"}`, id))
+	in.post(serverState(id, stateReady))
 }
 
 // configure changes the configuration: the second account's key is revoked or valid
-// again. Changes are made one after the other.
+// again.
 func (in *injector) configure(_ *rand.Rand, _ int) {
+	in.change(func(next *configuration) { next.SecondKey = !next.SecondKey })
+}
+
+// change makes the next version of the configuration. Changes are made one after the
+// other.
+func (in *injector) change(edit func(next *configuration)) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	last := in.changes[len(in.changes)-1]
-	next := change{
-		configuration: configuration{Version: last.Version + 1, SecondKey: !last.SecondKey},
-		sent:          time.Now(),
-	}
+	next := change{configuration: in.changes[len(in.changes)-1].configuration}
+	next.Version++
+	edit(&next.configuration)
+	next.sent = time.Now()
 	content, err := json.Marshal(map[string]json.RawMessage{"configuration": json.RawMessage(next.content())})
 	if err == nil {
 		err = in.fleet.post(string(content))
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -31,6 +31,20 @@
 // servers are the emulator's servers: three of the plain service, three of the model.
 var servers = []string{"p1", "p2", "p3", "m1", "m2", "m3"}
 
+const (
+	// serverForm is the form of a server in the emulator's settings.
+	serverForm = "    - {id: %s, service: %s, address: %q, failure_domain: a, events: %d, step: %s}\n"
+	// slowServer is a further server of the model, whose streams take 3 s. It is in the
+	// list at times only, so that gateways don't expect streams to take that long.
+	slowServer = "slow"
+	// fastStep and slowStep are the times between the events of streams.
+	fastStep = 5 * time.Millisecond
+	slowStep = 150 * time.Millisecond
+)
+
+// isModel reports whether a server is of the model.
+func isModel(id string) bool { return strings.HasPrefix(id, "m") }
+
 // A fleet is an emulator of the platform and some gateways, each a process.
 type fleet struct {
 	t        *testing.T
@@ -38,17 +52,22 @@
 	admin    string // the address by which the emulator is changed
 	emulator *process
 	gateways []*gateway
+	bounds   bounds
+	linkRate int // of every second gateway's link to the store
+	peers    peerLinks
+	stalls   stallRecorder
 	stop     chan struct{}
 	group    sync.WaitGroup
 }
 
-// newFleet starts a fleet and waits until it serves.
-func newFleet(t *testing.T, gateways int) *fleet {
+// newFleet starts a fleet of a plan and waits until it serves.
+func newFleet(t *testing.T, p *plan, gateways int) *fleet {
 	t.Helper()
-	f := &fleet{t: t, dir: t.TempDir(), admin: freeport.Next().String(), stop: make(chan struct{})}
+	f := &fleet{t: t, dir: t.TempDir(), admin: freeport.Next().String(), bounds: p.bounds, linkRate: p.linkRate, stop: make(chan struct{})}
 	t.Cleanup(f.close)
+	f.group.Go(func() { f.stalls.run(f.stop) })
 	store := freeport.Next().String()
-	f.startEmulator(store)
+	f.startEmulator(store, p)
 	for i := range gateways {
 		f.addGateway(i, store)
 	}
@@ -64,16 +83,19 @@
 }
 
 // startEmulator starts the emulator and waits until it serves.
-func (f *fleet) startEmulator(store string) {
+func (f *fleet) startEmulator(store string, p *plan) {
 	f.t.Helper()
-	configuration := f.write("config.json", firstConfiguration.content())
+	configuration := f.write("config.json", p.first.content())
 	var list strings.Builder
 	for _, id := range servers {
 		service, events := "plain", 0
-		if strings.HasPrefix(id, "m") {
+		if isModel(id) {
 			service, events = "model", streamEvents
 		}
-		fmt.Fprintf(&list, "    - {id: %s, service: %s, address: %q, failure_domain: a, events: %d, step: 5ms}\n", id, service, freeport.Next().String(), events)
+		fmt.Fprintf(&list, serverForm, id, service, freeport.Next().String(), events, fastStep)
+	}
+	if p.slowServer {
+		fmt.Fprintf(&list, serverForm, slowServer, "model", freeport.Next().String(), streamEvents, slowStep)
 	}
 	settings := f.write("emulator.yaml", fmt.Sprintf("emulator:\n  store: %q\n  admin: %q\n  configuration: %s\n  servers:\n%s",
 		store, f.admin, configuration, list.String()))
@@ -84,6 +106,9 @@
 		assert.Assert(f.t, !f.emulator.ended(), "the emulator has ended: %v", f.emulator.err)
 		return f.post(`{}`) == nil
 	})
+	if p.slowServer {
+		assert.NilError(f.t, f.post(serverState(slowServer, stateGone)))
+	}
 }
 
 // write writes a file and returns its path.
@@ -94,6 +119,18 @@
 	return path
 }
 
+// The states of a server in the list.
+const (
+	stateReady    = "ready"
+	stateDraining = "draining"
+	stateGone     = "gone"
+)
+
+// serverState returns the change of the emulator that sets a server's state.
+func serverState(id, state string) string {
+	return fmt.Sprintf(`{"server":%q,"state":%q}`, id, state)
+}
+
 // post changes the emulator.
 func (f *fleet) post(change string) error {
 	response, err := http.Post("http://"+f.admin+standin.PathFault, "application/json", strings.NewReader(change))
@@ -124,7 +161,7 @@
 		if !g.answersReady() {
 			return false
 		}
-		one := call{id: fmt.Sprintf("probe-%d-%d", i, time.Now().UnixNano()), route: routeSafe, gateway: i}
+		one := call{id: probeID(i), route: routeSafe, gateway: i}
 		f.send(&http.Client{Timeout: callTime, Transport: &http.Transport{DisableKeepAlives: true}}, &one)
 		if one.status != http.StatusOK {
 			return false
@@ -133,16 +170,38 @@
 	return true
 }
 
-// eventually waits for a condition.
+// probeID returns a new ID for a request to a gateway.
+func probeID(gateway int) string { return fmt.Sprintf("probe-%d-%d", gateway, time.Now().UnixNano()) }
+
+// readyGateways returns how many gateways were ready at their last probe.
+func (f *fleet) readyGateways() int {
+	ready := 0
+	for _, g := range f.gateways {
+		if g.isReady() {
+			ready++
+		}
+	}
+	return ready
+}
+
+// eventually waits for a condition, and ends the test if it never comes.
 func (f *fleet) eventually(what string, condition func() bool) {
 	f.t.Helper()
+	if !f.comes(condition) {
+		f.t.Fatalf("this never came: %s", what)
+	}
+}
+
+// comes waits for a condition and reports whether it has come.
+func (f *fleet) comes(condition func() bool) bool {
 	limit := time.Now().Add(conditionLimit)
 	for !condition() {
 		if time.Now().After(limit) {
-			f.t.Fatalf("this never came: %s", what)
+			return false
 		}
 		time.Sleep(conditionPoll)
 	}
+	return true
 }
 
 // close ends all processes of the fleet, by their ids. Frozen ones are woken first;
@@ -162,6 +221,7 @@
 		f.emulator.signal(syscall.SIGKILL)
 		<-f.emulator.done
 	}
+	f.peers.close()
 	if f.t.Failed() {
 		f.keepLogs()
 	}
--- a/internal/soak/gateway_test.go
+++ b/internal/soak/gateway_test.go
@@ -14,11 +14,6 @@
 )
 
 const (
-	// revocationBound is how long after its revocation a key may still work, as the
-	// gateways are set.
-	revocationBound = 1500 * time.Millisecond
-	// grace is the time between SIGTERM and SIGKILL.
-	grace = 6 * time.Second
 	// probeEvery is how often a gateway's readiness is probed.
 	probeEvery = 100 * time.Millisecond
 	// probeTime bounds one readiness probe.
@@ -33,6 +28,8 @@
 	callers   string // the address for callers
 	readiness string // the address of its readiness
 	store     *proxy
+	linkRate  int // of its link to the store, in bytes a second; zero is no bound
+	peers     *peerEnd
 	log       lockedBuffer
 
 	mu      sync.Mutex
@@ -47,17 +44,26 @@
 	f.t.Helper()
 	toStore, err := newProxy(store)
 	assert.NilError(f.t, err)
+	end, err := f.peers.add()
+	assert.NilError(f.t, err)
+	toStore.rewrite = end.rewriteRow
 	g := &gateway{
 		name:      fmt.Sprintf("gateway-%d", i),
 		callers:   freeport.Next().String(),
 		readiness: freeport.Next().String(),
 		store:     toStore,
+		peers:     end,
 	}
 	g.file = f.write(g.name+".yaml", fmt.Sprintf(
 		"vm: %s\nregion: north\nfailure_domain: a\ncallers: %q\nreadiness: %q\nstore: %q\npeers: %q\n"+
-			"routing: {endpoints_settle: 20ms, endpoints_wait: 300ms, lease_refresh: 300ms, store_timeout: 300ms, routers: 2}\n"+
-			"bounds: {revoke: %s, contact: 1s, grace: %s}\n",
-		g.name, g.callers, g.readiness, toStore.listener.Addr(), freeport.Next(), revocationBound, grace))
+			"routing: {endpoints_settle: 20ms, endpoints_wait: 300ms, lease_refresh: %s, store_timeout: %s, routers: 2}\n"+
+			"bounds: {revoke: %s, contact: %s, configuration: %s, grace: %s}\n",
+		g.name, g.callers, g.readiness, toStore.listener.Addr(), end.listens, f.bounds.refresh, f.bounds.storeTimeout,
+		f.bounds.revoke, f.bounds.contact, f.bounds.configuration, f.bounds.grace))
+	if i%2 == 0 {
+		g.linkRate = f.linkRate
+		toStore.link.set(g.linkRate)
+	}
 	f.gateways = append(f.gateways, g)
 	assert.NilError(f.t, g.start())
 	f.group.Go(func() { f.keep(g) })
--- a/internal/soak/injector_test.go
+++ b/internal/soak/injector_test.go
@@ -15,12 +15,15 @@
 // An injector injects faults into a fleet and records what checks need to know of them.
 type injector struct {
 	fleet *fleet
+	plan  *plan
 	group sync.WaitGroup
 	began time.Time
 
 	mu       sync.Mutex
 	changes  []change
 	cuts     []cut
+	outages  []cut // times out of touch
+	stops    []stop
 	timeline []string
 }
 
@@ -37,17 +40,26 @@
 	from, until time.Time
 }
 
+// A stop is a planned stop of a gateway: when it got SIGTERM, and when its process had
+// ended.
+type stop struct {
+	gateway        int
+	ordered, ended time.Time
+	overdue        bool // it had to be killed at the end of its grace period
+}
+
 // allGateways as a cut's gateway means that it was felt through each of them.
 const allGateways = -1
 
 // newInjector returns an injector that has injected nothing.
-func newInjector(f *fleet) *injector {
-	return &injector{fleet: f, changes: []change{{configuration: firstConfiguration}}}
+func newInjector(f *fleet, p *plan) *injector {
+	return &injector{fleet: f, plan: p, began: time.Now(), changes: []change{{configuration: p.first}}}
 }
 
 // run injects faults until faultTime is over, and waits until the last has ended.
 func (in *injector) run(random *rand.Rand) {
 	in.began = time.Now()
+	faults := in.plan.faults(random)
 	for time.Since(in.began) < faultTime {
 		drawn := faults[random.IntN(len(faults))]
 		gateway := random.IntN(len(in.fleet.gateways))
@@ -70,6 +82,15 @@
 		in.addCut(allGateways, from)
 	case noRequest:
 	}
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	switch f.disturbs {
+	case throughGateway:
+		in.outages = append(in.outages, cut{gateway: gateway, from: from, until: time.Now()})
+	case anyRequest:
+		in.outages = append(in.outages, cut{gateway: allGateways, from: from, until: time.Now()})
+	case noRequest:
+	}
 }
 
 // addCut records that requests could be cut off until now.
@@ -79,6 +100,20 @@
 	in.cuts = append(in.cuts, cut{gateway: gateway, from: from, until: time.Now()})
 }
 
+// addStop records a planned stop that has ended.
+func (in *injector) addStop(one stop) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.stops = append(in.stops, one)
+}
+
+// newestVersion returns the newest version that was accepted.
+func (in *injector) newestVersion() int {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return in.changes[len(in.changes)-1].Version
+}
+
 // logf adds a line to the timeline of the run.
 func (in *injector) logf(format string, args ...any) {
 	in.mu.Lock()
@@ -102,8 +137,13 @@
 // clear ends what may still be wrong after faults of one kind have overlapped.
 func (in *injector) clear() {
 	in.post(`{"store":{},"fault":"","requests":0,"state":"ready"}`)
+	if in.plan.slowServer {
+		in.post(serverState(slowServer, stateGone))
+	}
+	in.fleet.peers.clear()
 	for _, g := range in.fleet.gateways {
 		g.store.set(proxyPass)
+		g.store.link.set(g.linkRate)
 		g.current().signal(syscall.SIGCONT)
 	}
 }
--- /dev/null
+++ b/internal/soak/peerlinkscheck_test.go
@@ -0,0 +1,41 @@
+package soak
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestPeerLinks checks that all gossip between gateways goes through the relays: two
+// gateways find each other, lose each other once the relays pass nothing on, and find
+// each other again. It fails if a gateway knows another one's own address.
+func TestPeerLinks(t *testing.T) {
+	f := newFleet(t, &seriesPlan, 2)
+	links := []peerLink{{from: 0, to: 1}, {from: 1, to: 0}}
+	f.eventually("both have a peer", f.peersAlive(1))
+	for _, link := range links {
+		f.peers.set(link, peerFault{loss: 1})
+	}
+	f.eventually("none has a peer", f.peersAlive(0))
+	f.peers.clear()
+	f.eventually("both have a peer again", f.peersAlive(1))
+	for _, g := range f.gateways {
+		assert.Assert(t, !strings.Contains(g.log.From(0), "alive=2"), "a gateway takes itself for a peer")
+	}
+}
+
+// peersAlive returns the condition that each gateway has logged last that so many peers
+// are alive.
+func (f *fleet) peersAlive(n int) func() bool {
+	return func() bool {
+		for _, g := range f.gateways {
+			lines := strings.Split(g.log.From(0), "decision=peers ")
+			if !strings.HasPrefix(lines[len(lines)-1], fmt.Sprintf("alive=%d ", n)) {
+				return false
+			}
+		}
+		return true
+	}
+}
--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -15,6 +15,10 @@
 	err  error         // how it ended; read it after done
 }
 
+// raceOptions keep a program that is built with the race detector from sleeping for a
+// second at its end, which made gateways outlast their grace period.
+const raceOptions = "GORACE=atexit_sleep_ms=0"
+
 // start starts the program. What it writes goes to log.
 func start(log *lockedBuffer, args ...string) (*process, error) {
 	executable, err := os.Executable()
@@ -22,7 +26,7 @@
 		return nil, err
 	}
 	p := &process{cmd: exec.Command(executable, args...), done: make(chan struct{})}
-	p.cmd.Env = append(os.Environ(), programVariable+"=1")
+	p.cmd.Env = append(os.Environ(), programVariable+"=1", raceOptions)
 	p.cmd.Stdout, p.cmd.Stderr = log, log
 	if err := p.cmd.Start(); err != nil {
 		return nil, err
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -36,6 +36,12 @@
 type proxy struct {
 	listener net.Listener
 	to       string
+	// rewrite changes what goes to that address, if it is set. It is called with what one
+	// read has returned.
+	rewrite func(content []byte) []byte
+	// link bounds the bytes a second in the direction back to the caller, of all
+	// connections together.
+	link byteRate
 
 	mu      sync.Mutex
 	mode    proxyMode
@@ -100,8 +106,8 @@
 	p.track(conn, true)
 	defer p.track(conn, false)
 	var group sync.WaitGroup
-	group.Go(func() { p.relay(far, conn, proxySilent) })
-	group.Go(func() { p.relay(conn, far, proxySilent, proxyMuteBack) })
+	group.Go(func() { p.relay(far, conn, p.sent, proxySilent) })
+	group.Go(func() { p.relay(conn, far, p.link.pass, proxySilent, proxyMuteBack) })
 	group.Wait()
 }
 
@@ -116,9 +122,17 @@
 	delete(p.open, conn)
 }
 
-// relay relays one direction of a connection. It holds back while the mode is one of
-// held.
-func (p *proxy) relay(to, from net.Conn, held ...proxyMode) {
+// sent returns what is passed on of what a caller has sent.
+func (p *proxy) sent(content []byte) []byte {
+	if p.rewrite == nil {
+		return content
+	}
+	return p.rewrite(content)
+}
+
+// relay relays one direction of a connection, by way of pass. It holds back while the
+// mode is one of held.
+func (p *proxy) relay(to, from net.Conn, pass func([]byte) []byte, held ...proxyMode) {
 	defer func() {
 		_ = to.Close()
 		_ = from.Close()
@@ -128,7 +142,7 @@
 		n, err := from.Read(buffer)
 		p.await(held)
 		if n > 0 {
-			if _, err := to.Write(buffer[:n]); err != nil {
+			if _, err := to.Write(pass(buffer[:n])); err != nil {
 				return
 			}
 		}
--- a/internal/soak/seeds_test.go
+++ b/internal/soak/seeds_test.go
@@ -42,6 +42,15 @@
 	},
 }
 
+// keptSeriesSeeds are those of seriesPlan. The first four draw neither "large" nor "slow
+// server", at which any seed may fail while the causes in KNOWN-RED.txt last (issue 22).
+var keptSeriesSeeds = []keptSeed{
+	{seed: 13, failed: "never", cause: "-", mending: "-"},
+	{seed: 14, failed: "never", cause: "-", mending: "-"},
+	{seed: 35, failed: "never", cause: "-", mending: "-"},
+	{seed: 74, failed: "never", cause: "-", mending: "-"},
+}
+
 // What three of the kept seeds have in common.
 const (
 	lastAttemptSpokeForAll = "an idempotent request's last attempt was refused, by an endpoint or by an expired lease, " +
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -38,29 +38,35 @@
 	os.Exit(m.Run())
 }
 
-// TestSoak runs fleets under faults that are drawn from a seed: the kept seeds, and as
-// many fresh ones as RYEFORD_SOAK_SEEDS says.
-func TestSoak(t *testing.T) {
+// TestSoak runs fleets under single faults that are drawn from a seed: the kept seeds,
+// and as many fresh ones as RYEFORD_SOAK_SEEDS says.
+func TestSoak(t *testing.T) { runSeeds(t, &basicPlan, keptSeeds) }
+
+// TestSoakSeries does the same with series of faults (seriesPlan).
+func TestSoakSeries(t *testing.T) { runSeeds(t, &seriesPlan, keptSeriesSeeds) }
+
+// runSeeds runs a plan with its kept seeds and with fresh ones.
+func runSeeds(t *testing.T, p *plan, kept []keptSeed) {
 	if testing.Short() {
 		t.Skip("a run takes some ten seconds")
 	}
 	running := make(chan struct{}, parallelRuns)
-	for _, seed := range seeds(t) {
+	for _, seed := range seeds(t, kept) {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
 			t.Parallel()
 			running <- struct{}{}
 			defer func() { <-running }()
-			soak(t, seed)
+			soak(t, p, seed)
 		})
 	}
 }
 
 // seeds returns the kept seeds and the fresh ones.
-func seeds(t *testing.T) []uint64 {
+func seeds(t *testing.T, kept []keptSeed) []uint64 {
 	t.Helper()
 	var seeds []uint64
-	for _, kept := range keptSeeds {
-		seeds = append(seeds, kept.seed)
+	for _, one := range kept {
+		seeds = append(seeds, one.seed)
 	}
 	text := os.Getenv(seedsVariable)
 	if text == "" {
@@ -74,20 +80,28 @@
 	return seeds
 }
 
-// soak runs one fleet: it starts, callers use it while faults strike, the faults end,
-// all gateways have to serve again, and every call is checked.
-func soak(t *testing.T, seed uint64) {
+// soak runs one fleet of a plan, whose size the seed draws.
+func soak(t *testing.T, p *plan, seed uint64) {
 	random := rand.New(rand.NewPCG(seed, 0))
-	f := newFleet(t, minGateways+random.IntN(maxGateways-minGateways+1))
-	in := newInjector(f)
-	c := newCallers(f, seed)
+	f := newFleet(t, p, minGateways+random.IntN(maxGateways-minGateways+1))
+	soakFleet(f, p, random, seed)
+}
+
+// soakFleet soaks a fleet that serves: callers use it while faults strike, the faults
+// end, all gateways have to serve again, and every call is checked.
+func soakFleet(f *fleet, p *plan, random *rand.Rand, seed uint64) {
+	in := newInjector(f, p)
+	c := newCallers(f, p, in, seed)
 	in.run(random)
 	in.clear()
-	f.eventually("all gateways serve again", f.allServe)
+	if !f.comes(f.allServe) {
+		f.t.Errorf("this never came: all gateways serve again")
+	}
 	calls := c.finish()
-	checkCalls(t, calls, f.runs(), in)
-	assert.Assert(t, len(calls) > 0)
-	if t.Failed() {
-		t.Logf("seed %d: %s", seed, strings.Join(in.timeline, "\n"))
+	checkCalls(f.t, calls, f.runs(), in)
+	checkStops(f.t, in)
+	assert.Assert(f.t, len(calls) > 0)
+	if f.t.Failed() {
+		f.t.Logf("seed %d: %s", seed, strings.Join(in.timeline, "\n"))
 	}
 }
