--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -25,9 +25,9 @@
 //
 //	RYEFORD_SOAK_SEEDS=50 go test -timeout 60m ./internal/soak
 //
-// One run with up to 150 gateways, which takes up to half of the machine's memory:
+// One run with up to 198 gateways, as far as half of the machine's memory allows:
 //
-//	RYEFORD_SOAK_CROWD=150 go test -run TestSoakCrowd ./internal/soak
+//	RYEFORD_SOAK_CROWD=198 go test -run TestSoakCrowd ./internal/soak
 //
 // A failed run prints its seed, the calls that broke a check, and its timeline of
 // faults, and keeps the gateways' logs. The seed draws the faults, not the processes'
--- a/internal/soak/seeds_test.go
+++ b/internal/soak/seeds_test.go
@@ -51,6 +51,25 @@
 	{seed: 74, failed: "never", cause: "-", mending: "-"},
 }
 
+// openSeeds are seeds of seriesPlan whose cause is not mended yet. They are run with fresh
+// ones only; once their cause is mended they belong into keptSeriesSeeds.
+var openSeeds = []keptSeed{
+	{seed: 553275309, failed: openFailed, cause: openCause, mending: openMending},
+	{seed: 153096810, failed: openFailed, cause: openCause, mending: openMending},
+	{seed: 78991790, failed: openFailed, cause: openCause, mending: openMending},
+	{seed: 554438094, failed: openFailed, cause: openCause, mending: openMending},
+	{seed: 651454817, failed: openFailed, cause: openCause, mending: openMending},
+	{seed: 85482112, failed: openFailed, cause: openCause, mending: openMending},
+	{seed: 772035663, failed: openFailed, cause: openCause, mending: openMending},
+}
+
+// What the open seeds have in common.
+const (
+	openFailed  = "16:43, 7 of 24 fresh seeds: a gateway on a narrow link did not serve again, or served by an older version"
+	openCause   = "a read of the configuration, of thousands of routes, has routing.store_timeout for its whole answer"
+	openMending = "open, issue 22; TestLargeConfiguration"
+)
+
 // What three of the kept seeds have in common.
 const (
 	lastAttemptSpokeForAll = "an idempotent request's last attempt was refused, by an endpoint or by an expired lease, " +
