docs: the soak's plans and checks say what they share

Cause: a reading of the diff as a newcomer would: seriesChecks named itself an addition to basicChecks, which it replaces, and basicPlan said that its faults came one by one, though they overlap.

Ruled out: nothing was tried. Change: comments only. Conclusion: none.

--- a/internal/soak/plan_test.go
+++ b/internal/soak/plan_test.go
@@ -25,7 +25,7 @@
 	linkRate int
 }
 
-// bounds are the bounds in time to which gateways are set.
+// bounds are the times to which gateways are set.
 type bounds struct {
 	revoke        time.Duration // from a key's revocation until it works no more
 	configuration time.Duration // from a configuration's acceptance until it is in force
@@ -35,7 +35,7 @@
 	refresh       time.Duration // the age at which a configuration is read again
 }
 
-// basicPlan is one fault beside the other, with small configurations.
+// basicPlan has single faults, which overlap, and small configurations.
 var basicPlan = plan{
 	bounds: bounds{
 		revoke:        1500 * time.Millisecond,
--- a/internal/soak/serieschecks_test.go
+++ b/internal/soak/serieschecks_test.go
@@ -6,7 +6,8 @@
 	"time"
 )
 
-// seriesChecks are the checks of seriesPlan, besides those that basicChecks names.
+// seriesChecks are the checks of seriesPlan. The first three are those of basicPlan, too;
+// "drain" and "closed" take the place of "stop".
 var seriesChecks = []check{
 	{"answer", "as in basicChecks", checkAnswer},
 	{"runs", "as in basicChecks", checkRuns},
