--- a/internal/soak/seeds_test.go
+++ b/internal/soak/seeds_test.go
@@ -42,6 +42,50 @@
 	},
 }
 
+// keptSeriesSeeds are those of seriesPlan. The first four draw neither "large" nor "slow
+// server".
+var keptSeriesSeeds = []keptSeed{
+	{seed: 13, failed: "never", cause: "-", mending: "-"},
+	{seed: 14, failed: "never", cause: "-", mending: "-"},
+	{seed: 35, failed: "never", cause: "-", mending: "-"},
+	{seed: 74, failed: "never", cause: "-", mending: "-"},
+	{seed: 553275309, failed: narrowFailed, cause: narrowCause, mending: narrowMending},
+	{seed: 554438094, failed: narrowFailed, cause: narrowCause + alsoLate, mending: narrowMending},
+}
+
+// moreSeriesSeeds are seeds of seriesPlan that failed for the same cause as two of
+// keptSeriesSeeds. They are run by hand, with fresh ones.
+var moreSeriesSeeds = []keptSeed{
+	{seed: 153096810, failed: narrowFailed, cause: narrowCause, mending: narrowMending},
+	{seed: 78991790, failed: narrowFailed, cause: narrowCause, mending: narrowMending},
+	{seed: 651454817, failed: narrowFailed, cause: narrowCause, mending: narrowMending},
+	{seed: 85482112, failed: narrowFailed, cause: narrowCause, mending: narrowMending},
+	{seed: 772035663, failed: narrowFailed, cause: narrowCause, mending: narrowMending},
+	{seed: 583143164, failed: narrowFailedLater, cause: narrowCause, mending: narrowMending},
+	{seed: 323514281, failed: narrowFailedLater, cause: narrowCause, mending: narrowMending},
+	{seed: 855935344, failed: narrowFailedLater, cause: narrowCause, mending: narrowMending},
+	{seed: 855569638, failed: narrowFailedLater, cause: narrowCause, mending: narrowMending},
+	{seed: 401707369, failed: narrowFailedLater, cause: narrowCause, mending: narrowMending},
+	{seed: 576136945, failed: narrowFailedLater, cause: narrowCause, mending: narrowMending},
+	{seed: 216371430, failed: narrowFailedLater, cause: narrowCause, mending: narrowMending},
+	{seed: 735497666, failed: narrowFailedLater, cause: narrowCause, mending: narrowMending},
+	{seed: 927792296, failed: narrowFailedLater, cause: narrowCause, mending: narrowMending},
+	{seed: 145232261, failed: narrowFailedLater, cause: narrowCause, mending: narrowMending},
+	{seed: 247011307, failed: narrowFailedLater, cause: narrowCause, mending: narrowMending},
+	{seed: 616252444, failed: narrowFailedLater, cause: narrowCause, mending: narrowMending},
+}
+
+// What the seeds of the incident have in common.
+const (
+	narrowFailed      = "16:43, 7 of 24 fresh seeds: a gateway on a narrow link did not serve again, or served by an older version"
+	narrowFailedLater = "17:02, 12 of 26 fresh seeds: the same"
+	narrowCause       = "a read of the configuration, of thousands of routes, has routing.store_timeout for its whole answer"
+	narrowMending     = "a read goes on while its answer comes, bbb31ba and e435c46; TestLargeConfiguration"
+)
+
+// alsoLate is a second cause of seed 554438094, 1 of its 2 runs, mended in 50d6515.
+const alsoLate = "; and a request sent 3.6 s after SIGTERM was taken and cut off, as in TestLateRequest"
+
 // What three of the kept seeds have in common.
 const (
 	lastAttemptSpokeForAll = "an idempotent request's last attempt was refused, by an endpoint or by an expired lease, " +
--- a/standin/rowstore/fault.go
+++ b/standin/rowstore/fault.go
@@ -17,6 +17,8 @@
 	Reset bool `json:"reset"`
 	// Slow delays each response.
 	Slow time.Duration `json:"slow"`
+	// LoseAnswers makes each call, also a write, and never answers it.
+	LoseAnswers bool `json:"lose_answers"`
 	// DeafFeed withholds changes from calls that wait for them.
 	DeafFeed bool `json:"deaf_feed"`
 	// StaleReads answers reads as of when the fault was set.
@@ -24,7 +26,8 @@
 }
 
 // serve applies the fault to a call, and reports whether that ended the call. It panics
-// with http.ErrAbortHandler to have net/http close the connection.
+// with http.ErrAbortHandler to have net/http close the connection. A write whose answer is
+// to be lost is made first, by serveTransaction; for a read it makes no difference.
 func (f Fault) serve(w http.ResponseWriter, r *http.Request) bool {
 	if f.Slow > 0 {
 		if !clock.Sleep(r.Context(), f.Slow) {
@@ -32,7 +35,7 @@
 		}
 	}
 	switch {
-	case f.Silent:
+	case f.Silent, f.LoseAnswers && r.Method != http.MethodPost:
 		<-r.Context().Done()
 		return true
 	case f.Reset:
