refactor: the forwarder embeds the balancer in place of its fields

Cause: forwarder and balancer held the same five parts (roster, detector, loads, prefixes, peers), wired twice. Ruled out: one struct of shared parts for all of the gateway. It would hide which part reads what. Change: the forwarder embeds the balancer; newBalancer is folded into its one caller. Conclusion: each part of what is known of the endpoints is wired once.

--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -17,7 +17,7 @@
 	if q.shared {
 		query.shared = q.sharedParts()
 	}
-	selected := x.forwarder.balancer.choose(time.Now(), &query)
+	selected := x.forwarder.choose(time.Now(), &query)
 	if selected.to != nil {
 		x.logChoice(&selected)
 	}
--- a/gateway/forwarder.go
+++ b/gateway/forwarder.go
@@ -7,11 +7,6 @@
 
 	"github.com/ryeford/ryeford"
 	"github.com/ryeford/ryeford/gateway/endpoint"
-	"github.com/ryeford/ryeford/gateway/loads"
-	"github.com/ryeford/ryeford/gateway/outlier"
-	"github.com/ryeford/ryeford/gateway/peers"
-	"github.com/ryeford/ryeford/gateway/prefixcache"
-	"github.com/ryeford/ryeford/gateway/roster"
 	"github.com/ryeford/ryeford/internal/telemetry"
 	"github.com/ryeford/ryeford/retry"
 )
@@ -19,16 +14,11 @@
 // A forwarder is what all exchanges share: what is known of the endpoints, and the
 // connections to them. It owns nothing.
 type forwarder struct {
+	*balancer
 	protocol      ryeford.Protocol
 	configuration *configuration
-	balancer      *balancer
-	roster        *roster.Roster
-	detector      *outlier.Detector
 	pool          *endpoint.Pool
-	loads         *loads.Table
-	prefixes      *prefixcache.Index
 	gossip        *gossip
-	peers         *peers.Table
 	minSharers    int // of the retry budget's reserve, from the settings
 	durations     *durations
 	log           log.Logger
--- a/gateway/wiring.go
+++ b/gateway/wiring.go
@@ -90,16 +90,18 @@
 		metrics:       g.metrics,
 	}
 	g.handler.forwarder = &forwarder{
+		balancer: &balancer{
+			roster:   g.roster,
+			detector: g.detector,
+			loads:    g.loads,
+			prefixes: g.prefixes,
+			peers:    g.peers,
+			limits:   choice.Limits{CapFactor: s.Bounds.CapFactor, Domain: s.FailureDomain},
+		},
 		protocol:      g.platform.Protocol,
 		configuration: g.configuration,
-		balancer:      g.newBalancer(),
-		roster:        g.roster,
-		detector:      g.detector,
 		pool:          g.pool,
-		loads:         g.loads,
-		prefixes:      g.prefixes,
 		gossip:        g.gossip,
-		peers:         g.peers,
 		minSharers:    s.Routing.Routers,
 		durations:     durations,
 		log:           g.log,
@@ -107,18 +109,6 @@
 	}
 }
 
-// newBalancer returns the balancer, which reads the peers' loads from their table.
-func (g *Gateway) newBalancer() *balancer {
-	return &balancer{
-		roster:   g.roster,
-		detector: g.detector,
-		loads:    g.loads,
-		prefixes: g.prefixes,
-		peers:    g.peers,
-		limits:   choice.Limits{CapFactor: g.settings.Bounds.CapFactor, Domain: g.settings.FailureDomain},
-	}
-}
-
 // addMetrics adds the gauges.
 func (g *Gateway) addMetrics() {
 	g.metrics.Gauge("ryeford_in_flight", func() float64 { return float64(g.drain.inFlight.Load()) })
