--- a/gateway/balancer.go
+++ b/gateway/balancer.go
@@ -82,7 +82,14 @@
 // candidates returns what is known of some endpoints, of which the first ones, as
 // many as serving, accept requests.
 func (b *balancer) candidates(now time.Time, query *endpointQuery, entries []*roster.Entry, serving int) []choice.Candidate {
-	held, tokens := b.held(now, query.shared)
+	var held map[ryeford.EndpointID]int // tokens of the prompt's shared parts
+	if len(query.shared) > 0 {
+		held = b.prefixes.HeldTokens(now, query.shared)
+	}
+	tokens := 0
+	for _, part := range query.shared {
+		tokens += part.Tokens
+	}
 	candidates := make([]choice.Candidate, 0, len(entries))
 	for i, entry := range entries {
 		others, known := b.peers.Requests(now, entry.ID)
@@ -101,18 +108,6 @@
 	return candidates
 }
 
-// held returns how many tokens of a prompt's shared parts each endpoint is likely
-// to hold, and how many there are.
-func (b *balancer) held(now time.Time, shared []ryeford.PromptPart) (held map[ryeford.EndpointID]int, tokens int) {
-	if len(shared) == 0 {
-		return nil, 0
-	}
-	for i := range shared {
-		tokens += shared[i].Tokens
-	}
-	return b.prefixes.HeldTokens(now, shared), tokens
-}
-
 // source returns the endpoint from which the chosen one may fetch what it lacks of
 // the prompt, or nil.
 func (b *balancer) source(now time.Time, query *endpointQuery, entries []*roster.Entry, chosen *choice.Choice) *roster.Entry {
--- a/gateway/loads/loads.go
+++ b/gateway/loads/loads.go
@@ -34,15 +34,10 @@
 }
 
 type state struct {
-	own int // this router's requests under way
-	report
-}
-
-// A report is the load that an endpoint reported with a response.
-type report struct {
-	requests float64 // running and waiting, of all routers
-	ownThen  int     // this router's requests under way at that time
-	at       time.Time
+	own        int     // this router's requests under way
+	reported   float64 // by the endpoint: running and waiting, of all routers
+	ownThen    int     // this router's requests under way at that time
+	reportedAt time.Time
 }
 
 // New returns a Table without endpoints.
@@ -82,7 +77,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.get(id)
-	s.report = report{requests: float64(load.Running + load.Waiting), ownThen: s.own, at: now}
+	s.reported, s.ownThen, s.reportedAt = float64(load.Running+load.Waiting), s.own, now
 }
 
 // Estimate returns the estimated number of requests at an endpoint. peers is the
@@ -100,9 +95,9 @@
 
 // others estimates how many requests the other routers have at the endpoint, by its
 // report: what it had beside this router's own, halved for each half-life since.
-func (r *report) others(now time.Time) float64 {
-	others := max(0, r.requests-float64(r.ownThen))
-	for age := now.Sub(r.at); age > reportHalfLife && others > negligible; age -= reportHalfLife {
+func (s *state) others(now time.Time) float64 {
+	others := max(0, s.reported-float64(s.ownThen))
+	for age := now.Sub(s.reportedAt); age > reportHalfLife && others > negligible; age -= reportHalfLife {
 		others /= 2
 	}
 	return others
--- a/gateway/peers/table.go
+++ b/gateway/peers/table.go
@@ -1,8 +1,10 @@
 package peers
 
 import (
+	"maps"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -106,11 +108,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire(now)
-	targets := make([]netip.AddrPort, 0, len(t.members))
-	for address := range t.members {
-		targets = append(targets, address)
-	}
-	return draw(targets, k)
+	return draw(slices.Collect(maps.Keys(t.members)), k)
 }
 
 // Members returns at most k peers that are alive, drawn at random, to be named to
--- a/gateway/prefixcache/index.go
+++ b/gateway/prefixcache/index.go
@@ -9,6 +9,8 @@
 package prefixcache
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -72,36 +74,18 @@
 
 // add puts an endpoint first among a part's holders; the last one makes room.
 func (x *Index) add(now time.Time, id ryeford.EndpointID, part uint64) {
-	list := x.parts[part]
-	if list == nil && len(x.parts) >= x.limits.Parts {
+	if _, known := x.parts[part]; !known && len(x.parts) >= x.limits.Parts {
 		x.makeRoom(now)
 	}
-	at := len(list)
-	for i := range list {
-		if list[i].id == id {
-			at = i
-			break
-		}
-	}
-	if at == len(list) && len(list) < x.limits.Holders {
-		list = append(list, holder{})
-	}
-	at = min(at, len(list)-1)
-	copy(list[1:at+1], list[:at])
-	list[0] = holder{id: id, at: now}
-	x.parts[part] = list
+	list := slices.Insert(without(x.parts[part], id), 0, holder{id: id, at: now})
+	x.parts[part] = list[:min(len(list), x.limits.Holders)]
 }
 
 // makeRoom drops the parts whose holders have all expired, or else any one part.
 func (x *Index) makeRoom(now time.Time) {
-	dropped := false
-	for part, list := range x.parts {
-		if !x.holds(now, list[0]) {
-			delete(x.parts, part)
-			dropped = true
-		}
-	}
-	if dropped {
+	before := len(x.parts)
+	maps.DeleteFunc(x.parts, func(_ uint64, list []holder) bool { return !x.holds(now, list[0]) })
+	if len(x.parts) < before {
 		return
 	}
 	for part := range x.parts {
@@ -110,6 +94,11 @@
 	}
 }
 
+// without removes an endpoint from a part's holders, in place.
+func without(list []holder, id ryeford.EndpointID) []holder {
+	return slices.DeleteFunc(list, func(h holder) bool { return h.id == id })
+}
+
 // holds reports whether an endpoint is still believed to hold what it was sent.
 func (x *Index) holds(now time.Time, h holder) bool { return now.Sub(h.at) <= x.limits.TTL }
 
@@ -152,12 +141,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	for part, list := range x.parts {
-		kept := list[:0]
-		for _, h := range list {
-			if h.id != id {
-				kept = append(kept, h)
-			}
-		}
+		kept := without(list, id)
 		if len(kept) == 0 {
 			delete(x.parts, part)
 			continue
