refactor: what is known of the endpoints is one value, wired once

Cause: Gateway and balancer both listed roster, detector, loads, prefixes and peers, and the gateway copied them one by one; choose.go (49 lines) was the other half of balancer.go; Gateway.listen only passed on to newServer; comments such as "addProbes adds what answers readiness probes" repeated the name below them. The parts that use one or two of the five are still given just these. Change: newBalancer makes the five, Gateway and forwarder embed the balancer; choose.go joins balancer.go; newServer is the gateway's method and takes the place of listen. Conclusion: one list of parts in place of three.

--- a/gateway/balancer.go
+++ b/gateway/balancer.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"fmt"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -11,23 +13,35 @@
 	"github.com/ryeford/ryeford/gateway/peers"
 	"github.com/ryeford/ryeford/gateway/prefixcache"
 	"github.com/ryeford/ryeford/gateway/roster"
+	"github.com/ryeford/ryeford/settings"
 )
 
 // A balancer chooses the endpoint of an attempt. It reads what the router knows of
 // the endpoints and asks package choice, which holds the rules; it owns nothing but
 // the place where the next search for the least loaded endpoint starts.
 type balancer struct {
-	roster   *roster.Roster
+	roster   *roster.Roster // kept by endpointList
 	detector *outlier.Detector
 	loads    *loads.Table
 	prefixes *prefixcache.Index
-	peers    *peers.Table
+	peers    *peers.Table // kept by gossip
 	limits   choice.Limits
 
 	start atomic.Uint64
 }
 
-// An endpointQuery is what a request asks of the balancer.
+// newBalancer returns a balancer that knows nothing yet.
+func newBalancer(s *settings.Gateway) *balancer {
+	return &balancer{
+		roster:   roster.New(),
+		detector: outlier.New(outlier.DefaultLimits()),
+		loads:    loads.New(),
+		prefixes: prefixcache.New(prefixcache.DefaultLimits()),
+		peers:    peers.New(s.Peers.AddrPort, peers.DefaultLimits()),
+		limits:   choice.Limits{CapFactor: s.Bounds.CapFactor, Domain: s.FailureDomain},
+	}
+}
+
 type endpointQuery struct {
 	service string
 	// shared are the parts of the prompt that other requests may share; if there are
@@ -37,7 +51,6 @@
 	tried    map[ryeford.EndpointID]bool
 }
 
-// A selection is the endpoint that was chosen, and why.
 type selection struct {
 	to         *roster.Entry // nil if there is none
 	source     *roster.Entry // of a cached prefix, or nil
@@ -49,7 +62,6 @@
 // maxStart keeps the start of a search within an int of any size.
 const maxStart = 1 << 30
 
-// choose chooses the endpoint of an attempt.
 func (b *balancer) choose(now time.Time, query *endpointQuery) selection {
 	entries := b.roster.Serving(query.service)
 	serving := len(entries)
@@ -122,3 +134,42 @@
 	}
 	return b.roster.Entry(indexed)
 }
+
+// choose chooses the endpoint of the next attempt, or nil if there is none, and the
+// one from which it may fetch the cached part of the prompt, or nil.
+func (x *exchange) choose() (to, source *roster.Entry) {
+	q := x.request
+	query := endpointQuery{service: q.service, affinity: q.affinity, tried: x.tried}
+	if q.shared {
+		query.shared = q.sharedParts()
+	}
+	selected := x.forwarder.choose(time.Now(), &query)
+	if selected.to != nil {
+		x.logChoice(&selected)
+	}
+	return selected.to, selected.source
+}
+
+func (x *exchange) logChoice(s *selection) {
+	f, q := x.forwarder, x.request
+	var sourceID ryeford.EndpointID
+	if s.source != nil {
+		sourceID = s.source.ID
+	}
+	_ = f.log.Log("decision", "send", "request", q.meta.ID, "route", q.rule.Name, "account", q.accountID(), "service", q.service,
+		"endpoint", s.to.ID, "why", s.choice.Reason, "load", roundLoad(s.load), "mean", roundLoad(s.choice.Mean), "cap", roundLoad(s.choice.Cap), "candidates", s.candidates, "prompt", promptText(q.meta.Prefix), "source", sourceID,
+		"sent", x.history.Sent, "unsent", x.history.Unsent, "version", q.catalog.Version(), "lease", f.configuration.leaseLeft())
+}
+
+// promptText returns the shared parts of a prompt as they are logged: ID and tokens
+// of each.
+func promptText(parts []ryeford.PromptPart) string {
+	var b strings.Builder
+	for i := 0; i+1 < len(parts); i++ {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		fmt.Fprintf(&b, "%x:%d", parts[i].ID, parts[i].Tokens)
+	}
+	return b.String()
+}
--- a/gateway/callerconn.go
+++ b/gateway/callerconn.go
@@ -25,7 +25,6 @@
 	defaultHeader = 10 * time.Second
 )
 
-// idleTimeout returns how long a caller's connection may be idle.
 func (c *configuration) idleTimeout() time.Duration {
 	if current := c.current(); current != nil && current.Limits().IdleTimeout > 0 {
 		return current.Limits().IdleTimeout
@@ -33,7 +32,6 @@
 	return defaultIdle
 }
 
-// headerTimeout returns how long a caller may take to send a request's header.
 func (c *configuration) headerTimeout() time.Duration {
 	if current := c.current(); current != nil && current.Limits().HeaderTimeout > 0 {
 		return current.Limits().HeaderTimeout
@@ -41,7 +39,6 @@
 	return defaultHeader
 }
 
-// A callerListener accepts callers' connections.
 type callerListener struct {
 	net.Listener
 	configuration *configuration
@@ -56,7 +53,6 @@
 	return &callerConn{Conn: conn, configuration: l.configuration}, nil
 }
 
-// A callerConn is a caller's connection.
 type callerConn struct {
 	net.Conn
 	configuration *configuration
--- a/gateway/durations.go
+++ b/gateway/durations.go
@@ -27,7 +27,6 @@
 	routes map[string]time.Duration
 }
 
-// newDurations returns durations without any route.
 func newDurations() *durations { return &durations{routes: make(map[string]time.Duration)} }
 
 // observe takes the duration of a request that was answered.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -14,7 +14,6 @@
 
 import (
 	"context"
-	"net/http"
 
 	"github.com/go-kit/log"
 	"golang.org/x/sync/errgroup"
@@ -22,11 +21,6 @@
 	"github.com/ryeford/ryeford"
 	"github.com/ryeford/ryeford/gateway/endpoint"
 	"github.com/ryeford/ryeford/gateway/freshness"
-	"github.com/ryeford/ryeford/gateway/loads"
-	"github.com/ryeford/ryeford/gateway/outlier"
-	"github.com/ryeford/ryeford/gateway/peers"
-	"github.com/ryeford/ryeford/gateway/prefixcache"
-	"github.com/ryeford/ryeford/gateway/roster"
 	"github.com/ryeford/ryeford/internal/telemetry"
 	"github.com/ryeford/ryeford/settings"
 )
@@ -58,13 +52,9 @@
 	handler       *handler
 
 	// What several parts use:
-	roster   *roster.Roster // kept by endpoints
-	detector *outlier.Detector
-	pool     *endpoint.Pool
-	loads    *loads.Table
-	prefixes *prefixcache.Index
-	peers    *peers.Table // kept by gossip
-	revision *revision    // the newest of the store
+	*balancer // what is known of the endpoints
+	pool      *endpoint.Pool
+	revision  *revision // the newest of the store
 }
 
 // New returns a Gateway.
@@ -74,12 +64,8 @@
 		platform:    platform,
 		log:         logger,
 		metrics:     metrics,
-		roster:      roster.New(),
-		detector:    outlier.New(outlier.DefaultLimits()),
+		balancer:    newBalancer(s),
 		pool:        endpoint.New(platform.Protocol),
-		loads:       loads.New(),
-		prefixes:    prefixcache.New(prefixcache.DefaultLimits()),
-		peers:       peers.New(s.Peers.AddrPort, peers.DefaultLimits()),
 		revision:    &revision{},
 		drain:       newDrain(s.Bounds.Grace, logger),
 		initialSync: newInitialSync(s.Routing.StartPatience),
@@ -97,12 +83,12 @@
 func (g *Gateway) Run(stop context.Context) error {
 	work, cancel := context.WithCancel(context.WithoutCancel(stop))
 	defer cancel()
-	callers, err := g.listen(work, g.settings.Callers, g.handler)
+	callers, err := g.newServer(work, g.settings.Callers.AddrPort, g.handler)
 	if err != nil {
 		return err
 	}
 	callers.http.ConnState = g.drain.recordConnection
-	probes, err := g.listen(work, g.settings.Readiness, g.probes)
+	probes, err := g.newServer(work, g.settings.Readiness.AddrPort, g.probes)
 	if err != nil {
 		return err
 	}
@@ -128,8 +114,3 @@
 	_ = g.log.Log("msg", "stopped", "in_flight", g.drain.inFlight.Load(), "err", err)
 	return err
 }
-
-// listen returns a server that is bound to its address.
-func (g *Gateway) listen(work context.Context, address settings.Address, handler http.Handler) (*server, error) {
-	return newServer(work, address.AddrPort, handler, g.configuration, g.log)
-}
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -50,10 +50,8 @@
 	droppedSend   = "send"   // the socket failed to send
 )
 
-// drop counts a datagram that was dropped.
 func (g *gossip) drop(reason string) { g.metrics.Count("ryeford_gossip_dropped_total", reason) }
 
-// addPrompt adds a prompt to the next message.
 func (g *gossip) addPrompt(endpoint ryeford.EndpointID, parts []ryeford.PromptPart) {
 	prompt := peers.Prompt{Endpoint: endpoint}
 	for _, part := range parts {
@@ -119,7 +117,6 @@
 	}
 }
 
-// receive merges the peers' messages until ctx ends.
 func (g *gossip) receive(ctx context.Context, conn *net.UDPConn) error {
 	buffer := make([]byte, peers.MaxMessage)
 	for {
--- a/gateway/rating.go
+++ b/gateway/rating.go
@@ -49,7 +49,6 @@
 	return ratingFailure
 }
 
-// report passes an attempt's rating to the outlier detector.
 func (r rating) report(detector *outlier.Detector, id ryeford.EndpointID) {
 	now := time.Now()
 	switch r {
--- a/gateway/rounding.go
+++ b/gateway/rounding.go
@@ -12,8 +12,6 @@
 	logLoadSteps = 100
 )
 
-// roundTime returns a duration as it is logged.
 func roundTime(d time.Duration) time.Duration { return d.Round(logTimeStep) }
 
-// roundLoad returns a load as it is logged.
 func roundLoad(load float64) float64 { return math.Round(load*logLoadSteps) / logLoadSteps }
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -23,7 +23,7 @@
 
 // newServer returns a server that is bound to its address. Requests inherit the
 // context base. A failure is a *ListenError.
-func newServer(base context.Context, address netip.AddrPort, handler http.Handler, configuration *configuration, logger log.Logger) (*server, error) {
+func (g *Gateway) newServer(base context.Context, address netip.AddrPort, handler http.Handler) (*server, error) {
 	listener, err := net.Listen("tcp", address.String())
 	if err != nil {
 		return nil, &ListenError{Address: address, Err: err}
@@ -31,20 +31,19 @@
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	return &server{
-		listener: &callerListener{Listener: listener, configuration: configuration},
+		listener: &callerListener{Listener: listener, configuration: g.configuration},
 		http: &http.Server{
 			Handler:           handler,
 			ReadHeaderTimeout: headerPlaceholder,
 			IdleTimeout:       idlePlaceholder,
 			MaxHeaderBytes:    maxHeaderBytes,
-			ErrorLog:          stdlog.New(&serverLogWriter{log: logger}, "", 0),
+			ErrorLog:          stdlog.New(&serverLogWriter{log: g.log}, "", 0),
 			BaseContext:       func(net.Listener) context.Context { return base },
 			Protocols:         protocols,
 		},
 	}, nil
 }
 
-// serve serves until the server is closed.
 func (s *server) serve() error {
 	err := s.http.Serve(s.listener)
 	if errors.Is(err, http.ErrServerClosed) {
@@ -63,10 +62,8 @@
 	Err     error
 }
 
-// Error returns the text of e.
 func (e *ListenError) Error() string { return "listen on " + e.Address.String() + ": " + e.Err.Error() }
 
-// Unwrap returns the cause of e.
 func (e *ListenError) Unwrap() error { return e.Err }
 
 // A serverLogWriter writes what net/http's server logs to the gateway's log.
@@ -74,7 +71,6 @@
 	log log.Logger
 }
 
-// Write implements io.Writer.
 func (w *serverLogWriter) Write(line []byte) (int, error) {
 	_ = w.log.Log("msg", "http server", "text", strings.TrimSpace(string(line)))
 	return len(line), nil
--- a/gateway/wiring.go
+++ b/gateway/wiring.go
@@ -6,12 +6,10 @@
 	"golang.org/x/sync/semaphore"
 
 	"github.com/ryeford/ryeford/gateway/admit"
-	"github.com/ryeford/ryeford/gateway/choice"
 	"github.com/ryeford/ryeford/gateway/freshness"
 	"github.com/ryeford/ryeford/retry"
 )
 
-// addConfiguration adds what reads the operators' configuration.
 func (g *Gateway) addConfiguration() {
 	g.configuration = newConfiguration(configurationOptions{
 		source:   g.platform.Configurations,
@@ -27,7 +25,6 @@
 	})
 }
 
-// addEndpoints adds what follows the list of endpoints.
 func (g *Gateway) addEndpoints() {
 	g.endpoints = &endpointList{
 		source:     g.platform.Endpoints,
@@ -45,7 +42,6 @@
 	}
 }
 
-// addGossip adds what exchanges messages with the peers.
 func (g *Gateway) addGossip() {
 	g.gossip = &gossip{
 		self:          g.settings.Peers.AddrPort,
@@ -62,7 +58,6 @@
 	}
 }
 
-// addProbes adds what answers readiness probes.
 func (g *Gateway) addProbes() {
 	g.probes = &probeHandler{
 		path:          g.platform.ReadyPath,
@@ -73,7 +68,6 @@
 	}
 }
 
-// addHandler adds what serves callers.
 func (g *Gateway) addHandler() {
 	s := g.settings
 	durations := newDurations()
@@ -90,14 +84,7 @@
 		metrics:       g.metrics,
 	}
 	g.handler.forwarder = &forwarder{
-		balancer: &balancer{
-			roster:   g.roster,
-			detector: g.detector,
-			loads:    g.loads,
-			prefixes: g.prefixes,
-			peers:    g.peers,
-			limits:   choice.Limits{CapFactor: s.Bounds.CapFactor, Domain: s.FailureDomain},
-		},
+		balancer:      g.balancer,
 		protocol:      g.platform.Protocol,
 		configuration: g.configuration,
 		pool:          g.pool,
@@ -109,7 +96,6 @@
 	}
 }
 
-// addMetrics adds the gauges.
 func (g *Gateway) addMetrics() {
 	g.metrics.Gauge("ryeford_in_flight", func() float64 { return float64(g.drain.inFlight.Load()) })
 	g.metrics.Gauge("ryeford_endpoints", func() float64 { return float64(g.roster.Len()) })
