refactor: idle connections are popped in one way

Cause: CloseIdle took a list of connections apart by hand beside pop; gossip.takePrompts had one caller; setAckTimeout chose between two errors. Ruled out: CloseExpired by slices.DeleteFunc, whose predicate would close connections. Change: CloseIdle and idleConnection loop over pop; the empty list that CloseIdle leaves behind goes with the next CloseExpired. takePrompts is folded into message. Conclusion: one way to take an idle connection.

--- a/gateway/endpoint/connection.go
+++ b/gateway/endpoint/connection.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"strconv"
@@ -56,10 +57,7 @@
 	err := raw.Control(func(fd uintptr) {
 		failed = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(ackTimeout.Milliseconds()))
 	})
-	if err != nil {
-		return err
-	}
-	return failed
+	return errors.Join(err, failed)
 }
 
 // silent reports whether nothing has arrived on an idle connection: neither its end
--- a/gateway/endpoint/pool.go
+++ b/gateway/endpoint/pool.go
@@ -59,16 +59,13 @@
 // if there is none, and closes those that it finds unfit.
 func (p *Pool) idleConnection(id ryeford.EndpointID) *connection {
 	now := time.Now()
-	for {
-		c := p.pop(id)
-		if c == nil {
-			return nil
-		}
+	for c := p.pop(id); c != nil; c = p.pop(id) {
 		if now.Before(c.idleUntil) && c.silent() {
 			return c
 		}
 		c.close()
 	}
+	return nil
 }
 
 // pop takes the idle connection to an endpoint that was used last, or returns nil.
@@ -103,11 +100,7 @@
 
 // CloseIdle closes the idle connections to an endpoint.
 func (p *Pool) CloseIdle(id ryeford.EndpointID) {
-	p.mu.Lock()
-	list := p.idle[id]
-	delete(p.idle, id)
-	p.mu.Unlock()
-	for _, c := range list {
+	for c := p.pop(id); c != nil; c = p.pop(id) {
 		c.close()
 	}
 }
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -64,15 +64,6 @@
 	}
 }
 
-// takePrompts returns the prompts of the next message and forgets them.
-func (g *gossip) takePrompts() []peers.Prompt {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	prompts := g.prompts
-	g.prompts = nil
-	return prompts
-}
-
 // run exchanges messages with the peers until ctx ends. A failure is a
 // *ListenError.
 func (g *gossip) run(ctx context.Context) error {
@@ -212,6 +203,10 @@
 	if n := peers.MembersToName(sequence); n > 0 {
 		members = g.table.Members(now, n)
 	}
+	g.mu.Lock()
+	prompts := g.prompts
+	g.prompts = nil
+	g.mu.Unlock()
 	return &peers.Message{
 		ConfirmedAt: confirmedAt,
 		Confirmed:   confirmed,
@@ -221,6 +216,6 @@
 		Sequence:    sequence,
 		Members:     members,
 		Loads:       g.loads.Own(),
-		Prompts:     g.takePrompts(),
+		Prompts:     prompts,
 	}
 }
