refactor: the gateway's wiring stands with its type

Cause: wiring.go held nothing but methods of Gateway that New calls, and the same imports as gateway.go. Ruled out: joining callerconn.go and server.go, or outlier's limits.go and outlier.go: the first of each is a rule with its section in docs/decisions.md. Change: the methods stand after New. promptText joins its texts with the standard library. Conclusion: one file to read for how the gateway is put together.

--- a/gateway/balancer.go
+++ b/gateway/balancer.go
@@ -164,12 +164,9 @@
 // promptText returns the shared parts of a prompt as they are logged: ID and tokens
 // of each.
 func promptText(parts []ryeford.PromptPart) string {
-	var b strings.Builder
+	var texts []string
 	for i := 0; i+1 < len(parts); i++ {
-		if i > 0 {
-			b.WriteByte(',')
-		}
-		fmt.Fprintf(&b, "%x:%d", parts[i].ID, parts[i].Tokens)
+		texts = append(texts, fmt.Sprintf("%x:%d", parts[i].ID, parts[i].Tokens))
 	}
-	return b.String()
+	return strings.Join(texts, ",")
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -3,7 +3,7 @@
 // chooses an endpoint for each, passes the answer on, and keeps nothing that
 // must last.
 //
-// A Gateway wires its parts together (wiring.go) and runs them. Each part owns one
+// A Gateway wires its parts together and runs them. Each part owns one
 // piece of state: configuration, endpointList, gossip, drain, probeHandler, and
 // server for the HTTP servers. A request's life begins in handler.go. The packages below
 // this one hold the rules by which the parts decide.
@@ -14,14 +14,18 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/go-kit/log"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/ryeford/ryeford"
+	"github.com/ryeford/ryeford/gateway/admit"
 	"github.com/ryeford/ryeford/gateway/endpoint"
 	"github.com/ryeford/ryeford/gateway/freshness"
 	"github.com/ryeford/ryeford/internal/telemetry"
+	"github.com/ryeford/ryeford/retry"
 	"github.com/ryeford/ryeford/settings"
 )
 
@@ -79,6 +83,100 @@
 	return g
 }
 
+func (g *Gateway) addConfiguration() {
+	g.configuration = newConfiguration(configurationOptions{
+		source:   g.platform.Configurations,
+		term:     freshness.Term(g.settings.Bounds.Revoke),
+		refresh:  g.settings.RefreshConfiguration(),
+		bound:    g.settings.Bounds.Configuration,
+		contact:  g.settings.Bounds.Contact,
+		peers:    g.peers,
+		revision: g.revision,
+		onUpdate: g.checkSynced,
+		log:      g.log,
+		metrics:  g.metrics,
+	})
+}
+
+func (g *Gateway) addEndpoints() {
+	g.endpoints = &endpointList{
+		source:     g.platform.Endpoints,
+		wait:       g.settings.WaitForEndpoints(),
+		settle:     g.settings.SettleEndpoints(),
+		contact:    g.settings.Bounds.Contact,
+		revision:   g.revision,
+		roster:     g.roster,
+		pool:       g.pool,
+		forgetters: []forgetter{g.detector, g.loads, g.prefixes},
+		outage:     newOutage("endpoints", g.configuration.leaseLeft, g.log, g.metrics),
+		onUpdate:   g.checkSynced,
+		log:        g.log,
+		dropped:    make(chan struct{}, 1),
+	}
+}
+
+func (g *Gateway) addGossip() {
+	g.gossip = &gossip{
+		self:          g.settings.Peers.AddrPort,
+		vm:            g.settings.VM,
+		routers:       g.platform.Routers,
+		started:       time.Now().UnixNano(),
+		table:         g.peers,
+		configuration: g.configuration,
+		roster:        g.roster,
+		prefixes:      g.prefixes,
+		loads:         g.loads,
+		log:           g.log,
+		metrics:       g.metrics,
+	}
+}
+
+func (g *Gateway) addProbes() {
+	g.probes = &probeHandler{
+		path:          g.platform.ReadyPath,
+		configuration: g.configuration,
+		roster:        g.roster,
+		drain:         g.drain,
+		log:           g.log,
+	}
+}
+
+func (g *Gateway) addHandler() {
+	s := g.settings
+	durations := newDurations()
+	g.handler = &handler{
+		protocol:      g.platform.Protocol,
+		configuration: g.configuration,
+		roster:        g.roster,
+		drain:         g.drain,
+		initialSync:   g.initialSync,
+		bodies:        semaphore.NewWeighted(admit.BodyMemory(s.Memory)),
+		budgets:       retry.NewWindows(retry.WindowLimits{Span: s.Bounds.RetryWindow, Ratio: s.Bounds.RetryRatio, Reserve: s.Bounds.RetryReserve}),
+		durations:     durations,
+		log:           g.log,
+		metrics:       g.metrics,
+	}
+	g.handler.forwarder = &forwarder{
+		balancer:      g.balancer,
+		protocol:      g.platform.Protocol,
+		configuration: g.configuration,
+		pool:          g.pool,
+		gossip:        g.gossip,
+		minSharers:    s.Routing.Routers,
+		durations:     durations,
+		log:           g.log,
+		metrics:       g.metrics,
+	}
+}
+
+func (g *Gateway) addMetrics() {
+	g.metrics.Gauge("ryeford_in_flight", func() float64 { return float64(g.drain.inFlight.Load()) })
+	g.metrics.Gauge("ryeford_endpoints", func() float64 { return float64(g.roster.Len()) })
+	g.metrics.Gauge("ryeford_peers", func() float64 { return float64(g.peers.Alive(time.Now())) })
+	g.metrics.Gauge("ryeford_lease_seconds", func() float64 { return g.configuration.lease.Left(time.Now()).Seconds() })
+	g.metrics.Gauge("ryeford_configuration_version", func() float64 { return float64(g.configuration.version()) })
+}
+
 // Run serves until stop ends, and then until what is in flight has ended.
 func (g *Gateway) Run(stop context.Context) error {
 	work, cancel := context.WithCancel(context.WithoutCancel(stop))
