--- a/gateway/balancer.go
+++ b/gateway/balancer.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"fmt"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -11,23 +13,35 @@
 	"github.com/ryeford/ryeford/gateway/peers"
 	"github.com/ryeford/ryeford/gateway/prefixcache"
 	"github.com/ryeford/ryeford/gateway/roster"
+	"github.com/ryeford/ryeford/settings"
 )
 
 // A balancer chooses the endpoint of an attempt. It reads what the router knows of
 // the endpoints and asks package choice, which holds the rules; it owns nothing but
 // the place where the next search for the least loaded endpoint starts.
 type balancer struct {
-	roster   *roster.Roster
+	roster   *roster.Roster // kept by endpointList
 	detector *outlier.Detector
 	loads    *loads.Table
 	prefixes *prefixcache.Index
-	peers    *peers.Table
+	peers    *peers.Table // kept by gossip
 	limits   choice.Limits
 
 	start atomic.Uint64
 }
 
-// An endpointQuery is what a request asks of the balancer.
+// newBalancer returns a balancer that knows nothing yet.
+func newBalancer(s *settings.Gateway) *balancer {
+	return &balancer{
+		roster:   roster.New(),
+		detector: outlier.New(outlier.DefaultLimits()),
+		loads:    loads.New(),
+		prefixes: prefixcache.New(prefixcache.DefaultLimits()),
+		peers:    peers.New(s.Peers.AddrPort, peers.DefaultLimits()),
+		limits:   choice.Limits{CapFactor: s.Bounds.CapFactor, Domain: s.FailureDomain},
+	}
+}
+
 type endpointQuery struct {
 	service string
 	// shared are the parts of the prompt that other requests may share; if there are
@@ -37,7 +51,6 @@
 	tried    map[ryeford.EndpointID]bool
 }
 
-// A selection is the endpoint that was chosen, and why.
 type selection struct {
 	to         *roster.Entry // nil if there is none
 	source     *roster.Entry // of a cached prefix, or nil
@@ -49,7 +62,6 @@
 // maxStart keeps the start of a search within an int of any size.
 const maxStart = 1 << 30
 
-// choose chooses the endpoint of an attempt.
 func (b *balancer) choose(now time.Time, query *endpointQuery) selection {
 	entries := b.roster.Serving(query.service)
 	serving := len(entries)
@@ -64,15 +76,11 @@
 	} else {
 		chosen = choice.ByLoad(candidates, b.limits, int(b.start.Add(1)%maxStart))
 	}
+	result := selection{choice: chosen, candidates: len(candidates)}
 	if chosen.Index < 0 {
-		return selection{choice: chosen, candidates: len(candidates)}
-	}
-	result := selection{
-		to:         entries[chosen.Index],
-		choice:     chosen,
-		load:       candidates[chosen.Index].Load,
-		candidates: len(candidates),
+		return result
 	}
+	result.to, result.load = entries[chosen.Index], candidates[chosen.Index].Load
 	if byAffinity {
 		result.source = b.source(now, query, entries, &chosen)
 	}
@@ -96,7 +104,14 @@
 // candidates returns what is known of some endpoints, of which the first ones, as
 // many as serving, accept requests.
 func (b *balancer) candidates(now time.Time, query *endpointQuery, entries []*roster.Entry, serving int) []choice.Candidate {
-	held, tokens := b.held(now, query.shared)
+	var held map[ryeford.EndpointID]int // tokens of the prompt's shared parts
+	if len(query.shared) > 0 {
+		held = b.prefixes.HeldTokens(now, query.shared)
+	}
+	tokens := 0
+	for _, part := range query.shared {
+		tokens += part.Tokens
+	}
 	candidates := make([]choice.Candidate, 0, len(entries))
 	for i, entry := range entries {
 		others, known := b.peers.Requests(now, entry.ID)
@@ -115,18 +130,6 @@
 	return candidates
 }
 
-// held returns how many tokens of a prompt's shared parts each endpoint is likely
-// to hold, and how many there are.
-func (b *balancer) held(now time.Time, shared []ryeford.PromptPart) (held map[ryeford.EndpointID]int, tokens int) {
-	if len(shared) == 0 {
-		return nil, 0
-	}
-	for i := range shared {
-		tokens += shared[i].Tokens
-	}
-	return b.prefixes.HeldTokens(now, shared), tokens
-}
-
 // source returns the endpoint from which the chosen one may fetch what it lacks of
 // the prompt, or nil.
 func (b *balancer) source(now time.Time, query *endpointQuery, entries []*roster.Entry, chosen *choice.Choice) *roster.Entry {
@@ -141,3 +144,49 @@
 	}
 	return b.roster.Entry(indexed)
 }
+
+// choose chooses the endpoint of the next attempt, or nil if there is none, and the
+// one from which it may fetch the cached part of the prompt, or nil.
+func (x *exchange) choose() (to, source *roster.Entry) {
+	q := x.request
+	query := endpointQuery{service: q.service, affinity: q.affinity, tried: x.tried}
+	if q.shared {
+		query.shared = q.sharedParts()
+	}
+	selected := x.forwarder.choose(time.Now(), &query)
+	for selected.to != nil && !x.tries(selected.to) {
+		x.tried[selected.to.ID] = true
+		selected = x.forwarder.choose(time.Now(), &query)
+	}
+	if selected.to != nil {
+		x.logChoice(&selected)
+	}
+	return selected.to, selected.source
+}
+
+// tries reports whether an attempt may go to an endpoint.
+func (x *exchange) tries(to *roster.Entry) bool {
+	return x.history.Tries(x.forwarder.detector.Unusable(time.Now(), to.ID))
+}
+
+// logChoice logs where an attempt goes and why.
+func (x *exchange) logChoice(s *selection) {
+	f, q := x.forwarder, x.request
+	var sourceID ryeford.EndpointID
+	if s.source != nil {
+		sourceID = s.source.ID
+	}
+	_ = f.log.Log("decision", "send", "request", q.meta.ID, "route", q.rule.Name, "account", q.accountID(), "service", q.service,
+		"endpoint", s.to.ID, "why", s.choice.Reason, "load", roundLoad(s.load), "mean", roundLoad(s.choice.Mean), "cap", roundLoad(s.choice.Cap), "candidates", s.candidates, "prompt", promptText(q.meta.Prefix), "source", sourceID,
+		"sent", x.history.Sent, "unsent", x.history.Unsent, "version", q.catalog.Version(), "lease", f.configuration.leaseLeft())
+}
+
+// promptText returns the shared parts of a prompt as they are logged: ID and tokens
+// of each.
+func promptText(parts []ryeford.PromptPart) string {
+	var texts []string
+	for i := 0; i+1 < len(parts); i++ {
+		texts = append(texts, fmt.Sprintf("%x:%d", parts[i].ID, parts[i].Tokens))
+	}
+	return strings.Join(texts, ",")
+}
--- a/gateway/endpoint/connection.go
+++ b/gateway/endpoint/connection.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"strconv"
@@ -27,7 +28,6 @@
 	tcpUserTimeout = 18
 )
 
-// A connection is one connection to an endpoint.
 type connection struct {
 	net.Conn
 	endpoint ryeford.EndpointID
@@ -52,16 +52,12 @@
 	}, nil
 }
 
-// setAckTimeout sets ackTimeout on a new socket.
 func setAckTimeout(_, _ string, raw syscall.RawConn) error {
 	var failed error
 	err := raw.Control(func(fd uintptr) {
 		failed = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(ackTimeout.Milliseconds()))
 	})
-	if err != nil {
-		return err
-	}
-	return failed
+	return errors.Join(err, failed)
 }
 
 // silent reports whether nothing has arrived on an idle connection: neither its end
--- a/gateway/endpoint/pool.go
+++ b/gateway/endpoint/pool.go
@@ -1,6 +1,25 @@
+// Package endpoint sends requests to endpoints over HTTP/1.1 and keeps the
+// connections to them. Each request is written to one connection, once.
+//
+// An attempt ends in one of three ways, and the type of its error is what it proves:
+//
+//   - *UnsentError: the endpoint got nothing of the request, which did not run.
+//   - *LostError: the request was sent, whole or in part, and no usable response
+//     came. It may have run.
+//   - no error: the head of the endpoint's own response to this request. What it
+//     says of the request is the caller's to judge; the body may still be lost.
+//
+// When a connection is used again stands with Response.Close and Pool.idleConnection.
+//
+// The package owns the idle connections. It relies on the ryeford.Protocol for the
+// ID, the signature and the load in a response's header, and on net/http's codec to
+// read responses. net/http's client is not used: it repeats requests on its own, and
+// takes whatever response comes for the one to its request.
 package endpoint
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -42,16 +61,13 @@
 // if there is none, and closes those that it finds unfit.
 func (p *Pool) idleConnection(id ryeford.EndpointID) *connection {
 	now := time.Now()
-	for {
-		c := p.pop(id)
-		if c == nil {
-			return nil
-		}
+	for c := p.pop(id); c != nil; c = p.pop(id) {
 		if now.Before(c.idleUntil) && c.silent() {
 			return c
 		}
 		c.close()
 	}
+	return nil
 }
 
 // pop takes the idle connection to an endpoint that was used last, or returns nil.
@@ -86,11 +102,7 @@
 
 // CloseIdle closes the idle connections to an endpoint.
 func (p *Pool) CloseIdle(id ryeford.EndpointID) {
-	p.mu.Lock()
-	list := p.idle[id]
-	delete(p.idle, id)
-	p.mu.Unlock()
-	for _, c := range list {
+	for c := p.pop(id); c != nil; c = p.pop(id) {
 		c.close()
 	}
 }
@@ -99,19 +111,14 @@
 func (p *Pool) CloseExpired(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	expired := func(c *connection) bool { return !now.Before(c.idleUntil) }
 	for id, list := range p.idle {
-		kept := list[:0]
 		for _, c := range list {
-			if now.Before(c.idleUntil) {
-				kept = append(kept, c)
-				continue
+			if expired(c) {
+				c.close()
 			}
-			c.close()
-		}
-		clear(list[len(kept):])
-		p.idle[id] = kept
-		if len(kept) == 0 {
-			delete(p.idle, id)
 		}
+		p.idle[id] = slices.DeleteFunc(list, expired)
 	}
+	maps.DeleteFunc(p.idle, func(_ ryeford.EndpointID, list []*connection) bool { return len(list) == 0 })
 }
--- a/gateway/exchange_test.go
+++ b/gateway/exchange_test.go
@@ -55,12 +55,7 @@
 		protocol:      platform.Protocol{},
 		configuration: newConfiguration(configurationOptions{term: time.Minute}),
 		balancer:      balancer,
-		roster:        balancer.roster,
-		detector:      balancer.detector,
 		pool:          endpoint.New(platform.Protocol{}),
-		loads:         balancer.loads,
-		prefixes:      balancer.prefixes,
-		peers:         balancer.peers,
 		minSharers:    1,
 		durations:     newDurations(),
 		fastest:       newFastest(),
@@ -218,7 +213,7 @@
 	assert.Equal(t, e.sends(), 1, "known")
 	seconds, err := strconv.ParseFloat(w.Header().Get("Retry-After"), 64)
 	assert.NilError(t, err)
-	ejected := e.forwarder.balancer.ejectedFor(time.Now(), "s")
+	ejected := e.forwarder.ejectedFor(time.Now(), "s")
 	assert.Assert(t, time.Duration(seconds*float64(time.Second)) >= ejected-time.Millisecond, "%v, ejected for %v", seconds, ejected)
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -3,7 +3,7 @@
 // chooses an endpoint for each, passes the answer on, and keeps nothing that
 // must last.
 //
-// A Gateway wires its parts together (wiring.go) and runs them. Each part owns one
+// A Gateway wires its parts together and runs them. Each part owns one
 // piece of state: configuration, endpointList, gossip, drain, probeHandler, and
 // server for the HTTP servers. A request's life begins in handler.go. The packages below
 // this one hold the rules by which the parts decide.
@@ -14,20 +14,18 @@
 
 import (
 	"context"
-	"net/http"
+	"time"
 
 	"github.com/go-kit/log"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/ryeford/ryeford"
+	"github.com/ryeford/ryeford/gateway/admit"
 	"github.com/ryeford/ryeford/gateway/endpoint"
 	"github.com/ryeford/ryeford/gateway/freshness"
-	"github.com/ryeford/ryeford/gateway/loads"
-	"github.com/ryeford/ryeford/gateway/outlier"
-	"github.com/ryeford/ryeford/gateway/peers"
-	"github.com/ryeford/ryeford/gateway/prefixcache"
-	"github.com/ryeford/ryeford/gateway/roster"
 	"github.com/ryeford/ryeford/internal/telemetry"
+	"github.com/ryeford/ryeford/retry"
 	"github.com/ryeford/ryeford/settings"
 )
 
@@ -58,13 +56,9 @@
 	handler       *handler
 
 	// What several parts use:
-	roster   *roster.Roster // kept by endpoints
-	detector *outlier.Detector
-	pool     *endpoint.Pool
-	loads    *loads.Table
-	prefixes *prefixcache.Index
-	peers    *peers.Table // kept by gossip
-	revision *revision    // the newest of the store
+	*balancer // what is known of the endpoints
+	pool      *endpoint.Pool
+	revision  *revision // the newest of the store
 }
 
 // New returns a Gateway.
@@ -74,12 +68,8 @@
 		platform:    platform,
 		log:         logger,
 		metrics:     metrics,
-		roster:      roster.New(),
-		detector:    outlier.New(outlier.DefaultLimits()),
+		balancer:    newBalancer(s),
 		pool:        endpoint.New(platform.Protocol),
-		loads:       loads.New(),
-		prefixes:    prefixcache.New(prefixcache.DefaultLimits()),
-		peers:       peers.New(s.Peers.AddrPort, peers.DefaultLimits()),
 		revision:    &revision{},
 		drain:       newDrain(s.Bounds.Grace, logger),
 		initialSync: newInitialSync(s.Routing.StartPatience),
@@ -93,16 +83,112 @@
 	return g
 }
 
+func (g *Gateway) addConfiguration() {
+	g.configuration = newConfiguration(configurationOptions{
+		source:   g.platform.Configurations,
+		term:     freshness.Term(g.settings.Bounds.Revoke),
+		refresh:  g.settings.RefreshConfiguration(),
+		bound:    g.settings.Bounds.Configuration,
+		contact:  g.settings.Bounds.Contact,
+		peers:    g.peers,
+		revision: g.revision,
+		onUpdate: g.checkSynced,
+		log:      g.log,
+		metrics:  g.metrics,
+	})
+}
+
+func (g *Gateway) addEndpoints() {
+	g.endpoints = &endpointList{
+		source:     g.platform.Endpoints,
+		wait:       g.settings.WaitForEndpoints(),
+		settle:     g.settings.SettleEndpoints(),
+		contact:    g.settings.Bounds.Contact,
+		revision:   g.revision,
+		roster:     g.roster,
+		pool:       g.pool,
+		forgetters: []forgetter{g.detector, g.loads, g.prefixes},
+		outage:     newOutage("endpoints", g.configuration.leaseLeft, g.log, g.metrics),
+		onUpdate:   g.checkSynced,
+		log:        g.log,
+		dropped:    make(chan struct{}, 1),
+	}
+}
+
+func (g *Gateway) addGossip() {
+	g.gossip = &gossip{
+		self:          g.settings.Peers.AddrPort,
+		vm:            g.settings.VM,
+		routers:       g.platform.Routers,
+		started:       time.Now().UnixNano(),
+		table:         g.peers,
+		configuration: g.configuration,
+		roster:        g.roster,
+		prefixes:      g.prefixes,
+		loads:         g.loads,
+		log:           g.log,
+		metrics:       g.metrics,
+	}
+}
+
+func (g *Gateway) addProbes() {
+	g.probes = &probeHandler{
+		path:          g.platform.ReadyPath,
+		configuration: g.configuration,
+		roster:        g.roster,
+		drain:         g.drain,
+		log:           g.log,
+	}
+}
+
+func (g *Gateway) addHandler() {
+	s := g.settings
+	durations := newDurations()
+	g.handler = &handler{
+		protocol:      g.platform.Protocol,
+		configuration: g.configuration,
+		roster:        g.roster,
+		drain:         g.drain,
+		initialSync:   g.initialSync,
+		bodies:        semaphore.NewWeighted(admit.BodyMemory(s.Memory)),
+		budgets:       retry.NewWindows(retry.WindowLimits{Span: s.Bounds.RetryWindow, Ratio: s.Bounds.RetryRatio, Reserve: s.Bounds.RetryReserve}),
+		durations:     durations,
+		log:           g.log,
+		metrics:       g.metrics,
+	}
+	g.handler.forwarder = &forwarder{
+		balancer:      g.balancer,
+		protocol:      g.platform.Protocol,
+		configuration: g.configuration,
+		pool:          g.pool,
+		gossip:        g.gossip,
+		minSharers:    s.Routing.Routers,
+		durations:     durations,
+		refusals:      newRefusals(),
+		fastest:       newFastest(),
+		log:           g.log,
+		metrics:       g.metrics,
+	}
+}
+
+func (g *Gateway) addMetrics() {
+	g.metrics.Gauge("ryeford_in_flight", func() float64 { return float64(g.drain.inFlight.Load()) })
+	g.metrics.Gauge("ryeford_endpoints", func() float64 { return float64(g.roster.Len()) })
+	g.metrics.Gauge("ryeford_peers", func() float64 { return float64(g.peers.Alive(time.Now())) })
+	g.metrics.Gauge("ryeford_lease_seconds", func() float64 { return g.configuration.lease.Left(time.Now()).Seconds() })
+	g.metrics.Gauge("ryeford_configuration_version", func() float64 { return float64(g.configuration.version()) })
+}
+
 // Run serves until stop ends, and then until what is in flight has ended.
 func (g *Gateway) Run(stop context.Context) error {
 	work, cancel := context.WithCancel(context.WithoutCancel(stop))
 	defer cancel()
-	callers, err := g.listen(work, g.settings.Callers, g.handler)
+	callers, err := g.newServer(work, g.settings.Callers.AddrPort, g.handler)
 	if err != nil {
 		return err
 	}
 	callers.http.ConnState = g.drain.recordConnection
-	probes, err := g.listen(work, g.settings.Readiness, g.probes)
+	probes, err := g.newServer(work, g.settings.Readiness.AddrPort, g.probes)
 	if err != nil {
 		return err
 	}
@@ -128,8 +214,3 @@
 	_ = g.log.Log("msg", "stopped", "in_flight", g.drain.inFlight.Load(), "err", err)
 	return err
 }
-
-// listen returns a server that is bound to its address.
-func (g *Gateway) listen(work context.Context, address settings.Address, handler http.Handler) (*server, error) {
-	return newServer(work, address.AddrPort, handler, g.configuration, g.log)
-}
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -50,10 +50,8 @@
 	droppedSend   = "send"   // the socket failed to send
 )
 
-// drop counts a datagram that was dropped.
 func (g *gossip) drop(reason string) { g.metrics.Count("ryeford_gossip_dropped_total", reason) }
 
-// addPrompt adds a prompt to the next message.
 func (g *gossip) addPrompt(endpoint ryeford.EndpointID, parts []ryeford.PromptPart) {
 	prompt := peers.Prompt{Endpoint: endpoint}
 	for _, part := range parts {
@@ -66,15 +64,6 @@
 	}
 }
 
-// takePrompts returns the prompts of the next message and forgets them.
-func (g *gossip) takePrompts() []peers.Prompt {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	prompts := g.prompts
-	g.prompts = nil
-	return prompts
-}
-
 // run exchanges messages with the peers until ctx ends. A failure is a
 // *ListenError.
 func (g *gossip) run(ctx context.Context) error {
@@ -119,7 +108,6 @@
 	}
 }
 
-// receive merges the peers' messages until ctx ends.
 func (g *gossip) receive(ctx context.Context, conn *net.UDPConn) error {
 	buffer := make([]byte, peers.MaxMessage)
 	for {
@@ -215,6 +203,10 @@
 	if n := peers.MembersToName(sequence); n > 0 {
 		members = g.table.Members(now, n)
 	}
+	g.mu.Lock()
+	prompts := g.prompts
+	g.prompts = nil
+	g.mu.Unlock()
 	return &peers.Message{
 		ConfirmedAt: confirmedAt,
 		Confirmed:   confirmed,
@@ -224,6 +216,6 @@
 		Sequence:    sequence,
 		Members:     members,
 		Loads:       g.loads.Own(),
-		Prompts:     g.takePrompts(),
+		Prompts:     prompts,
 	}
 }
