test: one narrow link for all tests; what time a stop leaves

Ruled out: nothing. Change: the fixture uses slowlink and counts bytes beside it; TestDrainLeavesTimeFor. Conclusion: no change of the gateway.

--- a/gateway/drain_test.go
+++ b/gateway/drain_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/go-kit/log"
 	"gotest.tools/v3/assert"
+
+	"github.com/ryeford/ryeford"
 )
 
 // TestAwaitNotice checks that a gateway that stops goes on 0.4 s after its second
@@ -67,3 +69,21 @@
 		close(stop)
 	})
 }
+
+// TestDrainLeavesTimeFor checks that the time that is left to a request ends when the
+// gateway closes what is open, 0.7 s before it is killed, less the time for last bytes.
+func TestDrainLeavesTimeFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDrain(8*time.Second, log.NewNopLogger())
+		ordered := time.Now()
+		d.ordered.Store(&ordered)
+		time.Sleep(3 * time.Second)
+		q := &request{rule: &ryeford.RouteRule{Kind: ryeford.RouteStream}}
+		q.deadline = ordered.Add(7 * time.Second)
+		assert.Assert(t, d.leavesTimeFor(q, 0))
+		q.deadline = ordered.Add(7*time.Second + 1)
+		assert.Assert(t, !d.leavesTimeFor(q, 0), "it may be broken off")
+		q.rule = &ryeford.RouteRule{Kind: ryeford.RouteAtMostOnce}
+		assert.Assert(t, d.leavesTimeFor(q, 2*time.Second), "it is expected to end")
+	})
+}
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -22,6 +22,7 @@
 	"github.com/ryeford/ryeford/settings"
 	"github.com/ryeford/ryeford/standin/appserver"
 	"github.com/ryeford/ryeford/standin/rowstore"
+	"github.com/ryeford/ryeford/standin/slowlink"
 )
 
 // conditionLimit ends a test whose condition never comes. It decides no verdict
@@ -45,8 +46,8 @@
 	// those under way.
 	storeCutOff     atomic.Bool
 	closeStoreConns func()
-	// storeRate bounds the bytes a second that the store's responses come with, unless
-	// it is zero; storeCalls and storeBytes count what has come.
+	// storeRate bounds the bytes a second that each of the store's responses comes with,
+	// unless it is zero; storeCalls and storeBytes count what has come.
 	storeRate, storeCalls, storeBytes atomic.Int64
 }
 
@@ -73,7 +74,11 @@
 			panic(http.ErrAbortHandler)
 		}
 		f.storeCalls.Add(1)
-		f.store.ServeHTTP(&narrowLink{ResponseWriter: w, f: f}, r)
+		var link http.Handler = f.store
+		if rate := f.storeRate.Load(); rate > 0 {
+			link = slowlink.New(f.store, int(rate))
+		}
+		link.ServeHTTP(&countingWriter{ResponseWriter: w, written: &f.storeBytes}, r)
 	}))
 	f.closeStoreConns = storeServer.CloseClientConnections
 	t.Cleanup(storeServer.Close)
--- a/gateway/largeconfiguration_test.go
+++ b/gateway/largeconfiguration_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -13,7 +14,7 @@
 )
 
 // manyRoutes is so many that the configuration takes several times the store's timeout
-// to come over the link of narrowLink.
+// to come over a narrow link.
 const manyRoutes = 1500
 
 // largeConfiguration returns a version of baseConfiguration with many routes more, of
@@ -33,35 +34,22 @@
 	return config
 }
 
-// A narrowLink passes a response on at a number of bytes a second, in small parts, and
-// counts them.
-type narrowLink struct {
+// A countingWriter writes a response and counts its bytes.
+type countingWriter struct {
 	http.ResponseWriter
-	f *fixture
+	written *atomic.Int64
 }
 
-// linkPart is how many bytes a narrowLink passes on at once.
-const linkPart = 4 << 10
-
 // Write implements io.Writer.
-func (l *narrowLink) Write(p []byte) (int, error) {
-	written := 0
-	for written < len(p) {
-		part := p[written:min(len(p), written+linkPart)]
-		if rate := l.f.storeRate.Load(); rate > 0 {
-			time.Sleep(time.Duration(len(part)) * time.Second / time.Duration(rate))
-		}
-		n, err := l.ResponseWriter.Write(part)
-		written += n
-		l.f.storeBytes.Add(int64(n))
-		if err != nil {
-			return written, err
-		}
-		_ = http.NewResponseController(l.ResponseWriter).Flush()
-	}
-	return written, nil
+func (w *countingWriter) Write(p []byte) (int, error) {
+	n, err := w.ResponseWriter.Write(p)
+	w.written.Add(int64(n))
+	return n, err
 }
 
+// Unwrap returns what an http.ResponseController flushes.
+func (w *countingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
 // TestLargeConfiguration checks that a configuration which takes longer to come over
 // the gateway's link than the store may be silent for is put in force all the same, and
 // that it is not transferred again as long as it does not change (incident inc1).
