--- a/gateway/configuration.go
+++ b/gateway/configuration.go
@@ -211,7 +211,7 @@
 	current := c.current()
 	switch freshness.AfterPeer(current != nil, versionOf(current), version) {
 	case freshness.PeerIsNewer:
-		c.newer.hear(now, version)
+		c.newer.receive(now, version)
 		c.readSoon()
 	case freshness.PeerRenews:
 		c.lease.RenewFromPeer(now, at)
--- a/gateway/newerversion.go
+++ b/gateway/newerversion.go
@@ -28,8 +28,8 @@
 	return now.Sub(n.since), n.newest > n.inForce
 }
 
-// hear takes the version of a peer.
-func (n *newerVersion) hear(now time.Time, version int64) {
+// receive takes the version that a peer has.
+func (n *newerVersion) receive(now time.Time, version int64) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.newest <= n.inForce {
--- a/gateway/store_test.go
+++ b/gateway/store_test.go
@@ -115,7 +115,7 @@
 }
 
 // TestListAfterTrouble checks that what the list of endpoints lost, added and changed
-// while the store was in trouble is in force after it, whatever the trouble was.
+// while the store failed is in force after that, however it failed.
 func TestListAfterTrouble(t *testing.T) {
 	for name, test := range map[string]struct {
 		fault  rowstore.Fault
