docs: comments on what a newcomer looks for in balancer, gossip, server and gateway

Cause: reading the diff as a newcomer: three functions had lost comments that say more than their names. Ruled out: comments on each constructor step, which restate it. Change: comments only. Conclusion: no change of behaviour.

--- a/gateway/balancer.go
+++ b/gateway/balancer.go
@@ -62,6 +62,8 @@
 // maxStart keeps the start of a search within an int of any size.
 const maxStart = 1 << 30
 
+// choose chooses an endpoint for an attempt, by package choice: by the prompt's shared
+// parts, of which draining endpoints may be sources, or else by load.
 func (b *balancer) choose(now time.Time, query *endpointQuery) selection {
 	entries := b.roster.Serving(query.service)
 	serving := len(entries)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -83,6 +83,8 @@
 	return g
 }
 
+// The parts of a Gateway are added in the order in which they use each other.
+
 func (g *Gateway) addConfiguration() {
 	g.configuration = newConfiguration(configurationOptions{
 		source:   g.platform.Configurations,
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -108,6 +108,7 @@
 	}
 }
 
+// receive merges the peers' messages until ctx ends.
 func (g *gossip) receive(ctx context.Context, conn *net.UDPConn) error {
 	buffer := make([]byte, peers.MaxMessage)
 	for {
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -44,6 +44,7 @@
 	}, nil
 }
 
+// serve serves until the server is closed, which is no error.
 func (s *server) serve() error {
 	err := s.http.Serve(s.listener)
 	if errors.Is(err, http.ErrServerClosed) {
