fix: no process is started while a port is probed

Ruled out: another process that picked the same port (it can't reserve it); the range of outgoing connections (32,768 and above); a process left over by an earlier run (isFree would have seen it).

Change: isFree holds syscall.ForkLock for reading, which the runtime takes for writing around a fork.

--- a/internal/freeport/freeport.go
+++ b/internal/freeport/freeport.go
@@ -12,6 +12,7 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 )
 
 // Ports are picked below those that the kernel gives to outgoing connections (32,768 and
@@ -67,7 +68,13 @@
 }
 
 // isFree reports whether an address is free for TCP and UDP.
+//
+// It starts no process while it holds the address: a process that is being started keeps
+// a copy of all open sockets until it runs its own program, so the address would stay in
+// use after this returns. Two soak tests of one CI run failed for that (docs/findings.md).
 func isFree(address netip.AddrPort) bool {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
 	tcp, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(address))
 	if err != nil {
 		return false
