fix: a router keeps since when it has known of each newer version

Cause: newerVersion kept one time, which each version that was put in force set anew. A router whose reads take longer than the changes are apart is always one or more versions behind, and began to count from the end of each read: it served by a superseded configuration for the transfer's time and half of bounds.configuration. With 8,000 routes on 10 Mbit/s (1.6 s, by arithmetic) and a bound of 3 s that is 3.1 s and the time in which peers tell, beyond the bound.

Ruled out: that the reads themselves are begun anew (each ends; a version that comes during a read is read next); that gossip tells of a version too late (a wide link reads it within a second).

Change: the versions that peers have are kept with the time at which each was heard of first; one that is put in force removes itself and what is older.

Before: TestNewerVersion failed (0.5 s in place of 1 s).

--- a/gateway/configuration.go
+++ b/gateway/configuration.go
@@ -200,7 +200,7 @@
 	}
 	next := catalog.New(update.Configuration)
 	applied := c.inForce.Put(next)
-	c.newer.putInForce(time.Now(), c.version())
+	c.newer.putInForce(c.version())
 	_ = c.log.Log("decision", "configuration", "version", next.Version(), "revision", update.Revision,
 		"routes", len(update.Configuration.Routes), "accounts", len(update.Configuration.Accounts), "took", roundTime(time.Since(sent)), "applied", applied)
 }
