test: a configuration superseded while it comes, or by the store's word alone

TestConfigurationSupersededAgain: version 3 is accepted while version 2 is being transferred. The time since which a newer version is known was set anew when version 2 took effect, so that it was used for half of the bound from then on, not from version 3 on: beyond the whole bound, 2 s after version 3's acceptance.

TestLongTransfer: no peer has a newer version, but the store's answer to a comparison says that there is one, seconds before it has come over a narrow link. Until then the gateway served public routes by the old one: "served 1.503731311s after the route was removed" with a bound of 1.5 s. All routers of a fleet with narrow links only are in this state at once.

--- a/gateway/configuration_test.go
+++ b/gateway/configuration_test.go
@@ -305,3 +305,33 @@
 		assert.Assert(t, !f.superseded(time.Now()))
 	})
 }
+
+// TestConfigurationSupersededAgain checks that a configuration that was superseded while
+// it was being transferred is used no longer than any other: not for bounds.configuration
+// after the newer one was accepted.
+func TestConfigurationSupersededAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newConfigurationFixture()
+		f.runFor(t, 100*time.Millisecond)
+		f.source.takes = 1500 * time.Millisecond
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			f.runFor(t, 4*time.Second)
+		}()
+		f.source.version = 2
+		f.confirmedByPeer(time.Now(), 2, 0)
+		time.Sleep(100 * time.Millisecond)
+		synctest.Wait()
+		accepted := time.Now()
+		f.source.version = 3
+		f.confirmedByPeer(accepted, 3, 0)
+		time.Sleep(time.Until(accepted.Add(f.bound)))
+		used, superseded := f.version(), f.superseded(time.Now())
+		<-done
+		assert.Equal(t, used, int64(2))
+		assert.Assert(t, superseded)
+		assert.Equal(t, f.version(), int64(3))
+		assert.Assert(t, !f.superseded(time.Now()))
+	})
+}
--- a/gateway/largeconfiguration_test.go
+++ b/gateway/largeconfiguration_test.go
@@ -72,3 +72,33 @@
 	size := int64(manyRoutes * 100)
 	assert.Assert(t, f.storeBytes.Load()-bytes < size, "%d bytes transferred, though nothing has changed", f.storeBytes.Load()-bytes)
 }
+
+// TestLongTransfer checks that a gateway that learns from the store itself, and from no
+// peer, that its configuration has changed serves no request by the old one later than
+// bounds.configuration after the change, however long the new one takes to come.
+func TestLongTransfer(t *testing.T) {
+	const bound = 1500 * time.Millisecond
+	f := newFixture(t, largeConfiguration(1), func(s *settings.Gateway) {
+		s.Routing.StoreTimeout = 500 * time.Millisecond
+		s.Bounds.Configuration = bound
+	})
+	f.addEndpoint("plain", "p1", 0)
+	f.awaitReady(true)
+	f.awaitEndpoints(1)
+	get := func() int { return f.do(f.request("GET", "/added/a", "", "")).status }
+	assert.Equal(t, get(), http.StatusOK)
+
+	// 0.33 MB of routes take more than 3 s.
+	f.storeRate.Store(100 << 10)
+	removed := largeConfiguration(2)
+	removed.Routes = removed.Routes[:len(removed.Routes)-1]
+	f.putConfiguration(removed)
+	accepted := time.Now()
+	f.await("the end of the removed route", func() bool {
+		sent := time.Now()
+		status := get()
+		assert.Assert(t, status != http.StatusOK || sent.Sub(accepted) < bound, "served %s after the route was removed", sent.Sub(accepted))
+		return status == http.StatusNotFound
+	})
+	f.awaitReady(true)
+}
