fix: a superseded configuration is used no longer than the bound

Cause: a router that knew that its configuration was superseded used it for half of bounds.configuration from when it first knew so. That is late if the news is late, and if several changes follow each other: the time was set anew when the version that had been superseded on its way took effect. And the news came from peers only. Where all links are narrow, no peer has the new version before all are late, though the store says in the head of its answer to a comparison that the configuration differs.

Ruled out: a time kept for each newer version, which still counts from late news; a second constant beside supersededDivisor; telling peers of a version that has not come, since each compares by itself within the refresh age; refusing whenever the last confirmation is old, whether or not there is a newer one, since that refuses requests while a slow store brings what has not changed.

Change: the time counts from the last confirmation of the configuration in force, and to the whole bound. ConfigurationIfChanged tells of a change before its transfer.

Conclusion: no path is left on which a router that knows of a newer version serves by the old one beyond the bound while the store answers.

--- a/gateway/configuration.go
+++ b/gateway/configuration.go
@@ -80,12 +80,12 @@
 // superseded reports whether the configuration in force must not be used since a newer one
 // is known.
 func (c *configuration) superseded(now time.Time) bool {
-	known, ok := c.newer.knownFor(now)
-	if !ok {
+	if !c.newer.known() {
 		return false
 	}
+	confirmed, _ := c.lease.Age(now)
 	answered, ever := c.revision.sinceAnswer(now)
-	return ever && freshness.Superseded(known, answered, c.bound, c.contact)
+	return ever && freshness.Superseded(confirmed, answered, c.bound, c.contact)
 }
 
 // reliable reports whether the configuration in force may be relied on.
@@ -161,7 +161,7 @@
 // fetch asks the source for the configuration, or for what has changed of it.
 func (c *configuration) fetch(ctx context.Context) (ryeford.ConfigurationUpdate, error) {
 	if freshness.Compares(freshness.Known{Size: c.size, Answered: c.answered, Outdated: c.newer.known()}) {
-		return c.source.ConfigurationIfChanged(ctx, c.state)
+		return c.source.ConfigurationIfChanged(ctx, c.state, c.newer.setChanged)
 	}
 	return c.source.Configuration(ctx)
 }
@@ -192,15 +192,23 @@
 	return true
 }
 
-// putInForce puts the configuration of an update in force, unless it is already. sent is
-// when the read was sent.
+// putInForce puts the configuration of an update in force, unless it is already or there
+// is none. sent is when the read was sent.
 func (c *configuration) putInForce(update *ryeford.ConfigurationUpdate, sent time.Time) {
-	if update.Configuration == nil || update.Configuration.Version == c.version() {
+	if update.Configuration == nil {
 		return
 	}
+	if update.Configuration.Version != c.version() {
+		c.replace(update, sent)
+	}
+	c.newer.putInForce(c.version())
+}
+
+// replace puts the configuration of an update in force, unless a later one is. sent is when
+// the read was sent.
+func (c *configuration) replace(update *ryeford.ConfigurationUpdate, sent time.Time) {
 	next := catalog.New(update.Configuration)
 	applied := c.inForce.Put(next)
-	c.newer.putInForce(time.Now(), c.version())
 	_ = c.log.Log("decision", "configuration", "version", next.Version(), "revision", update.Revision,
 		"routes", len(update.Configuration.Routes), "accounts", len(update.Configuration.Accounts), "took", roundTime(time.Since(sent)), "applied", applied)
 }
@@ -211,7 +219,7 @@
 	current := c.current()
 	switch freshness.AfterPeer(current != nil, versionOf(current), version) {
 	case freshness.PeerIsNewer:
-		c.newer.receive(now, version)
+		c.newer.receive(version)
 		c.readSoon()
 	case freshness.PeerRenews:
 		c.lease.RenewFromPeer(now, at)
--- a/source.go
+++ b/source.go
@@ -36,8 +36,9 @@
 	// Configuration returns the configuration, whole.
 	Configuration(ctx context.Context) (ConfigurationUpdate, error)
 	// ConfigurationIfChanged returns the configuration, unless its state is still the
-	// known one, which is not zero. It may fail where Configuration does not.
-	ConfigurationIfChanged(ctx context.Context, known ConfigurationState) (ConfigurationUpdate, error)
+	// known one, which is not zero. It may fail where Configuration does not. onChange is
+	// called once it is known that the state is another one, before the transfer.
+	ConfigurationIfChanged(ctx context.Context, known ConfigurationState, onChange func()) (ConfigurationUpdate, error)
 }
 
 // An EndpointUpdate is what an EndpointSource returns.
