fix: a store that a router leaves unasked is not out of reach

Cause: a superseded configuration is used again once the store counts as out of reach, which was after bounds.contact without an answer. After a change of the list of endpoints a router leaves the list unasked for endpoints_settle, and then the store holds the read for endpoints_wait: by the defaults 3 s together, and bounds.contact is 3 s (4 s and 4 s on the grown sites). While the new configuration is being transferred, which counts as answered only at its end, nothing else asks the store.

Ruled out: counting a transfer under way as an answer, which leaves the same gap while reads fail at once; more reads of the list, which cost calls.

Change: settings.StoreSilence is how long a gateway may hear nothing of a store that answers all its calls (3.7 s by the defaults, 4.7 s on the grown sites), and stands in the place of bounds.contact in this rule.

Changed expectations: none. The fixtures of TestConfiguration... and of contact_test.go pass the time under its new name; the latter as the gateway derives it.

In an outage of the whole store, a router that knows of a newer version refuses for 0.7 s longer before it serves by the old one.

Conclusion: the rule no longer rests on two settings that happen to be equal.

--- a/gateway/configuration.go
+++ b/gateway/configuration.go
@@ -39,9 +39,9 @@
 	term time.Duration
 	// refresh is the age at which a router without peers reads it again.
 	refresh time.Duration
-	// bound is the time in which a change must be in force, and contact that after
-	// which a source that does not answer counts as out of reach.
-	bound, contact time.Duration
+	// bound is the time in which a change must be in force, and silence that after
+	// which a source that has answered nothing counts as out of reach.
+	bound, silence time.Duration
 	// peers says whose shift it is to read.
 	peers *peers.Table
 	// revision is the newest of the store, on any of its tables.
@@ -85,7 +85,7 @@
 	}
 	confirmed, _ := c.lease.Age(now)
 	answered, ever := c.revision.sinceAnswer(now)
-	return ever && freshness.Superseded(confirmed, answered, c.bound, c.contact)
+	return ever && freshness.Superseded(confirmed, answered, c.bound, c.silence)
 }
 
 // reliable reports whether the configuration in force may be relied on.
--- a/gateway/configuration_test.go
+++ b/gateway/configuration_test.go
@@ -73,7 +73,7 @@
 		term:     4 * time.Second,
 		refresh:  time.Second,
 		bound:    2 * time.Second,
-		contact:  3 * time.Second,
+		silence:  3 * time.Second,
 		peers:    peers.New(netip.AddrPort{}, peers.DefaultLimits()),
 		revision: &revision{},
 		onUpdate: func() { f.updates++ },
--- a/gateway/contact_test.go
+++ b/gateway/contact_test.go
@@ -53,7 +53,7 @@
 		term:     freshness.Term(s.Bounds.Revoke),
 		refresh:  s.RefreshConfiguration(),
 		bound:    s.Bounds.Configuration,
-		contact:  s.Bounds.Contact,
+		silence:  s.StoreSilence(),
 		peers:    peers.New(netip.AddrPort{}, peers.DefaultLimits()),
 		revision: f.endpoints.revision,
 		onUpdate: func() {},
--- a/gateway/freshness/superseded.go
+++ b/gateway/freshness/superseded.go
@@ -17,8 +17,8 @@
 
 // Superseded reports whether a configuration must not be used that is known to be
 // superseded. confirmed is the time since it was last confirmed, answered the time since
-// the source answered last; bound is the time in which a change must be in force, contact
-// that after which a source that does not answer counts as out of reach.
-func Superseded(confirmed, answered, bound, contact time.Duration) bool {
-	return confirmed >= bound && answered < contact
+// the source answered last; bound is the time in which a change must be in force, silence
+// that after which a source that has answered nothing counts as out of reach.
+func Superseded(confirmed, answered, bound, silence time.Duration) bool {
+	return confirmed >= bound && answered < silence
 }
--- a/gateway/freshness/superseded_test.go
+++ b/gateway/freshness/superseded_test.go
@@ -9,7 +9,7 @@
 
 // TestSuperseded checks when a superseded configuration is not used any more.
 func TestSuperseded(t *testing.T) {
-	const bound, contact = 2 * time.Second, 3 * time.Second
+	const bound, silence = 2 * time.Second, 3 * time.Second
 	for _, test := range []struct {
 		name                string
 		confirmed, answered time.Duration
@@ -18,9 +18,9 @@
 		{"just confirmed", 0, 0, false},
 		{"confirmed almost as long ago as the bound", bound - 1, 0, false},
 		{"confirmed as long ago as the bound", bound, 0, true},
-		{"the source answered lately", time.Minute, contact - 1, true},
-		{"the source is out of reach", time.Minute, contact, false},
+		{"the source answered lately", time.Minute, silence - 1, true},
+		{"the source is out of reach", time.Minute, silence, false},
 	} {
-		assert.Equal(t, Superseded(test.confirmed, test.answered, bound, contact), test.want, test.name)
+		assert.Equal(t, Superseded(test.confirmed, test.answered, bound, silence), test.want, test.name)
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -91,7 +91,7 @@
 		term:     freshness.Term(g.settings.Bounds.Revoke),
 		refresh:  g.settings.RefreshConfiguration(),
 		bound:    g.settings.Bounds.Configuration,
-		contact:  g.settings.Bounds.Contact,
+		silence:  g.settings.StoreSilence(),
 		peers:    g.peers,
 		revision: g.revision,
 		onUpdate: g.checkSynced,
--- a/settings/derived.go
+++ b/settings/derived.go
@@ -48,6 +48,13 @@
 	return min(maxSettle, s.Bounds.Drain/settleDivisor)
 }
 
+// StoreSilence returns how long a gateway may hear nothing of a store that answers its
+// calls: after a change of the list of endpoints it does not ask for a while, then the store
+// holds the read, and then its answer may be awaited.
+func (s *Gateway) StoreSilence() time.Duration {
+	return s.SettleEndpoints() + s.WaitForEndpoints() + s.Routing.StoreTimeout
+}
+
 // RefreshConfiguration returns the age of the last confirmed configuration at
 // which each gateway reads it again.
 func (s *Gateway) RefreshConfiguration() time.Duration {
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -87,6 +87,7 @@
 			assert.Assert(t, s.WaitForEndpoints()+s.Routing.StoreTimeout < contact)
 			assert.Assert(t, contact < 2*time.Second || s.WaitForEndpoints()+s.Routing.StoreTimeout+contactMargin <= contact)
 			assert.Assert(t, s.SettleEndpoints() <= bound/2)
+			assert.Assert(t, s.StoreSilence() > s.WaitForEndpoints()+s.SettleEndpoints())
 			assert.Assert(t, s.RefreshConfiguration() <= bound/2)
 			assert.Assert(t, s.RefreshConfiguration() <= s.Bounds.Revoke/5)
 		}
@@ -95,5 +96,6 @@
 	s.Routing = GatewayRouting{EndpointsWait: 1, EndpointsSettle: 2, LeaseRefresh: 3}
 	assert.Equal(t, s.WaitForEndpoints(), time.Duration(1))
 	assert.Equal(t, s.SettleEndpoints(), time.Duration(2))
+	assert.Equal(t, s.StoreSilence(), time.Duration(3))
 	assert.Equal(t, s.RefreshConfiguration(), time.Duration(3))
 }
