fix: a whole read tells that the configuration has grown before its end

Cause: a configuration below minComparedSize is not compared, so that a router learned of one that is many times as large only once it had come whole, or from a peer. Where all links are narrow no peer has it sooner, and public routes were served by the old one beyond bounds.configuration.

Ruled out: comparing small configurations, too: a comparison is a transaction, whose answer the platform may lose, and these are most reads; the length that the head of the answer states, which the platform does not promise.

Changed expectations: none; callers in tests got the new parameter.

--- a/gateway/configuration.go
+++ b/gateway/configuration.go
@@ -160,10 +160,11 @@
 
 // fetch asks the source for the configuration, or for what has changed of it.
 func (c *configuration) fetch(ctx context.Context) (ryeford.ConfigurationUpdate, error) {
+	known := ryeford.KnownConfiguration{State: c.state, Size: c.size, OnChange: c.newer.setChanged}
 	if freshness.Compares(freshness.Known{Size: c.size, Answered: c.answered, Outdated: c.newer.known()}) {
-		return c.source.ConfigurationIfChanged(ctx, c.state, c.newer.setChanged)
+		return c.source.ConfigurationIfChanged(ctx, known)
 	}
-	return c.source.Configuration(ctx)
+	return c.source.Configuration(ctx, known)
 }
 
 // apply puts a configuration in force, unless it is already, and renews the lease. It
--- a/gateway/configuration_test.go
+++ b/gateway/configuration_test.go
@@ -33,7 +33,7 @@
 }
 
 // Configuration implements ryeford.ConfigurationSource.
-func (s *configurationStandIn) Configuration(context.Context) (ryeford.ConfigurationUpdate, error) {
+func (s *configurationStandIn) Configuration(context.Context, ryeford.KnownConfiguration) (ryeford.ConfigurationUpdate, error) {
 	s.reads = append(s.reads, time.Since(s.began))
 	defer time.Sleep(s.takes)
 	update := ryeford.ConfigurationUpdate{Revision: s.revision, Clock: time.Since(s.began), Begun: time.Now()}
@@ -45,13 +45,13 @@
 }
 
 // ConfigurationIfChanged implements ryeford.ConfigurationSource.
-func (s *configurationStandIn) ConfigurationIfChanged(ctx context.Context, known ryeford.ConfigurationState, onChange func()) (ryeford.ConfigurationUpdate, error) {
+func (s *configurationStandIn) ConfigurationIfChanged(ctx context.Context, known ryeford.KnownConfiguration) (ryeford.ConfigurationUpdate, error) {
 	if s.compareErr != nil {
 		return ryeford.ConfigurationUpdate{}, s.compareErr
 	}
-	if ryeford.ConfigurationState(s.version) != known {
-		onChange()
-		return s.Configuration(ctx)
+	if ryeford.ConfigurationState(s.version) != known.State {
+		known.Changed()
+		return s.Configuration(ctx, known)
 	}
 	s.compared++
 	return ryeford.ConfigurationUpdate{Unchanged: true, Revision: s.revision, Clock: time.Since(s.began), Begun: time.Now()}, nil
--- a/gateway/probewhilereading_test.go
+++ b/gateway/probewhilereading_test.go
@@ -40,8 +40,8 @@
 }
 
 // Configuration implements ryeford.ConfigurationSource.
-func (s *heldSource) Configuration(ctx context.Context) (ryeford.ConfigurationUpdate, error) {
-	update, err := s.configurationStandIn.Configuration(ctx)
+func (s *heldSource) Configuration(ctx context.Context, known ryeford.KnownConfiguration) (ryeford.ConfigurationUpdate, error) {
+	update, err := s.configurationStandIn.Configuration(ctx, known)
 	s.hold.pass()
 	return update, err
 }
--- a/gateway/troubledstore_test.go
+++ b/gateway/troubledstore_test.go
@@ -167,12 +167,12 @@
 }
 
 // Configuration implements ryeford.ConfigurationSource.
-func (s *troubledStore) Configuration(ctx context.Context) (ryeford.ConfigurationUpdate, error) {
-	return s.ConfigurationIfChanged(ctx, 0, func() {})
+func (s *troubledStore) Configuration(ctx context.Context, _ ryeford.KnownConfiguration) (ryeford.ConfigurationUpdate, error) {
+	return s.ConfigurationIfChanged(ctx, ryeford.KnownConfiguration{})
 }
 
 // ConfigurationIfChanged implements ryeford.ConfigurationSource.
-func (s *troubledStore) ConfigurationIfChanged(ctx context.Context, known ryeford.ConfigurationState, onChange func()) (ryeford.ConfigurationUpdate, error) {
+func (s *troubledStore) ConfigurationIfChanged(ctx context.Context, known ryeford.KnownConfiguration) (ryeford.ConfigurationUpdate, error) {
 	const large = 1 << 20
 	now, trouble, _, _ := s.read()
 	if err := s.meet(ctx, trouble, time.Now().Add(s.timeout)); err != nil {
@@ -180,7 +180,7 @@
 	}
 	update := ryeford.ConfigurationUpdate{
 		State:     ryeford.ConfigurationState(now.version),
-		Unchanged: ryeford.ConfigurationState(now.version) == known,
+		Unchanged: ryeford.ConfigurationState(now.version) == known.State,
 		Revision:  now.revision,
 		Clock:     time.Since(s.began),
 		Begun:     time.Now(),
@@ -188,7 +188,7 @@
 	if update.Unchanged {
 		return update, nil
 	}
-	onChange()
+	known.Changed()
 	update.Configuration = &ryeford.Configuration{Version: now.version, Accounts: []ryeford.AccountRule{}}
 	if s.transfer > 0 {
 		update.Size = large
--- a/source.go
+++ b/source.go
@@ -10,6 +10,23 @@
 // the configuration is. Zero stands for no configuration.
 type ConfigurationState int64
 
+// A KnownConfiguration is what the caller of a ConfigurationSource knows of the
+// configuration. Its zero value is that of a caller which knows none.
+type KnownConfiguration struct {
+	State ConfigurationState
+	Size  int // at the source, in bytes
+	// OnChange, unless it is nil, is called once the answer shows that the source has
+	// another configuration, if it does so before it has come whole.
+	OnChange func()
+}
+
+// Changed calls OnChange.
+func (k *KnownConfiguration) Changed() {
+	if k.OnChange != nil {
+		k.OnChange()
+	}
+}
+
 // A ConfigurationUpdate is what a ConfigurationSource returns.
 type ConfigurationUpdate struct {
 	// Configuration is nil if there is none yet, and if it is Unchanged.
@@ -33,12 +50,13 @@
 // A failure is an *UnavailableError, or the error of a configuration that cannot be
 // read.
 type ConfigurationSource interface {
-	// Configuration returns the configuration, whole.
-	Configuration(ctx context.Context) (ConfigurationUpdate, error)
+	// Configuration returns the configuration, whole. That it is another one than the
+	// known one shows early only if it is larger.
+	Configuration(ctx context.Context, known KnownConfiguration) (ConfigurationUpdate, error)
 	// ConfigurationIfChanged returns the configuration, unless its state is still the
-	// known one, which is not zero. It may fail where Configuration does not. onChange is
-	// called once it is known that the state is another one, before the transfer.
-	ConfigurationIfChanged(ctx context.Context, known ConfigurationState, onChange func()) (ConfigurationUpdate, error)
+	// known one, which is not zero. It may fail where Configuration does not. That it is
+	// another one shows before its transfer.
+	ConfigurationIfChanged(ctx context.Context, known KnownConfiguration) (ConfigurationUpdate, error)
 }
 
 // An EndpointUpdate is what an EndpointSource returns.
