--- a/gateway/configuration_test.go
+++ b/gateway/configuration_test.go
@@ -176,6 +176,19 @@
 	})
 }
 
+// TestConfigurationConfirmedAtSending checks that what is passed on to peers as the time of
+// a confirmation does not depend on how long the transfer took.
+func TestConfigurationConfirmedAtSending(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newConfigurationFixture()
+		f.source.takes = 600 * time.Millisecond
+		f.runFor(t, 700*time.Millisecond)
+		confirmed, ok := f.lease.Confirmed()
+		assert.Assert(t, ok)
+		assert.Equal(t, confirmed, f.source.reads[0])
+	})
+}
+
 // TestConfigurationCompared checks that a large configuration is compared, that a
 // comparison that finds it unchanged renews the lease, and that a change takes effect.
 func TestConfigurationCompared(t *testing.T) {
