fix: a connection on which nothing was sent isn't idle for longer

Cause: found while the trial of verified connections was written. A request that is withdrawn right before its first byte (its key was revoked, the lease ended, the endpoint drains) puts its connection back as if a response had come: its idle time began anew, so that a later request could cross the endpoint's close, and be lost. Ruled out: to close it, which costs a connection. Change: putBack keeps the time that the connection had. TestPutBack failed first: idle until 60 s from now in place of 1 s. Conclusion: mended.

--- a/gateway/endpoint/connection.go
+++ b/gateway/endpoint/connection.go
@@ -45,10 +45,11 @@
 		return nil, &UnsentError{Err: err}
 	}
 	return &connection{
-		Conn:     conn,
-		endpoint: to.ID,
-		reader:   bufio.NewReaderSize(conn, readBuffer),
-		maxIdle:  defaultMaxIdle,
+		Conn:      conn,
+		endpoint:  to.ID,
+		reader:    bufio.NewReaderSize(conn, readBuffer),
+		maxIdle:   defaultMaxIdle,
+		idleUntil: time.Now().Add(defaultMaxIdle),
 	}, nil
 }
 
--- a/gateway/endpoint/pool.go
+++ b/gateway/endpoint/pool.go
@@ -83,7 +83,7 @@
 	return list[last]
 }
 
-// put makes a connection idle. It closes one on which bytes are left over, which
+// put makes a connection idle after a response. It closes one on which bytes are left over, which
 // belong to no request, or which the endpoint does not leave open for long enough.
 func (p *Pool) put(c *connection) {
 	if c.reader.Buffered() > 0 || c.maxIdle <= 0 || c.SetDeadline(time.Time{}) != nil {
@@ -91,6 +91,11 @@
 		return
 	}
 	c.idleUntil = time.Now().Add(c.maxIdle)
+	p.putBack(c)
+}
+
+// putBack makes a connection idle on which nothing was sent since it was opened or taken.
+func (p *Pool) putBack(c *connection) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.idle[c.endpoint]) >= maxIdlePerEndpoint {
--- a/gateway/endpoint/reuse_test.go
+++ b/gateway/endpoint/reuse_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -12,6 +13,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/ryeford/ryeford"
 	"github.com/ryeford/ryeford/platform"
 )
 
@@ -88,3 +90,18 @@
 		assert.NilError(t, far.Close())
 	}
 }
+
+// TestPutBack checks that a connection on which nothing was sent, since the request was
+// withdrawn, is idle for no longer than without that.
+func TestPutBack(t *testing.T) {
+	near, far := net.Pipe()
+	t.Cleanup(func() { _ = near.Close(); _ = far.Close() })
+	pool := New(platform.Protocol{})
+	idleUntil := time.Now().Add(time.Second)
+	pool.idle["e"] = []*connection{{Conn: near, endpoint: "e", reader: bufio.NewReader(near), maxIdle: time.Minute, idleUntil: idleUntil}}
+	withdrawn := errors.New("withdrawn")
+	_, err := pool.Send(t.Context(), &ryeford.Endpoint{ID: "e"}, &Request{ID: "r"}, func() error { return withdrawn })
+	assert.ErrorIs(t, err, withdrawn)
+	assert.Equal(t, len(pool.idle["e"]), 1)
+	assert.Equal(t, pool.idle["e"][0].idleUntil, idleUntil)
+}
--- a/gateway/endpoint/send.go
+++ b/gateway/endpoint/send.go
@@ -69,7 +69,7 @@
 		}
 	}
 	if err := check(); err != nil {
-		p.put(c)
+		p.putBack(c)
 		return nil, &UnsentError{Err: err}
 	}
 	// A deadline can't be set only on a closed connection, which ends as well.
