fix: a refused request is answered before its body comes

Route, key, lease and the stop were checked once the body had been read; and where a request was refused without reading it, for want of memory, net/http awaited up to 256 KB of it all the same before it sent the answer, without a time limit.

Ruled out: to close the connection at each such refusal, which costs callers whose body is here already their connection; a deadline that has passed, which does the same for bodies over 4 KB.

Change: a request with a body is checked before that is read, and again after; the rest of a refused request's body is awaited for 10 ms, then the connection is closed after the answer. One row of TestRefusals (no memory) now renews the lease first, as that is checked before memory now; a row for the old state is added.

--- a/gateway/admit/body.go
+++ b/gateway/admit/body.go
@@ -21,6 +21,11 @@
 	bodyBytesPerMegabyte = 1 << 18
 )
 
+// UnreadBodyTimeout is how long the rest of a refused request's body is awaited, so that its
+// connection can be used again: what is on the way already comes in a few milliseconds.
+// Not measured.
+const UnreadBodyTimeout = 10 * time.Millisecond
+
 // BodyMemory returns how many bytes of callers' bodies are kept at once by a process
 // with so many megabytes of memory.
 func BodyMemory(megabytes int) int64 { return int64(megabytes) * bodyBytesPerMegabyte }
--- a/gateway/callers_test.go
+++ b/gateway/callers_test.go
@@ -77,6 +77,38 @@
 	f.await("memory for another body", func() bool { return f.do(f.request("POST", "/once/a", "key-1", large)).status == 200 })
 }
 
+// TestUnreadBody checks that a request that is refused for what its header says is answered
+// at once, though its body does not come.
+func TestUnreadBody(t *testing.T) {
+	f := startedFixture(t, func(s *settings.Gateway) { s.Memory = 16 }) // 4 MB of bodies
+	config := baseConfiguration()
+	config.Version = 2
+	config.Limits.MaxBodyBytes = 5 << 20
+	f.putConfiguration(config)
+	f.awaitLog("version=2")
+	const head = "Host: host.example\r\nRyeford-Request-Id: s1\r\nRyeford-Deadline-Ms: 10000\r\n"
+	for name, test := range map[string]struct{ request, want string }{
+		"no id":         {"POST /once/a HTTP/1.1\r\nHost: host.example\r\nContent-Length: 1000\r\n\r\n", "400"},
+		"unknown route": {"POST /none/a HTTP/1.1\r\n" + head + "Content-Length: 1000\r\n\r\n", "404"},
+		"unknown key":   {"POST /once/a HTTP/1.1\r\n" + head + "Authorization: Bearer other\r\nContent-Length: 1000\r\n\r\n", "401"},
+		"no memory":     {"POST /once/a HTTP/1.1\r\n" + head + "Authorization: Bearer key-1\r\nTransfer-Encoding: chunked\r\n\r\n3e8\r\n", "503"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			conn, err := net.Dial("tcp", strings.TrimPrefix(f.base, "http://"))
+			assert.NilError(t, err)
+			defer func() { _ = conn.Close() }()
+			began := time.Now()
+			_, err = io.WriteString(conn, test.request)
+			assert.NilError(t, err)
+			assert.NilError(t, conn.SetReadDeadline(began.Add(5*time.Second)))
+			line, err := bufio.NewReader(conn).ReadString('\n')
+			assert.NilError(t, err)
+			assert.Assert(t, strings.HasPrefix(line, "HTTP/1.1 "+test.want), line)
+			t.Logf("answered after %v", time.Since(began))
+		})
+	}
+}
+
 // TestSlowSenders checks that the connection of a caller that does not finish a header,
 // or that is idle, is closed after the operators' timeouts, and that a later
 // configuration changes these.
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -47,6 +47,10 @@
 		h.refuse(w, r, q, err)
 		return
 	}
+	if err := h.checkUnread(r, q); err != nil {
+		h.refuse(w, r, q, err)
+		return
+	}
 	body, release, err := h.readBody(w, r, q)
 	if err != nil {
 		h.lookUp(r, q)
@@ -66,6 +70,16 @@
 	h.forwarder.newExchange(q, r, w).serveUntil(ctx, h.drain.ending)
 }
 
+// checkUnread returns why a request whose body is still to be read is refused, or nil: its
+// caller need not send it. A router that has just started doesn't know yet.
+func (h *handler) checkUnread(r *http.Request, q *request) error {
+	if r.ContentLength == 0 || h.configuration.current() == nil || !h.roster.Known() {
+		return nil
+	}
+	h.lookUp(r, q)
+	return admit.Check(h.state(q))
+}
+
 // readBody reads a request's body whole, as long as its caller waits for a response. The
 // returned function gives back the part of the memory for bodies that it took.
 func (h *handler) readBody(w http.ResponseWriter, r *http.Request, q *request) ([]byte, func(), error) {
--- a/gateway/handler_test.go
+++ b/gateway/handler_test.go
@@ -78,7 +78,11 @@
 		{"stopping", stop, "/keyed/a", "key", "", 503, "leaving", true},
 		{"stopping, public route", stop, "/open/a", "", "", 503, "leaving", true},
 		{"body too large", fresh, "/keyed/a", "key", strings.Repeat("x", 101), 413, "input", true},
-		{"no memory for the body", func(h *handler) { h.bodies = semaphore.NewWeighted(99) }, "/keyed/a", "key", strings.Repeat("x", 100), 503, "overload", false},
+		{"no memory for the body", func(h *handler) {
+			fresh(h)
+			h.bodies = semaphore.NewWeighted(99)
+		}, "/keyed/a", "key", strings.Repeat("x", 100), 503, "overload", false},
+		{"no memory for the body, stale", func(h *handler) { h.bodies = semaphore.NewWeighted(99) }, "/keyed/a", "key", strings.Repeat("x", 100), 503, "stale_configuration", true},
 	} {
 		t.Run(row.rule, func(t *testing.T) {
 			var b strings.Builder
--- a/gateway/refuse.go
+++ b/gateway/refuse.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/ryeford/ryeford"
+	"github.com/ryeford/ryeford/gateway/admit"
 	"github.com/ryeford/ryeford/gateway/giveup"
 	"github.com/ryeford/ryeford/retry"
 )
@@ -17,6 +18,9 @@
 	if giveup.ClosesConnection(&verdict) {
 		w.Header().Set("Connection", "close")
 	}
+	// net/http reads what is left of a body before it answers. An error of setting the
+	// deadline means that the connection is closed already.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(admit.UnreadBodyTimeout))
 	writeVerdict(w, h.protocol, q.id(), &verdict)
 	h.metrics.Count("ryeford_refused_total", verdict.Reason)
 	_ = h.log.Log("decision", "refuse", "request", q.id(), "method", r.Method, "host", r.Host, "path", r.URL.Path,
