test: ports that refuse connections are reserved ones

Cause: `closedPort` and TestUnsent listened on a port that the kernel chose, closed it and then took it for one that refuses connections. Such a port may be given to any other server or connection at once: the class of (a port that is closed and used anew).

Looked through for the class, and nothing else found: internal/soak (relays, proxies and stand-ins keep their sockets; a gateway is started anew only after its process was reaped; the emulator opens its admin address last), internal/cmd (scenarios wait for a killed process, or for a condition), platform (httptest only), gateway (both listeners are open before the first line that tests wait for; reservations are never probed again).

Change: both take an address of internal/freeport, which stays reserved and lies below the ports of outgoing connections.

--- a/gateway/endpoint/endpoint_test.go
+++ b/gateway/endpoint/endpoint_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/ryeford/ryeford"
 	"github.com/ryeford/ryeford/gateway/endpoint"
+	"github.com/ryeford/ryeford/internal/freeport"
 	"github.com/ryeford/ryeford/platform"
 )
 
@@ -93,12 +94,9 @@
 // TestUnsent checks that a request that cannot have reached its endpoint ends with an
 // UnsentError, and one whose response is lost, broken or not its own with a LostError.
 func TestUnsent(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	dead := &ryeford.Endpoint{ID: "e", Address: netip.MustParseAddrPort(listener.Addr().String())}
-	_ = listener.Close()
+	dead := &ryeford.Endpoint{ID: "e", Address: freeport.Next()}
 	var unsent *endpoint.UnsentError
-	_, err = send(t.Context(), newPool(), dead)
+	_, err := send(t.Context(), newPool(), dead)
 	assert.Assert(t, errors.As(err, &unsent), "%v", err)
 
 	var lost *endpoint.LostError
--- a/gateway/exchange_test.go
+++ b/gateway/exchange_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -18,6 +17,7 @@
 	"github.com/ryeford/ryeford"
 	"github.com/ryeford/ryeford/gateway/catalog"
 	"github.com/ryeford/ryeford/gateway/endpoint"
+	"github.com/ryeford/ryeford/internal/freeport"
 	"github.com/ryeford/ryeford/internal/telemetry"
 	"github.com/ryeford/ryeford/platform"
 	"github.com/ryeford/ryeford/platform/wire"
@@ -117,14 +117,6 @@
 	e.forwarder.configuration.inForce.Put(catalog.New(&next))
 }
 
-// closedPort returns an address that accepts no connection.
-func closedPort(t *testing.T) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	assert.NilError(t, listener.Close())
-	return listener.Addr().String()
-}
-
 // startEndpoint starts an endpoint, before whose responses change is called, and returns
 // its address.
 func startEndpoint(t testing.TB, server *appserver.Server, change func()) string {
@@ -203,7 +195,7 @@
 // back. Its caller comes back when an ejection ends, if it still waits then.
 func TestUnusableEndpoints(t *testing.T) {
 	e := newExchangeTest(t)
-	e.setEndpoints(closedPort(t), closedPort(t), closedPort(t))
+	e.setEndpoints(freeport.Next().String(), freeport.Next().String(), freeport.Next().String())
 	assert.Equal(t, e.serve().Code, 503)
 	assert.Equal(t, e.sends(), 3, "not known yet")
 	e.log.Reset()
