test: the soak runs the seeds that RYEFORD_SOAK_ONLY lists

Cause: a seed that failed could be run again only as a kept one, beside all others.

Change: RYEFORD_SOAK_ONLY takes the place of the kept and fresh seeds. Without it nothing changes.

--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -25,6 +25,10 @@
 //
 //	RYEFORD_SOAK_SEEDS=50 go test -timeout 60m ./internal/soak
 //
+// Some seeds only, each ten times:
+//
+//	RYEFORD_SOAK_ONLY=332269377,68843397 go test -run TestSoakSeries -count 10 ./internal/soak
+//
 // One run with up to 198 gateways, as far as half of the machine's memory allows:
 //
 //	RYEFORD_SOAK_CROWD=198 go test -run TestSoakCrowd ./internal/soak
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -20,6 +20,9 @@
 	programVariable = "RYEFORD_SOAK_PROGRAM"
 	// seedsVariable says how many fresh seeds are run.
 	seedsVariable = "RYEFORD_SOAK_SEEDS"
+	// onlyVariable lists seeds, with commas between them, which are run in place of the
+	// kept and the fresh ones.
+	onlyVariable = "RYEFORD_SOAK_ONLY"
 	// faultTime is how long faults are injected in one run.
 	faultTime = 6 * time.Second
 	// parallelRuns is how many fleets run at once: at most 3 x 7 processes, within the
@@ -68,9 +71,12 @@
 	}
 }
 
-// seeds returns the kept seeds and the fresh ones.
+// seeds returns the kept seeds and the fresh ones, or those that are asked for.
 func seeds(t *testing.T, kept []keptSeed) []uint64 {
 	t.Helper()
+	if only := os.Getenv(onlyVariable); only != "" {
+		return parseSeeds(t, only)
+	}
 	var seeds []uint64
 	for _, one := range kept {
 		seeds = append(seeds, one.seed)
@@ -87,6 +93,18 @@
 	return seeds
 }
 
+// parseSeeds parses a list of seeds.
+func parseSeeds(t *testing.T, list string) []uint64 {
+	t.Helper()
+	var seeds []uint64
+	for text := range strings.SplitSeq(list, ",") {
+		seed, err := strconv.ParseUint(text, 10, 64)
+		assert.NilError(t, err)
+		seeds = append(seeds, seed)
+	}
+	return seeds
+}
+
 // soak runs one fleet of a plan, whose size the seed draws.
 func soak(t *testing.T, p *plan, seed uint64) {
 	random := rand.New(rand.NewPCG(seed, 0))
