fix: the bound on the store's clock is renewed each minute

Cause: a gateway bounds what the store's steady clock shows by the tightest of its own reads, and kept that one for ever. Where the store's clock runs faster than its own by more than clockDrift (one in ten thousand; a machine's clock may be corrected by five), the bound fell behind until the error reached clockRestart, 10 s. Peers' confirmations were then refused while younger than the error, and above that taken for younger than they are by it: a router that is cut off from the store and lives on its peers' confirmations could serve a revoked key that much longer than bounds.revoke.

Ruled out: a slow answer at the renewal. It makes the bound too high, so that confirmations count as older than they are, until the next read.

Change: an answer is taken for a new bound if the old one is a minute old (clockMemory).

After: less than an eighth of leaseMargin (62.5 ms) at one in a thousand. The tests of gateway/... are green with it.

--- a/gateway/freshness/sourceclock.go
+++ b/gateway/freshness/sourceclock.go
@@ -16,6 +16,11 @@
 	// clockDrift is by how much two steady clocks may differ in speed: the part of
 	// the elapsed time that is added for safety. Not measured.
 	clockDrift = 1e-4
+	// clockMemory is how long one answer may bound the source's clock. Two clocks whose
+	// speeds differ by one in a thousand, twice what a machine's clock is corrected by,
+	// drift apart by 54 ms in that time beyond clockDrift: less than an eighth of
+	// leaseMargin. Without it they did by up to clockRestart (TestFastClock). Not measured.
+	clockMemory = time.Minute
 	// clockRestart is how much later than expected a source's clock must read to
 	// be taken for one that has started anew. Not measured.
 	clockRestart = 10 * time.Second
@@ -32,7 +37,8 @@
 // time.
 func (c *sourceClock) observe(sent time.Time, shown time.Duration) {
 	bound, ok := c.latest(sent)
-	if ok && shown >= bound && shown-bound < clockRestart {
+	recent := ok && sent.Sub(c.at) < clockMemory
+	if recent && shown >= bound && shown-bound < clockRestart {
 		return // the answer was slow: what is known bounds the clock better
 	}
 	c.shown, c.at, c.known = shown, sent, true
--- a/gateway/freshness/sourceclock_test.go
+++ b/gateway/freshness/sourceclock_test.go
@@ -65,6 +65,24 @@
 	assert.Assert(t, age >= 19*time.Second)
 }
 
+// TestFastClock checks that the bound on the source's clock stays true while that clock
+// runs faster than the process's, by more than clockDrift: that a confirmation is never
+// taken for younger than it is by more than an eighth of leaseMargin, however long the
+// process runs. It failed by 8.6 s after a day of a clock two in ten thousand faster.
+func TestFastClock(t *testing.T) {
+	const faster = 1.001 // one in a thousand
+	var c sourceClock
+	var worst time.Duration
+	for elapsed := time.Duration(0); elapsed < 24*time.Hour; elapsed += time.Second {
+		now := start.Add(elapsed)
+		shown := time.Duration(faster * float64(elapsed))
+		c.observe(now, shown)
+		latest, _ := c.latest(now)
+		worst = max(worst, shown-latest)
+	}
+	assert.Assert(t, worst <= leaseMargin/8, "%s", worst)
+}
+
 // TestSlowAnswer checks that a slow answer doesn't loosen what is known of the
 // source's clock, and that a clock that started anew is followed.
 func TestSlowAnswer(t *testing.T) {
