fix: gossip orders processes of one address by the steady clock

Cause: a gossip message carries when its process was started, by the time of day, and peers drop what comes from an earlier process than the last one. A router that is started anew after its time of day has stepped back counted as the earlier one: its messages, confirmations of the configuration among them, were dropped until its entry expired, 3 s after the last message of the process before (peerTTL). docs/architecture.md said that only steady clocks decide.

Ruled out: all other code that runs on the platform. TestSteadyClock reads its types: times keep their reading of the steady clock, and none of the gateway's crosses processes.

Change: the start is read from the machine's steady clock (clock.Steady), which processes of one VM share.

Before: TestSteadyClock failed on gateway.go, (time.Time).UnixNano. After: green, as are the tests of gateway/... and TestSteady.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"github.com/ryeford/ryeford/gateway/admit"
 	"github.com/ryeford/ryeford/gateway/endpoint"
 	"github.com/ryeford/ryeford/gateway/freshness"
+	"github.com/ryeford/ryeford/internal/clock"
 	"github.com/ryeford/ryeford/internal/telemetry"
 	"github.com/ryeford/ryeford/retry"
 	"github.com/ryeford/ryeford/settings"
@@ -122,7 +123,7 @@
 		self:          g.settings.Peers.AddrPort,
 		vm:            g.settings.VM,
 		routers:       g.platform.Routers,
-		started:       time.Now().UnixNano(),
+		started:       clock.Steady().Nanoseconds(),
 		table:         g.peers,
 		configuration: g.configuration,
 		roster:        g.roster,
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -27,7 +27,7 @@
 	self    netip.AddrPort // invalid: there is no gossip
 	vm      ryeford.VMID
 	routers ryeford.RouterList
-	started int64 // of this process, in nanoseconds since 1970
+	started int64 // of this process, in nanoseconds of its VM's steady clock
 	table   *peers.Table
 
 	configuration *configuration
--- a/gateway/peers/count.go
+++ b/gateway/peers/count.go
@@ -52,7 +52,7 @@
 
 // A version orders the messages of one sender.
 type version struct {
-	started  int64  // of the sender's process, in nanoseconds since 1970
+	started  int64  // of the sender's process, in nanoseconds of its VM's steady clock
 	sequence uint64 // within that process
 }
 
--- a/gateway/peers/message.go
+++ b/gateway/peers/message.go
@@ -16,8 +16,10 @@
 // A Message is what a router sends its peers every Interval.
 type Message struct {
 	Sender netip.AddrPort `cbor:"1,keyasint"`
-	// Started is when the sender's process was started, in nanoseconds since 1970.
-	// It distinguishes the processes that had one address.
+	// Started is when the sender's process was started, in nanoseconds of its VM's steady
+	// clock (clock.Steady). It orders the processes that had one address: by the time of
+	// day, a process that was started after that had stepped back would count as older
+	// than the one before it, and not at all for peerTTL.
 	Started int64 `cbor:"2,keyasint"`
 	// Sequence numbers the messages of one process, from 1.
 	Sequence uint64 `cbor:"3,keyasint"`
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -1,4 +1,5 @@
-// Package clock waits on the runtime's clock, which tests pause. It owns no state.
+// Package clock waits on the runtime's clock, which tests pause, and reads the steady clock
+// that the processes of a machine share. It owns no state.
 package clock
 
 import (
