test: clocks in the soak

Cause: clocks that step were missing among the soak's faults, as setting one needs root.

These strike beside the other faults, in both plans, from random numbers of their own: the kept seeds draw the same faults as before. No check excuses anything for them. The time of day of the processes is proved from the code (TestSteadyClock).

--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -73,8 +73,8 @@
 			late++
 		}
 	}
-	t.Logf("%d calls, %d served, %d judged by their version, %d late in a stop, %d gateways, %d lines of the timeline, stalls of %s",
-		len(calls), served, probes, late, len(in.fleet.gateways), len(in.timeline), in.fleet.stalls.between(in.began, time.Now()))
+	t.Logf("%d calls, %d served, %d judged by their version, %d late in a stop, %d gateways, %d lines of the timeline, %d steps of the store's clock, stalls of %s",
+		len(calls), served, probes, late, len(in.fleet.gateways), len(in.timeline), in.clockSteps.Load(), in.fleet.stalls.between(in.began, time.Now()))
 }
 
 // checkStops checks that each process that was stopped has ended within its grace
--- /dev/null
+++ b/internal/soak/clocks_test.go
@@ -0,0 +1,74 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+)
+
+// clockFaults are clocks that are wrong: all that a gateway is told of the time by others.
+//
+// Its own time of day can't be set here: that takes root, and the clock of the machine is
+// everyone's. TestSteadyClock (at the root of the module) proves from the code that no
+// decision depends on it. After a freeze a process finds that its steady clock has jumped.
+//
+// They strike beside the other faults, from a generator of their own, so that the kept
+// seeds draw the same faults as before.
+var clockFaults = []fault{
+	{"store clock rate", "the store's clock is up to 5 % too fast or too slow, up to 3 s", noRequest, noRequest, (*injector).storeClockRate},
+	{"store clock step", "the store's clock starts anew, 15 s or more before or after", noRequest, noRequest, (*injector).storeClockStep},
+	{"dates", "the store and the servers state another day in their answers, up to 3 s", noRequest, noRequest, (*injector).dates},
+}
+
+const (
+	// clockStream is the stream of a seed's random numbers from which clockFaults are drawn.
+	clockStream = 1 << 16
+	// maxBetweenClockFaults is the longest time between the beginnings of two clockFaults.
+	maxBetweenClockFaults = 2 * time.Second
+	// maxClockError is by how much the store's clock is too fast or too slow. In the whole
+	// of a run that makes 0.3 s, less than the margin of 0.5 s that gateways leave at the
+	// end of a lease; the platform promises a steady clock.
+	maxClockError = 0.05
+	// firstClockStep is the first step of the store's clock in a run. It is longer than
+	// the 10 s from which gateways take the clock for one that has started anew.
+	firstClockStep = 15 * time.Second
+	// maxDateError is by how much the day that is stated may be wrong.
+	maxDateError = 10 * 365 * 24 * time.Hour
+)
+
+// drawClockFaults draws those of one run: each kind with an even chance.
+func drawClockFaults(random *rand.Rand) []fault {
+	var drawn []fault
+	for _, one := range clockFaults {
+		if random.IntN(2) == 0 {
+			drawn = append(drawn, one)
+		}
+	}
+	return drawn
+}
+
+// storeClockRate makes the store's clock run too fast or too slow for some time.
+func (in *injector) storeClockRate(random *rand.Rand, _ int) {
+	in.post(fmt.Sprintf(`{"clock_rate":%.3f}`, 1+maxClockError*(2*random.Float64()-1)))
+	pause(random, maxStoreFault)
+	in.post(`{"clock_rate":1}`)
+}
+
+// storeClockStep makes the store's clock jump forward or back. Each step is twice as long
+// as the one before, so that no two of them come near to cancelling out: a short step is
+// none that a steady clock takes, also if it starts anew.
+func (in *injector) storeClockStep(random *rand.Rand, _ int) {
+	by := firstClockStep << (in.clockSteps.Add(1) - 1)
+	if random.IntN(2) == 0 {
+		by = -by
+	}
+	in.post(fmt.Sprintf(`{"clock_step":%d}`, by))
+}
+
+// dates makes all answers state another day for some time.
+func (in *injector) dates(random *rand.Rand, _ int) {
+	wrong := time.Now().Add(time.Duration(random.Int64N(int64(2*maxDateError))) - maxDateError)
+	in.post(fmt.Sprintf(`{"date":%q}`, wrong.UTC().Format(time.RFC1123)))
+	pause(random, maxStoreFault)
+	in.post(`{"date":""}`)
+}
--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -7,7 +7,7 @@
 //   - soak_test.go: TestSoak and TestSoakSeries, one run from its seed to its verdict;
 //   - plan_test.go: how the runs of these two differ;
 //   - seeds_test.go: the seeds that are run each time, and why each was kept;
-//   - faults_test.go, seriesfaults_test.go: the faults, and when they strike;
+//   - faults_test.go, seriesfaults_test.go, clocks_test.go: the faults, and when they strike;
 //   - checks_test.go, serieschecks_test.go: what must hold of each call;
 //   - callers_test.go, fleet_test.go, gateway_test.go, process_test.go: the callers and
 //     the processes;
--- a/internal/soak/injector_test.go
+++ b/internal/soak/injector_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -18,6 +19,8 @@
 	plan  *plan
 	group sync.WaitGroup
 	began time.Time
+	// clockSteps counts the steps of the store's clock.
+	clockSteps atomic.Int64
 
 	mu       sync.Mutex
 	changes  []change
@@ -56,19 +59,28 @@
 	return &injector{fleet: f, plan: p, began: time.Now(), changes: []change{{configuration: p.first}}}
 }
 
-// run injects faults until faultTime is over, and waits until the last has ended.
-func (in *injector) run(random *rand.Rand) {
+// run injects faults until faultTime is over, and waits until the last has ended. The
+// plan's faults come from random, and clockFaults from the seed.
+func (in *injector) run(random *rand.Rand, seed uint64) {
 	in.began = time.Now()
-	faults := in.plan.faults(random)
-	for time.Since(in.began) < faultTime {
+	in.group.Go(func() {
+		clocks := rand.New(rand.NewPCG(seed, clockStream))
+		in.strike(clocks, drawClockFaults(clocks), maxBetweenClockFaults)
+	})
+	in.strike(random, in.plan.faults(random), maxBetweenFaults)
+	in.group.Wait()
+}
+
+// strike injects faults, at most some time apart, until faultTime is over.
+func (in *injector) strike(random *rand.Rand, faults []fault, apart time.Duration) {
+	for len(faults) > 0 && time.Since(in.began) < faultTime {
 		drawn := faults[random.IntN(len(faults))]
 		gateway := random.IntN(len(in.fleet.gateways))
 		own := rand.New(rand.NewPCG(random.Uint64(), 0))
 		in.logf("%s at %s", drawn.name, in.fleet.gateways[gateway].name)
 		in.group.Go(func() { in.inject(&drawn, own, gateway) })
-		pause(random, maxBetweenFaults)
+		pause(random, apart)
 	}
-	in.group.Wait()
 }
 
 // inject injects one fault and records what it may have cut off.
@@ -136,7 +148,7 @@
 
 // clear ends what may still be wrong after faults of one kind have overlapped.
 func (in *injector) clear() {
-	in.post(`{"store":{},"fault":"","requests":0,"state":"ready"}`)
+	in.post(`{"store":{},"fault":"","requests":0,"state":"ready","clock_rate":1,"date":""}`)
 	if in.plan.slowServer {
 		in.post(serverState(slowServer, stateGone))
 	}
--- a/internal/soak/seriesfaults_test.go
+++ b/internal/soak/seriesfaults_test.go
@@ -11,10 +11,6 @@
 
 // allSeriesFaults are the faults of seriesPlan. A seed draws from them by their index, so
 // rows keep their order, and new ones come last.
-//
-// Clocks that step are missing: setting one needs root, and the clock of the machine is
-// everyone's. Nothing stands in for it but the freezes, after which a process finds that
-// time has jumped forward. Gateways use the steady clock only.
 var allSeriesFaults = []fault{
 	{"stop", "SIGTERM to a gateway; it starts anew", noRequest, throughGateway, (*injector).stop},
 	{"signals in a drain", "SIGTERM to a gateway, then more of them and SIGHUPs until it has ended", noRequest, throughGateway, (*injector).signalsInDrain},
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -117,7 +117,7 @@
 func soakFleet(f *fleet, p *plan, random *rand.Rand, seed uint64) {
 	in := newInjector(f, p)
 	c := newCallers(f, p, in, seed)
-	in.run(random)
+	in.run(random, seed)
 	in.clear()
 	if !f.comes(f.allServe) {
 		f.t.Errorf("this never came: all gateways serve again")
--- a/standin/emulator/emulator.go
+++ b/standin/emulator/emulator.go
@@ -14,6 +14,8 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync/atomic"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 
@@ -29,6 +31,8 @@
 	settings *settings.Emulator
 	store    *rowstore.Store
 	servers  []*appserver.Server
+	// date is the Date header of all answers; nil stands for the time of day.
+	date atomic.Pointer[string]
 }
 
 // New returns an Emulator with the operators' first configuration, in the platform's
@@ -50,14 +54,14 @@
 	group, ctx := errgroup.WithContext(ctx)
 	for i, server := range e.servers {
 		listen := e.settings.Servers[i].Address.AddrPort
-		if err := serve(ctx, group, listen, server); err != nil {
+		if err := serve(ctx, group, listen, e.dated(server)); err != nil {
 			return err
 		}
 		if err := e.enter(i, wire.StateReady); err != nil {
 			return err
 		}
 	}
-	if err := serve(ctx, group, e.settings.Store.AddrPort, e.store); err != nil {
+	if err := serve(ctx, group, e.settings.Store.AddrPort, e.dated(e.store)); err != nil {
 		return err
 	}
 	if err := serve(ctx, group, e.settings.Admin.AddrPort, e.adminHandler()); err != nil {
@@ -66,6 +70,16 @@
 	return group.Wait()
 }
 
+// dated returns a handler whose answers carry the Date header that a test has set.
+func (e *Emulator) dated(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if date := e.date.Load(); date != nil {
+			w.Header().Set("Date", *date)
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
 // serve starts an HTTP server, which group runs until ctx ends.
 func serve(ctx context.Context, group *errgroup.Group, address netip.AddrPort, handler http.Handler) error {
 	listener, err := net.Listen("tcp", address.String())
@@ -113,6 +127,13 @@
 	Store *rowstore.Fault `json:"store"`
 	// ForgetHistory makes the store forget its changes up to now.
 	ForgetHistory bool `json:"forget_history"`
+	// ClockStep makes the store's clock jump; ClockRate, unless zero, is how fast it runs
+	// from now on, as a part of time's own speed.
+	ClockStep time.Duration `json:"clock_step"`
+	ClockRate float64       `json:"clock_rate"`
+	// Date is the Date header of all answers, of the store and the endpoints, from now on;
+	// empty stands for the time of day.
+	Date *string `json:"date"`
 	// Configuration is the operators' next configuration.
 	Configuration json.RawMessage `json:"configuration"`
 	// Server is the ID of an endpoint, or empty for all of them. Fault applies to its
@@ -149,6 +170,7 @@
 	if change.Store != nil {
 		e.store.SetFault(*change.Store)
 	}
+	e.applyClock(change)
 	if len(change.Configuration) > 0 {
 		e.store.Put(wire.TableOperators, wire.KeyConfig, change.Configuration)
 	}
@@ -171,6 +193,22 @@
 	return nil
 }
 
+// applyClock changes what the answers say of the time.
+func (e *Emulator) applyClock(change *Change) {
+	e.store.StepClock(change.ClockStep)
+	if change.ClockRate != 0 {
+		e.store.SetClockRate(change.ClockRate)
+	}
+	if change.Date == nil {
+		return
+	}
+	if *change.Date == "" {
+		e.date.Store(nil)
+		return
+	}
+	e.date.Store(change.Date)
+}
+
 // serveRuns answers with how often each request has run, on all endpoints together.
 func (e *Emulator) serveRuns(w http.ResponseWriter, _ *http.Request) {
 	total := make(map[string]int)
--- a/standin/rowstore/serve.go
+++ b/standin/rowstore/serve.go
@@ -159,7 +159,7 @@
 // write writes a response with the store's clock. An error means that the caller
 // has closed the connection.
 func (s *Store) write(w http.ResponseWriter, status int, response *wire.RowsResponse) {
-	response.ClockMs = time.Since(s.began).Milliseconds()
+	response.ClockMs = s.clockShows().Milliseconds()
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(response)
--- a/standin/rowstore/store.go
+++ b/standin/rowstore/store.go
@@ -21,9 +21,8 @@
 
 // A Store is the stand-in. It is an http.Handler, and may be used concurrently.
 type Store struct {
-	began time.Time // when the store's clock showed zero
-
 	mu      sync.Mutex
+	clock   storeClock
 	rows    map[rowName]wire.Row
 	changes []wire.Row    // all since oldest, in order
 	version int64         // of the newest transaction
@@ -43,7 +42,7 @@
 // New returns an empty Store without a fault.
 func New() *Store {
 	return &Store{
-		began:   time.Now(),
+		clock:   storeClock{since: time.Now(), rate: 1},
 		rows:    make(map[rowName]wire.Row),
 		changed: make(chan struct{}),
 	}
