--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -7,7 +7,7 @@
 //   - soak_test.go: TestSoak and TestSoakSeries, one run from its seed to its verdict;
 //   - plan_test.go: how the runs of these two differ;
 //   - seeds_test.go: the seeds that are run each time, and why each was kept;
-//   - faults_test.go, seriesfaults_test.go: the faults, and when they strike;
+//   - faults_test.go, seriesfaults_test.go, clocks_test.go: the faults, and when they strike;
 //   - checks_test.go, serieschecks_test.go: what must hold of each call;
 //   - callers_test.go, fleet_test.go, gateway_test.go, process_test.go: the callers and
 //     the processes;
@@ -25,6 +25,10 @@
 //
 //	RYEFORD_SOAK_SEEDS=50 go test -timeout 60m ./internal/soak
 //
+// Some seeds only, each ten times:
+//
+//	RYEFORD_SOAK_ONLY=332269377,68843397 go test -run TestSoakSeries -count 10 ./internal/soak
+//
 // One run with up to 198 gateways, as far as half of the machine's memory allows:
 //
 //	RYEFORD_SOAK_CROWD=198 go test -run TestSoakCrowd ./internal/soak
