fix: an agent judges attempts by a time read under the lock

Cause: Agent.admit read the clock, then waited for the lock of the attempts, for up to 1.28 s in a trace of load-bound beside other work; mayAdmit compared that time with the dispatch's expiry. serveJoin did the same before it settled a join.

What follows, by reading: an attempt that a join had found "not run" could be admitted once its tombstone was swept, and an attempt that had run and was swept could be found "not run". Both need a wait beyond the expiry (or Forget) and clock_skew. No such failure was ever seen.

Change: attempts.admit and settle take the lock, then read the clock, and decide by admitAt and settleAt. TestAttemptsAtMostOnce, whose clock is its own, calls these two; what it checks is unchanged.

Before: both cases of the new TestLateDispatch failed (the dispatch was admitted 100 ms after its expiry; the join was answered "not run" 100 ms after its end).

--- a/agentfleet/agent/admit.go
+++ b/agentfleet/agent/admit.go
@@ -32,7 +32,6 @@
 // admitted (mayAdmit), the engine has not loaded the model, or it is at its bound
 // or the account's share (package admission).
 func (a *Agent) admit(d *wire.Dispatch) (*run, *wire.Refused) {
-	now := time.Now()
 	b, ok := a.backends[d.Engine]
 	switch {
 	case d.Incarnation != a.incarnation:
@@ -43,22 +42,22 @@
 		return nil, a.refusal(d, ryeford.ReasonNotServing)
 	}
 	if d.MayRedirect {
-		if holder, ok := b.holder(now, d); ok {
+		if holder, ok := b.holder(time.Now(), d); ok {
 			refused := a.refusal(d, ryeford.ReasonRedirect)
 			refused.Engine = holder
 			refused.Load = b.load()
 			return nil, refused
 		}
 	}
-	return a.admitAttempt(now, b, d)
+	return a.admitAttempt(b, d)
 }
 
 // admitAttempt admits an attempt to a backend and starts it, unless it is refused
 // or was admitted before. A repeated dispatch gets the earlier run, which its
 // account may join.
-func (a *Agent) admitAttempt(now time.Time, b *backend, d *wire.Dispatch) (*run, *wire.Refused) {
+func (a *Agent) admitAttempt(b *backend, d *wire.Dispatch) (*run, *wire.Refused) {
 	var decided admission.Decision
-	r, reason := a.attempts.admit(now, d, func() *run {
+	r, reason := a.attempts.admit(d, func(now time.Time) *run {
 		var warm bool
 		decided, warm = b.admit(now, d)
 		if !decided.Admitted {
--- a/agentfleet/agent/attempts.go
+++ b/agentfleet/agent/attempts.go
@@ -44,18 +44,24 @@
 	return attemptUnseen, nil
 }
 
-// admit adds the run that decide returns, if the attempt may be admitted and
-// decide returns one. Otherwise it returns the run that was admitted under the
-// same attempt before, if any, and the reason; the reason is empty if decide
-// returned none.
-func (a *attempts) admit(now time.Time, d *wire.Dispatch, decide func() *run) (*run, ryeford.Reason) {
+// admit decides on an attempt with admitAt, once it has the lock: the wait for it may
+// last beyond the dispatch's expiry.
+func (a *attempts) admit(d *wire.Dispatch, decide func(now time.Time) *run) (*run, ryeford.Reason) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	return a.admitAt(time.Now(), d, decide)
+}
+
+// admitAt adds the run that decide returns, if the attempt may be admitted and
+// decide returns one. Otherwise it returns the run that was admitted under the
+// same attempt before, if any, and the reason; the reason is empty if decide
+// returned none. The caller holds a.mu.
+func (a *attempts) admitAt(now time.Time, d *wire.Dispatch, decide func(now time.Time) *run) (*run, ryeford.Reason) {
 	state, earlier := a.state(d.Attempt)
 	if reason := mayAdmit(state, now, d.Expires); reason != "" {
 		return earlier, reason
 	}
-	r := decide()
+	r := decide(now)
 	if r == nil {
 		return nil, ""
 	}
@@ -64,11 +70,18 @@
 	return r, ""
 }
 
-// settle answers a join, with the run if it is kept. If the attempt did not run,
-// it leaves a tombstone, so that a dispatch that is still under way is refused.
-func (a *attempts) settle(now time.Time, j *wire.Join) (*run, verdict) {
+// settle answers a join with settleAt, once it has the lock: an admission may be
+// forgotten while it waits.
+func (a *attempts) settle(j *wire.Join) (*run, verdict) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	return a.settleAt(time.Now(), j)
+}
+
+// settleAt answers a join, with the run if it is kept. If the attempt did not run,
+// it leaves a tombstone, so that a dispatch that is still under way is refused.
+// The caller holds a.mu.
+func (a *attempts) settleAt(now time.Time, j *wire.Join) (*run, verdict) {
 	state, r := a.state(j.Attempt)
 	v := judge(state, now, j.Expires, j.Forget, j.Peek)
 	if v == verdictNotRun {
--- a/agentfleet/agent/attempts_test.go
+++ b/agentfleet/agent/attempts_test.go
@@ -36,7 +36,7 @@
 				id := pick(t)
 				d := &wire.Dispatch{Attempt: id, Expires: expires[id], Forget: forget[id]}
 				admit := rapid.Bool().Draw(t, "admit")
-				_, reason := a.admit(now, d, func() *run {
+				_, reason := a.admitAt(now, d, func(time.Time) *run {
 					if !admit {
 						return nil
 					}
@@ -50,7 +50,7 @@
 			"join": func(t *rapid.T) {
 				id := pick(t)
 				j := &wire.Join{Attempt: id, Expires: expires[id], Forget: forget[id], Peek: rapid.Bool().Draw(t, "peek")}
-				_, known := a.settle(now, j)
+				_, known := a.settleAt(now, j)
 				if known == verdictNotRun {
 					assert.Equal(t, runs[id], 0, "said not to have run")
 					saidNotRun[id] = true
--- a/agentfleet/agent/connections.go
+++ b/agentfleet/agent/connections.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/ryeford/ryeford"
 	"github.com/ryeford/ryeford/agentfleet/transport"
@@ -114,7 +113,7 @@
 		stream.Reply(&wire.Message{Refused: refused})
 		return
 	}
-	r, v := a.attempts.settle(time.Now(), j)
+	r, v := a.attempts.settle(j)
 	if v == verdictRuns && r.dispatch.Account == j.Account {
 		a.sendAnswer(ctx, stream, r, r.dispatch.Request, j.Offset)
 		return
--- /dev/null
+++ b/agentfleet/agent/lockwait_test.go
@@ -0,0 +1,50 @@
+package agent
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ryeford/ryeford"
+	"github.com/ryeford/ryeford/agentfleet/admission"
+	"github.com/ryeford/ryeford/agentfleet/wire"
+)
+
+// lockWait is how long a test's call waits for the lock of the attempts.
+const lockWait = 200 * time.Millisecond
+
+// holdAttempts locks the attempts for lockWait.
+func holdAttempts(a *attempts) {
+	a.mu.Lock()
+	time.AfterFunc(lockWait, a.mu.Unlock)
+}
+
+// TestLateDispatch has a dispatch wait for the lock of the attempts until it has expired,
+// and a join for longer than its attempt is remembered. It fails if either is judged by a
+// time before the wait: an attempt that a join found not to have run could then run, and
+// one that ran be found not to have run.
+func TestLateDispatch(t *testing.T) {
+	t.Run("dispatch", func(t *testing.T) {
+		pool := ryeford.Pool{Model: "lira"}
+		b := newBackend("endpoint-1.1", admission.Limits{PoolFactor: 1.25, Floor: 4, Capacity: 64, ShareFrom: 0.8}, 10)
+		b.engine = &fakeStreamer{streams: []fakeStream{{chunks: 1, whole: true}}}
+		b.setServing(true, []ryeford.Pool{pool})
+		a := testAgent(b)
+		expires := time.Now().Add(lockWait / 2)
+		holdAttempts(a.attempts)
+		r, refused := a.admit(&wire.Dispatch{
+			Attempt: "a1", Account: "bank", Chat: "c1", Engine: b.id, Incarnation: a.incarnation,
+			Share: 1, Completion: &ryeford.Completion{Attempt: "a1", Pool: pool}, Expires: expires, Forget: expires,
+		})
+		assert.Assert(t, r == nil)
+		assert.Equal(t, refused.Reason, ryeford.ReasonExpired)
+	})
+	t.Run("join", func(t *testing.T) {
+		a := newAttempts(time.Minute, time.Second)
+		forget := time.Now().Add(lockWait / 2)
+		holdAttempts(a)
+		_, v := a.settle(&wire.Join{Attempt: "a1", Expires: forget, Forget: forget})
+		assert.Equal(t, v, verdictUnknown)
+	})
+}
