fix: a peer's messages are taken while templates are read from it

Cause: gossip.Receive handed each datagram to a function that read templates, or the plan, from the sender before it returned. Until then the process took no load, no change and no report of a chat's place from that peer, for 4 to 12 s on a link of 363 KB/s (the new test), and by arithmetic for as long as 8 KiB come in each 3 s; then it took the datagrams that had waited, as if they were new.

Change: gossip.Puller runs the reads beside the receipt, one at a time for each peer and kind; a message that shows something newer meanwhile is followed up once the read has ended. pull_test.go's dialer takes the link and the peer's part as functions; what its tests expect is unchanged.

Before: TestGossipWhilePulling failed ("the message did not come before the templates", 12.2 s). After: green. Not changed: the same templates may be read from several peers at once, since one read for all would let a slow peer hold back a change that others have.

--- a/agentfleet/agent/gossip.go
+++ b/agentfleet/agent/gossip.go
@@ -51,6 +51,7 @@
 
 // receiveGossip takes a router's datagrams until the connection ends.
 func (a *Agent) receiveGossip(ctx context.Context, conn *transport.Conn) {
+	var templates, plans gossip.Puller
 	gossip.Receive(ctx, conn, func(m *wire.Gossip) {
 		now := time.Now()
 		for i := range m.Overflows {
@@ -59,10 +60,10 @@
 			}
 		}
 		if m.Revision > a.book.Revision() {
-			gossip.PullTemplates(ctx, conn, a.book)
+			templates.Start(func() { gossip.PullNewer(ctx, conn, a.book, m.Revision) })
 		}
 		if a.plan.OlderThan(m.PlanEpoch, m.PlanSequence) {
-			a.pullPlan(ctx, conn)
+			plans.Start(func() { a.pullNewerPlan(ctx, conn, m) })
 		}
 	})
 }
--- /dev/null
+++ b/agentfleet/agent/gossip_test.go
@@ -0,0 +1,55 @@
+package agent
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ryeford/ryeford/agentfleet/admission"
+	"github.com/ryeford/ryeford/agentfleet/plan"
+	"github.com/ryeford/ryeford/agentfleet/template"
+	"github.com/ryeford/ryeford/agentfleet/transport"
+	"github.com/ryeford/ryeford/agentfleet/wire"
+)
+
+// TestGossipWhilePulling has a router send an agent where a chat went while the agent reads
+// templates from it, which takes longer than gossip.PullTimeout. It fails if the agent takes
+// the message only once it has the templates.
+func TestGossipWhilePulling(t *testing.T) {
+	t.Parallel()
+	chat := wire.ChatKey{Account: "bank", Chat: "c1"}
+	behind, err := wire.Marshal(&wire.Gossip{Revision: 1}) // the agent has none
+	assert.NilError(t, err)
+	message, err := wire.Marshal(&wire.Gossip{
+		Revision:  1,
+		Overflows: []wire.Overflow{{Home: "endpoint-1.1", Chat: chat, Engine: "endpoint-2.1"}},
+	})
+	assert.NilError(t, err)
+
+	conn := dialRouter(t, narrowLink, func(router *transport.Conn) {
+		_ = router.SendDatagram(behind)
+		router.Serve(context.Background(), func(s *transport.Stream, _ *wire.Message) {
+			go func() {
+				for router.SendDatagram(message) == nil { // the link may lose some
+					time.Sleep(100 * time.Millisecond)
+				}
+			}()
+			s.Reply(&wire.Message{Delta: largeDelta()})
+		})
+	})
+	b := newBackend("endpoint-1.1", admission.Limits{}, 10)
+	a := testAgent(b)
+	a.book = template.NewBook()
+	a.plan = plan.NewCurrent()
+	go a.receiveGossip(t.Context(), conn)
+	for {
+		_, known := b.holder(time.Now(), &wire.Dispatch{Account: chat.Account, Chat: chat.Chat})
+		assert.Equal(t, a.book.Revision(), int64(0), "the message did not come before the templates")
+		if known {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
--- a/agentfleet/agent/plan.go
+++ b/agentfleet/agent/plan.go
@@ -20,6 +20,14 @@
 	orderTimeout = time.Minute
 )
 
+// pullNewerPlan reads this VM's part of the plan that a message names from its sender,
+// unless it is known by now.
+func (a *Agent) pullNewerPlan(ctx context.Context, conn *transport.Conn, m *wire.Gossip) {
+	if a.plan.OlderThan(m.PlanEpoch, m.PlanSequence) {
+		a.pullPlan(ctx, conn)
+	}
+}
+
 // pullPlan reads this VM's part of the plan from a router. After an error the next
 // gossip of a router shows the newer plan again.
 func (a *Agent) pullPlan(ctx context.Context, conn *transport.Conn) {
--- a/agentfleet/agent/pull_test.go
+++ b/agentfleet/agent/pull_test.go
@@ -80,6 +80,15 @@
 // dialNarrow returns a connection over a narrow link to a router that answers each stream
 // with a message.
 func dialNarrow(t *testing.T, answer *wire.Message) *transport.Conn {
+	t.Helper()
+	return dialRouter(t, narrowLink, func(conn *transport.Conn) {
+		conn.Serve(context.Background(), func(s *transport.Stream, _ *wire.Message) { s.Reply(answer) })
+	})
+}
+
+// dialRouter returns a connection to a router, whose end is given to serve. link returns
+// the address to dial for that of the router's listener.
+func dialRouter(t *testing.T, link func(*testing.T, netip.AddrPort) netip.AddrPort, serve func(*transport.Conn)) *transport.Conn {
 	t.Helper()
 	authority, err := transport.NewAuthority()
 	assert.NilError(t, err)
@@ -101,26 +110,31 @@
 		if err != nil {
 			return // the test has ended
 		}
-		conn.Serve(context.Background(), func(s *transport.Stream, _ *wire.Message) { s.Reply(answer) })
+		serve(conn)
 	}()
 	dialer, err := transport.NewDialer(loopback, agentTLS, options)
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = dialer.Close() })
-	conn, err := dialer.Dial(t.Context(), narrowLink(t, listener.Address()))
+	conn, err := dialer.Dial(t.Context(), link(t, listener.Address()))
 	assert.NilError(t, err)
 	return conn
 }
 
-// TestPullTemplatesNarrow checks that templates come over a link on which they take longer
-// than gossip.PullTimeout.
-func TestPullTemplatesNarrow(t *testing.T) {
-	t.Parallel()
+// largeDelta returns templates of linkBytes.
+func largeDelta() *wire.Delta {
 	delta := &wire.Delta{Revision: 1}
 	for size := 0; size < linkBytes; size += 64 {
 		name := fmt.Sprintf("%064d", size)
 		delta.Templates = append(delta.Templates, ryeford.Template{Account: "bank", Name: name, Revision: 1})
 	}
-	conn := dialNarrow(t, &wire.Message{Delta: delta})
+	return delta
+}
+
+// TestPullTemplatesNarrow checks that templates come over a link on which they take longer
+// than gossip.PullTimeout.
+func TestPullTemplatesNarrow(t *testing.T) {
+	t.Parallel()
+	conn := dialNarrow(t, &wire.Message{Delta: largeDelta()})
 	book := template.NewBook()
 	began := time.Now()
 	revision, ok := gossip.PullTemplates(t.Context(), conn, book)
--- a/agentfleet/gossip/gossip.go
+++ b/agentfleet/gossip/gossip.go
@@ -12,6 +12,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/ryeford/ryeford/agentfleet/decision"
@@ -103,6 +104,50 @@
 	}
 }
 
+// A Puller reads from a peer while the peer's messages go on being taken, one read at a
+// time. The zero Puller is ready to use.
+type Puller struct {
+	mu      sync.Mutex
+	running bool
+	next    func() // begun once the read that runs has ended; nil if there is none
+}
+
+// Start begins a read. If one runs, the new one follows it, in place of another that would.
+func (p *Puller) Start(read func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.next = read
+	if p.running {
+		return
+	}
+	p.running = true
+	go p.run()
+}
+
+// run makes the reads until none follows.
+func (p *Puller) run() {
+	for read := p.take(); read != nil; read = p.take() {
+		read()
+	}
+}
+
+// take returns the read that follows. Without one, run has ended.
+func (p *Puller) take() func() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	read := p.next
+	p.next = nil
+	p.running = read != nil
+	return read
+}
+
+// PullNewer reads the templates up to a revision from a peer, unless they are known by now.
+func PullNewer(ctx context.Context, conn *transport.Conn, book *template.Book, revision int64) {
+	if revision > book.Revision() {
+		PullTemplates(ctx, conn, book)
+	}
+}
+
 // PullTemplates reads the templates that a book lacks from a peer. It reports the
 // peer's revision, and whether the peer answered. A failure needs no repeat: a message
 // that shows templates to be missing comes again.
--- a/agentfleet/router/gossip.go
+++ b/agentfleet/router/gossip.go
@@ -54,13 +54,14 @@
 
 // receive takes an agent's datagrams until the connection ends.
 func (g *agentGossip) receive(ctx context.Context, conn *transport.Conn) {
+	var templates gossip.Puller
 	gossip.Receive(ctx, conn, func(m *wire.Gossip) {
 		now := time.Now()
 		for _, l := range m.Loads {
 			g.loads.add(now, l.Model, l.Load)
 		}
 		if m.Revision > g.book.Revision() {
-			gossip.PullTemplates(ctx, conn, g.book)
+			templates.Start(func() { gossip.PullNewer(ctx, conn, g.book, m.Revision) })
 		}
 	})
 }
