fix: templates come from a peer in parts

Cause: a Delta held all templates that a book lacks; above wire.maxMessageSize (8 MiB) it was not sent, and Stream.Reply drops that error. An agent without templates, and a router that can't read the table, then stayed without, on any link.

Ruled out: parts that a book takes one by one. A template that was changed late is in none of the first ones, so that the book would have a revision without it.

Change: gossip.NewDelta answers with the changes that come first, 4 MiB of them at most, and says if there are more; PullTemplates asks on from there and puts all in force together. A template that changes meanwhile comes in a later part, which wins. An older process that asks a newer one for more than 4 MiB takes the first part for the whole; before, it got none above 8 MiB.

Before: TestPullTemplatesLarge (1,400 templates, 9.2 MB) failed. After: green.

--- a/agentfleet/agent/connections.go
+++ b/agentfleet/agent/connections.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/ryeford/ryeford"
+	"github.com/ryeford/ryeford/agentfleet/gossip"
 	"github.com/ryeford/ryeford/agentfleet/transport"
 	"github.com/ryeford/ryeford/agentfleet/wire"
 )
@@ -46,8 +47,7 @@
 	case m.Watch != nil:
 		a.serveWatch(ctx, conn, stream)
 	case m.Pull != nil:
-		revision, templates := a.book.Since(m.Pull.Revision)
-		stream.Reply(&wire.Message{Delta: &wire.Delta{Revision: revision, Templates: templates}})
+		stream.Reply(&wire.Message{Delta: gossip.NewDelta(a.book, m.Pull.Revision)})
 	case m.Import != nil:
 		a.serveImport(ctx, stream, m.Import)
 	case m.Explain != nil:
--- a/agentfleet/agent/pull_test.go
+++ b/agentfleet/agent/pull_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/ryeford/ryeford"
+	"github.com/ryeford/ryeford/agentfleet/admission"
 	"github.com/ryeford/ryeford/agentfleet/decision"
 	"github.com/ryeford/ryeford/agentfleet/gossip"
 	"github.com/ryeford/ryeford/agentfleet/plan"
@@ -164,3 +165,35 @@
 	assert.Equal(t, len(a.plan.Get().Assignments), len(next.Assignments))
 	assert.Assert(t, time.Since(began) > gossip.PullTimeout)
 }
+
+// TestPullTemplatesLarge has an agent read more templates from another one than fit into a
+// message. It fails if they do not all come, or the book has a revision without all of them.
+func TestPullTemplatesLarge(t *testing.T) {
+	t.Parallel()
+	const count, keys = 1400, 100 // some 6.6 KB each, 9.2 MB together
+	templates := make([]ryeford.Template, count)
+	for i := range templates {
+		templates[i] = ryeford.Template{Account: "bank", Name: fmt.Sprintf("t%d", i), Revision: int64(i + 1)}
+		for key := range keys {
+			templates[i].KeyHashes = append(templates[i].KeyHashes, fmt.Sprintf("%032d%032d", i, key))
+		}
+	}
+	a := testAgent(newBackend("endpoint-2.1", admission.Limits{}, 10))
+	a.book = template.NewBook()
+	a.book.Apply(0, count, templates)
+	direct := func(_ *testing.T, listener netip.AddrPort) netip.AddrPort { return listener }
+	conn := dialRouter(t, direct, func(conn *transport.Conn) {
+		conn.Serve(context.Background(), func(s *transport.Stream, m *wire.Message) {
+			a.serveStream(context.Background(), conn, s, m)
+		})
+	})
+	book := template.NewBook()
+	changed := book.Changed()
+	revision, ok := gossip.PullTemplates(t.Context(), conn, book)
+	assert.Assert(t, ok)
+	assert.Equal(t, revision, int64(count))
+	<-changed
+	assert.Equal(t, book.Revision(), int64(count))
+	_, got := book.Since(0)
+	assert.Equal(t, len(got), count)
+}
--- a/agentfleet/gossip/gossip.go
+++ b/agentfleet/gossip/gossip.go
@@ -15,6 +15,7 @@
 	"sync"
 	"time"
 
+	"github.com/ryeford/ryeford"
 	"github.com/ryeford/ryeford/agentfleet/decision"
 	"github.com/ryeford/ryeford/agentfleet/template"
 	"github.com/ryeford/ryeford/agentfleet/transport"
@@ -148,15 +149,57 @@
 	}
 }
 
-// PullTemplates reads the templates that a book lacks from a peer. It reports the
-// peer's revision, and whether the peer answered. A failure needs no repeat: a message
-// that shows templates to be missing comes again.
+// maxDeltaSize is how many bytes of templates, encoded, a Delta holds at most, unless one
+// alone is larger. Not measured: half of what package wire takes as a message.
+const maxDeltaSize = 4 << 20
+
+// NewDelta returns the answer to a pull: the templates of a book above a revision, or those
+// of them that changed first and fit into a message.
+func NewDelta(book *template.Book, above int64) *wire.Delta {
+	revision, templates := book.Since(above)
+	fit := fitting(templates, maxDeltaSize)
+	if fit == len(templates) {
+		return &wire.Delta{Revision: revision, Templates: templates}
+	}
+	return &wire.Delta{Revision: templates[fit-1].Revision, Templates: templates[:fit], More: true}
+}
+
+// fitting returns how many of the first templates have so many bytes together, and 1 if the
+// first is larger.
+func fitting(templates []ryeford.Template, bytes int) int {
+	size := 0
+	for i := range templates {
+		data, err := wire.Marshal(&templates[i])
+		if err != nil {
+			return max(1, i) // not possible: a Template holds numbers, strings and times
+		}
+		if size += len(data); size > bytes {
+			return max(1, i)
+		}
+	}
+	return len(templates)
+}
+
+// PullTemplates reads the templates that a book lacks from a peer, in parts if they are
+// many, and puts them in force together. It reports the peer's revision, and whether the
+// peer answered. A failure needs no repeat: a message that shows templates to be missing
+// comes again.
 func PullTemplates(ctx context.Context, conn *transport.Conn, book *template.Book) (int64, bool) {
 	from := book.Revision()
-	m, err := conn.Fetch(ctx, &wire.Message{Pull: &wire.Pull{Revision: from}}, PullTimeout)
-	if err != nil || m.Delta == nil {
-		return 0, false
+	var templates []ryeford.Template
+	for revision := from; ; {
+		m, err := conn.Fetch(ctx, &wire.Message{Pull: &wire.Pull{Revision: revision}}, PullTimeout)
+		if err != nil || m.Delta == nil {
+			return 0, false
+		}
+		templates = append(templates, m.Delta.Templates...)
+		if !m.Delta.More {
+			book.Apply(from, m.Delta.Revision, templates)
+			return m.Delta.Revision, true
+		}
+		if m.Delta.Revision <= revision {
+			return 0, false // a part that brings nothing would be asked for without end
+		}
+		revision = m.Delta.Revision
 	}
-	book.Apply(from, m.Delta.Revision, m.Delta.Templates)
-	return m.Delta.Revision, true
 }
--- a/agentfleet/gossip/gossip_test.go
+++ b/agentfleet/gossip/gossip_test.go
@@ -10,8 +10,10 @@
 	"github.com/go-kit/log"
 	"gotest.tools/v3/assert"
 
+	"github.com/ryeford/ryeford"
 	"github.com/ryeford/ryeford/agentfleet/decision"
 	"github.com/ryeford/ryeford/agentfleet/template"
+	"github.com/ryeford/ryeford/agentfleet/wire"
 )
 
 // TestLoop checks when gossip is sent, and to how many peers.
@@ -67,3 +69,24 @@
 		assert.Equal(t, len(slices.Compact(sample)), test.want)
 	}
 }
+
+// TestFitting checks how many templates go into one message.
+func TestFitting(t *testing.T) {
+	templates := []ryeford.Template{{Name: "t1"}, {Name: "t2"}, {Name: "t3"}}
+	data, err := wire.Marshal(&templates[0])
+	assert.NilError(t, err)
+	for _, test := range []struct {
+		rule  string
+		bytes int
+		want  int
+	}{
+		{"all", 3 * len(data), 3},
+		{"no more than there is room for", 3*len(data) - 1, 2},
+		{"one that is larger goes alone", len(data) - 1, 1},
+	} {
+		t.Run(test.rule, func(t *testing.T) {
+			assert.Equal(t, fitting(templates, test.bytes), test.want)
+		})
+	}
+	assert.Equal(t, fitting(nil, 0), 0)
+}
--- a/agentfleet/router/agentlist.go
+++ b/agentfleet/router/agentlist.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/ryeford/ryeford"
+	"github.com/ryeford/ryeford/agentfleet/gossip"
 	"github.com/ryeford/ryeford/agentfleet/transport"
 	"github.com/ryeford/ryeford/agentfleet/wire"
 	"github.com/ryeford/ryeford/internal/clock"
@@ -191,8 +192,7 @@
 func (l *agentList) serveStream(stream *transport.Stream, m *wire.Message) {
 	switch {
 	case m.Pull != nil:
-		revision, templates := l.book.Since(m.Pull.Revision)
-		stream.Reply(&wire.Message{Delta: &wire.Delta{Revision: revision, Templates: templates}})
+		stream.Reply(&wire.Message{Delta: gossip.NewDelta(l.book, m.Pull.Revision)})
 	case m.PullPlan != nil:
 		stream.Reply(&wire.Message{Plan: l.plan.PartOf(m.PullPlan.VM)})
 	case m.Successors != nil:
--- a/agentfleet/wire/wire.go
+++ b/agentfleet/wire/wire.go
@@ -75,10 +75,13 @@
 	Revision int64 `cbor:"1,keyasint"`
 }
 
-// A Delta holds all templates above the asked revision, up to Revision.
+// A Delta holds all templates above the asked revision, up to Revision. If More is set,
+// there are others above it, which may have had earlier versions up to Revision: a book
+// takes the parts together.
 type Delta struct {
 	Revision  int64              `cbor:"1,keyasint"`
 	Templates []ryeford.Template `cbor:"2,keyasint,omitempty"`
+	More      bool               `cbor:"3,keyasint,omitempty"`
 }
 
 // A PullPlan asks a router for a VM's part of the plan. A ryeford.Plan answers it.
