--- a/agentfleet/agent/connections.go
+++ b/agentfleet/agent/connections.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/ryeford/ryeford"
+	"github.com/ryeford/ryeford/agentfleet/gossip"
 	"github.com/ryeford/ryeford/agentfleet/transport"
 	"github.com/ryeford/ryeford/agentfleet/wire"
 )
@@ -47,8 +47,7 @@
 	case m.Watch != nil:
 		a.serveWatch(ctx, conn, stream)
 	case m.Pull != nil:
-		revision, templates := a.book.Since(m.Pull.Revision)
-		stream.Reply(&wire.Message{Delta: &wire.Delta{Revision: revision, Templates: templates}})
+		stream.Reply(&wire.Message{Delta: gossip.NewDelta(a.book, m.Pull.Revision)})
 	case m.Import != nil:
 		a.serveImport(ctx, stream, m.Import)
 	case m.Explain != nil:
@@ -114,7 +113,7 @@
 		stream.Reply(&wire.Message{Refused: refused})
 		return
 	}
-	r, v := a.attempts.settle(time.Now(), j)
+	r, v := a.attempts.settle(j)
 	if v == verdictRuns && r.dispatch.Account == j.Account {
 		a.sendAnswer(ctx, stream, r, r.dispatch.Request, j.Offset)
 		return
--- a/agentfleet/agent/pull_test.go
+++ b/agentfleet/agent/pull_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/ryeford/ryeford"
+	"github.com/ryeford/ryeford/agentfleet/admission"
 	"github.com/ryeford/ryeford/agentfleet/decision"
 	"github.com/ryeford/ryeford/agentfleet/gossip"
 	"github.com/ryeford/ryeford/agentfleet/plan"
@@ -80,6 +81,15 @@
 // dialNarrow returns a connection over a narrow link to a router that answers each stream
 // with a message.
 func dialNarrow(t *testing.T, answer *wire.Message) *transport.Conn {
+	t.Helper()
+	return dialRouter(t, narrowLink, func(conn *transport.Conn) {
+		conn.Serve(context.Background(), func(s *transport.Stream, _ *wire.Message) { s.Reply(answer) })
+	})
+}
+
+// dialRouter returns a connection to a router, whose end is given to serve. link returns
+// the address to dial for that of the router's listener.
+func dialRouter(t *testing.T, link func(*testing.T, netip.AddrPort) netip.AddrPort, serve func(*transport.Conn)) *transport.Conn {
 	t.Helper()
 	authority, err := transport.NewAuthority()
 	assert.NilError(t, err)
@@ -101,26 +111,31 @@
 		if err != nil {
 			return // the test has ended
 		}
-		conn.Serve(context.Background(), func(s *transport.Stream, _ *wire.Message) { s.Reply(answer) })
+		serve(conn)
 	}()
 	dialer, err := transport.NewDialer(loopback, agentTLS, options)
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = dialer.Close() })
-	conn, err := dialer.Dial(t.Context(), narrowLink(t, listener.Address()))
+	conn, err := dialer.Dial(t.Context(), link(t, listener.Address()))
 	assert.NilError(t, err)
 	return conn
 }
 
-// TestPullTemplatesNarrow checks that templates come over a link on which they take longer
-// than gossip.PullTimeout.
-func TestPullTemplatesNarrow(t *testing.T) {
-	t.Parallel()
+// largeDelta returns templates of linkBytes.
+func largeDelta() *wire.Delta {
 	delta := &wire.Delta{Revision: 1}
 	for size := 0; size < linkBytes; size += 64 {
 		name := fmt.Sprintf("%064d", size)
 		delta.Templates = append(delta.Templates, ryeford.Template{Account: "bank", Name: name, Revision: 1})
 	}
-	conn := dialNarrow(t, &wire.Message{Delta: delta})
+	return delta
+}
+
+// TestPullTemplatesNarrow checks that templates come over a link on which they take longer
+// than gossip.PullTimeout.
+func TestPullTemplatesNarrow(t *testing.T) {
+	t.Parallel()
+	conn := dialNarrow(t, &wire.Message{Delta: largeDelta()})
 	book := template.NewBook()
 	began := time.Now()
 	revision, ok := gossip.PullTemplates(t.Context(), conn, book)
@@ -150,3 +165,35 @@
 	assert.Equal(t, len(a.plan.Get().Assignments), len(next.Assignments))
 	assert.Assert(t, time.Since(began) > gossip.PullTimeout)
 }
+
+// TestPullTemplatesLarge has an agent read more templates from another one than fit into a
+// message. It fails if they do not all come, or the book has a revision without all of them.
+func TestPullTemplatesLarge(t *testing.T) {
+	t.Parallel()
+	const count, keys = 1400, 100 // some 6.6 KB each, 9.2 MB together
+	templates := make([]ryeford.Template, count)
+	for i := range templates {
+		templates[i] = ryeford.Template{Account: "bank", Name: fmt.Sprintf("t%d", i), Revision: int64(i + 1)}
+		for key := range keys {
+			templates[i].KeyHashes = append(templates[i].KeyHashes, fmt.Sprintf("%032d%032d", i, key))
+		}
+	}
+	a := testAgent(newBackend("endpoint-2.1", admission.Limits{}, 10))
+	a.book = template.NewBook()
+	a.book.Apply(0, count, templates)
+	direct := func(_ *testing.T, listener netip.AddrPort) netip.AddrPort { return listener }
+	conn := dialRouter(t, direct, func(conn *transport.Conn) {
+		conn.Serve(context.Background(), func(s *transport.Stream, m *wire.Message) {
+			a.serveStream(context.Background(), conn, s, m)
+		})
+	})
+	book := template.NewBook()
+	changed := book.Changed()
+	revision, ok := gossip.PullTemplates(t.Context(), conn, book)
+	assert.Assert(t, ok)
+	assert.Equal(t, revision, int64(count))
+	<-changed
+	assert.Equal(t, book.Revision(), int64(count))
+	_, got := book.Since(0)
+	assert.Equal(t, len(got), count)
+}
--- a/agentfleet/gossip/gossip.go
+++ b/agentfleet/gossip/gossip.go
@@ -12,8 +12,10 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
+	"github.com/ryeford/ryeford"
 	"github.com/ryeford/ryeford/agentfleet/decision"
 	"github.com/ryeford/ryeford/agentfleet/template"
 	"github.com/ryeford/ryeford/agentfleet/transport"
@@ -103,15 +105,101 @@
 	}
 }
 
-// PullTemplates reads the templates that a book lacks from a peer. It reports the
-// peer's revision, and whether the peer answered. A failure needs no repeat: a message
-// that shows templates to be missing comes again.
+// A Puller reads from a peer while the peer's messages go on being taken, one read at a
+// time. The zero Puller is ready to use.
+type Puller struct {
+	mu      sync.Mutex
+	running bool
+	next    func() // begun once the read that runs has ended; nil if there is none
+}
+
+// Start begins a read. If one runs, the new one follows it, in place of another that would.
+func (p *Puller) Start(read func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.next = read
+	if p.running {
+		return
+	}
+	p.running = true
+	go p.run()
+}
+
+// run makes the reads until none follows.
+func (p *Puller) run() {
+	for read := p.take(); read != nil; read = p.take() {
+		read()
+	}
+}
+
+// take returns the read that follows. Without one, run has ended.
+func (p *Puller) take() func() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	read := p.next
+	p.next = nil
+	p.running = read != nil
+	return read
+}
+
+// PullNewer reads the templates up to a revision from a peer, unless they are known by now.
+func PullNewer(ctx context.Context, conn *transport.Conn, book *template.Book, revision int64) {
+	if revision > book.Revision() {
+		PullTemplates(ctx, conn, book)
+	}
+}
+
+// maxDeltaSize is how many bytes of templates, encoded, a Delta holds at most, unless one
+// alone is larger. Not measured: half of what package wire takes as a message.
+const maxDeltaSize = 4 << 20
+
+// NewDelta returns the answer to a pull: the templates of a book above a revision, or those
+// of them that changed first and fit into a message.
+func NewDelta(book *template.Book, above int64) *wire.Delta {
+	revision, templates := book.Since(above)
+	fit := fitting(templates, maxDeltaSize)
+	if fit == len(templates) {
+		return &wire.Delta{Revision: revision, Templates: templates}
+	}
+	return &wire.Delta{Revision: templates[fit-1].Revision, Templates: templates[:fit], More: true}
+}
+
+// fitting returns how many of the first templates have so many bytes together, and 1 if the
+// first is larger.
+func fitting(templates []ryeford.Template, bytes int) int {
+	size := 0
+	for i := range templates {
+		data, err := wire.Marshal(&templates[i])
+		if err != nil {
+			return max(1, i) // not possible: a Template holds numbers, strings and times
+		}
+		if size += len(data); size > bytes {
+			return max(1, i)
+		}
+	}
+	return len(templates)
+}
+
+// PullTemplates reads the templates that a book lacks from a peer, in parts if they are
+// many, and puts them in force together. It reports the peer's revision, and whether the
+// peer answered. A failure needs no repeat: a message that shows templates to be missing
+// comes again.
 func PullTemplates(ctx context.Context, conn *transport.Conn, book *template.Book) (int64, bool) {
 	from := book.Revision()
-	m, err := conn.Fetch(ctx, &wire.Message{Pull: &wire.Pull{Revision: from}}, PullTimeout)
-	if err != nil || m.Delta == nil {
-		return 0, false
+	var templates []ryeford.Template
+	for revision := from; ; {
+		m, err := conn.Fetch(ctx, &wire.Message{Pull: &wire.Pull{Revision: revision}}, PullTimeout)
+		if err != nil || m.Delta == nil {
+			return 0, false
+		}
+		templates = append(templates, m.Delta.Templates...)
+		if !m.Delta.More {
+			book.Apply(from, m.Delta.Revision, templates)
+			return m.Delta.Revision, true
+		}
+		if m.Delta.Revision <= revision {
+			return 0, false // a part that brings nothing would be asked for without end
+		}
+		revision = m.Delta.Revision
 	}
-	book.Apply(from, m.Delta.Revision, m.Delta.Templates)
-	return m.Delta.Revision, true
 }
