refactor: the platform's stand-in writes its table and objects in one file

Ruled out: one function that takes the change as a closure: objects and VMs can't fail, so its error would be dropped twice. Saving under the lock: took that out, as a slow disk then held up reads.

Change: the table and the objects move to platform.go; the write of an object and of a VM stand in their handlers; the loss of an answer stands where answers are written; the rows of a write and the fault that follows it change under the lock as before. An empty list of VMs stays `[]`.

Conclusion: same protocol, faults and state file; no test changed.

--- a/standin/platform.go
+++ b/standin/platform.go
@@ -1,6 +1,9 @@
 package standin
 
 import (
+	"context"
+	"errors"
+	"slices"
 	"strings"
 	"sync"
 
@@ -128,22 +131,110 @@
 	return true
 }
 
-// answerWrite answers a write, unless its answer is to be lost.
+// answerWrite answers a write, unless the fault loses its answer.
 func (p *platformServer) answerWrite(ctx *fasthttp.RequestCtx, answer any) {
-	if p.loseAnswer() {
+	p.mu.Lock()
+	lost := p.fault.LoseAnswers > 0
+	if lost {
+		p.fault.LoseAnswers--
+	}
+	p.mu.Unlock()
+	if lost {
 		cutConnection(ctx)
 		return
 	}
 	writeJSON(ctx, answer)
 }
 
-// loseAnswer reports whether the answer of a write is to be lost.
-func (p *platformServer) loseAnswer() bool {
+// get answers a read of rows by their keys.
+func (p *platformServer) get(ctx *fasthttp.RequestCtx) {
+	var request tableservice.GetRequest
+	if !allow(ctx, p.reads) || !readJSON(ctx, &request) {
+		return
+	}
+	rows, err := p.table.Get(ctx, request.Keys...)
+	answerRows(ctx, rows, err)
+}
+
+// list answers a read of rows by the prefix of their keys.
+func (p *platformServer) list(ctx *fasthttp.RequestCtx) {
+	var request tableservice.ListRequest
+	if !allow(ctx, p.reads) || !readJSON(ctx, &request) {
+		return
+	}
+	rows, err := p.table.List(ctx, request.Prefix)
+	answerRows(ctx, rows, err)
+}
+
+func answerRows(ctx *fasthttp.RequestCtx, rows []ryeford.Row, err error) {
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	writeJSON(ctx, &tableservice.RowsAnswer{Rows: rows})
+}
+
+// transact makes all writes of a request, or none if some conflict.
+func (p *platformServer) transact(ctx *fasthttp.RequestCtx) {
+	var request tableservice.TransactRequest
+	if !allow(ctx, p.writes) || !readJSON(ctx, &request) {
+		return
+	}
+	version, state, err := p.write(ctx, request.Writes)
+	var conflict *ryeford.ConflictError
+	switch {
+	case errors.As(err, &conflict):
+		p.answerWrite(ctx, &tableservice.TransactAnswer{Conflicts: conflict.Keys})
+	case err != nil:
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+	default:
+		p.file.save(state)
+		p.answerWrite(ctx, &tableservice.TransactAnswer{Version: version})
+	}
+}
+
+// write makes all writes or none. It returns the new version of the rows, and the state
+// to save. The fault sets the platform down after a write of the row that it names.
+func (p *platformServer) write(ctx context.Context, writes []ryeford.Write) (int64, *platformState, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.fault.LoseAnswers <= 0 {
-		return false
+	version, err := p.table.Transact(ctx, writes...)
+	if err != nil {
+		return 0, nil, err
 	}
-	p.fault.LoseAnswers--
-	return true
+	for _, w := range writes {
+		p.fault.Down = p.fault.Down || w.Key == p.fault.DownAfterKey
+	}
+	return version, p.state(), nil
+}
+
+// object serves a write or a read of the named object.
+func (p *platformServer) object(ctx *fasthttp.RequestCtx, name string) {
+	if ctx.IsPut() {
+		p.putObject(ctx, name)
+		return
+	}
+	if !allow(ctx, p.reads) {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	content, ok := p.objects[name]
+	if !ok {
+		ctx.Error("no such object", fasthttp.StatusNotFound)
+		return
+	}
+	ctx.SetBody(content)
+}
+
+func (p *platformServer) putObject(ctx *fasthttp.RequestCtx, name string) {
+	if !allow(ctx, p.writes) {
+		return
+	}
+	p.mu.Lock()
+	p.objects[name] = slices.Clone(ctx.PostBody())
+	state := p.state()
+	p.mu.Unlock()
+	p.file.save(state)
+	p.answerWrite(ctx, struct{}{})
 }
--- a/standin/platformvms.go
+++ b/standin/platformvms.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 
@@ -22,7 +23,11 @@
 	if !readJSON(ctx, &vm) {
 		return
 	}
-	p.file.save(p.setVM(vm))
+	p.mu.Lock()
+	p.vms[vm.ID] = vm
+	state := p.state()
+	p.mu.Unlock()
+	p.file.save(state)
 	writeJSON(ctx, struct{}{})
 }
 
@@ -36,14 +41,6 @@
 	return p.listVMs()
 }
 
-// setVM changes one entry of the list, and returns the state to save.
-func (p *platformServer) setVM(vm ryeford.VM) *platformState {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.vms[vm.ID] = vm
-	return p.state()
-}
-
 // writeTagged answers with JSON and its entity tag, or with 304 if the reader has
 // that tag already.
 func writeTagged(ctx *fasthttp.RequestCtx, v any) {
@@ -58,10 +55,7 @@
 
 // listVMs returns the VMs in the order of their ids.
 func (p *platformServer) listVMs() []ryeford.VM {
-	vms := make([]ryeford.VM, 0, len(p.vms))
-	for _, vm := range p.vms {
-		vms = append(vms, vm)
-	}
+	vms := slices.AppendSeq([]ryeford.VM{}, maps.Values(p.vms)) // not nil: JSON has an empty list
 	slices.SortFunc(vms, func(a, b ryeford.VM) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	return vms
 }
