refactor: fields that decide nothing go

Cause: HistoryLostError.Revision is zero wherever the product makes the error, as the platform's store states none, and EndpointLoad.Slots is written and never read (docs/readability.md, "What still reads badly").

Ruled out: EndpointLoad.Slots out of the header too: the endpoints' header keeps its three numbers, and one that has other than three is dropped as before.

Change: both fields go. judge returns revision 0 after a lost history, which is what min(known, 0) was.

Tests: TestNext's row "history lost" expects revision 0, which is what the store brings; its row "history lost at a later revision" goes with the field, which it alone tested; TestHistoryLost makes the error without a revision.

Conclusion: nothing on the wire or in a decision changes.

--- a/endpoint.go
+++ b/endpoint.go
@@ -31,5 +31,4 @@
 type EndpointLoad struct {
 	Running int
 	Waiting int
-	Slots   int // how many it runs at once
 }
--- a/gateway/watch/next.go
+++ b/gateway/watch/next.go
@@ -37,7 +37,7 @@
 	var lost *ryeford.HistoryLostError
 	switch {
 	case errors.As(err, &lost):
-		return historyLost, min(known, lost.Revision)
+		return historyLost, 0
 	case err != nil:
 		return failed, known
 	case answered < known:
--- a/gateway/watch/next_test.go
+++ b/gateway/watch/next_test.go
@@ -29,8 +29,7 @@
 		{"a change", 9, nil, true, current, poll{revision: 9}, time.Second, 300 * time.Millisecond},
 		{"no change", 7, nil, false, current, poll{revision: 7}, time.Second, 0},
 		{"stale", 6, nil, false, stale, poll{revision: 7}, time.Second, 10 * time.Millisecond},
-		{"history lost", 0, fmt.Errorf("wrapped: %w", &ryeford.HistoryLostError{Revision: 5}), false, historyLost, poll{whole: true, revision: 5, failures: 2}, 0, 0},
-		{"history lost at a later revision", 0, &ryeford.HistoryLostError{Revision: 8}, false, historyLost, poll{whole: true, revision: 7, failures: 2}, 0, 0},
+		{"history lost", 0, fmt.Errorf("wrapped: %w", &ryeford.HistoryLostError{}), false, historyLost, poll{whole: true, failures: 2}, 0, 0},
 		{"failed", 0, errors.New("out"), false, failed, poll{revision: 7, failures: 3}, 0, 40 * time.Millisecond},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/gateway/watch/watch_test.go
+++ b/gateway/watch/watch_test.go
@@ -111,7 +111,7 @@
 // TestHistoryLost checks that the whole is read again once the source no longer has the
 // changes.
 func TestHistoryLost(t *testing.T) {
-	r := play(t, step{revision: 9}, step{err: &ryeford.HistoryLostError{Revision: 9}}, step{revision: 12})
+	r := play(t, step{revision: 9}, step{err: &ryeford.HistoryLostError{}}, step{revision: 12})
 	assert.DeepEqual(t, r.applied, []int64{9, 12})
 	assert.Equal(t, r.polls[2], receivedPoll{whole: true})
 	assert.Equal(t, r.lost, 0)
--- a/source.go
+++ b/source.go
@@ -86,11 +86,7 @@
 }
 
 // A HistoryLostError says that a source no longer keeps the changes since a revision:
-// the whole is to be read again.
-type HistoryLostError struct {
-	// Revision is from which the whole may be: an older one is stale. Zero accepts
-	// any, as the platform's store states none.
-	Revision int64
-}
+// the whole is to be read again, and may be of any revision.
+type HistoryLostError struct{}
 
 func (e *HistoryLostError) Error() string { return "history lost: read the whole again" }
