refactor: commands that share their start or their calls share a file

Cause: agentcmd.go, routercmd.go, vmcmd.go, statuscmd.go and versioncmd.go had 28 to 47 lines, a third of them imports; router and agent are alike but for one type.

Ruled out: one function for router and agent: their settings and constructors have no type in common, so it would take four functions as parameters. Check, cert, call and explain keep files of their own, as they share nothing.

--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -1,7 +1,8 @@
-// Package cmd is the command line: one file a command, named after it.
+// Package cmd is the command line: one file a command, named after it; processcmd.go
+// runs the router and the agent, operatorcmd.go is for operators.
 //
 // It owns the names and texts of commands and flags, the exit codes (exit.go), and
-// how a process starts: settings, log (process.go), signals. It relies on package
+// how a process starts: settings, log (processcmd.go), signals. It relies on package
 // settings for the settings files, on the packages of each role for the process
 // itself, and on packages caller and operator for the calls of a router.
 package cmd
@@ -12,6 +13,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/urfave/cli/v3"
@@ -71,3 +73,22 @@
 	}
 	return c.Args().First(), nil
 }
+
+func newVersionCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "version",
+		Usage: "print the version",
+		Action: func(_ context.Context, c *cli.Command) error {
+			_, err := fmt.Fprintln(c.Root().Writer, "ryeford", version())
+			return err
+		},
+	}
+}
+
+func version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	return info.Main.Version
+}
--- a/internal/cmd/explaincmd.go
+++ b/internal/cmd/explaincmd.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -65,12 +64,8 @@
 	if c.Bool("json") {
 		return json.NewEncoder(c.Root().Writer).Encode(all)
 	}
-	for _, line := range all.Decisions {
-		if _, err := fmt.Fprintln(c.Root().Writer, line); err != nil {
-			return err
-		}
-	}
-	return nil
+	_, err = fmt.Fprintln(c.Root().Writer, strings.Join(all.Decisions, "\n"))
+	return err
 }
 
 // contextBefore is how long before a request's first line its router's changes of
@@ -106,7 +101,7 @@
 		}
 		lines = append(lines, read...)
 	}
-	slices.SortStableFunc(lines, func(a, b logLine) int { return cmp.Compare(a.at.UnixNano(), b.at.UnixNano()) })
+	slices.SortStableFunc(lines, func(a, b logLine) int { return a.at.Compare(b.at) })
 	found := linesOn(request, lines)
 	if len(found) == 0 {
 		return &ryeford.NotFoundError{Kind: "request", Name: string(request)}
--- a/internal/cmd/process.go
+++ b/internal/cmd/processcmd.go
@@ -7,6 +7,12 @@
 
 	"github.com/go-kit/log"
 	"github.com/urfave/cli/v3"
+
+	"github.com/ryeford/ryeford/agentfleet/agent"
+	"github.com/ryeford/ryeford/agentfleet/router"
+	"github.com/ryeford/ryeford/agentfleet/tableservice"
+	"github.com/ryeford/ryeford/agentfleet/transport"
+	"github.com/ryeford/ryeford/settings"
 )
 
 // newProcessCommand returns a command that runs one process from a settings file until
@@ -49,3 +55,37 @@
 	now := log.TimestampFormat(func() time.Time { return time.Now().UTC() }, time.RFC3339Nano)
 	return log.With(logger, "ts", now, "role", role)
 }
+
+func newRouterCommand() *cli.Command {
+	return newProcessCommand("router", "run a router on an entry VM (fleet with agents)",
+		settings.LoadRouter, runRouter)
+}
+
+func runRouter(ctx context.Context, s *settings.Router, logger log.Logger) error {
+	tlsConfig, err := transport.LoadTLSConfig(&s.TLS)
+	if err != nil {
+		return err
+	}
+	r, err := router.New(s, tlsConfig, tableservice.New(s.Platform.AddrPort, s.VM), logger)
+	if err != nil {
+		return err
+	}
+	return r.Run(ctx)
+}
+
+func newAgentCommand() *cli.Command {
+	return newProcessCommand("agent", "run the agent of an endpoint VM (fleet with agents)",
+		settings.LoadAgent, runAgent)
+}
+
+func runAgent(ctx context.Context, s *settings.Agent, logger log.Logger) error {
+	tlsConfig, err := transport.LoadTLSConfig(&s.TLS)
+	if err != nil {
+		return err
+	}
+	a, err := agent.New(s, tlsConfig, tableservice.New(s.Platform.AddrPort, s.VM), logger)
+	if err != nil {
+		return err
+	}
+	return a.Run(ctx)
+}
