refactor: a run of the engine's stand-in is read from its request in one place

Cause: complete took a run from the request in two steps, three functions made events and each of their callers appended them, and a slot was given out by two ways, one for a free slot and one for a waiter.

Ruled out: golang.org/x/sync/semaphore for the slots: it knows no priorities. The log of agentfleet/answer for the events: the stand-in would then be checked against the code that it is to check. fasthttp's stream writer: it can't cut a connection.

Change: newRun reads the request; finish and fail append the last event; each request waits for its slot in the queue, from which handOver serves as many as are free. A request whose caller is gone at that moment may now leave before it gets a free slot; it ended as cancelled before, too, as the first step of its answer saw it.

Conclusion: same events, errors and order; no test changed.

--- a/standin/engine.go
+++ b/standin/engine.go
@@ -90,8 +90,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.fault = fault
-	e.affected = 0
+	e.fault, e.affected = fault, 0
 }
 
 func (e *engineServer) writeRuns(ctx *fasthttp.RequestCtx) {
--- a/standin/enginecompletion.go
+++ b/standin/enginecompletion.go
@@ -14,23 +14,11 @@
 
 // complete starts a run and streams its answer.
 func (e *engineServer) complete(ctx *fasthttp.RequestCtx) {
-	var request engine.CompletionRequest
-	if !readJSON(ctx, &request) {
+	r, err := newRun(ctx)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
 		return
 	}
-	r := newRun(
-		ryeford.AttemptID(ctx.Request.Header.Peek(engine.HeaderAttempt)),
-		ryeford.ChatID(ctx.Request.Header.Peek(engine.HeaderChat)),
-		request,
-	)
-	if start := ctx.Request.Header.Peek(engine.HeaderStart); len(start) > 0 {
-		admitted, err := engine.ParseStart(string(start))
-		if err != nil {
-			ctx.Error(err.Error(), fasthttp.StatusBadRequest)
-			return
-		}
-		r.admitted = admitted
-	}
 	status := e.begin(r)
 	if status != fasthttp.StatusOK {
 		ctx.Error("refused", status)
@@ -104,28 +92,6 @@
 	e.stream(ctx, r, int(offset+1))
 }
 
-func tokenEvent(r *run, token string) engine.CompletionChunk {
-	return engine.CompletionChunk{
-		ID:      string(r.attempt),
-		Choices: []engine.Choice{{Delta: engine.Delta{Content: token}}},
-	}
-}
-
-func finishEvent(r *run, reason ryeford.FinishReason, usage *ryeford.Usage) engine.CompletionChunk {
-	return engine.CompletionChunk{
-		ID:      string(r.attempt),
-		Choices: []engine.Choice{{FinishReason: reason}},
-		Usage:   usage,
-	}
-}
-
-func errorEvent(r *run, message string) engine.CompletionChunk {
-	return engine.CompletionChunk{
-		ID:    string(r.attempt),
-		Error: &engine.CompletionError{Type: "server_error", Message: message},
-	}
-}
-
 // errCut makes fasthttp cut a connection amid an answer.
 var errCut = &Error{Op: "stream", Err: context.Canceled}
 
@@ -183,7 +149,7 @@
 	if !s.fault.Disorder {
 		return s.write(s.run.attempt, s.index, event)
 	}
-	if err := s.write("another-attempt", s.index, tokenEvent(s.run, "of another answer ")); err != nil {
+	if err := s.write("another-attempt", s.index, s.run.tokenEvent("of another answer ")); err != nil {
 		return err
 	}
 	if s.index%2 == 0 && event.Choices[0].FinishReason == "" {
--- a/standin/enginerun.go
+++ b/standin/enginerun.go
@@ -3,10 +3,14 @@
 import (
 	"cmp"
 	"context"
+	"encoding/json"
 	"slices"
+	"sort"
 	"sync"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"github.com/ryeford/ryeford"
 	"github.com/ryeford/ryeford/agentfleet/engine"
 	"github.com/ryeford/ryeford/internal/clock"
@@ -15,9 +19,8 @@
 // generate runs a request in the batch.
 func (e *engineServer) generate(r *run) {
 	defer e.recordEnd(r)
-	err := e.slots.acquire(r.ctx, r.request.Priority)
-	if err != nil {
-		r.append(errorEvent(r, "cancelled"), true)
+	if !e.slots.acquire(r.ctx, r.request.Priority) {
+		r.fail("cancelled")
 		return
 	}
 	defer e.slots.release()
@@ -68,12 +71,12 @@
 		token := answerToken(tag, i)
 		text += token
 		usage.CompletionTokens++
-		r.append(tokenEvent(r, token), false)
+		r.append(r.tokenEvent(token), false)
 	}
 	e.mu.Lock()
 	e.cache.store(r.chat, prompt+"assistant\n"+text+"\n")
 	e.mu.Unlock()
-	r.append(finishEvent(r, ryeford.FinishStop, usage), true)
+	r.finish(ryeford.FinishStop, usage)
 }
 
 // endsEarly ends a run that is cancelled, or that its fault ends before the i-th
@@ -81,13 +84,13 @@
 func endsEarly(r *run, i int, fault *EngineFault, usage *ryeford.Usage) bool {
 	switch {
 	case r.ctx.Err() != nil:
-		r.append(errorEvent(r, "cancelled"), true)
+		r.fail("cancelled")
 	case fault.StallAfter > 0 && i >= fault.StallAfter:
 		<-r.ctx.Done()
 	case fault.ErrorAfter > 0 && i >= fault.ErrorAfter:
-		r.append(errorEvent(r, "inference backend unavailable"), true)
+		r.fail("inference backend unavailable")
 	case fault.Finish != "" && i >= fault.FinishAfter:
-		r.append(finishEvent(r, fault.Finish, usage), true)
+		r.finish(fault.Finish, usage)
 	default:
 		return false
 	}
@@ -112,16 +115,40 @@
 	changed chan struct{}
 }
 
-func newRun(attempt ryeford.AttemptID, chat ryeford.ChatID, request engine.CompletionRequest) *run {
-	ctx, cancel := context.WithCancel(context.Background())
-	return &run{
-		attempt: attempt,
-		chat:    chat,
-		request: request,
-		ctx:     ctx,
-		cancel:  cancel,
+// newRun returns the run that a request asks for.
+func newRun(ctx *fasthttp.RequestCtx) (*run, error) {
+	header := &ctx.Request.Header
+	r := &run{
+		attempt: ryeford.AttemptID(header.Peek(engine.HeaderAttempt)),
+		chat:    ryeford.ChatID(header.Peek(engine.HeaderChat)),
 		changed: make(chan struct{}),
 	}
+	if err := json.Unmarshal(ctx.PostBody(), &r.request); err != nil {
+		return nil, err
+	}
+	if start := header.Peek(engine.HeaderStart); len(start) > 0 {
+		var err error
+		if r.admitted, err = engine.ParseStart(string(start)); err != nil {
+			return nil, err
+		}
+	}
+	r.ctx, r.cancel = context.WithCancel(context.Background())
+	return r, nil
+}
+
+func (r *run) tokenEvent(token string) engine.CompletionChunk {
+	choice := engine.Choice{Delta: engine.Delta{Content: token}}
+	return engine.CompletionChunk{ID: string(r.attempt), Choices: []engine.Choice{choice}}
+}
+
+func (r *run) finish(reason ryeford.FinishReason, usage *ryeford.Usage) {
+	choices := []engine.Choice{{FinishReason: reason}}
+	r.append(engine.CompletionChunk{ID: string(r.attempt), Choices: choices, Usage: usage}, true)
+}
+
+func (r *run) fail(message string) {
+	failure := &engine.CompletionError{Type: "server_error", Message: message}
+	r.append(engine.CompletionChunk{ID: string(r.attempt), Error: failure}, true)
 }
 
 func (r *run) append(event engine.CompletionChunk, last bool) {
@@ -146,7 +173,7 @@
 type slots struct {
 	mu      sync.Mutex
 	free    int
-	waiting []*waiter
+	waiting []*waiter // the highest priority first
 }
 
 type waiter struct {
@@ -154,48 +181,47 @@
 	ready    chan struct{} // closed once the slot is its own
 }
 
-func (s *slots) acquire(ctx context.Context, priority int) error {
-	s.mu.Lock()
-	if s.free > 0 {
-		s.free--
-		s.mu.Unlock()
-		return nil
-	}
+// acquire waits for a slot, and reports false if ctx ended before.
+func (s *slots) acquire(ctx context.Context, priority int) bool {
 	w := &waiter{priority: priority, ready: make(chan struct{})}
-	at := slices.IndexFunc(s.waiting, func(o *waiter) bool { return o.priority < priority })
-	if at < 0 {
-		at = len(s.waiting)
-	}
-	s.waiting = slices.Insert(s.waiting, at, w)
+	s.mu.Lock()
+	behind := func(i int) bool { return s.waiting[i].priority < priority }
+	s.waiting = slices.Insert(s.waiting, sort.Search(len(s.waiting), behind), w)
+	s.handOver()
 	s.mu.Unlock()
 	select {
 	case <-w.ready:
-		return nil
+		return true
 	case <-ctx.Done():
+		s.leave(w)
+		return false
 	}
+}
+
+// leave takes out a waiter, or gives back the slot that it has got meanwhile.
+func (s *slots) leave(w *waiter) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if at := slices.Index(s.waiting, w); at >= 0 {
 		s.waiting = slices.Delete(s.waiting, at, at+1)
-		return ctx.Err()
+		return
 	}
+	s.free++
 	s.handOver()
-	return ctx.Err()
 }
 
 func (s *slots) release() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.free++
 	s.handOver()
 }
 
-// handOver passes a slot to the first waiter, or frees it if there is none.
+// handOver passes free slots to the first waiters.
 func (s *slots) handOver() {
-	if len(s.waiting) == 0 {
-		s.free++
-		return
+	for s.free > 0 && len(s.waiting) > 0 {
+		s.free--
+		close(s.waiting[0].ready)
+		s.waiting = s.waiting[1:]
 	}
-	next := s.waiting[0]
-	s.waiting = s.waiting[1:]
-	close(next.ready)
 }
