refactor: both ways of a stand-in's link are received by one function

Cause: link.run and link.relayBack were the same loop, one on the link's socket and one on each caller's; a service's fault and runs were methods of one call each.

Ruled out: one setter for the faults of all stand-ins: those of engine and link replace the whole, those of platform and service the named fields, and scripts rely on it.

Change: receive hands over what comes to a socket until it is closed, which is how the link's own loop ends, too. The service serves its fault and runs where it looks at the path.

Conclusion: same faults and answers; no test changed.

--- a/standin/link.go
+++ b/standin/link.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -70,21 +71,28 @@
 func (l *link) run(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, l.close)
 	defer stop()
+	receive(l.socket, func(data []byte, caller netip.AddrPort) {
+		out, err := l.upstream(caller)
+		if err != nil {
+			return // the datagram is lost, as on a network
+		}
+		l.pass(func() { _, _ = out.Write(data) })
+	})
+	return nil
+}
+
+// receive hands over what comes to a socket, until the socket is closed.
+func receive(socket *net.UDPConn, handle func(data []byte, from netip.AddrPort)) {
 	buf := make([]byte, maxDatagram)
 	for {
-		n, caller, err := l.socket.ReadFromUDPAddrPort(buf)
-		if ctx.Err() != nil {
-			return nil
+		n, from, err := socket.ReadFromUDPAddrPort(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
 		}
 		if err != nil {
-			continue // an error of one datagram, as when a caller's socket has gone
+			continue // an error of one datagram, as when nothing listens at the far end
 		}
-		out, err := l.upstream(caller)
-		if err != nil {
-			continue // the datagram is lost, as on a network
-		}
-		data := append([]byte(nil), buf[:n]...)
-		l.pass(func() { _, _ = out.Write(data) })
+		handle(slices.Clone(buf[:n]), from)
 	}
 }
 
@@ -100,24 +108,10 @@
 		return nil, &Error{Op: "dial", Err: err}
 	}
 	l.callers[caller] = out
-	go l.relayBack(out, caller)
-	return out, nil
-}
-
-// relayBack relays what comes back to a caller, until the socket is closed.
-func (l *link) relayBack(out *net.UDPConn, caller netip.AddrPort) {
-	buf := make([]byte, maxDatagram)
-	for {
-		n, err := out.Read(buf)
-		if err != nil {
-			if errors.Is(err, net.ErrClosed) {
-				return
-			}
-			continue // refused: nothing listens at the far end for now
-		}
-		data := append([]byte(nil), buf[:n]...)
+	go receive(out, func(data []byte, _ netip.AddrPort) {
 		l.pass(func() { _, _ = l.socket.WriteToUDPAddrPort(data, caller) })
-	}
+	})
+	return out, nil
 }
 
 // pass sends a datagram as the fault allows.
--- a/standin/service.go
+++ b/standin/service.go
@@ -39,27 +39,18 @@
 func (s *service) serve(ctx *fasthttp.RequestCtx) {
 	switch string(ctx.Path()) {
 	case PathFault:
-		s.setFault(ctx)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		readJSON(ctx, &s.fault) // changes the named fields
 	case PathRuns:
-		s.writeRuns(ctx)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		writeJSON(ctx, s.runs)
 	default:
 		s.call(ctx)
 	}
 }
 
-// setFault takes a fault. It changes the named fields of the fault.
-func (s *service) setFault(ctx *fasthttp.RequestCtx) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	readJSON(ctx, &s.fault)
-}
-
-func (s *service) writeRuns(ctx *fasthttp.RequestCtx) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	writeJSON(ctx, s.runs)
-}
-
 func (s *service) call(ctx *fasthttp.RequestCtx) {
 	record := RunRecord{
 		Attempt: string(ctx.Request.Header.Peek(engine.HeaderAttempt)),
