--- a/internal/transfer/transfer.go
+++ b/internal/transfer/transfer.go
@@ -138,7 +138,6 @@
 	Interval time.Duration
 }
 
-// Error returns the text of e.
 func (e *StallError) Error() string { return "stalled for " + e.Interval.String() }
 
 // A BrokenError says that a response could not be read to its end. How much had come tells
@@ -149,10 +148,8 @@
 	Err      error
 }
 
-// Error returns the text of e.
 func (e *BrokenError) Error() string {
 	return fmt.Sprintf("broken off after %d bytes and %s: %v", e.Received, e.After.Round(time.Millisecond), e.Err)
 }
 
-// Unwrap returns the cause of e.
 func (e *BrokenError) Unwrap() error { return e.Err }
