refactor: a mean's samples in a slice, not in a ring with a running sum

Cause: the ring needed an index, a count, a sum with the rounding errors of what was added and dropped, and two functions, for at most 32 samples.

Ruled out: container/ring, which needs the same bookkeeping around it.

Change: the window's samples are a slice, the oldest first; Value adds them up.

A Value sums 32 floats at most, once an attempt.

Conclusion: the same samples count; the mean has no rounding errors of dropped ones, so the guard against a negative one is gone. TestMean is unchanged.

--- a/agentfleet/load/mean.go
+++ b/agentfleet/load/mean.go
@@ -16,10 +16,7 @@
 // A Mean must not be used by two goroutines at once.
 type Mean struct {
 	window  time.Duration
-	samples [maxSamples]sample
-	next    int
-	count   int
-	sum     float64
+	samples []sample // those of the window, the oldest first
 }
 
 type sample struct {
@@ -35,46 +32,31 @@
 // Add adds one sample.
 func (m *Mean) Add(now time.Time, value float64) {
 	m.expire(now)
-	if m.count == maxSamples {
-		m.drop()
+	if len(m.samples) == maxSamples {
+		m.samples = m.samples[1:]
 	}
-	m.samples[m.next] = sample{at: now, value: value}
-	m.next = (m.next + 1) % maxSamples
-	m.count++
-	m.sum += value
+	m.samples = append(m.samples, sample{at: now, value: value})
 }
 
 // Value returns the mean of the window's samples, or zero if there is none.
 func (m *Mean) Value(now time.Time) float64 {
 	m.expire(now)
-	if m.count == 0 {
-		return 0
+	sum := 0.0
+	for i := range m.samples {
+		sum += m.samples[i].value
 	}
-	return max(0, m.sum/float64(m.count))
+	return sum / float64(max(1, len(m.samples)))
 }
 
 // Count returns how many samples the window holds.
 func (m *Mean) Count(now time.Time) int {
 	m.expire(now)
-	return m.count
+	return len(m.samples)
 }
 
 // expire drops the samples that left the window.
 func (m *Mean) expire(now time.Time) {
-	for m.count > 0 && now.Sub(m.samples[m.oldest()].at) > m.window {
-		m.drop()
+	for len(m.samples) > 0 && now.Sub(m.samples[0].at) > m.window {
+		m.samples = m.samples[1:]
 	}
-	if m.count == 0 {
-		m.sum = 0 // without the rounding errors of what was added and dropped
-	}
-}
-
-// drop drops the oldest sample.
-func (m *Mean) drop() {
-	m.sum -= m.samples[m.oldest()].value
-	m.count--
-}
-
-func (m *Mean) oldest() int {
-	return (m.next - m.count + maxSamples) % maxSamples
 }
