refactor: an agent runs completions and calls in one loop

Cause: executeCompletion and executeCall each opened an assembler, read the answer and ended a failed one; the completion's loop left it in two places, and corrected after the fact what a failed resume proves.

Ruled out: an interface above engine and service, which would have one user.

Conclusion: the same calls in the same order. Chunks of a call that are dropped would be logged now, too; a service's reader numbers them itself, so there are none.

--- a/agentfleet/agent/execute.go
+++ b/agentfleet/agent/execute.go
@@ -19,55 +19,33 @@
 const cancelTimeout = 2 * time.Second
 
 // execute runs an admitted attempt to its end: the answer is whole, or ends with a
-// failure.
+// failure. An engine whose stream breaks or stalls is asked for the rest of the same run
+// (mayResume) before the run is given up.
 func (a *Agent) execute(r *run) {
 	defer r.cancel()
 	defer a.attempts.finished(r)
 	defer func() { r.backend.release(time.Now(), r.dispatch.Account) }()
-	if r.dispatch.Call != nil {
-		a.executeCall(r)
-		return
+	asm := answer.NewAssembler(r.dispatch.Attempt, 0)
+	failure := a.readAnswer(r, asm, false)
+	for resumes := 0; failure != nil && mayResume(r.dispatch, failure, resumes, r.ctx.Err() != nil); resumes++ {
+		failure = a.readAnswer(r, asm, true)
 	}
-	a.executeCompletion(r)
-}
-
-// executeCompletion runs a completion. An engine whose stream breaks or stalls is
-// asked for the rest of the same run (mayResume) before the run is given up.
-func (a *Agent) executeCompletion(r *run) {
-	d := r.dispatch
-	asm := answer.NewAssembler(d.Attempt, 0)
-	for resumes := 0; ; resumes++ {
-		failure := a.readAnswer(r, asm, func(ctx context.Context) (ryeford.ChunkReader, error) {
-			if resumes > 0 {
-				return r.backend.engine.Resume(ctx, d.Attempt, asm.Next())
-			}
-			return r.backend.engine.Complete(ctx, cacheKey(d.ChatKey()), d.Completion)
-		})
-		if failure == nil {
-			a.logDropped(r, asm.Dropped())
-			return
-		}
-		if resumes > 0 {
-			failure.notRun = false // the engine had the request before
-		}
-		if !mayResume(failure, resumes, r.ctx.Err() != nil) {
-			a.logDropped(r, asm.Dropped())
-			a.fail(r, asm.Next(), failure)
-			return
-		}
+	a.logDropped(r, asm.Dropped())
+	if failure != nil {
+		a.fail(r, asm.Next(), failure)
 	}
 }
 
-// executeCall runs a call of a plain service. It is sent once: a service has no
-// way to read the rest of a response.
-func (a *Agent) executeCall(r *run) {
-	asm := answer.NewAssembler(r.dispatch.Attempt, 0)
-	failure := a.readAnswer(r, asm, func(ctx context.Context) (ryeford.ChunkReader, error) {
-		return r.backend.service.Call(ctx, r.dispatch.Call)
-	})
-	if failure != nil {
-		a.fail(r, asm.Next(), failure)
+// open opens the stream of a run's answer, or with resume that of the rest from an offset.
+func (r *run) open(ctx context.Context, resume bool, offset int64) (ryeford.ChunkReader, error) {
+	d := r.dispatch
+	switch {
+	case d.Call != nil:
+		return r.backend.service.Call(ctx, d.Call)
+	case resume:
+		return r.backend.engine.Resume(ctx, d.Attempt, offset)
 	}
+	return r.backend.engine.Complete(ctx, cacheKey(d.ChatKey()), d.Completion)
 }
 
 // logDropped counts the chunks that were not part of an answer.
@@ -116,16 +94,17 @@
 }
 
 // readAnswer reads one stream of an answer into the run's log. It returns nil
-// once the answer is finished.
-func (a *Agent) readAnswer(r *run, asm *answer.Assembler, open func(context.Context) (ryeford.ChunkReader, error)) *streamError {
+// once the answer is finished. A failure to resume never proves that the attempt did not
+// run: the engine had the request before.
+func (a *Agent) readAnswer(r *run, asm *answer.Assembler, resume bool) *streamError {
 	ctx, cancel := context.WithCancelCause(r.ctx)
 	defer cancel(nil)
 	limits := &a.settings.Limits
 	watchdog := time.AfterFunc(stallLimit(limits, asm.Next() > 0), func() { cancel(errStalled{}) })
 	defer watchdog.Stop()
-	reader, err := open(ctx)
+	reader, err := r.open(ctx, resume, asm.Next())
 	if err != nil {
-		return newStreamError(ctx, err, asm.Next() == 0 && engine.NotRun(err))
+		return newStreamError(ctx, err, !resume && asm.Next() == 0 && engine.NotRun(err))
 	}
 	defer func() { _ = reader.Close() }() // the answer is whole or failed already
 	for !asm.Finished() {
@@ -185,9 +164,9 @@
 // mayResume reports whether the same engine is asked for the rest of a run whose
 // stream ended early: unless the run did not start, was cancelled, or was resumed
 // maxResumes times before. To resume runs nothing twice, so it is allowed for
-// requests that are not repeatable too.
-func mayResume(failure *streamError, resumes int, cancelled bool) bool {
-	return !failure.notRun && !cancelled && resumes < maxResumes
+// requests that are not repeatable too. A plain service can't send the rest of a response.
+func mayResume(d *wire.Dispatch, failure *streamError, resumes int, cancelled bool) bool {
+	return d.Call == nil && !failure.notRun && !cancelled && resumes < maxResumes
 }
 
 // A run is an attempt that was admitted here. Any number of streams read its
--- a/agentfleet/agent/giveup_test.go
+++ b/agentfleet/agent/giveup_test.go
@@ -6,6 +6,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/ryeford/ryeford"
+	"github.com/ryeford/ryeford/agentfleet/wire"
 	"github.com/ryeford/ryeford/settings"
 )
 
@@ -18,19 +20,22 @@
 func TestMayResume(t *testing.T) {
 	for _, test := range []struct {
 		rule      string
+		call      *ryeford.Call
 		notRun    bool
 		resumes   int
 		cancelled bool
 		want      bool
 	}{
-		{"a broken stream is resumed", false, 0, false, true},
-		{"as often as allowed", false, maxResumes - 1, false, true},
-		{"and not once more", false, maxResumes, false, false},
-		{"a run that did not start has no rest", true, 0, false, false},
-		{"a cancelled one is not wanted", false, 0, true, false},
+		{"a broken stream is resumed", nil, false, 0, false, true},
+		{"as often as allowed", nil, false, maxResumes - 1, false, true},
+		{"and not once more", nil, false, maxResumes, false, false},
+		{"a run that did not start has no rest", nil, true, 0, false, false},
+		{"a cancelled one is not wanted", nil, false, 0, true, false},
+		{"a service sends no rest", &ryeford.Call{}, false, 0, false, false},
 	} {
 		t.Run(test.rule, func(t *testing.T) {
-			assert.Equal(t, mayResume(&streamError{notRun: test.notRun}, test.resumes, test.cancelled), test.want)
+			d, failure := &wire.Dispatch{Call: test.call}, &streamError{notRun: test.notRun}
+			assert.Equal(t, mayResume(d, failure, test.resumes, test.cancelled), test.want)
 		})
 	}
 }
