refactor: judge says the reason itself, without a verdict in between

Cause: judge returned one of five verdicts, and refusal turned each into a reason and a flag; nothing else used a verdict. Whether the run is another account's stood in the handler.

Ruled out: to derive the flag from the reason (only a tombstone proves that nothing ran): two rules would then lie in one comparison.

Change: judge returns reason and flag; attempts.settle knows the account. Tests: TestJudge has both values of TestVerdictRefusal's rows in its own, so that one goes; its row on another account is TestSettleAccount, which goes through settle. TestAttemptsAtMostOnce compares the reason.

Conclusion: each join gets the reason and the flag that it got.

--- a/agentfleet/agent/attemptrules_test.go
+++ b/agentfleet/agent/attemptrules_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/ryeford/ryeford"
+	"github.com/ryeford/ryeford/agentfleet/wire"
 )
 
 func TestMayAdmit(t *testing.T) {
@@ -39,43 +40,43 @@
 		expires time.Duration // from now
 		forget  time.Duration // from now
 		peek    bool
-		want    verdict
-	}{
-		{"an attempt that was admitted is joined", attemptKept, 1, 2, false, verdictRuns},
-		{"also long after", attemptKept, -9, -8, false, verdictRuns},
-		{"without its answer, it ran", attemptRan, 1, 2, false, verdictRan},
-		{"an unseen attempt did not run", attemptUnseen, 1, 2, false, verdictNotRun},
-		{"nor one that was given up", attemptTombstone, 1, 2, false, verdictNotRun},
-		{"after its expiry an admission would still be remembered", attemptUnseen, -1, 0, false, verdictNotRun},
-		{"but not for ever", attemptUnseen, -2, -1, false, verdictUnknown},
-		{"the later of both times counts", attemptUnseen, 0, -1, false, verdictNotRun},
-		{"a peek proves nothing before the expiry", attemptUnseen, 0, 2, true, verdictNotYet},
-		{"after it, it does", attemptUnseen, -1, 2, true, verdictNotRun},
-	} {
-		t.Run(test.rule, func(t *testing.T) {
-			got := judge(test.state, now, now.Add(test.expires), now.Add(test.forget), test.peek)
-			assert.Equal(t, got, test.want)
-		})
-	}
-}
-
-func TestVerdictRefusal(t *testing.T) {
-	for _, test := range []struct {
-		rule    string
-		verdict verdict
 		want    ryeford.Reason
 		unknown bool
 	}{
-		{"only a tombstone proves that it did not run", verdictNotRun, ryeford.ReasonTombstone, false},
-		{"it may run yet", verdictNotYet, ryeford.ReasonRunning, true},
-		{"nothing is remembered", verdictUnknown, ryeford.ReasonExpired, true},
-		{"it ran", verdictRan, ryeford.ReasonDuplicate, true},
-		{"it runs, for another account", verdictRuns, ryeford.ReasonDuplicate, true},
+		{"an attempt that was admitted is joined", attemptKept, 1, 2, false, "", false},
+		{"also long after", attemptKept, -9, -8, false, "", false},
+		{"without its answer, it ran", attemptRan, 1, 2, false, ryeford.ReasonDuplicate, true},
+		{"an unseen attempt did not run", attemptUnseen, 1, 2, false, ryeford.ReasonTombstone, false},
+		{"nor one that was given up", attemptTombstone, 1, 2, false, ryeford.ReasonTombstone, false},
+		{"after its expiry an admission would still be remembered", attemptUnseen, -1, 0, false, ryeford.ReasonTombstone, false},
+		{"but not for ever", attemptUnseen, -2, -1, false, ryeford.ReasonExpired, true},
+		{"the later of both times counts", attemptUnseen, 0, -1, false, ryeford.ReasonTombstone, false},
+		{"a peek proves nothing before the expiry", attemptUnseen, 0, 2, true, ryeford.ReasonRunning, true},
+		{"after it, it does", attemptUnseen, -1, 2, true, ryeford.ReasonTombstone, false},
 	} {
 		t.Run(test.rule, func(t *testing.T) {
-			reason, unknown := test.verdict.refusal()
-			assert.Equal(t, reason, test.want)
+			got, unknown := judge(test.state, now, now.Add(test.expires), now.Add(test.forget), test.peek)
+			assert.Equal(t, got, test.want)
 			assert.Equal(t, unknown, test.unknown)
 		})
 	}
 }
+
+// TestSettleAccount checks that a run is joined by its own account only; another one learns
+// that it may have run, and no more.
+func TestSettleAccount(t *testing.T) {
+	a := newAttempts(time.Minute, time.Second)
+	now := time.Unix(1_000_000, 0)
+	d := &wire.Dispatch{Attempt: "a1", Account: "bank", Expires: now.Add(time.Second), Forget: now.Add(time.Minute)}
+	admitted := newRun(d, nil, false)
+	defer admitted.cancel()
+	a.admit(now, d, func() *run { return admitted })
+	r, reason, unknown := a.settle(now, &wire.Join{Attempt: "a1", Account: "bank", Expires: d.Expires, Forget: d.Forget})
+	assert.Equal(t, r, admitted)
+	assert.Equal(t, reason, ryeford.Reason(""))
+	assert.Assert(t, !unknown)
+	r, reason, unknown = a.settle(now, &wire.Join{Attempt: "a1", Account: "church", Expires: d.Expires, Forget: d.Forget})
+	assert.Assert(t, r == nil)
+	assert.Equal(t, reason, ryeford.ReasonDuplicate)
+	assert.Assert(t, unknown)
+}
--- a/agentfleet/agent/attempts.go
+++ b/agentfleet/agent/attempts.go
@@ -64,17 +64,21 @@
 	return r, ""
 }
 
-// settle answers a join, with the run if it is kept. If the attempt did not run,
-// it leaves a tombstone, so that a dispatch that is still under way is refused.
-func (a *attempts) settle(now time.Time, j *wire.Join) (*run, verdict) {
+// settle answers a join, with the run if its answer is kept and the account's, or with
+// why there is none (judge). If the attempt did not run, it leaves a tombstone, so that a
+// dispatch that is still under way is refused.
+func (a *attempts) settle(now time.Time, j *wire.Join) (r *run, reason ryeford.Reason, unknown bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	state, r := a.state(j.Attempt)
-	v := judge(state, now, j.Expires, j.Forget, j.Peek)
-	if v == verdictNotRun {
+	if r != nil && r.dispatch.Account != j.Account {
+		return nil, ryeford.ReasonDuplicate, true
+	}
+	reason, unknown = judge(state, now, j.Expires, j.Forget, j.Peek)
+	if reason == ryeford.ReasonTombstone {
 		a.tombstones[j.Attempt] = tombstoneUntil(j.Expires, a.skew)
 	}
-	return r, v
+	return r, reason, unknown
 }
 
 // finished drops a finished run's answer after keep.
@@ -142,49 +146,25 @@
 	return ""
 }
 
-// A verdict is what an agent answers to a join.
-type verdict int
-
-const (
-	verdictRuns    verdict = iota // the run is here
-	verdictRan                    // it ran, but the answer is gone
-	verdictNotRun                 // it did not run and never will
-	verdictUnknown                // it may have run; nothing is remembered any more
-	verdictNotYet                 // it did not run so far (after a peek)
-)
-
-// judge returns the verdict on an attempt at a join.
+// judge returns why a join does not get the answer of an attempt, and whether the attempt
+// may have run, or may still. The reason is empty if the run is kept.
 //
 // An attempt did not run if it was not admitted and an admission would still be
 // remembered. The caller then has to leave a tombstone, since its dispatch may
 // still be under way. A peek leaves none, so until the attempt expires it proves
 // nothing.
-func judge(s attemptState, now, expires, forget time.Time, peek bool) verdict {
+func judge(s attemptState, now, expires, forget time.Time, peek bool) (reason ryeford.Reason, unknown bool) {
 	switch {
 	case s == attemptKept:
-		return verdictRuns
+		return "", false
 	case s == attemptRan:
-		return verdictRan
+		return ryeford.ReasonDuplicate, true
 	case now.After(later(forget, expires)):
-		return verdictUnknown
+		return ryeford.ReasonExpired, true
 	case peek && !now.After(expires):
-		return verdictNotYet
-	}
-	return verdictNotRun
-}
-
-// refusal returns the refusal of a join that does not get the answer. unknown
-// says that the attempt may have run, or may still.
-func (v verdict) refusal() (reason ryeford.Reason, unknown bool) {
-	switch v {
-	case verdictNotRun:
-		return ryeford.ReasonTombstone, false
-	case verdictNotYet:
 		return ryeford.ReasonRunning, true
-	case verdictUnknown:
-		return ryeford.ReasonExpired, true
 	}
-	return ryeford.ReasonDuplicate, true
+	return ryeford.ReasonTombstone, false
 }
 
 // rememberUntil returns until when an admitted attempt is remembered: as long as
--- a/agentfleet/agent/attempts_test.go
+++ b/agentfleet/agent/attempts_test.go
@@ -50,8 +50,8 @@
 			"join": func(t *rapid.T) {
 				id := pick(t)
 				j := &wire.Join{Attempt: id, Expires: expires[id], Forget: forget[id], Peek: rapid.Bool().Draw(t, "peek")}
-				_, known := a.settle(now, j)
-				if known == verdictNotRun {
+				_, reason, _ := a.settle(now, j)
+				if reason == ryeford.ReasonTombstone {
 					assert.Equal(t, runs[id], 0, "said not to have run")
 					saidNotRun[id] = true
 				}
--- a/agentfleet/agent/connections.go
+++ b/agentfleet/agent/connections.go
@@ -114,12 +114,12 @@
 		stream.Reply(&wire.Message{Refused: refused})
 		return
 	}
-	r, v := a.attempts.settle(time.Now(), j)
-	if v == verdictRuns && r.dispatch.Account == j.Account {
+	var r *run
+	r, refused.Reason, refused.Unknown = a.attempts.settle(time.Now(), j)
+	if r != nil {
 		a.sendAnswer(ctx, stream, r, r.dispatch.Request, j.Offset)
 		return
 	}
-	refused.Reason, refused.Unknown = v.refusal()
 	a.decisions.Record("", "decision", "settle", "attempt", j.Attempt, "reason", refused.Reason, "unknown", refused.Unknown)
 	stream.Reply(&wire.Message{Refused: refused})
 }
