--- a/replay/replay.go
+++ b/replay/replay.go
@@ -50,9 +50,7 @@
 	client  *caller.Client
 	report  *Report
 	balance *balancer
-
-	mu    sync.Mutex
-	chats map[ryeford.ChatID]*chat // by chatKey
+	chats   sync.Map // of *chat, by chatKey
 }
 
 // Run plays a trace to its end.
@@ -61,7 +59,6 @@
 		options: o,
 		client:  caller.New(),
 		report:  newReport(entries),
-		chats:   make(map[ryeford.ChatID]*chat),
 	}
 	playing, stop := context.WithCancel(ctx)
 	defer stop()
--- a/replay/replay_test.go
+++ b/replay/replay_test.go
@@ -163,7 +163,7 @@
 	outcome := func(metric string, minimum, maximum *float64) trace.Entry {
 		return trace.Entry{Kind: trace.KindOutcome, Metric: metric, Min: minimum, Max: maximum}
 	}
-	r := newReport([]trace.Entry{{Kind: trace.KindTurn}})
+	r := newReport([]trace.Entry{{Kind: trace.KindTurn, Account: "a"}})
 	r.addTurn("a", &caller.Answer{Complete: true}, true, false)
 	for _, test := range []struct {
 		name    string
--- a/replay/report.go
+++ b/replay/report.go
@@ -46,7 +46,7 @@
 	Took                          time.Duration
 
 	mu       sync.Mutex
-	chats    map[ryeford.ChatID]*chatOutcome // by chatKey
+	chats    map[ryeford.ChatID]chatOutcome // by chatKey
 	accounts map[ryeford.AccountID]*accountOutcome
 	refusals map[string]int // by code, each time
 	first    *hdrhistogram.Histogram
@@ -72,25 +72,30 @@
 
 func newReport(entries []trace.Entry) *Report {
 	r := &Report{
-		chats:    make(map[ryeford.ChatID]*chatOutcome),
+		chats:    make(map[ryeford.ChatID]chatOutcome),
 		accounts: make(map[ryeford.AccountID]*accountOutcome),
 		refusals: make(map[string]int),
 		first:    newHistogram(),
 		between:  newHistogram(),
 	}
 	for i := range entries {
-		if entries[i].Kind == trace.KindTurn {
-			r.Turns++
+		e := &entries[i]
+		if e.Kind != trace.KindTurn {
+			continue
+		}
+		r.Turns++
+		if r.accounts[e.Account] == nil {
+			r.accounts[e.Account] = &accountOutcome{first: newHistogram()}
 		}
 	}
 	return r
 }
 
-// addTurn adds how a turn ended.
+// addTurn adds how a turn of the trace ended.
 func (r *Report) addTurn(id ryeford.AccountID, answer *caller.Answer, right, returning bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	account := getOrAdd(r.accounts, id, func() *accountOutcome { return &accountOutcome{first: newHistogram()} })
+	account := r.accounts[id]
 	account.turns++
 	if answer.Complete && right {
 		account.answered++
--- a/replay/runs.go
+++ b/replay/runs.go
@@ -25,7 +25,7 @@
 func (r *Report) addChat(chat ryeford.ChatID, notRepeatable, notRun bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	o := getOrAdd(r.chats, chat, func() *chatOutcome { return &chatOutcome{} })
+	o := r.chats[chat]
 	o.turns++
 	if notRepeatable {
 		o.notRepeatable++
@@ -33,6 +33,7 @@
 	if notRun {
 		o.notRun++
 	}
+	r.chats[chat] = o
 }
 
 // addRuns compares what the engines ran with what callers were answered. The engines
--- a/replay/turn.go
+++ b/replay/turn.go
@@ -32,7 +32,9 @@
 
 // play plays one turn, after the chat's earlier ones, and reports how it ended.
 func (p *player) play(ctx context.Context, e *trace.Entry) {
-	c := p.chat(e)
+	key := chatKey(e)
+	value, _ := p.chats.LoadOrStore(key, &chat{})
+	c := value.(*chat)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	messages := append(c.messages, ryeford.Message{Role: "user", Content: prompt(e, len(c.messages))})
@@ -50,7 +52,6 @@
 		t.Priority = fmt.Sprint(*e.Priority)
 	}
 	answer, notRun := p.send(ctx, t)
-	key := chatKey(e)
 	right := answer.Text == standin.Answer(key, messages, max(e.AnswerTokens, 1))
 	p.report.addTurn(e.Account, answer, right, c.answered > 0)
 	p.report.addChat(key, e.NotRepeatable, notRun)
@@ -115,28 +116,11 @@
 	return part
 }
 
-// chat returns the state of an entry's chat.
-func (p *player) chat(e *trace.Entry) *chat {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return getOrAdd(p.chats, chatKey(e), func() *chat { return &chat{} })
-}
-
 // chatKey returns the name that an engine has for an entry's chat.
 func chatKey(e *trace.Entry) ryeford.ChatID {
 	return ryeford.ChatID(string(e.Account) + "/" + string(e.Chat))
 }
 
-// getOrAdd returns the value of a key, which it adds if there is none.
-func getOrAdd[K comparable, V any](values map[K]*V, key K, add func() *V) *V {
-	value, ok := values[key]
-	if !ok {
-		value = add()
-		values[key] = value
-	}
-	return value
-}
-
 // prompt returns the text of a turn. A chat's first one begins with the words that
 // all chats of the account share.
 func prompt(e *trace.Entry, turn int) string {
