refactor: an agent's polls stand beside what they change

Cause: polls.go held reads of engines and of the list of VMs, which share nothing but every; the numbers of the last cache events went through a map, a parameter and a result.

Ruled out: one file for polls and plan: an order is not a poll.

Change: pollVMs is beside startLeaving, the reads of engines beside the backends; a backend keeps the number of its last event; every uses time.Tick, which needs no Stop since Go 1.23.

Conclusion: the same calls at the same times.

--- a/agentfleet/agent/agent.go
+++ b/agentfleet/agent/agent.go
@@ -158,14 +158,32 @@
 	a.metrics.Gauge(`ryeford_engine_load{engine="`+string(b.id)+`"}`, b.load)
 }
 
+// pollVMs makes the agent leave once the platform's list says that its VM does,
+// until ctx ends. An operator's Leave message is faster, but may not come.
+func (a *Agent) pollVMs(ctx context.Context) error {
+	return every(ctx, a.settings.Polls.VMList, func() {
+		vms, err := a.vms.VMs(ctx)
+		if err != nil {
+			if ctx.Err() == nil {
+				_ = a.log.Log("msg", "list of VMs not read", "err", err)
+			}
+			return
+		}
+		for _, vm := range vms {
+			if vm.ID == a.settings.VM && vm.State == ryeford.VMLeaving {
+				a.startLeaving("list")
+			}
+		}
+	})
+}
+
 // every calls do after each interval until ctx ends, one call at a time. It
 // returns nil.
 func every(ctx context.Context, interval time.Duration, do func()) error {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
+	ticks := time.Tick(interval)
 	for {
 		select {
-		case <-ticker.C:
+		case <-ticks:
 			do()
 		case <-ctx.Done():
 			return nil
--- a/agentfleet/agent/backend.go
+++ b/agentfleet/agent/backend.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"context"
 	"slices"
 	"sync"
 	"time"
@@ -18,7 +19,8 @@
 	serviceName  string
 	checksFences bool
 
-	queue queue // dispatches that wait for the load to fall
+	queue     queue // dispatches that wait for the load to fall
+	lastEvent int64 // the number of the last cache event that was read; used by pollEngines only
 
 	mu       sync.Mutex
 	gate     *admission.Gate
@@ -111,16 +113,6 @@
 	b.overflow.add(now, o.Chat, o.Engine)
 }
 
-func (b *backend) forgetEvicted(events []ryeford.CacheEvent) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for _, e := range events {
-		if e.Evicted {
-			b.chats.drop(parseCacheKey(e.Chat))
-		}
-	}
-}
-
 // state returns the part of the inventory on b.
 func (b *backend) state() wire.EngineState {
 	b.mu.Lock()
@@ -145,3 +137,50 @@
 	b.pools = pools
 	return changed
 }
+
+// pollEngines asks the engines what they serve, at once and after each interval,
+// until ctx ends.
+func (a *Agent) pollEngines(ctx context.Context) error {
+	poll := func() {
+		changed := false
+		for _, s := range a.settings.Engines {
+			b := a.backends[s.ID]
+			changed = a.pollServing(ctx, b) || changed
+			b.pollCache(ctx)
+		}
+		if changed {
+			a.inventoryChanged()
+		}
+	}
+	poll()
+	return every(ctx, a.settings.Polls.Engine, poll)
+}
+
+// pollServing asks an engine what it serves and reports whether that changed. An
+// engine that does not answer serves nothing.
+func (a *Agent) pollServing(ctx context.Context, b *backend) bool {
+	order, err := b.engine.Serving(ctx)
+	changed := b.setServing(err == nil, order.Pools)
+	if changed {
+		a.decisions.Record("", "decision", "serving", "engine", b.id, "alive", err == nil, "pools", len(order.Pools), "epoch", order.Epoch)
+	}
+	return changed
+}
+
+// pollCache reads what the engine's cache has evicted since the last poll. After an error
+// the next poll asks for the same events again; a gap costs only a wrong belief about a
+// chat's prefix.
+func (b *backend) pollCache(ctx context.Context) {
+	events, err := b.engine.CacheEvents(ctx, b.lastEvent)
+	if err != nil || len(events) == 0 {
+		return
+	}
+	b.lastEvent = events[len(events)-1].Sequence
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, e := range events {
+		if e.Evicted {
+			b.chats.drop(parseCacheKey(e.Chat))
+		}
+	}
+}
