refactor: a setting of zero is derived with cmp.Or

Cause: three functions each compared a setting with zero before they derived it.

Ruled out: negative values, for which > 0 and cmp.Or differ: the settings' bounds begin at 0s.

Change: cmp.Or.

--- a/settings/derived.go
+++ b/settings/derived.go
@@ -1,6 +1,9 @@
 package settings
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // A gateway's reads of the store are as rare as the users' bounds allow: what the
 // settings leave at zero is derived here.
@@ -33,26 +36,19 @@
 // of endpoints: long enough that reads are rare, and so short that a lost read is
 // noticed store_timeout later, and repeated, within bounds.contact.
 func (s *Gateway) WaitForEndpoints() time.Duration {
-	if s.Routing.EndpointsWait > 0 {
-		return s.Routing.EndpointsWait
-	}
-	return max(minEndpointsWait, s.Bounds.Contact-s.Routing.StoreTimeout-contactMargin)
+	derived := s.Bounds.Contact - s.Routing.StoreTimeout - contactMargin
+	return cmp.Or(s.Routing.EndpointsWait, max(minEndpointsWait, derived))
 }
 
 // SettleEndpoints returns how long a gateway waits after a change of the list of
 // endpoints before it reads on.
 func (s *Gateway) SettleEndpoints() time.Duration {
-	if s.Routing.EndpointsSettle > 0 {
-		return s.Routing.EndpointsSettle
-	}
-	return min(maxSettle, s.Bounds.Drain/settleDivisor)
+	return cmp.Or(s.Routing.EndpointsSettle, min(maxSettle, s.Bounds.Drain/settleDivisor))
 }
 
 // RefreshConfiguration returns the age of the last confirmed configuration at
 // which each gateway reads it again.
 func (s *Gateway) RefreshConfiguration() time.Duration {
-	if s.Routing.LeaseRefresh > 0 {
-		return s.Routing.LeaseRefresh
-	}
-	return min(s.Bounds.Configuration/refreshDivisor, s.Bounds.Revoke/revokeDivisor)
+	derived := min(s.Bounds.Configuration/refreshDivisor, s.Bounds.Revoke/revokeDivisor)
+	return cmp.Or(s.Routing.LeaseRefresh, derived)
 }
