refactor: a retry budget counts what was spent, not what is left

Cause: what an account has left begins at the reserve, so each reading asked whether the account is known yet. What it has spent begins at zero, as a map's missing value does.

Ruled out: x/time/rate, which refills by time and not by answers.

Change: Budget.spent; Reserve and PerSuccess are used as before.

Conclusion: spent is Reserve less the tokens of before; an attempt is allowed while a whole one is left. TestOutage is unchanged.

--- a/retry/budget.go
+++ b/retry/budget.go
@@ -20,15 +20,15 @@
 type Budget struct {
 	limits BudgetLimits
 
-	mu     sync.Mutex
-	tokens map[ryeford.AccountID]float64
+	mu    sync.Mutex
+	spent map[ryeford.AccountID]float64 // attempts that no answered request has earned yet
 }
 
 // NewBudget returns a full Budget.
 func NewBudget(limits BudgetLimits) *Budget {
 	return &Budget{
 		limits: limits,
-		tokens: make(map[ryeford.AccountID]float64),
+		spent:  make(map[ryeford.AccountID]float64),
 	}
 }
 
@@ -36,24 +36,16 @@
 func (b *Budget) Earn(account ryeford.AccountID) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.tokens[account] = min(b.limits.Reserve, b.held(account)+b.limits.PerSuccess)
+	b.spent[account] = max(0, b.spent[account]-b.limits.PerSuccess)
 }
 
 // Spend takes one further attempt, and reports whether the account had it.
 func (b *Budget) Spend(account ryeford.AccountID) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	held := b.held(account)
-	if held < 1 {
+	if b.spent[account]+1 > b.limits.Reserve {
 		return false
 	}
-	b.tokens[account] = held - 1
+	b.spent[account]++
 	return true
 }
-
-func (b *Budget) held(account ryeford.AccountID) float64 {
-	if tokens, ok := b.tokens[account]; ok {
-		return tokens
-	}
-	return b.limits.Reserve
-}
