refactor: one file for what an engine runs and whether it takes more

Cause: gate.go imported what admission.go imports, for the 40 lines that call the rule; a type carried its two counts into the rule, and was taken apart there.

Ruled out: to let the rule read the Gate: it is pure, and its test gives it counts alone.

Change: Gate stands below decide, which takes load and held. TestDecide passes them so.

Conclusion: the same decisions.

--- a/agentfleet/admission/admission.go
+++ b/agentfleet/admission/admission.go
@@ -50,12 +50,6 @@
 	PoolMean float64
 }
 
-// A state is what the engine runs at the moment of the decision.
-type state struct {
-	load int // requests of all accounts
-	held int // requests of the account whose request it is
-}
-
 // A Decision is the outcome, with the numbers that decided it.
 type Decision struct {
 	Admitted bool
@@ -77,17 +71,19 @@
 // The gateway's bounded load (package choice) only looks the same: there a router
 // chooses between endpoints by estimates, and excess spills to the next one. Here
 // the engine's own exact counts decide, and a refusal is final.
-func decide(limits *Limits, s state, r *Request) Decision {
+//
+// load is how many requests the engine runs, held how many of them are the account's.
+func decide(limits *Limits, load, held int, r *Request) Decision {
 	d := Decision{
-		Load:  float64(s.load),
+		Load:  float64(load),
 		Bound: limits.bound(r.PoolMean),
-		Held:  s.held,
+		Held:  held,
 	}
-	load, held := d.Load+1, float64(d.Held+1) // if it is admitted
+	loadWith, heldWith := d.Load+1, float64(held+1) // if it is admitted
 	switch {
-	case load > priorityBound(d.Bound, r.Priority):
+	case loadWith > priorityBound(d.Bound, r.Priority):
 		d.Reason = ryeford.ReasonOverload
-	case load > limits.sharesAbove(d.Bound) && held > entitled(d.Bound, r.Share):
+	case loadWith > limits.sharesAbove(d.Bound) && heldWith > entitled(d.Bound, r.Share):
 		d.Reason = ryeford.ReasonShare
 	default:
 		d.Admitted = true
@@ -118,3 +114,45 @@
 func entitled(bound, share float64) float64 {
 	return max(1, share*bound)
 }
+
+// A Gate counts what one engine runs and decides on the next request.
+//
+// A Gate must not be used by two goroutines at once.
+type Gate struct {
+	limits      Limits
+	load        int
+	held        map[ryeford.AccountID]int
+	completions completions
+}
+
+// NewGate returns a Gate with nothing running.
+func NewGate(limits Limits) *Gate {
+	return &Gate{
+		limits: limits,
+		held:   make(map[ryeford.AccountID]int),
+	}
+}
+
+// Admit decides on a request and counts it if it is admitted.
+func (g *Gate) Admit(now time.Time, r *Request) Decision {
+	d := decide(&g.limits, g.load, g.held[r.Account], r)
+	if !d.Admitted {
+		d.RetryAfter = g.completions.retryAfter(now, d.Load, d.Bound)
+		return d
+	}
+	g.load++
+	g.held[r.Account]++
+	return d
+}
+
+// Release removes an admitted request that has ended from the counts.
+func (g *Gate) Release(now time.Time, account ryeford.AccountID) {
+	g.load--
+	if g.held[account]--; g.held[account] <= 0 {
+		delete(g.held, account)
+	}
+	g.completions.add(now)
+}
+
+// Load returns how many requests run.
+func (g *Gate) Load() int { return g.load }
--- a/agentfleet/admission/admission_test.go
+++ b/agentfleet/admission/admission_test.go
@@ -96,7 +96,7 @@
 	} {
 		t.Run(test.rule, func(t *testing.T) {
 			r := &Request{Account: "a", Priority: test.priority, Share: test.share, PoolMean: test.mean}
-			d := decide(limits, state{load: test.load, held: test.held}, r)
+			d := decide(limits, test.load, test.held, r)
 			assert.Equal(t, d.Reason, test.want)
 			assert.Equal(t, d.Admitted, test.want == "")
 			assert.Equal(t, d.Load, float64(test.load))
