refactor: the body of a service's response is read with io.ReadAll

Cause: io.ReadFull gives the same error for a body that ended and for one that broke off, so a further read had to tell them apart.

Ruled out: a larger chunk, or one chunk a read: chunks of serviceChunkSize are what readers get.

Change: io.ReadAll of a chunk's length: it takes the end for no error, and a short body for one.

Conclusion: the same chunks and errors; service_test.go, which has a broken body, is unchanged.

--- a/agentfleet/engine/service.go
+++ b/agentfleet/engine/service.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"net/netip"
@@ -71,15 +70,14 @@
 		chunk.ContentType = r.response.Header.Get("Content-Type")
 	}
 	r.offset++
-	buf := make([]byte, serviceChunkSize)
-	n, err := io.ReadFull(r.response.Body, buf)
-	chunk.Data = buf[:n]
-	switch {
-	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF) && r.bodyComplete():
+	data, err := io.ReadAll(io.LimitReader(r.response.Body, serviceChunkSize))
+	if err != nil {
+		return ryeford.Chunk{}, &Error{Op: "read body", Err: err}
+	}
+	chunk.Data = data
+	if len(data) < serviceChunkSize {
 		r.ended = true
 		chunk.Finish = ryeford.FinishStop
-	case err != nil:
-		return ryeford.Chunk{}, &Error{Op: "read body", Err: err}
 	}
 	return chunk, nil
 }
@@ -87,13 +85,6 @@
 // Close implements ryeford.ChunkReader.
 func (r *bodyReader) Close() error { return r.response.Body.Close() }
 
-// bodyComplete reports whether a short read was the body's proper end: io.ReadFull
-// returns the same error for a body that broke off, a further read does not.
-func (r *bodyReader) bodyComplete() bool {
-	_, err := r.response.Body.Read(make([]byte, 1))
-	return errors.Is(err, io.EOF)
-}
-
 // noRedirect passes redirects on to the caller instead of following them: a
 // followed one would be a second call.
 func noRedirect(*http.Request, []*http.Request) error {
