refactor: a lease is acquired with the write that renews it

Cause: Acquire and Renewal each made the row's record and its write.

Ruled out: to leave the record with the rule: the rule decides the epoch alone.

Change: next returns the epoch; Acquire writes what Renewal returns. TestNext reads the record from that write, on a paused clock, and checks the holder that a HeldError names as well.

Conclusion: the same rows; Expires counts from the making of the write, as in a renewal.

--- a/agentfleet/lease/lease.go
+++ b/agentfleet/lease/lease.go
@@ -65,51 +65,43 @@
 	if err != nil {
 		return nil, err
 	}
-	next, err := l.next(current, time.Now())
+	epoch, err := l.next(current, time.Now())
 	if err != nil {
 		return nil, err
 	}
-	return l.write(ctx, next, version)
-}
-
-// next is the rule of the lease: it returns the record with which this process takes or
-// renews the lease, given the one in the row, or a *HeldError. A lease is taken once it
-// has expired, also from an earlier life of the same VM. The epoch grows whenever the
-// holder changes.
-func (l *Lease) next(current record, now time.Time) (record, error) {
-	mine := current.Holder == l.holder && current.Life == l.life
-	if !mine && now.Before(current.Expires) {
-		return record{}, &HeldError{Holder: current.Holder}
-	}
-	epoch := current.Epoch
-	if !mine {
-		epoch++
-	}
-	return l.record(epoch, now), nil
-}
-
-func (l *Lease) record(epoch int64, now time.Time) record {
-	return record{Holder: l.holder, Life: l.life, Epoch: epoch, Expires: now.Add(l.ttl)}
-}
-
-func (l *Lease) write(ctx context.Context, next record, version int64) (*Held, error) {
-	write, err := row.Write(l.key, &next, version)
+	held := &Held{Epoch: epoch, version: version, lease: l}
+	write, err := held.Renewal()
 	if err != nil {
 		return nil, err
 	}
-	written, err := l.table.Transact(ctx, write)
+	held.version, err = l.table.Transact(ctx, write)
 	if _, ok := errors.AsType[*ryeford.ConflictError](err); ok {
 		return nil, &HeldError{} // by whom is read the next time
 	}
 	if err != nil {
 		return nil, err
 	}
-	return &Held{Epoch: next.Epoch, version: written, lease: l}, nil
+	return held, nil
+}
+
+// next is the rule of the lease: it returns the epoch with which this process takes or
+// renews the lease, given the record in the row, or a *HeldError. A lease is taken once it
+// has expired, also from an earlier life of the same VM. The epoch grows whenever the
+// holder changes.
+func (l *Lease) next(current record, now time.Time) (epoch int64, err error) {
+	switch {
+	case current.Holder == l.holder && current.Life == l.life:
+		return current.Epoch, nil
+	case now.Before(current.Expires):
+		return 0, &HeldError{Holder: current.Holder}
+	}
+	return current.Epoch + 1, nil
 }
 
 // Renewal returns the write that makes a transaction conditional on the lease
 // still being as it was when h was acquired, and renews it.
 func (h *Held) Renewal() (ryeford.Write, error) {
-	next := h.lease.record(h.Epoch, time.Now())
-	return row.Write(h.lease.key, &next, h.version)
+	l := h.lease
+	next := record{Holder: l.holder, Life: l.life, Epoch: h.Epoch, Expires: time.Now().Add(l.ttl)}
+	return row.Write(l.key, &next, h.version)
 }
--- a/agentfleet/lease/lease_test.go
+++ b/agentfleet/lease/lease_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"testing"
 	"testing/synctest"
@@ -66,31 +67,46 @@
 	assert.Assert(t, errors.As(err, &other))
 }
 
-// TestNext checks who may take or renew a lease.
+// TestNext checks who may take or renew a lease, and what the row then says.
 func TestNext(t *testing.T) {
-	now := time.Unix(1_000_000, 0)
 	const ttl = 10 * time.Second
 	for _, test := range []struct {
 		name    string
 		current record
+		left    time.Duration // until the current one expires
 		held    bool
 		epoch   int64 // of the next record
 	}{
-		{"nobody has held it", record{}, false, 1},
-		{"this process holds it", record{Holder: "router-1", Life: "life-1", Epoch: 3, Expires: now.Add(time.Second)}, false, 3},
-		{"its own has expired", record{Holder: "router-1", Life: "life-1", Epoch: 3, Expires: now.Add(-time.Second)}, false, 3},
-		{"an earlier life holds it", record{Holder: "router-1", Life: "life-0", Epoch: 3, Expires: now.Add(time.Second)}, true, 0},
-		{"another holds it", record{Holder: "router-2", Life: "life-2", Epoch: 3, Expires: now.Add(time.Second)}, true, 0},
-		{"another's expires now", record{Holder: "router-2", Life: "life-2", Epoch: 3, Expires: now}, false, 4},
+		{"nobody has held it", record{}, 0, false, 1},
+		{"this process holds it", record{Holder: "router-1", Life: "life-1", Epoch: 3}, time.Second, false, 3},
+		{"its own has expired", record{Holder: "router-1", Life: "life-1", Epoch: 3}, -time.Second, false, 3},
+		{"an earlier life holds it", record{Holder: "router-1", Life: "life-0", Epoch: 3}, time.Second, true, 0},
+		{"another holds it", record{Holder: "router-2", Life: "life-2", Epoch: 3}, time.Second, true, 0},
+		{"another's expires now", record{Holder: "router-2", Life: "life-2", Epoch: 3}, 0, false, 4},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			l := New(nil, "planner", "router-1", "life-1", ttl)
-			next, err := l.next(test.current, now)
-			var held *HeldError
-			assert.Equal(t, errors.As(err, &held), test.held)
-			if !test.held {
-				assert.DeepEqual(t, next, record{Holder: "router-1", Life: "life-1", Epoch: test.epoch, Expires: now.Add(ttl)})
-			}
+			synctest.Test(t, func(t *testing.T) {
+				l := New(nil, "planner", "router-1", "life-1", ttl)
+				now := time.Now()
+				if test.current.Holder != "" {
+					test.current.Expires = now.Add(test.left)
+				}
+				epoch, err := l.next(test.current, now)
+				var held *HeldError
+				assert.Equal(t, errors.As(err, &held), test.held)
+				assert.Equal(t, epoch, test.epoch)
+				if test.held {
+					assert.Equal(t, held.Holder, test.current.Holder)
+					return
+				}
+				write, err := (&Held{Epoch: epoch, lease: l}).Renewal()
+				assert.NilError(t, err)
+				var next record
+				assert.NilError(t, json.Unmarshal(write.Value, &next))
+				assert.Assert(t, next.Expires.Equal(now.Add(ttl)))
+				next.Expires = time.Time{}
+				assert.DeepEqual(t, next, record{Holder: "router-1", Life: "life-1", Epoch: test.epoch})
+			})
 		})
 	}
 }
