refactor: the line of a wrong setting is read with the YAML library's ReadNode

Cause: lineOf parsed the file and applied the path to it, which ReadNode does in one call.

Ruled out: the library's own hook for validators, whose errors have a text of their own.

Change: path.ReadNode.

Conclusion: the same lines: the tests of settings compare the errors' texts.

--- a/settings/errors.go
+++ b/settings/errors.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"reflect"
@@ -9,7 +10,6 @@
 	"github.com/go-playground/validator/v10"
 	"github.com/goccy/go-yaml"
 	"github.com/goccy/go-yaml/ast"
-	"github.com/goccy/go-yaml/parser"
 )
 
 // An Error says what is wrong with a settings file.
@@ -102,15 +102,11 @@
 
 // lineOf returns the line of a key such as limits.floor, or zero.
 func lineOf(content []byte, key string) int {
-	file, err := parser.ParseBytes(content, 0)
-	if err != nil {
-		return 0
-	}
 	path, err := yaml.PathString("$." + key)
 	if err != nil {
 		return 0
 	}
-	node, err := path.FilterFile(file)
+	node, err := path.ReadNode(bytes.NewReader(content))
 	if err != nil || node.Type() == ast.NullType {
 		return 0
 	}
