refactor: the owner of a drawn chat is found with slices.BinarySearch

Cause: drawOwners walked the weights by hand for each chat, down to what was left of a number.

Ruled out: another order of the random numbers, which would draw other traces.

Change: the weights are summed up once; a binary search finds the account.

--- a/trace/make.go
+++ b/trace/make.go
@@ -91,20 +91,15 @@
 
 // drawOwners returns the account of each chat; the first accounts have the most.
 func drawOwners(random *rand.Rand, w *Workload) []ryeford.AccountID {
-	weights := make([]float64, w.Accounts)
+	upTo := make([]float64, w.Accounts) // the weights of the accounts up to each one
 	total := 0.0
-	for i := range weights {
-		weights[i] = math.Pow(float64(i+1), -w.Zipf)
-		total += weights[i]
+	for i := range upTo {
+		total += math.Pow(float64(i+1), -w.Zipf)
+		upTo[i] = total
 	}
 	owners := make([]ryeford.AccountID, w.Chats)
 	for c := range owners {
-		left := random.Float64() * total
-		account := 0
-		for account < w.Accounts-1 && left > weights[account] {
-			left -= weights[account]
-			account++
-		}
+		account, _ := slices.BinarySearch(upTo, random.Float64()*total)
 		owners[c] = ryeford.AccountID(fmt.Sprintf("account-%d", account))
 	}
 	return owners
