refactor: an agent remembers an attempt in one place

Cause: what was known of an attempt lay in three maps (its run, until when an admission is remembered, until when a tombstone is), and state asked one after the other.

Ruled out: to derive the state from run and time alone: a tombstone has neither run nor answer.

Change: one map of attempts with state, run and time; state is gone. Tests that set up an attempt write that (TestAdmitOrder's table in admit_test.go, TestDrain); TestAttemptsAtMostOnce drops an answer with the method that the agent uses.

Conclusion: the same rules on the same states.

--- a/agentfleet/agent/admit_test.go
+++ b/agentfleet/agent/admit_test.go
@@ -31,6 +31,9 @@
 	admitted, _ := b.admit(now, &other)
 	assert.Assert(t, admitted.Admitted)
 	assert.Assert(t, !other.Completion.Admitted.Before(now))
+	remember := func(state attemptState) {
+		a.attempts.known[d.Attempt] = attempt{state: state, until: now.Add(time.Hour)}
+	}
 
 	for _, test := range []struct {
 		rule  string
@@ -40,8 +43,8 @@
 		{"the engine is at its bound", func() {}, ryeford.ReasonOverload},
 		{"it has not loaded the model", func() { b.setServing(true, nil) }, ryeford.ReasonNotServing},
 		{"the dispatch came too late", func() { d.Expires = now.Add(-time.Minute) }, ryeford.ReasonExpired},
-		{"the attempt was given up", func() { a.attempts.tombstones[d.Attempt] = now.Add(time.Hour) }, ryeford.ReasonTombstone},
-		{"or was admitted before", func() { a.attempts.admitted[d.Attempt] = now.Add(time.Hour) }, ryeford.ReasonDuplicate},
+		{"the attempt was given up", func() { remember(attemptTombstone) }, ryeford.ReasonTombstone},
+		{"or was admitted before", func() { remember(attemptRan) }, ryeford.ReasonDuplicate},
 		{"another engine holds the prefix", func() { b.addOverflow(now, &wire.Overflow{Chat: d.ChatKey(), Engine: "endpoint-2.1"}) }, ryeford.ReasonRedirect},
 		{"the engine is not of this VM", func() { d.Engine = "endpoint-9.1" }, ryeford.ReasonNotServing},
 		{"the VM is leaving", func() { a.leaving.Store(true) }, ryeford.ReasonLeaving},
--- a/agentfleet/agent/attempts.go
+++ b/agentfleet/agent/attempts.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -13,35 +14,19 @@
 	keep time.Duration // how long a finished answer is kept
 	skew time.Duration // by how much the clock may step back
 
-	mu         sync.Mutex
-	runs       map[ryeford.AttemptID]*run
-	admitted   map[ryeford.AttemptID]time.Time // until when they are remembered
-	tombstones map[ryeford.AttemptID]time.Time // until when they are remembered
+	mu    sync.Mutex
+	known map[ryeford.AttemptID]attempt
 }
 
-func newAttempts(keep, skew time.Duration) *attempts {
-	return &attempts{
-		keep:       keep,
-		skew:       skew,
-		runs:       make(map[ryeford.AttemptID]*run),
-		admitted:   make(map[ryeford.AttemptID]time.Time),
-		tombstones: make(map[ryeford.AttemptID]time.Time),
-	}
+// An attempt is what is remembered of one. The zero attempt is one that was not seen.
+type attempt struct {
+	state attemptState
+	run   *run      // with attemptKept
+	until time.Time // when it may be forgotten, once there is no run
 }
 
-// state returns what is remembered of an attempt, and its run if that is kept.
-// The caller holds a.mu.
-func (a *attempts) state(id ryeford.AttemptID) (attemptState, *run) {
-	if r, ok := a.runs[id]; ok {
-		return attemptKept, r
-	}
-	if _, ok := a.admitted[id]; ok {
-		return attemptRan, nil
-	}
-	if _, ok := a.tombstones[id]; ok {
-		return attemptTombstone, nil
-	}
-	return attemptUnseen, nil
+func newAttempts(keep, skew time.Duration) *attempts {
+	return &attempts{keep: keep, skew: skew, known: make(map[ryeford.AttemptID]attempt)}
 }
 
 // admit adds the run that decide returns, if the attempt may be admitted and
@@ -51,16 +36,16 @@
 func (a *attempts) admit(now time.Time, d *wire.Dispatch, decide func() *run) (*run, ryeford.Reason) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	state, earlier := a.state(d.Attempt)
-	if reason := mayAdmit(state, now, d.Expires); reason != "" {
-		return earlier, reason
+	earlier := a.known[d.Attempt]
+	if reason := mayAdmit(earlier.state, now, d.Expires); reason != "" {
+		return earlier.run, reason
 	}
 	r := decide()
 	if r == nil {
 		return nil, ""
 	}
-	a.runs[d.Attempt] = r
-	a.admitted[d.Attempt] = rememberUntil(d.Expires, d.Forget, a.skew)
+	until := rememberUntil(d.Expires, d.Forget, a.skew)
+	a.known[d.Attempt] = attempt{state: attemptKept, run: r, until: until}
 	return r, ""
 }
 
@@ -70,45 +55,46 @@
 func (a *attempts) settle(now time.Time, j *wire.Join) (r *run, reason ryeford.Reason, unknown bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	state, r := a.state(j.Attempt)
-	if r != nil && r.dispatch.Account != j.Account {
+	known := a.known[j.Attempt]
+	if known.run != nil && known.run.dispatch.Account != j.Account {
 		return nil, ryeford.ReasonDuplicate, true
 	}
-	reason, unknown = judge(state, now, j.Expires, j.Forget, j.Peek)
+	reason, unknown = judge(known.state, now, j.Expires, j.Forget, j.Peek)
 	if reason == ryeford.ReasonTombstone {
-		a.tombstones[j.Attempt] = tombstoneUntil(j.Expires, a.skew)
+		a.known[j.Attempt] = attempt{state: attemptTombstone, until: tombstoneUntil(j.Expires, a.skew)}
 	}
-	return r, reason, unknown
+	return known.run, reason, unknown
 }
 
 // finished drops a finished run's answer after keep.
 func (a *attempts) finished(r *run) {
-	time.AfterFunc(a.keep, func() {
-		a.mu.Lock()
-		defer a.mu.Unlock()
-		delete(a.runs, r.dispatch.Attempt)
-	})
+	time.AfterFunc(a.keep, func() { a.drop(r.dispatch.Attempt) })
+}
+
+// drop drops the answer of an attempt that ran, which is remembered as before.
+func (a *attempts) drop(id ryeford.AttemptID) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if known := a.known[id]; known.run != nil {
+		a.known[id] = attempt{state: attemptRan, until: known.until}
+	}
 }
 
 // sweep forgets what need not be remembered any more.
 func (a *attempts) sweep(now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	for _, known := range []map[ryeford.AttemptID]time.Time{a.admitted, a.tombstones} {
-		for id, until := range known {
-			if now.After(until) {
-				delete(known, id)
-			}
-		}
-	}
+	maps.DeleteFunc(a.known, func(_ ryeford.AttemptID, known attempt) bool {
+		return known.run == nil && now.After(known.until)
+	})
 }
 
 func (a *attempts) unfinished() int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	count := 0
-	for _, r := range a.runs {
-		if !r.log.Finished() {
+	for _, known := range a.known {
+		if known.run != nil && !known.run.log.Finished() {
 			count++
 		}
 	}
--- a/agentfleet/agent/attempts_test.go
+++ b/agentfleet/agent/attempts_test.go
@@ -56,7 +56,7 @@
 					saidNotRun[id] = true
 				}
 			},
-			"drop answer": func(t *rapid.T) { delete(a.runs, pick(t)) },
+			"drop answer": func(t *rapid.T) { a.drop(pick(t)) },
 			"sweep":       func(*rapid.T) { a.sweep(now) },
 			"wait": func(t *rapid.T) {
 				now = now.Add(time.Duration(rapid.IntRange(1, 5000).Draw(t, "ms")) * time.Millisecond)
--- a/agentfleet/agent/drain_test.go
+++ b/agentfleet/agent/drain_test.go
@@ -32,7 +32,7 @@
 				if test.runTime > 0 {
 					r := newRun(&wire.Dispatch{Attempt: "a1"}, nil, false)
 					defer r.cancel()
-					a.attempts.runs["a1"] = r
+					a.attempts.known["a1"] = attempt{state: attemptKept, run: r}
 					time.AfterFunc(test.runTime, func() { r.log.Append(ryeford.Chunk{Finish: ryeford.FinishStop}) })
 				}
 				began := time.Now()
