--- a/agentfleet/agent/attempts.go
+++ b/agentfleet/agent/attempts.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -13,35 +14,19 @@
 	keep time.Duration // how long a finished answer is kept
 	skew time.Duration // by how much the clock may step back
 
-	mu         sync.Mutex
-	runs       map[ryeford.AttemptID]*run
-	admitted   map[ryeford.AttemptID]time.Time // until when they are remembered
-	tombstones map[ryeford.AttemptID]time.Time // until when they are remembered
+	mu    sync.Mutex
+	known map[ryeford.AttemptID]attempt
 }
 
-func newAttempts(keep, skew time.Duration) *attempts {
-	return &attempts{
-		keep:       keep,
-		skew:       skew,
-		runs:       make(map[ryeford.AttemptID]*run),
-		admitted:   make(map[ryeford.AttemptID]time.Time),
-		tombstones: make(map[ryeford.AttemptID]time.Time),
-	}
+// An attempt is what is remembered of one. The zero attempt is one that was not seen.
+type attempt struct {
+	state attemptState
+	run   *run      // with attemptKept
+	until time.Time // when it may be forgotten, once there is no run
 }
 
-// state returns what is remembered of an attempt, and its run if that is kept.
-// The caller holds a.mu.
-func (a *attempts) state(id ryeford.AttemptID) (attemptState, *run) {
-	if r, ok := a.runs[id]; ok {
-		return attemptKept, r
-	}
-	if _, ok := a.admitted[id]; ok {
-		return attemptRan, nil
-	}
-	if _, ok := a.tombstones[id]; ok {
-		return attemptTombstone, nil
-	}
-	return attemptUnseen, nil
+func newAttempts(keep, skew time.Duration) *attempts {
+	return &attempts{keep: keep, skew: skew, known: make(map[ryeford.AttemptID]attempt)}
 }
 
 // admit decides on an attempt with admitAt, once it has the lock: the wait for it may
@@ -57,67 +42,71 @@
 // same attempt before, if any, and the reason; the reason is empty if decide
 // returned none. The caller holds a.mu.
 func (a *attempts) admitAt(now time.Time, d *wire.Dispatch, decide func(now time.Time) *run) (*run, ryeford.Reason) {
-	state, earlier := a.state(d.Attempt)
-	if reason := mayAdmit(state, now, d.Expires); reason != "" {
-		return earlier, reason
+	earlier := a.known[d.Attempt]
+	if reason := mayAdmit(earlier.state, now, d.Expires); reason != "" {
+		return earlier.run, reason
 	}
 	r := decide(now)
 	if r == nil {
 		return nil, ""
 	}
-	a.runs[d.Attempt] = r
-	a.admitted[d.Attempt] = rememberUntil(d.Expires, d.Forget, a.skew)
+	until := rememberUntil(d.Expires, d.Forget, a.skew)
+	a.known[d.Attempt] = attempt{state: attemptKept, run: r, until: until}
 	return r, ""
 }
 
 // settle answers a join with settleAt, once it has the lock: an admission may be
 // forgotten while it waits.
-func (a *attempts) settle(j *wire.Join) (*run, verdict) {
+func (a *attempts) settle(j *wire.Join) (r *run, reason ryeford.Reason, unknown bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return a.settleAt(time.Now(), j)
 }
 
-// settleAt answers a join, with the run if it is kept. If the attempt did not run,
-// it leaves a tombstone, so that a dispatch that is still under way is refused.
-// The caller holds a.mu.
-func (a *attempts) settleAt(now time.Time, j *wire.Join) (*run, verdict) {
-	state, r := a.state(j.Attempt)
-	v := judge(state, now, j.Expires, j.Forget, j.Peek)
-	if v == verdictNotRun {
-		a.tombstones[j.Attempt] = tombstoneUntil(j.Expires, a.skew)
+// settleAt answers a join, with the run if its answer is kept and the account's, or with
+// why there is none (judge). If the attempt did not run, it leaves a tombstone, so that a
+// dispatch that is still under way is refused. The caller holds a.mu.
+func (a *attempts) settleAt(now time.Time, j *wire.Join) (r *run, reason ryeford.Reason, unknown bool) {
+	known := a.known[j.Attempt]
+	if known.run != nil && known.run.dispatch.Account != j.Account {
+		return nil, ryeford.ReasonDuplicate, true
+	}
+	reason, unknown = judge(known.state, now, j.Expires, j.Forget, j.Peek)
+	if reason == ryeford.ReasonTombstone {
+		a.known[j.Attempt] = attempt{state: attemptTombstone, until: tombstoneUntil(j.Expires, a.skew)}
 	}
-	return r, v
+	return known.run, reason, unknown
 }
 
 // finished drops a finished run's answer after keep.
 func (a *attempts) finished(r *run) {
-	time.AfterFunc(a.keep, func() {
-		a.mu.Lock()
-		defer a.mu.Unlock()
-		delete(a.runs, r.dispatch.Attempt)
-	})
+	time.AfterFunc(a.keep, func() { a.drop(r.dispatch.Attempt) })
+}
+
+// drop drops the answer of an attempt that ran, which is remembered as before.
+func (a *attempts) drop(id ryeford.AttemptID) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if known := a.known[id]; known.run != nil {
+		a.known[id] = attempt{state: attemptRan, until: known.until}
+	}
 }
 
 // sweep forgets what need not be remembered any more.
 func (a *attempts) sweep(now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	for _, known := range []map[ryeford.AttemptID]time.Time{a.admitted, a.tombstones} {
-		for id, until := range known {
-			if now.After(until) {
-				delete(known, id)
-			}
-		}
-	}
+	maps.DeleteFunc(a.known, func(_ ryeford.AttemptID, known attempt) bool {
+		return known.run == nil && now.After(known.until)
+	})
 }
 
 func (a *attempts) unfinished() int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	count := 0
-	for _, r := range a.runs {
-		if !r.log.Finished() {
+	for _, known := range a.known {
+		if known.run != nil && !known.run.log.Finished() {
 			count++
 		}
 	}
@@ -155,49 +144,25 @@
 	return ""
 }
 
-// A verdict is what an agent answers to a join.
-type verdict int
-
-const (
-	verdictRuns    verdict = iota // the run is here
-	verdictRan                    // it ran, but the answer is gone
-	verdictNotRun                 // it did not run and never will
-	verdictUnknown                // it may have run; nothing is remembered any more
-	verdictNotYet                 // it did not run so far (after a peek)
-)
-
-// judge returns the verdict on an attempt at a join.
+// judge returns why a join does not get the answer of an attempt, and whether the attempt
+// may have run, or may still. The reason is empty if the run is kept.
 //
 // An attempt did not run if it was not admitted and an admission would still be
 // remembered. The caller then has to leave a tombstone, since its dispatch may
 // still be under way. A peek leaves none, so until the attempt expires it proves
 // nothing.
-func judge(s attemptState, now, expires, forget time.Time, peek bool) verdict {
+func judge(s attemptState, now, expires, forget time.Time, peek bool) (reason ryeford.Reason, unknown bool) {
 	switch {
 	case s == attemptKept:
-		return verdictRuns
+		return "", false
 	case s == attemptRan:
-		return verdictRan
+		return ryeford.ReasonDuplicate, true
 	case now.After(later(forget, expires)):
-		return verdictUnknown
+		return ryeford.ReasonExpired, true
 	case peek && !now.After(expires):
-		return verdictNotYet
-	}
-	return verdictNotRun
-}
-
-// refusal returns the refusal of a join that does not get the answer. unknown
-// says that the attempt may have run, or may still.
-func (v verdict) refusal() (reason ryeford.Reason, unknown bool) {
-	switch v {
-	case verdictNotRun:
-		return ryeford.ReasonTombstone, false
-	case verdictNotYet:
 		return ryeford.ReasonRunning, true
-	case verdictUnknown:
-		return ryeford.ReasonExpired, true
 	}
-	return ryeford.ReasonDuplicate, true
+	return ryeford.ReasonTombstone, false
 }
 
 // rememberUntil returns until when an admitted attempt is remembered: as long as
--- a/agentfleet/agent/attempts_test.go
+++ b/agentfleet/agent/attempts_test.go
@@ -50,13 +50,13 @@
 			"join": func(t *rapid.T) {
 				id := pick(t)
 				j := &wire.Join{Attempt: id, Expires: expires[id], Forget: forget[id], Peek: rapid.Bool().Draw(t, "peek")}
-				_, known := a.settleAt(now, j)
-				if known == verdictNotRun {
+				_, reason, _ := a.settleAt(now, j)
+				if reason == ryeford.ReasonTombstone {
 					assert.Equal(t, runs[id], 0, "said not to have run")
 					saidNotRun[id] = true
 				}
 			},
-			"drop answer": func(t *rapid.T) { delete(a.runs, pick(t)) },
+			"drop answer": func(t *rapid.T) { a.drop(pick(t)) },
 			"sweep":       func(*rapid.T) { a.sweep(now) },
 			"wait": func(t *rapid.T) {
 				now = now.Add(time.Duration(rapid.IntRange(1, 5000).Draw(t, "ms")) * time.Millisecond)
--- a/agentfleet/agent/lockwait_test.go
+++ b/agentfleet/agent/lockwait_test.go
@@ -44,7 +44,8 @@
 		a := newAttempts(time.Minute, time.Second)
 		forget := time.Now().Add(lockWait / 2)
 		holdAttempts(a)
-		_, v := a.settle(&wire.Join{Attempt: "a1", Expires: forget, Forget: forget})
-		assert.Equal(t, v, verdictUnknown)
+		_, reason, unknown := a.settle(&wire.Join{Attempt: "a1", Expires: forget, Forget: forget})
+		assert.Equal(t, reason, ryeford.ReasonExpired)
+		assert.Assert(t, unknown)
 	})
 }
