refactor: a frame holds the chunk in place of a copy of its fields

A new field of a chunk had to be written four times.

Ruled out: Chunk.Usage as a pointer, or with omitzero: a last frame without usage would then lack number 7, which it has today.

Change: Chunk has the numbers as its tags, as Completion and Call beside it do, and Frame embeds it. The numbers, types and options are the same; in a failure's last frame number 7 now comes after 10 and 11, and the order of a map's keys means nothing in CBOR.

Tests: new TestFrame, which holds the numbers on the wire. BenchmarkFrame builds its frame with NewFrame.

Conclusion: one list of fields.

--- a/agentfleet/wire/attempt.go
+++ b/agentfleet/wire/attempt.go
@@ -96,38 +96,20 @@
 // is repeatable.
 type Cancel struct{}
 
-// A Frame is one chunk of an answer to a request; its fields are those of
-// ryeford.Chunk.
+// A Frame is one chunk of an answer to a request.
 type Frame struct {
-	Request ryeford.RequestID    `cbor:"1,keyasint"`
-	Attempt ryeford.AttemptID    `cbor:"2,keyasint"`
-	Offset  int64                `cbor:"3,keyasint"`
-	Data    []byte               `cbor:"4,keyasint,omitempty"`
-	Finish  ryeford.FinishReason `cbor:"5,keyasint,omitempty"`
-	Failure string               `cbor:"6,keyasint,omitempty"`
-	// Usage is set on the last frame only.
-	Usage       *ryeford.Usage `cbor:"7,keyasint,omitempty"`
-	Status      int            `cbor:"8,keyasint,omitempty"`
-	ContentType string         `cbor:"9,keyasint,omitempty"`
-	Reason      ryeford.Reason `cbor:"10,keyasint,omitempty"`
-	// NotRun is set on a last frame that says that the attempt did not run.
-	NotRun bool `cbor:"11,keyasint,omitempty"`
+	Request ryeford.RequestID `cbor:"1,keyasint"`
+	chunk
+	// Usage is the chunk's, which is set on the last frame only.
+	Usage *ryeford.Usage `cbor:"7,keyasint,omitempty"`
 }
 
+// A chunk is embedded in a Frame, so that its fields are those of the message.
+type chunk = ryeford.Chunk
+
 // NewFrame returns the frame of a chunk.
 func NewFrame(request ryeford.RequestID, c *ryeford.Chunk) *Frame {
-	f := &Frame{
-		Request:     request,
-		Attempt:     c.Attempt,
-		Offset:      c.Offset,
-		Data:        c.Data,
-		Finish:      c.Finish,
-		Failure:     c.Failure,
-		Status:      c.Status,
-		ContentType: c.ContentType,
-		Reason:      c.Reason,
-		NotRun:      c.NotRun,
-	}
+	f := &Frame{Request: request, chunk: *c}
 	if c.Finish != "" {
 		f.Usage = &c.Usage
 	}
@@ -136,17 +118,7 @@
 
 // Chunk returns the chunk of a frame.
 func (f *Frame) Chunk() ryeford.Chunk {
-	c := ryeford.Chunk{
-		Attempt:     f.Attempt,
-		Offset:      f.Offset,
-		Data:        f.Data,
-		Finish:      f.Finish,
-		Failure:     f.Failure,
-		Status:      f.Status,
-		ContentType: f.ContentType,
-		Reason:      f.Reason,
-		NotRun:      f.NotRun,
-	}
+	c := f.chunk
 	if f.Usage != nil {
 		c.Usage = *f.Usage
 	}
--- a/agentfleet/wire/wire_test.go
+++ b/agentfleet/wire/wire_test.go
@@ -32,6 +32,44 @@
 	assert.DeepEqual(t, m, testDispatch())
 }
 
+// TestFrame checks the numbers of a chunk's fields on the wire, and that the chunk comes
+// back whole. Usage goes along on the last frame alone.
+func TestFrame(t *testing.T) {
+	usage := ryeford.Usage{PromptTokens: 3}
+	usageOnWire := map[any]any{uint64(1): uint64(3), uint64(2): uint64(0), uint64(3): uint64(0)}
+	for _, test := range []struct {
+		name  string
+		chunk ryeford.Chunk
+		want  map[int]any
+	}{
+		{"a token", ryeford.Chunk{Attempt: "a", Offset: 3, Data: []byte("x")}, map[int]any{
+			1: "r", 2: "a", 3: uint64(3), 4: []byte("x"),
+		}},
+		{"the last", ryeford.Chunk{Attempt: "a", Finish: ryeford.FinishStop, Usage: usage}, map[int]any{
+			1: "r", 2: "a", 3: uint64(0), 5: "stop", 7: usageOnWire,
+		}},
+		{"a failure", ryeford.Chunk{
+			Attempt: "a", Finish: ryeford.FinishError, Failure: "f", Reason: ryeford.ReasonOverload, NotRun: true, Usage: usage,
+		}, map[int]any{
+			1: "r", 2: "a", 3: uint64(0), 5: "error", 6: "f", 7: usageOnWire, 10: "overload", 11: true,
+		}},
+		{"of a service", ryeford.Chunk{Attempt: "a", Status: 200, ContentType: "text/plain"}, map[int]any{
+			1: "r", 2: "a", 3: uint64(0), 8: uint64(200), 9: "text/plain",
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			data, err := Marshal(NewFrame("r", &test.chunk))
+			assert.NilError(t, err)
+			var fields map[int]any
+			assert.NilError(t, Unmarshal(data, &fields))
+			assert.DeepEqual(t, fields, test.want)
+			var frame Frame
+			assert.NilError(t, Unmarshal(data, &frame))
+			assert.DeepEqual(t, frame.Chunk(), test.chunk)
+		})
+	}
+}
+
 func TestTooLarge(t *testing.T) {
 	_, err := ReadMessage(bytes.NewReader([]byte{0xff, 0xff, 0xff, 0xff}))
 	var size *SizeError
@@ -64,10 +102,9 @@
 }
 
 func BenchmarkFrame(b *testing.B) {
-	m := &Message{Frame: &Frame{
-		Request: "da11b1f1-3ad4-47c5-98e6-70a360c6b120", Attempt: "d58f7a56-9fd9-4542-8d3a-eb54ab0bd971",
-		Offset: 12, Data: []byte("token "),
-	}}
+	m := &Message{Frame: NewFrame("da11b1f1-3ad4-47c5-98e6-70a360c6b120", &ryeford.Chunk{
+		Attempt: "d58f7a56-9fd9-4542-8d3a-eb54ab0bd971", Offset: 12, Data: []byte("token "),
+	})}
 	benchmarkMessage(b, m)
 }
 
--- a/engine.go
+++ b/engine.go
@@ -114,23 +114,24 @@
 // A Chunk is one piece of an answer. Chunks of an attempt are numbered from its
 // first offset without a gap.
 type Chunk struct {
-	Attempt AttemptID
+	Attempt AttemptID `cbor:"2,keyasint"`
 	// Offset counts the chunks of the answer before this one, not bytes.
-	Offset int64
-	Data   []byte
+	Offset int64  `cbor:"3,keyasint"`
+	Data   []byte `cbor:"4,keyasint,omitempty"`
 	// Finish is set on the last chunk only.
-	Finish FinishReason
+	Finish FinishReason `cbor:"5,keyasint,omitempty"`
 	// Failure is the engine's own error text, with FinishError.
-	Failure string
+	Failure string `cbor:"6,keyasint,omitempty"`
 	// Reason is the system's own code for a failure, with FinishError.
-	Reason Reason
+	Reason Reason `cbor:"10,keyasint,omitempty"`
 	// NotRun says, with FinishError, that the attempt provably did not run.
-	NotRun bool
-	// Usage is set on the last chunk of a completion.
-	Usage Usage
+	NotRun bool `cbor:"11,keyasint,omitempty"`
+	// Usage is set on the last chunk of a completion. Number 7 on the wire is that of the
+	// message, which leaves it out before.
+	Usage Usage `cbor:"-"`
 	// Status and ContentType are set on the first chunk of a service's answer.
-	Status      int
-	ContentType string
+	Status      int    `cbor:"8,keyasint,omitempty"`
+	ContentType string `cbor:"9,keyasint,omitempty"`
 }
 
 // A Pool is what an engine must have loaded to serve a request: a model, with an
