refactor: crypto/x509 draws the serial numbers of certificates

Authority kept the PEM of a certificate that it holds anyway.

Change: no serial number in the templates; Certificate encodes cert.Raw. The authority's own number is random as well now, in place of 1: authorities with the same name and number could not be told apart by issuer and number.

Ruled out: one function that makes key and certificate for both; with its errors it is as long as what it replaces.

Conclusion: nothing on the wire but the authority's serial number differs.

--- a/agentfleet/transport/identity.go
+++ b/agentfleet/transport/identity.go
@@ -8,7 +8,6 @@
 	"crypto/x509"
 	"crypto/x509/pkix"
 	"encoding/pem"
-	"math/big"
 	"os"
 	"time"
 
@@ -27,15 +26,12 @@
 	// clockSkewAllowed is by how much a VM's clock may lag that of the process that
 	// makes a certificate. Not measured.
 	clockSkewAllowed = time.Hour
-	// serialBits is the length of a random serial number.
-	serialBits = 120
 )
 
 // An Authority signs the certificates of VMs.
 type Authority struct {
 	cert *x509.Certificate
 	key  *ecdsa.PrivateKey
-	pem  []byte
 }
 
 // A KeyPair is a certificate and its private key, in PEM.
@@ -51,7 +47,6 @@
 		return nil, &Error{Op: "make authority", Err: err}
 	}
 	template := &x509.Certificate{
-		SerialNumber:          big.NewInt(1),
 		Subject:               pkix.Name{CommonName: "ryeford authority"},
 		NotBefore:             time.Now().Add(-clockSkewAllowed),
 		NotAfter:              time.Now().AddDate(authorityYears, 0, 0),
@@ -67,11 +62,11 @@
 	if err != nil {
 		return nil, &Error{Op: "make authority", Err: err}
 	}
-	return &Authority{cert: cert, key: key, pem: encodeCertificate(der)}, nil
+	return &Authority{cert: cert, key: key}, nil
 }
 
 // Certificate returns the authority's certificate, in PEM.
-func (a *Authority) Certificate() []byte { return a.pem }
+func (a *Authority) Certificate() []byte { return encodeCertificate(a.cert.Raw) }
 
 // Issue returns a certificate that names a VM.
 func (a *Authority) Issue(vm ryeford.VMID) (KeyPair, error) {
@@ -79,18 +74,13 @@
 	if err != nil {
 		return KeyPair{}, &Error{Op: "issue certificate", Err: err}
 	}
-	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), serialBits))
-	if err != nil {
-		return KeyPair{}, &Error{Op: "issue certificate", Err: err}
-	}
 	template := &x509.Certificate{
-		SerialNumber: serial,
-		Subject:      pkix.Name{CommonName: string(vm)},
-		DNSNames:     []string{serverName},
-		NotBefore:    time.Now().Add(-clockSkewAllowed),
-		NotAfter:     time.Now().AddDate(0, 0, certificateDays),
-		KeyUsage:     x509.KeyUsageDigitalSignature,
-		ExtKeyUsage:  []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth},
+		Subject:     pkix.Name{CommonName: string(vm)},
+		DNSNames:    []string{serverName},
+		NotBefore:   time.Now().Add(-clockSkewAllowed),
+		NotAfter:    time.Now().AddDate(0, 0, certificateDays),
+		KeyUsage:    x509.KeyUsageDigitalSignature,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth},
 	}
 	der, err := x509.CreateCertificate(rand.Reader, template, a.cert, key.Public(), a.key)
 	if err != nil {
