refactor: template rows are decoded and listed in one place

Cause: three places decoded a row unless it is absent, two listed the templates below a prefix, and tableservice had a second StatusError beside ryeford.StatusError, whose comment names this use.

Ruled out: row.Decode leaving v alone for an absent row: its other callers rely on a row that is there.

Change: decode and list in store.go; ryeford.StatusError. A log line on a failed call of the table has "status 503" now where it had the status's name.

Conclusion: less to read, the same rows.

--- a/agentfleet/tableservice/client.go
+++ b/agentfleet/tableservice/client.go
@@ -186,17 +186,9 @@
 	case http.StatusNotFound:
 		return &ryeford.NotFoundError{Kind: "object", Name: path}
 	}
-	return &ryeford.UnavailableError{Service: path, Err: &StatusError{Status: status}}
+	return &ryeford.UnavailableError{Service: path, Err: &ryeford.StatusError{Status: status}}
 }
 
-// A StatusError says that the platform answered with an HTTP status other than
-// 200.
-type StatusError struct {
-	Status int
-}
-
-func (e *StatusError) Error() string { return http.StatusText(e.Status) }
-
 // A SizeError says that an answer is longer than maxAnswer.
 type SizeError struct{}
 
--- a/agentfleet/template/store.go
+++ b/agentfleet/template/store.go
@@ -69,8 +69,8 @@
 	if err != nil {
 		return revision, nil, err
 	}
-	newest, err := parseRevision(revisionRow[0])
-	if err != nil || newest <= revision {
+	var newest int64
+	if err := decode(revisionRow[0], &newest); err != nil || newest <= revision {
 		return revision, nil, err
 	}
 	if revision == 0 || newest-revision > maxDelta {
@@ -91,11 +91,7 @@
 
 // All returns all templates.
 func (s *Store) All(ctx context.Context) ([]ryeford.Template, error) {
-	rows, err := s.table.List(ctx, prefixTemplate)
-	if err != nil {
-		return nil, err
-	}
-	return decodeRows(rows)
+	return s.list(ctx, prefixTemplate)
 }
 
 // Get returns one template as it was accepted last.
@@ -110,7 +106,12 @@
 
 // History returns all versions of a template, the oldest first.
 func (s *Store) History(ctx context.Context, name Name) ([]ryeford.Template, error) {
-	rows, err := s.table.List(ctx, prefixHistory+name.String()+"/")
+	return s.list(ctx, prefixHistory+name.String()+"/")
+}
+
+// list returns the templates in the rows with a prefix.
+func (s *Store) list(ctx context.Context, prefix string) ([]ryeford.Template, error) {
+	rows, err := s.table.List(ctx, prefix)
 	if err != nil {
 		return nil, err
 	}
@@ -129,16 +130,11 @@
 	if publishedRow.Version != 0 {
 		return current, row.Decode(publishedRow, current)
 	}
-	if templateRow.Version != 0 {
-		if err := row.Decode(templateRow, current); err != nil {
-			return nil, err
-		}
-	}
-	next, err := nextVersion(t, current.Sequence)
-	if err != nil {
+	var revision int64
+	if err := errors.Join(decode(templateRow, current), decode(revisionRow, &revision)); err != nil {
 		return nil, err
 	}
-	revision, err := parseRevision(revisionRow)
+	next, err := nextVersion(t, current.Sequence)
 	if err != nil {
 		return nil, err
 	}
@@ -197,22 +193,20 @@
 	return prefixHistory + name.String() + "/" + fmt.Sprintf(sequenceDigits, sequence)
 }
 
-// parseRevision returns the revision of its row; an absent row means zero.
-func parseRevision(r ryeford.Row) (revision int64, err error) {
-	if r.Version != 0 {
-		err = row.Decode(r, &revision)
+// decode reads a row into v, and leaves v alone if the row is absent.
+func decode(r ryeford.Row, v any) error {
+	if r.Version == 0 {
+		return nil
 	}
-	return revision, err
+	return row.Decode(r, v)
 }
 
 func decodeRows(rows []ryeford.Row) ([]ryeford.Template, error) {
-	templates := make([]ryeford.Template, 0, len(rows))
-	for _, r := range rows {
-		var t ryeford.Template
-		if err := row.Decode(r, &t); err != nil {
+	templates := make([]ryeford.Template, len(rows))
+	for i, r := range rows {
+		if err := row.Decode(r, &templates[i]); err != nil {
 			return nil, err
 		}
-		templates = append(templates, t)
 	}
 	return templates, nil
 }
