refactor: one function reads the templates that a book lacks

Cause: a router read them at each poll and, in the same five lines, after a publish that left a gap. templateSync was a type without anything but *shared, readPointer a function that called row.Get.

Ruled out: the log line in readTemplates: a poll that ends with the process is not logged, a publish that runs out of time is.

Change: readTemplates; syncTemplates and the rest of templateSync are methods of Router, as drain beside them. After a publish the book is read up from its own revision in place of the one before the publish; a book that went on meanwhile reads less.

Tests: TestSyncNarrow calls r.syncOnce; no check changed.

Conclusion: what keeps the book stands in one place.

--- a/agentfleet/router/narrow_test.go
+++ b/agentfleet/router/narrow_test.go
@@ -62,8 +62,7 @@
 func TestSyncNarrow(t *testing.T) {
 	t.Parallel()
 	r := newNarrowRouter(t)
-	s := &templateSync{shared: &r.shared}
-	s.syncOnce(t.Context())
+	r.syncOnce(t.Context())
 	assert.Assert(t, r.readiness.synced.Load())
 	assert.Equal(t, r.book.Revision(), int64(1))
 }
--- a/agentfleet/router/operators.go
+++ b/agentfleet/router/operators.go
@@ -107,7 +107,6 @@
 			return nil, &ryeford.InputError{Field: "keys", Problem: "a key belongs to another client account"}
 		}
 	}
-	from := h.book.Revision()
 	published, err := h.templates.Publish(ctx, t)
 	if err != nil {
 		h.decisions.Record("", "decision", "not_published", "account", t.Account, "template", t.Name, "change", t.Change, "based", t.Sequence, "err", err)
@@ -116,22 +115,14 @@
 	h.decisions.Record("", "decision", "published", "account", t.Account, "template", t.Name, "change", t.Change,
 		"sequence", published.Sequence, "revision", published.Revision)
 	if !h.book.Apply(published.Revision-1, published.Revision, []ryeford.Template{*published}) {
-		h.catchUp(ctx, from)
+		// Others published in between. If this fails, syncTemplates or gossip does it later.
+		if err := h.readTemplates(ctx); err != nil {
+			_ = h.log.Log("msg", "templates not read", "err", err)
+		}
 	}
 	return published, nil
 }
 
-// catchUp reads the templates above a revision, which others published in between. If
-// that fails, templateSync or gossip does it later.
-func (h *operatorHandler) catchUp(ctx context.Context, from int64) {
-	revision, templates, err := h.templates.Since(ctx, from)
-	if err != nil {
-		_ = h.log.Log("msg", "templates not read", "err", err)
-		return
-	}
-	h.book.Apply(from, revision, templates)
-}
-
 // byName returns what read finds of the template that is named ACCOUNT/NAME.
 func byName[T any](ctx context.Context, s string, read func(context.Context, template.Name) (T, error)) (any, error) {
 	name, err := template.ParseName(s)
--- a/agentfleet/router/planner.go
+++ b/agentfleet/router/planner.go
@@ -49,7 +49,8 @@
 	if err != nil {
 		return err
 	}
-	pointer, version, err := p.readPointer(ctx)
+	var pointer planPointer
+	version, err := row.Get(ctx, p.platform, rowPlan, &pointer)
 	if err != nil {
 		return err
 	}
@@ -102,13 +103,6 @@
 	Object   string `json:"object"`
 }
 
-// readPointer returns the row that names the current plan, and its version.
-func (p *planner) readPointer(ctx context.Context) (planPointer, int64, error) {
-	var pointer planPointer
-	version, err := row.Get(ctx, p.platform, rowPlan, &pointer)
-	return pointer, version, err
-}
-
 // follow reads the plan that a row names, if it is newer than the one known here.
 func (p *planner) follow(ctx context.Context, pointer planPointer) error {
 	if !p.plan.OlderThan(pointer.Epoch, pointer.Sequence) {
--- a/agentfleet/router/readiness.go
+++ b/agentfleet/router/readiness.go
@@ -15,7 +15,7 @@
 
 // A readiness is what decides whether callers are to come here, and may go.
 type readiness struct {
-	synced   atomic.Bool  // the book holds what the fleet had accepted; set by templateSync
+	synced   atomic.Bool  // the book holds what the fleet had accepted; set by syncTemplates
 	leaving  atomic.Bool  // set by drain
 	inFlight atomic.Int64 // requests of callers
 	fleet    *fleet
@@ -70,18 +70,13 @@
 	syncInterval = 500 * time.Millisecond
 )
 
-// A templateSync brings the book up to the templates that the fleet has accepted.
-type templateSync struct {
-	*shared
-}
-
-// run reads the accepted templates from the platform's table, until ctx ends.
-// It makes up for what gossip loses.
-func (s *templateSync) run(ctx context.Context) error {
+// syncTemplates brings the book up to the templates that the fleet has accepted, which it
+// reads from the platform's table until ctx ends. It makes up for what gossip loses.
+func (r *Router) syncTemplates(ctx context.Context) error {
 	for {
-		s.syncOnce(ctx)
-		wait := jitter(s.settings.Polls.Templates)
-		if !s.readiness.synced.Load() {
+		r.syncOnce(ctx)
+		wait := jitter(r.settings.Polls.Templates)
+		if !r.readiness.synced.Load() {
 			wait = syncInterval
 		}
 		if !clock.Sleep(ctx, wait) {
@@ -92,37 +87,45 @@
 
 // syncOnce reads the templates from the table. If that fails, a router that has none
 // asks agents, and one that has some goes on with them.
-func (s *templateSync) syncOnce(ctx context.Context) {
-	from := s.book.Revision()
-	revision, templates, err := s.templates.Since(ctx, from)
+func (r *Router) syncOnce(ctx context.Context) {
+	err := r.readTemplates(ctx)
 	if err == nil {
-		s.book.Apply(from, revision, templates)
-		s.setSynced("store")
+		r.setSynced("store")
 		return
 	}
 	if ctx.Err() == nil {
-		_ = s.log.Log("msg", "templates not read", "err", err)
+		_ = r.log.Log("msg", "templates not read", "err", err)
+	}
+	if !r.readiness.synced.Load() {
+		r.syncFromAgents(ctx)
 	}
-	if !s.readiness.synced.Load() {
-		s.syncFromAgents(ctx)
+}
+
+// readTemplates reads the templates that the book lacks from the table.
+func (s *shared) readTemplates(ctx context.Context) error {
+	from := s.book.Revision()
+	revision, templates, err := s.templates.Since(ctx, from)
+	if err == nil {
+		s.book.Apply(from, revision, templates)
 	}
+	return err
 }
 
 // syncFromAgents brings a fresh router up while the table can't be read: it takes the
 // highest revision of several agents.
-func (s *templateSync) syncFromAgents(ctx context.Context) {
-	agents := s.fleet.all()
+func (r *Router) syncFromAgents(ctx context.Context) {
+	agents := r.fleet.all()
 	answered := 0
 	for _, a := range gossip.Sample(agents, len(agents)) {
 		if answered == syncQuorum {
 			break
 		}
-		if revision, ok := gossip.PullTemplates(ctx, a.conn, s.book); ok && revision > 0 {
+		if revision, ok := gossip.PullTemplates(ctx, a.conn, r.book); ok && revision > 0 {
 			answered++
 		}
 	}
 	if agentsSuffice(answered, len(agents)) {
-		s.setSynced("agents")
+		r.setSynced("agents")
 	}
 }
 
@@ -133,8 +136,8 @@
 }
 
 // setSynced marks the book as complete: it holds what the fleet had accepted.
-func (s *templateSync) setSynced(source string) {
-	if s.readiness.synced.CompareAndSwap(false, true) {
-		s.decisions.Record("", "decision", "synced", "source", source, "revision", s.book.Revision())
+func (r *Router) setSynced(source string) {
+	if r.readiness.synced.CompareAndSwap(false, true) {
+		r.decisions.Record("", "decision", "synced", "source", source, "revision", r.book.Revision())
 	}
 }
--- a/agentfleet/router/router.go
+++ b/agentfleet/router/router.go
@@ -9,7 +9,7 @@
 // and objects of the platform.
 //
 // A Router makes its parts and runs them: agentList and agentGossip for the agents,
-// templateSync, planner, forwarder and operatorHandler.
+// planner, forwarder and operatorHandler. It reads the templates itself.
 //
 // A request goes from callers.go through parse.go to an exchange (exchange.go), which
 // dispatches it (dispatch.go), receives the answer (receive.go) and recovers it
@@ -50,7 +50,7 @@
 	limits    *settings.RouterLimits // those of settings
 	platform  Platform
 	templates *template.Store
-	book      *template.Book // kept by templateSync and agentGossip
+	book      *template.Book // kept by syncTemplates and agentGossip
 	plan      *plan.Current  // kept by planner
 	fleet     *fleet         // kept by agentList
 	loads     *loads
@@ -63,13 +63,12 @@
 // A Router serves callers and operators.
 type Router struct {
 	shared
-	dialer       *transport.Dialer
-	agents       *agentList
-	gossip       *agentGossip
-	templateSync *templateSync
-	planner      *planner
-	callers      *forwarder
-	operators    *operatorHandler
+	dialer    *transport.Dialer
+	agents    *agentList
+	gossip    *agentGossip
+	planner   *planner
+	callers   *forwarder
+	operators *operatorHandler
 }
 
 // New returns a Router.
@@ -96,7 +95,6 @@
 	control := transport.NewControlLimiter(s.Transport.ControlBytesPerSecond, r.metrics.ControlSent)
 	r.gossip = &agentGossip{shared: &r.shared, control: control}
 	r.agents = &agentList{shared: &r.shared, dialer: dialer, gossip: r.gossip}
-	r.templateSync = &templateSync{shared: &r.shared}
 	held := lease.New(platform, leaseName, s.VM, uuid.NewString(), s.Planner.Lease)
 	r.planner = &planner{shared: &r.shared, lease: held, recent: make(recentEngines)}
 	r.addCallers()
@@ -130,7 +128,7 @@
 	maxBody := r.limits.MaxBody
 	group, work := errgroup.WithContext(work)
 	group.Go(func() error { return r.agents.run(work) })
-	group.Go(func() error { return r.templateSync.run(work) })
+	group.Go(func() error { return r.syncTemplates(work) })
 	group.Go(func() error { return r.gossip.run(work) })
 	group.Go(func() error { return r.planner.run(work) })
 	group.Go(func() error { return serveHTTP(work, r.settings.Callers.AddrPort, maxBody, r.callers.serve) })
