refactor: decided compares versions

The table itself says 0 for an absent row.

Change: decided takes both versions; the row is read where it is judged.

Tests: TestDecided has the same five cases, by versions.

Conclusion: the rule is one comparison of two numbers.

--- a/agentfleet/claim/claim.go
+++ b/agentfleet/claim/claim.go
@@ -104,11 +104,12 @@
 		if !ryeford.NeedsReadBack(err) {
 			return nil, &Error{Key: key, Err: err}
 		}
-		held, err := c.read(ctx, key)
+		held := &Claim{}
+		held.version, err = row.Get(ctx, c.table, key.String(), &held.Record)
 		if err != nil {
 			return nil, &Error{Key: key, Err: err}
 		}
-		if decided(held, version) {
+		if decided(held.version, version) {
 			held.Mine = held.Record.Attempt == record.Attempt
 			return held, nil
 		}
@@ -116,22 +117,11 @@
 	return nil, &Error{Key: key, Err: &ryeford.UnavailableError{Service: "claims", Err: context.DeadlineExceeded}}
 }
 
-// decided reports whether the claim that was read after a write of ours shows who
-// holds the key: it is not the one that the write was to replace, so the write took effect or
-// another came first. Otherwise the write may be made again.
-func decided(held *Claim, replaced int64) bool {
-	return held != nil && held.version != replaced
-}
-
-// read returns a key's claim, or nil.
-func (c *Claims) read(ctx context.Context, key Key) (*Claim, error) {
-	claim := &Claim{}
-	version, err := row.Get(ctx, c.table, key.String(), &claim.Record)
-	if err != nil || version == 0 {
-		return nil, err
-	}
-	claim.version = version
-	return claim, nil
+// decided reports whether the row that was read after a write of ours, by its version,
+// shows who holds the key: there is one, and not the one that the write was to replace, so
+// the write took effect or another came first. Otherwise the write may be made again.
+func decided(held, replaced int64) bool {
+	return held != 0 && held != replaced
 }
 
 // Digest returns the digest of a request's parts: the SHA-256 of each with its length
--- a/agentfleet/claim/claim_test.go
+++ b/agentfleet/claim/claim_test.go
@@ -87,15 +87,15 @@
 func TestDecided(t *testing.T) {
 	for _, test := range []struct {
 		name     string
-		held     *Claim
+		held     int64
 		replaced int64
 		want     bool
 	}{
-		{"no row: the write did not take effect", nil, 0, false},
-		{"a row instead of none", &Claim{version: 7}, 0, true},
-		{"the row that was to be replaced", &Claim{version: 7}, 7, false},
-		{"another row in its place", &Claim{version: 8}, 7, true},
-		{"the row was removed", nil, 7, false},
+		{"no row: the write did not take effect", 0, 0, false},
+		{"a row instead of none", 7, 0, true},
+		{"the row that was to be replaced", 7, 7, false},
+		{"another row in its place", 8, 7, true},
+		{"the row was removed", 0, 7, false},
 	} {
 		assert.Equal(t, decided(test.held, test.replaced), test.want, test.name)
 	}
