refactor: budgets by the step that they pay for

Cause: pay chose between two fields by a switch over the steps, and earn named both again. A watch kept the whole VM, of which only the address is compared.

Ruled out: one budget type for both fleets (docs/decisions.md says why they differ).

Change: budgets is a map from step to retry.Budget; a step without one is free, as before. watch holds the address.

Tests: none changed; TestAfterFailure and surge.txtar hold the steps.

Conclusion: a further step would be one line.

--- a/agentfleet/router/agentlist.go
+++ b/agentfleet/router/agentlist.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/netip"
 	"time"
 
 	"github.com/ryeford/ryeford"
@@ -38,8 +39,8 @@
 
 // A watch keeps the connection to one agent.
 type watch struct {
-	vm   ryeford.VM
-	stop context.CancelFunc
+	address netip.AddrPort
+	stop    context.CancelFunc
 }
 
 // updateWatches starts and stops watches as the list says. An agent whose address has
@@ -52,8 +53,7 @@
 		}
 		listed[vm.ID] = true
 		w, ok := watches[vm.ID]
-		if ok && w.vm.Address == vm.Address {
-			w.vm = vm
+		if ok && w.address == vm.Address {
 			l.fleet.setVM(vm)
 			continue
 		}
@@ -61,7 +61,7 @@
 			w.stop()
 		}
 		watchCtx, stop := context.WithCancel(ctx)
-		watches[vm.ID] = &watch{vm: vm, stop: stop}
+		watches[vm.ID] = &watch{address: vm.Address, stop: stop}
 		go l.keepConnected(watchCtx, vm)
 	}
 	for id, w := range watches {
--- a/agentfleet/router/retry.go
+++ b/agentfleet/router/retry.go
@@ -39,35 +39,27 @@
 	stepRetry             // dispatch to the next engine, for one of the retry budget
 )
 
-// budgets are what the accounts may spend on further dispatches. Each answer that is
-// passed on whole earns some of both.
-type budgets struct {
-	overflow *retry.Budget // dispatches after a refusal
-	retries  *retry.Budget // dispatches after a failure
-}
+// budgets are what the accounts may spend on further dispatches, by the step that costs
+// it. Each answer that is passed on whole earns some of both.
+type budgets map[nextStep]*retry.Budget
 
 func newBudgets(limits *settings.RouterLimits) budgets {
-	return budgets{
-		overflow: retry.NewBudget(retry.BudgetLimits{PerSuccess: limits.OverflowPerAnswer, Reserve: limits.OverflowReserve}),
-		retries:  retry.NewBudget(retry.BudgetLimits{PerSuccess: limits.RetryPerAnswer, Reserve: limits.RetryReserve}),
-	}
+	overflow := retry.BudgetLimits{PerSuccess: limits.OverflowPerAnswer, Reserve: limits.OverflowReserve}
+	retries := retry.BudgetLimits{PerSuccess: limits.RetryPerAnswer, Reserve: limits.RetryReserve}
+	return budgets{stepOverflow: retry.NewBudget(overflow), stepRetry: retry.NewBudget(retries)}
 }
 
 // pay takes what a step costs from an account's budget, and reports whether the account
-// had it.
-func (b *budgets) pay(account ryeford.AccountID, step nextStep) bool {
-	switch step {
-	case stepOverflow:
-		return b.overflow.Spend(account)
-	case stepRetry:
-		return b.retries.Spend(account)
-	}
-	return true
+// had it. A step without a budget is free.
+func (b budgets) pay(account ryeford.AccountID, step nextStep) bool {
+	budget, ok := b[step]
+	return !ok || budget.Spend(account)
 }
 
-func (b *budgets) earn(account ryeford.AccountID) {
-	b.overflow.Earn(account)
-	b.retries.Earn(account)
+func (b budgets) earn(account ryeford.AccountID) {
+	for _, budget := range b {
+		budget.Earn(account)
+	}
 }
 
 // afterFailure returns what follows a dispatch that failed with err, for a request that
