refactor: placement ranges over values

Cause: each loop over engines and templates took an index and then the address of the element, though nothing is changed through it, and choose looked for the first demand by an inner loop with a break.

Ruled out: pick by slices.MinFunc over the free engines: it would copy them for each pick, quadratic in 3,500 engines.

Change: ranges over values, slices.IndexFunc, one condition in pick.

Tests: unchanged and green (TestPlan, TestPlanIsStable, TestChoose).

Conclusion: the steps read as their comments do.

--- a/agentfleet/placement/choose.go
+++ b/agentfleet/placement/choose.go
@@ -15,24 +15,20 @@
 func choose(engines []Engine, demands []*demand) map[ryeford.EngineID]*demand {
 	chosen := make(map[ryeford.EngineID]*demand)
 	have := make(map[*demand]int)
-	for i := range engines {
-		e := &engines[i]
-		for _, d := range demands {
-			if have[d] < d.engines && serves(e, d.base) {
-				chosen[e.ID] = d
-				have[d]++
-				break
-			}
+	for _, e := range engines {
+		wants := func(d *demand) bool { return have[d] < d.engines && serves(e, d.base) }
+		if i := slices.IndexFunc(demands, wants); i >= 0 {
+			chosen[e.ID] = demands[i]
+			have[demands[i]]++
 		}
 	}
 	for _, d := range demands {
-		for have[d] < d.engines {
+		for ; have[d] < d.engines; have[d]++ {
 			e := pick(engines, d, chosen)
 			if e == nil {
 				break
 			}
 			chosen[e.ID] = d
-			have[d]++
 		}
 	}
 	return chosen
@@ -42,25 +38,21 @@
 // the demand's engines; of those, the first. It returns nil if none is free.
 func pick(engines []Engine, d *demand, chosen map[ryeford.EngineID]*demand) *Engine {
 	inDomain := make(map[string]int)
-	for i := range engines {
-		if chosen[engines[i].ID] == d {
-			inDomain[engines[i].Domain]++
+	for _, e := range engines {
+		if chosen[e.ID] == d {
+			inDomain[e.Domain]++
 		}
 	}
 	var best *Engine
-	for i := range engines {
-		e := &engines[i]
-		if chosen[e.ID] != nil {
-			continue
-		}
-		if best == nil || inDomain[e.Domain] < inDomain[best.Domain] {
-			best = e
+	for i, e := range engines {
+		if chosen[e.ID] == nil && (best == nil || inDomain[e.Domain] < inDomain[best.Domain]) {
+			best = &engines[i]
 		}
 	}
 	return best
 }
 
-func serves(e *Engine, b base) bool {
+func serves(e Engine, b base) bool {
 	return slices.ContainsFunc(e.Pools, func(p ryeford.Pool) bool {
 		return p.Model == b.model && p.Version == b.version
 	})
@@ -82,9 +74,9 @@
 	pools := make(map[ryeford.EngineID][]ryeford.Pool)
 	for _, d := range demands {
 		var ids []ryeford.EngineID
-		for i := range engines {
-			if id := engines[i].ID; chosen[id] == d {
-				ids = append(ids, id)
+		for _, e := range engines {
+			if chosen[e.ID] == d {
+				ids = append(ids, e.ID)
 			}
 		}
 		for _, pool := range sortedPools(d) {
--- a/agentfleet/placement/placement.go
+++ b/agentfleet/placement/placement.go
@@ -95,8 +95,7 @@
 // that their engines must load now, ordered by base.
 func collect(in *Input) []*demand {
 	byBase := make(map[base]*demand)
-	for i := range in.Templates {
-		t := &in.Templates[i]
+	for _, t := range in.Templates {
 		if t.Begin.After(in.Now.Add(in.horizon())) {
 			continue
 		}
--- a/agentfleet/placement/schedule.go
+++ b/agentfleet/placement/schedule.go
@@ -20,8 +20,7 @@
 	// Moves point into the assignments, so these must not grow beyond their capacity.
 	out := &Output{Assignments: make([]ryeford.Assignment, 0, len(in.Engines))}
 	var moves []move
-	for i := range in.Engines {
-		e := &in.Engines[i]
+	for _, e := range in.Engines {
 		d := chosen[e.ID]
 		if d == nil {
 			continue
