--- a/agentfleet/router/fleet.go
+++ b/agentfleet/router/fleet.go
@@ -47,7 +47,7 @@
 
 func newFleet() *fleet {
 	f := &fleet{}
-	f.view.Store(&fleetView{})
+	f.view.Store(newFleetView(make(map[ryeford.VMID]*agent)))
 	return f
 }
 
@@ -83,8 +83,7 @@
 func (f *fleet) change(do func(agents map[ryeford.VMID]*agent)) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	agents := make(map[ryeford.VMID]*agent)
-	maps.Copy(agents, f.view.Load().agents)
+	agents := maps.Clone(f.view.Load().agents)
 	do(agents)
 	f.view.Store(newFleetView(agents))
 }
