refactor: the status of an agent holds its inventory

Cause: router.AgentStatus had the five fields of wire.Inventory again and was filled one by one, a pair that duplicates listed.

Ruled out: a type of its own below operator: EngineState, which an inventory holds, says already how operators get it.

Change: Inventory has the tags, AgentStatus embeds it. The names in the JSON are the same; failure_domain stands after incarnation. The VM is the one that the agent names itself, which its certificate was compared with by address, in place of the list's.

Conclusion: one list of fields.

--- a/agentfleet/router/operators.go
+++ b/agentfleet/router/operators.go
@@ -180,13 +180,9 @@
 
 // An AgentStatus is what a router knows of an agent.
 type AgentStatus struct {
-	VM          ryeford.VMID        `json:"vm"`
-	Domain      string              `json:"failure_domain"`
-	Incarnation ryeford.Incarnation `json:"incarnation"`
-	Leaving     bool                `json:"leaving"`
-	Listed      ryeford.VMState     `json:"listed"`
-	Revision    int64               `json:"revision"` // -1 if it did not answer
-	Engines     []wire.EngineState  `json:"engines"`
+	wire.Inventory
+	Listed   ryeford.VMState `json:"listed"`
+	Revision int64           `json:"revision"` // -1 if it did not answer
 }
 
 // An Explanation is the decisions on a request, in the order of time.
@@ -210,15 +206,7 @@
 	replies := h.queryAgents(ctx, agents, &wire.Message{Pull: &wire.Pull{Revision: s.Revision}})
 	s.Agents = make([]AgentStatus, len(agents))
 	for i, a := range agents {
-		s.Agents[i] = AgentStatus{
-			VM:          a.vm.ID,
-			Domain:      a.inventory.FailureDomain,
-			Incarnation: a.inventory.Incarnation,
-			Leaving:     a.inventory.Leaving,
-			Listed:      a.vm.State,
-			Revision:    -1,
-			Engines:     a.inventory.Engines,
-		}
+		s.Agents[i] = AgentStatus{Inventory: *a.inventory, Listed: a.vm.State, Revision: -1}
 		if m := replies[i]; m != nil && m.Delta != nil {
 			s.Agents[i].Revision = m.Delta.Revision
 		}
--- a/agentfleet/wire/wire.go
+++ b/agentfleet/wire/wire.go
@@ -137,13 +137,13 @@
 	Load  float64        `cbor:"4,keyasint" json:"-"` // in requests
 }
 
-// An Inventory is the state of an agent.
+// An Inventory is the state of an agent. Operators get it in JSON.
 type Inventory struct {
-	VM            ryeford.VMID        `cbor:"1,keyasint"`
-	Incarnation   ryeford.Incarnation `cbor:"2,keyasint"`
-	FailureDomain string              `cbor:"3,keyasint"`
-	Leaving       bool                `cbor:"4,keyasint"`
-	Engines       []EngineState       `cbor:"5,keyasint"`
+	VM            ryeford.VMID        `cbor:"1,keyasint" json:"vm"`
+	Incarnation   ryeford.Incarnation `cbor:"2,keyasint" json:"incarnation"`
+	FailureDomain string              `cbor:"3,keyasint" json:"failure_domain"`
+	Leaving       bool                `cbor:"4,keyasint" json:"leaving"`
+	Engines       []EngineState       `cbor:"5,keyasint" json:"engines"`
 }
 
 // An Explain asks an agent for its decisions on a request.
--- a/internal/cmd/statuscmd.go
+++ b/internal/cmd/statuscmd.go
@@ -40,7 +40,7 @@
 	for _, s := range all {
 		fmt.Fprintf(w, "router %s\t%s\tready=%t\trevision=%d\tin_flight=%d\tskew=%.2f\n", s.Router, s.Domain, s.Ready, s.Revision, s.InFlight, s.Skew)
 		for _, a := range s.Agents {
-			fmt.Fprintf(w, "  agent %s\t%s\tleaving=%t\trevision=%d\tengines=%d\t\n", a.VM, a.Domain, a.Leaving, a.Revision, len(a.Engines))
+			fmt.Fprintf(w, "  agent %s\t%s\tleaving=%t\trevision=%d\tengines=%d\t\n", a.VM, a.FailureDomain, a.Leaving, a.Revision, len(a.Engines))
 		}
 	}
 	return w.Flush()
