refactor: dispatches and answers without copies made to be changed

Cause: dispatchMessage copied the completion or the call to set the attempt, though an exchange sends one dispatch at a time and encodes it at once. encodeEvent made a second pointer to the chunk, nil unless it is the last, for newAnswerBody, and that a string of the finish reason.

Change: the request's own completion or call is given the attempt; newAnswerBody takes the chunk and sees by Finish whether it is the last.

Ruled out: sharing: an exchange is used by one goroutine at a time, and Send returns after the message is encoded.

Tests: unchanged and green; at-most-once, whole-answer and freeze.txtar send a request more than once.

Conclusion: fewer steps to the same message.

--- a/agentfleet/router/answers.go
+++ b/agentfleet/router/answers.go
@@ -170,12 +170,8 @@
 	x := s.exchange
 	id := eventID{candidate: x.stream.candidate, attempt: chunk.Attempt, offset: chunk.Offset}
 	choice := answerChoice{Delta: &answerDelta{Content: string(chunk.Data)}}
-	var last *ryeford.Chunk
+	s.writeEvent(eventstream.Event{ID: id.String(), Data: newAnswerBody(x, "chat.completion.chunk", choice, chunk)})
 	if chunk.Finish != "" {
-		last = chunk
-	}
-	s.writeEvent(eventstream.Event{ID: id.String(), Data: newAnswerBody(x, "chat.completion.chunk", choice, last)})
-	if last != nil {
 		s.buf.WriteDone()
 	}
 }
@@ -208,29 +204,27 @@
 // An answerChoice is the one choice of an answer: Message of a whole one, Delta
 // of a streamed one.
 type answerChoice struct {
-	Index        int              `json:"index"`
-	Message      *ryeford.Message `json:"message,omitempty"`
-	Delta        *answerDelta     `json:"delta,omitempty"`
-	FinishReason *string          `json:"finish_reason"`
+	Index        int                   `json:"index"`
+	Message      *ryeford.Message      `json:"message,omitempty"`
+	Delta        *answerDelta          `json:"delta,omitempty"`
+	FinishReason *ryeford.FinishReason `json:"finish_reason"`
 }
 
 type answerDelta struct {
 	Content string `json:"content,omitempty"`
 }
 
-// newAnswerBody returns an answer with one choice. If last is set, the choice ends as
-// that chunk says.
-func newAnswerBody(x *exchange, object string, choice answerChoice, last *ryeford.Chunk) *answerBody {
+// newAnswerBody returns an answer with one choice, which ends if its chunk is the last.
+func newAnswerBody(x *exchange, object string, choice answerChoice, chunk *ryeford.Chunk) *answerBody {
 	body := &answerBody{
 		ID:      string(x.request.id),
 		Object:  object,
 		Created: time.Now().Unix(),
 		Model:   x.request.model,
 	}
-	if last != nil {
-		finish := string(last.Finish)
-		choice.FinishReason = &finish
-		body.Usage = &last.Usage
+	if chunk.Finish != "" {
+		choice.FinishReason = &chunk.Finish
+		body.Usage = &chunk.Usage
 	}
 	body.Choices = []answerChoice{choice}
 	return body
--- a/agentfleet/router/dispatch.go
+++ b/agentfleet/router/dispatch.go
@@ -50,9 +50,16 @@
 	return x.handleReply(m)
 }
 
-// dispatchMessage returns the dispatch of the attempt.
+// dispatchMessage returns the dispatch of the attempt, whose id the completion or call is
+// given.
 func (x *exchange) dispatchMessage(c claim.Candidate) *wire.Dispatch {
 	req := x.request
+	if req.call != nil {
+		req.call.Attempt = x.attempt.id
+	} else {
+		req.completion.Attempt = x.attempt.id
+		req.completion.Prefix = string(x.delivered.text)
+	}
 	d := &wire.Dispatch{
 		Request:     req.id,
 		Attempt:     x.attempt.id,
@@ -68,20 +75,12 @@
 		PoolMean:    x.poolMean(),
 		MayRedirect: mayRedirect(req, c.Engine == x.candidates.home, x.history.dispatches),
 		Offset:      x.delivered.next,
+		Completion:  req.completion,
+		Call:        req.call,
 	}
 	if mayWait(x.history.rounds, x.history.dispatches) {
 		d.Wait = x.forwarder.limits.WarmWait
 	}
-	if req.call != nil {
-		call := *req.call
-		call.Attempt = x.attempt.id
-		d.Call = &call
-		return d
-	}
-	completion := *req.completion
-	completion.Attempt = x.attempt.id
-	completion.Prefix = string(x.delivered.text)
-	d.Completion = &completion
 	return d
 }
 
