refactor: one form of transport errors

Cause: transport.Error had an address for two of its eleven uses and two texts for that; router.Error names the address in Op. exchange had one caller, and took a writer and a reader that were the same stream.

Change: Op is "dial ADDRESS" or "listen ADDRESS", which gives the same texts; the write and the read of Fetch stand in Fetch.

Ruled out: Ask by Fetch: Ask waits for a deadline, Fetch for progress.

Tests: unchanged and green.

Conclusion: no caller looked at the address.

--- a/agentfleet/transport/conn.go
+++ b/agentfleet/transport/conn.go
@@ -10,9 +10,6 @@
 
 import (
 	"context"
-	"fmt"
-	"io"
-	"net/netip"
 	"time"
 
 	"github.com/quic-go/quic-go"
@@ -113,7 +110,10 @@
 	defer s.Close()
 	stop := context.AfterFunc(ctx, s.abort)
 	defer stop()
-	answer, err := exchange(s.quic, watch.Reader(s.quic), m)
+	var answer *wire.Message
+	if err = wire.WriteMessage(s.quic, m); err == nil {
+		answer, err = wire.ReadMessage(watch.Reader(s.quic))
+	}
 	if err == nil {
 		return answer, nil
 	}
@@ -123,14 +123,6 @@
 	return nil, failed("fetch", watch.Broken(err))
 }
 
-// exchange writes a message to w and reads the answer from r.
-func exchange(w io.Writer, r io.Reader, m *wire.Message) (*wire.Message, error) {
-	if err := wire.WriteMessage(w, m); err != nil {
-		return nil, err
-	}
-	return wire.ReadMessage(r)
-}
-
 // SendDatagram sends a datagram, which may be lost on the way.
 func (c *Conn) SendDatagram(data []byte) error {
 	return failed("send datagram", c.quic.SendDatagram(data))
@@ -200,9 +192,8 @@
 
 // An Error is a failure of the transport.
 type Error struct {
-	Op      string         // what failed
-	Address netip.AddrPort // of the peer or the socket; invalid if it is not known
-	Err     error
+	Op  string // what failed
+	Err error
 }
 
 // failed returns the failure of op, or nil if err is nil.
@@ -213,12 +204,7 @@
 	return &Error{Op: op, Err: err}
 }
 
-func (e *Error) Error() string {
-	if !e.Address.IsValid() {
-		return fmt.Sprintf("%s: %v", e.Op, e.Err)
-	}
-	return fmt.Sprintf("%s %s: %v", e.Op, e.Address, e.Err)
-}
+func (e *Error) Error() string { return e.Op + ": " + e.Err.Error() }
 
 func (e *Error) Unwrap() error { return e.Err }
 
--- a/agentfleet/transport/dialer.go
+++ b/agentfleet/transport/dialer.go
@@ -38,7 +38,7 @@
 func (d *Dialer) Dial(ctx context.Context, address netip.AddrPort) (*Conn, error) {
 	c, err := d.transport.Dial(ctx, net.UDPAddrFromAddrPort(address), d.tls, newQUICConfig(d.settings))
 	if err != nil {
-		return nil, &Error{Op: "dial", Address: address, Err: err}
+		return nil, &Error{Op: "dial " + address.String(), Err: err}
 	}
 	return newConn(c), nil
 }
@@ -57,7 +57,7 @@
 func Listen(address netip.AddrPort, tlsConfig *tls.Config, s *settings.Transport) (*Listener, error) {
 	l, err := quic.ListenAddr(address.String(), tlsConfig, newQUICConfig(s))
 	if err != nil {
-		return nil, &Error{Op: "listen", Address: address, Err: err}
+		return nil, &Error{Op: "listen " + address.String(), Err: err}
 	}
 	return &Listener{quic: l}, nil
 }
