refactor: the claim of a key in one order of steps

Ruled out: to judge a join by handleReply, as dispatches are: it takes the load of an engine as of the first admission, minutes ago, for the mean.

Change: claim.Claim has its Key; startClaimed is claim, join or replace, dispatch. The branch claimDispatch is the way on.

Tests: unchanged and green (TestAfterClaim, TestClaimIsExclusive, at-most-once, not-run, whole-answer and freeze.txtar).

Conclusion: the steps stand in the order of the comment above them.

--- a/agentfleet/claim/claim.go
+++ b/agentfleet/claim/claim.go
@@ -53,6 +53,7 @@
 
 // A Claim is a key's record as the table holds it.
 type Claim struct {
+	Key    Key
 	Record Record
 	// Mine is true if the record is the one that was asked for.
 	Mine bool
@@ -78,14 +79,14 @@
 }
 
 // Replace claims a key anew, in place of a claim whose attempt did not run.
-func (c *Claims) Replace(ctx context.Context, key Key, old *Claim, record Record) (*Claim, error) {
-	return c.write(ctx, key, record, old.version)
+func (c *Claims) Replace(ctx context.Context, old *Claim, record Record) (*Claim, error) {
+	return c.write(ctx, old.Key, record, old.version)
 }
 
 // Release gives up a claim of ours whose attempt did not run. It only spares the
 // caller's next request with the key to find that out.
-func (c *Claims) Release(ctx context.Context, key Key, held *Claim) error {
-	_, err := c.table.Transact(ctx, ryeford.Write{Key: key.String(), IfVersion: held.version, Delete: true})
+func (c *Claims) Release(ctx context.Context, held *Claim) error {
+	_, err := c.table.Transact(ctx, ryeford.Write{Key: held.Key.String(), IfVersion: held.version, Delete: true})
 	return err
 }
 
@@ -99,12 +100,12 @@
 	for range maxWrites {
 		written, err := c.table.Transact(ctx, w)
 		if err == nil {
-			return &Claim{Record: record, Mine: true, version: written}, nil
+			return &Claim{Key: key, Record: record, Mine: true, version: written}, nil
 		}
 		if !ryeford.NeedsReadBack(err) {
 			return nil, &Error{Key: key, Err: err}
 		}
-		held := &Claim{}
+		held := &Claim{Key: key}
 		held.version, err = row.Get(ctx, c.table, key.String(), &held.Record)
 		if err != nil {
 			return nil, &Error{Key: key, Err: err}
--- a/agentfleet/router/claimed.go
+++ b/agentfleet/router/claimed.go
@@ -64,42 +64,40 @@
 		return x.claimFailed(err)
 	}
 	switch afterClaim(held, x.request.digest) {
-	case claimDispatch:
-		return x.dispatchClaimed(ctx, key, held)
 	case claimWrongKey:
 		return &ryeford.InputError{Field: HeaderKey, Problem: "the key belongs to another request", Status: statusKeyReused}
+	case claimJoinFirst:
+		if found, err := x.joinFirst(ctx, &held.Record); found || err != nil {
+			return err
+		}
+		held, err = x.forwarder.claims.Replace(ctx, held, x.newRecord())
+		if err != nil {
+			return x.claimFailed(err)
+		}
 	}
-	found, err := x.joinFirst(ctx, held)
-	if found || err != nil {
-		return err
-	}
-	replaced, err := x.forwarder.claims.Replace(ctx, key, held, x.newRecord())
-	if err != nil {
-		return x.claimFailed(err)
-	}
-	if !replaced.Mine {
+	if !held.Mine { // another request has replaced the claim
 		return &ryeford.MayHaveRunError{Reason: ryeford.ReasonRunning, RetryAfter: retry.Spread(x.forwarder.limits.Dispatch)}
 	}
-	return x.dispatchClaimed(ctx, key, replaced)
+	return x.dispatchClaimed(ctx, held)
 }
 
 // dispatchClaimed dispatches to the candidates of a claim of ours. If the attempt did
 // not run, it gives the claim up while the caller already has its answer.
-func (x *exchange) dispatchClaimed(ctx context.Context, key claim.Key, held *claim.Claim) error {
+func (x *exchange) dispatchClaimed(ctx context.Context, held *claim.Claim) error {
 	err := x.dispatchQueue(ctx)
 	if _, ok := errors.AsType[*ryeford.NotRunError](err); ok {
-		go x.forwarder.releaseClaim(context.WithoutCancel(ctx), x.request.id, key, held)
+		go x.forwarder.releaseClaim(context.WithoutCancel(ctx), x.request.id, held)
 	}
 	return err
 }
 
 // releaseClaim gives up a claim whose attempt did not run. A claim that stays costs the
 // caller's next request with the key the joins of joinFirst, and nothing else.
-func (f *forwarder) releaseClaim(ctx context.Context, request ryeford.RequestID, key claim.Key, held *claim.Claim) {
+func (f *forwarder) releaseClaim(ctx context.Context, request ryeford.RequestID, held *claim.Claim) {
 	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 	defer cancel()
-	if err := f.claims.Release(ctx, key, held); err != nil {
-		_ = f.log.Log("msg", "claim not released", "request", request, "account", key.Account, "err", err)
+	if err := f.claims.Release(ctx, held); err != nil {
+		_ = f.log.Log("msg", "claim not released", "request", request, "account", held.Key.Account, "err", err)
 	}
 }
 
@@ -125,13 +123,11 @@
 	return &ryeford.NotRunError{Reason: ryeford.ReasonStoreUnavailable, RetryAfter: retry.Spread(storeRetryAfter)}
 }
 
-// joinFirst joins the run of a claim that another request made. It reports whether the
-// run was found; if it was not and there is no error, the claim's attempt did not run
-// and never will. The request has the first one's id from here on, under which agents
-// send the answer.
-func (x *exchange) joinFirst(ctx context.Context, held *claim.Claim) (bool, error) {
-	record := &held.Record
-	own := x.attempt
+// joinFirst joins the run that another request claimed. It reports whether the run was
+// found; if it was not and there is no error, the claimed attempt did not run and never
+// will. The exchange has the first one's attempt from here on, and the request its id,
+// under which agents send the answer.
+func (x *exchange) joinFirst(ctx context.Context, record *claim.Record) (bool, error) {
 	x.attempt = attempt{id: record.Attempt, expires: record.Expires, forget: record.Forget}
 	x.request.id = record.Request
 	if found, err := x.peekUntilExpired(ctx, record); found || err != nil {
@@ -147,7 +143,6 @@
 			unanswered++
 		}
 	}
-	x.attempt = own
 	if unanswered > 0 {
 		return false, &ryeford.MayHaveRunError{Reason: ryeford.ReasonUnreachable, RetryAfter: retry.Spread(x.forwarder.limits.Dispatch)}
 	}
