--- a/agentfleet/router/dispatch_test.go
+++ b/agentfleet/router/dispatch_test.go
@@ -51,18 +51,18 @@
 func TestRedirected(t *testing.T) {
 	a, b, c := claim.Candidate{Engine: "a"}, claim.Candidate{Engine: "b"}, claim.Candidate{Engine: "c"}
 	for _, test := range []struct {
-		name      string
-		queue     []claim.Candidate
-		connected bool
-		want      []claim.Candidate
+		name   string
+		queue  []claim.Candidate
+		target claim.Candidate
+		want   []claim.Candidate
 	}{
-		{"named engine first, then the home", []claim.Candidate{b, c}, true, []claim.Candidate{c, a, b}},
-		{"not in the queue", []claim.Candidate{b}, true, []claim.Candidate{c, a, b}},
-		{"not connected", []claim.Candidate{b, c}, false, []claim.Candidate{a, b}},
-		{"nothing else left", nil, false, []claim.Candidate{a}},
+		{"named engine first, then the home", []claim.Candidate{b, c}, c, []claim.Candidate{c, a, b}},
+		{"not in the queue", []claim.Candidate{b}, c, []claim.Candidate{c, a, b}},
+		{"not connected", []claim.Candidate{b, c}, claim.Candidate{}, []claim.Candidate{a, b}},
+		{"nothing else left", nil, claim.Candidate{}, []claim.Candidate{a}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			assert.DeepEqual(t, redirected(test.queue, a, "c", c, test.connected), test.want)
+			assert.DeepEqual(t, redirected(test.queue, a, "c", test.target), test.want)
 		})
 	}
 }
