refactor: the router's servers start as all others do

Cause: serveHTTP listened, served and worded the error by itself, which httpserver.ListenAndServe does for metrics and stand-ins, with the same text. all of a fleet and Find of a book had loops that slices does, or two conditions for one.

Ruled out: telemetry.Serve for /healthz and /metrics: the router has them on the callers' port.

Change: serveHTTP calls ListenAndServe, and its error is an *httpserver.Error.

No exit code depends on the type (internal/cmd/exit.go).

Conclusion: one copy.

--- a/agentfleet/router/failure.go
+++ b/agentfleet/router/failure.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"errors"
 	"math"
-	"net"
 	"net/netip"
 	"strconv"
 	"time"
@@ -153,13 +152,9 @@
 )
 
 // serveHTTP runs an HTTP server, for bodies of maxBody bytes at most, until ctx ends. Its
-// error is an *Error.
+// error is an *httpserver.Error.
 func serveHTTP(ctx context.Context, address netip.AddrPort, maxBody int, handler fasthttp.RequestHandler) error {
-	listener, err := net.Listen("tcp", address.String())
-	if err != nil {
-		return &Error{Op: "serve " + address.String(), Err: err}
-	}
-	server := &fasthttp.Server{
+	return httpserver.ListenAndServe(ctx, address, &fasthttp.Server{
 		Handler:               handler,
 		MaxRequestBodySize:    maxBody,
 		NoDefaultServerHeader: true,
@@ -168,11 +163,7 @@
 		ErrorHandler: func(ctx *fasthttp.RequestCtx, err error) {
 			writeError(ctx, "", newBadRequest(err, maxBody))
 		},
-	}
-	if err := httpserver.Serve(ctx, listener, server); err != nil {
-		return &Error{Op: "serve " + address.String(), Err: err}
-	}
-	return nil
+	})
 }
 
 // newBadRequest returns the failure of a request that is not HTTP, or is too large.
--- a/agentfleet/router/fleet.go
+++ b/agentfleet/router/fleet.go
@@ -156,9 +156,8 @@
 
 // all returns the connected agents in the order of their VMs.
 func (f *fleet) all() []*agent {
-	agents := slices.Collect(maps.Values(f.view.Load().agents))
-	slices.SortFunc(agents, func(a, b *agent) int { return cmp.Compare(a.vm.ID, b.vm.ID) })
-	return agents
+	byVM := func(a, b *agent) int { return cmp.Compare(a.vm.ID, b.vm.ID) }
+	return slices.SortedFunc(maps.Values(f.view.Load().agents), byVM)
 }
 
 // reachable returns how many agents are connected.
--- a/agentfleet/template/book.go
+++ b/agentfleet/template/book.go
@@ -123,10 +123,8 @@
 	}
 	var found *ryeford.Template
 	for name, t := range b.templates {
-		if name.Account != account || t.Model != model {
-			continue
-		}
-		if found == nil || t.Name < found.Name {
+		serves := name.Account == account && t.Model == model
+		if serves && (found == nil || t.Name < found.Name) {
 			found = t
 		}
 	}
