refactor: a claim's record holds the exchange's attempt

Cause: the router's attempt and claim.Record had the same three fields, which newRecord and joinFirst copied one by one in both directions.

Ruled out: the same for wire.Join and wire.Dispatch: their numbers on the wire differ.

Change: claim.Attempt, with the names of the record's row, is in Record and in exchange. In the row's JSON the two times stand before the digest now; what reads it goes by names.

Tests: TestNewAttempt, TestClaimIsExclusive and TestTakenKey name the fields anew; no check changed.

Conclusion: joining a run takes its attempt over as it is.

--- a/agentfleet/claim/claim.go
+++ b/agentfleet/claim/claim.go
@@ -40,13 +40,19 @@
 	Incarnation ryeford.Incarnation `json:"incarnation"`
 }
 
+// An Attempt is what an agent admits at most once. One with a claim may be dispatched to
+// several agents, one after the other.
+type Attempt struct {
+	ID      ryeford.AttemptID `json:"attempt"`
+	Expires time.Time         `json:"expires"` // until when it may be admitted
+	Forget  time.Time         `json:"forget"`  // until when the agent that admitted it remembers it
+}
+
 // A Record says which attempt a key belongs to.
 type Record struct {
-	Attempt ryeford.AttemptID `json:"attempt"`
+	Attempt
 	Request ryeford.RequestID `json:"request"`
-	Digest  string            `json:"digest"`  // of the request's content, see Digest
-	Expires time.Time         `json:"expires"` // until when the attempt may be admitted
-	Forget  time.Time         `json:"forget"`  // until when its agent remembers the attempt
+	Digest  string            `json:"digest"` // of the request's content, see Digest
 	// Candidates are the only engines that the attempt is dispatched to.
 	Candidates []Candidate `json:"candidates"`
 }
@@ -111,7 +117,7 @@
 			return nil, &Error{Key: key, Err: err}
 		}
 		if decided(held.version, version) {
-			held.Mine = held.Record.Attempt == record.Attempt
+			held.Mine = held.Record.ID == record.ID
 			return held, nil
 		}
 	}
--- a/agentfleet/claim/claim_test.go
+++ b/agentfleet/claim/claim_test.go
@@ -43,7 +43,7 @@
 	for i := range routers {
 		claims := New(table)
 		wait.Go(func() {
-			record := Record{Attempt: ryeford.AttemptID(fmt.Sprint(i))}
+			record := Record{Attempt: Attempt{ID: ryeford.AttemptID(fmt.Sprint(i))}}
 			held, err := claims.Claim(ctx, Key{Account: "bank", Key: "k"}, record)
 			mu.Lock()
 			defer mu.Unlock()
@@ -68,13 +68,13 @@
 		return memtable.Succeeds
 	})
 	claims := New(table)
-	_, err := claims.Claim(ctx, Key{Account: "bank", Key: "7"}, Record{Attempt: "first"})
+	_, err := claims.Claim(ctx, Key{Account: "bank", Key: "7"}, Record{Attempt: Attempt{ID: "first"}})
 	assert.NilError(t, err)
 	writes = 0
 	var wait sync.WaitGroup
 	for i := range 20 {
 		wait.Go(func() {
-			held, err := claims.Claim(ctx, Key{Account: "bank", Key: fmt.Sprint(i)}, Record{Attempt: "second"})
+			held, err := claims.Claim(ctx, Key{Account: "bank", Key: fmt.Sprint(i)}, Record{Attempt: Attempt{ID: "second"}})
 			assert.Check(t, err)
 			assert.Check(t, held.Mine == (i != 7))
 		})
--- a/agentfleet/router/attempt_test.go
+++ b/agentfleet/router/attempt_test.go
@@ -23,9 +23,9 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			a, b := newAttempt(now, limits, test.claimed), newAttempt(now, limits, test.claimed)
-			assert.Equal(t, a.expires, now.Add(2*time.Second))
-			assert.Equal(t, a.forget, now.Add(test.forget))
-			assert.Assert(t, a.id != b.id)
+			assert.Equal(t, a.Expires, now.Add(2*time.Second))
+			assert.Equal(t, a.Forget, now.Add(test.forget))
+			assert.Assert(t, a.ID != b.ID)
 		})
 	}
 }
--- a/agentfleet/router/claimed.go
+++ b/agentfleet/router/claimed.go
@@ -105,11 +105,9 @@
 func (x *exchange) newRecord() claim.Record {
 	x.attempt = newAttempt(time.Now(), x.forwarder.limits, true)
 	return claim.Record{
-		Attempt:    x.attempt.id,
+		Attempt:    x.attempt,
 		Request:    x.request.id,
 		Digest:     x.request.digest,
-		Expires:    x.attempt.expires,
-		Forget:     x.attempt.forget,
 		Candidates: x.candidates.queue,
 	}
 }
@@ -128,7 +126,7 @@
 // will. The exchange has the first one's attempt from here on, and the request its id,
 // under which agents send the answer.
 func (x *exchange) joinFirst(ctx context.Context, record *claim.Record) (bool, error) {
-	x.attempt = attempt{id: record.Attempt, expires: record.Expires, forget: record.Forget}
+	x.attempt = record.Attempt
 	x.request.id = record.Request
 	if found, err := x.peekUntilExpired(ctx, record); found || err != nil {
 		return found, err
--- a/agentfleet/router/dispatch.go
+++ b/agentfleet/router/dispatch.go
@@ -95,14 +95,14 @@
 	if !ok || a.inventory.Incarnation != c.Incarnation {
 		return &ryeford.NotRunError{Reason: ryeford.ReasonUnreachable}
 	}
-	openCtx, cancel := context.WithDeadline(ctx, x.attempt.expires)
+	openCtx, cancel := context.WithDeadline(ctx, x.attempt.Expires)
 	defer cancel()
 	stream, err := a.conn.Open(openCtx)
 	if err != nil { // the connection is going: keepConnected logs why
 		return &ryeford.NotRunError{Reason: ryeford.ReasonUnreachable}
 	}
 	x.stream.conn = stream
-	stream.SetReadDeadline(x.attempt.expires.Add(dispatchGrace))
+	stream.SetReadDeadline(x.attempt.Expires.Add(dispatchGrace))
 	if err := stream.Send(&wire.Message{Dispatch: x.dispatchMessage(c)}); err != nil {
 		return x.resolveLost(ctx, err)
 	}
@@ -120,14 +120,14 @@
 func (x *exchange) dispatchMessage(c claim.Candidate) *wire.Dispatch {
 	req := x.request
 	if req.call != nil {
-		req.call.Attempt = x.attempt.id
+		req.call.Attempt = x.attempt.ID
 	} else {
-		req.completion.Attempt = x.attempt.id
+		req.completion.Attempt = x.attempt.ID
 		req.completion.Prefix = string(x.delivered.text)
 	}
 	d := &wire.Dispatch{
 		Request:     req.id,
-		Attempt:     x.attempt.id,
+		Attempt:     x.attempt.ID,
 		Account:     req.account,
 		Chat:        req.chat,
 		Engine:      c.Engine,
@@ -135,8 +135,8 @@
 		Priority:    req.priority,
 		Share:       req.share,
 		Repeatable:  req.repeatable,
-		Expires:     x.attempt.expires,
-		Forget:      x.attempt.forget,
+		Expires:     x.attempt.Expires,
+		Forget:      x.attempt.Forget,
 		PoolMean:    x.poolMean(),
 		MayRedirect: mayRedirect(req, c.Engine == x.candidates.home, x.history.dispatches),
 		Offset:      x.delivered.next,
@@ -165,12 +165,12 @@
 // handleReply takes the agent's reply to a dispatch or a join.
 func (x *exchange) handleReply(m *wire.Message) error {
 	switch {
-	case m.Admitted != nil && m.Admitted.Attempt == x.attempt.id:
+	case m.Admitted != nil && m.Admitted.Attempt == x.attempt.ID:
 		x.addProbe(m.Admitted.Load)
 		x.history.warm = m.Admitted.Warm
 		x.beginAnswer(m.Admitted)
 		return nil
-	case m.Refused != nil && m.Refused.Attempt == x.attempt.id:
+	case m.Refused != nil && m.Refused.Attempt == x.attempt.ID:
 		return x.handleRefusal(m.Refused)
 	}
 	return &ryeford.MayHaveRunError{Reason: ryeford.ReasonUnreachable, Err: &ProtocolError{}}
@@ -181,7 +181,7 @@
 // one's id.
 func (x *exchange) beginAnswer(admitted *wire.Admitted) {
 	x.request.id = admitted.Request
-	x.stream.asm = answer.NewAssembler(x.attempt.id, x.delivered.next)
+	x.stream.asm = answer.NewAssembler(x.attempt.ID, x.delivered.next)
 }
 
 // handleRefusal takes a refusal, and returns it as an error.
--- a/agentfleet/router/exchange.go
+++ b/agentfleet/router/exchange.go
@@ -24,7 +24,7 @@
 	candidates candidates
 	history    history
 	probes     load.Probes // of the candidates so far
-	attempt    attempt
+	attempt    claim.Attempt
 	stream     agentStream
 	delivered  delivered
 	end        func() // gives up what the exchange holds; called once
@@ -75,7 +75,7 @@
 	}
 	req := x.request
 	x.forwarder.decisions.Record(req.id, "decision", "resume", "request", req.id, "account", req.account,
-		"vm", x.stream.candidate.VM, "attempt", x.attempt.id, "offset", x.delivered.next)
+		"vm", x.stream.candidate.VM, "attempt", x.attempt.ID, "offset", x.delivered.next)
 	return nil
 }
 
@@ -147,7 +147,7 @@
 	f, req, c := x.forwarder, x.request, x.stream.candidate
 	f.metrics.Count("ryeford_tries_failed_total", string(reasonOf(err)))
 	f.decisions.Record(req.id,
-		"decision", "try", "request", req.id, "attempt", x.attempt.id, "account", req.account, "chat", req.chat,
+		"decision", "try", "request", req.id, "attempt", x.attempt.ID, "account", req.account, "chat", req.chat,
 		"engine", c.Engine, "vm", c.VM, "failure_domain", f.fleet.domain(c.VM), "try", x.history.dispatches,
 		"reason", reasonOf(err), "mean", x.poolMean(), "left", len(x.candidates.queue), "err", err)
 }
@@ -161,7 +161,7 @@
 		warm = "warm"
 	}
 	f.metrics.Count("ryeford_turns_total", warm)
-	f.decisions.Record(req.id, "decision", "route", "request", req.id, "attempt", x.attempt.id, "account", req.account, "chat", req.chat,
+	f.decisions.Record(req.id, "decision", "route", "request", req.id, "attempt", x.attempt.ID, "account", req.account, "chat", req.chat,
 		"engine", c.Engine, "vm", c.VM, "failure_domain", f.fleet.domain(c.VM), "home", x.candidates.home,
 		"try", x.history.dispatches, "mean", x.poolMean(), "warm", x.history.warm, "first_chunk", took)
 }
@@ -178,25 +178,17 @@
 // rejoinTime together.
 const forgetAfter = 30 * time.Second
 
-// An attempt is what an agent admits at most once. One with a claim may be dispatched to
-// several agents, one after the other.
-type attempt struct {
-	id      ryeford.AttemptID
-	expires time.Time // until when it may be admitted
-	forget  time.Time // until when the agent that admitted it remembers it
-}
-
 // newAttempt names a new attempt, which may be admitted for limits.dispatch from now. One
 // with a claim is remembered for limits.claim_ttl, so long as its caller may come again.
-func newAttempt(now time.Time, limits *settings.RouterLimits, claimed bool) attempt {
+func newAttempt(now time.Time, limits *settings.RouterLimits, claimed bool) claim.Attempt {
 	remember := forgetAfter
 	if claimed {
 		remember = limits.ClaimTTL
 	}
-	return attempt{
-		id:      ryeford.AttemptID(uuid.NewString()),
-		expires: now.Add(limits.Dispatch),
-		forget:  now.Add(remember),
+	return claim.Attempt{
+		ID:      ryeford.AttemptID(uuid.NewString()),
+		Expires: now.Add(limits.Dispatch),
+		Forget:  now.Add(remember),
 	}
 }
 
@@ -226,7 +218,7 @@
 		forwarder: f,
 		request:   req,
 		history:   history{rejoins: maxRejoins},
-		attempt:   attempt{id: last.attempt},
+		attempt:   claim.Attempt{ID: last.attempt},
 		stream:    agentStream{candidate: last.candidate},
 		delivered: delivered{next: last.offset + 1},
 	}
--- a/agentfleet/router/recover.go
+++ b/agentfleet/router/recover.go
@@ -158,11 +158,11 @@
 	stream.SetReadDeadline(limit)
 	query := &wire.Join{
 		Account:     x.request.account,
-		Attempt:     x.attempt.id,
+		Attempt:     x.attempt.ID,
 		Incarnation: c.Incarnation,
 		Offset:      x.delivered.next,
-		Expires:     x.attempt.expires,
-		Forget:      x.attempt.forget,
+		Expires:     x.attempt.Expires,
+		Forget:      x.attempt.Forget,
 		Peek:        peek,
 	}
 	var reply *wire.Message
