--- a/agentfleet/router/answers.go
+++ b/agentfleet/router/answers.go
@@ -170,7 +170,8 @@
 	x := s.exchange
 	id := eventID{candidate: x.stream.candidate, attempt: chunk.Attempt, offset: chunk.Offset}
 	choice := answerChoice{Delta: &answerDelta{Content: string(chunk.Data)}}
-	s.writeEvent(eventstream.Event{ID: id.String(), Data: newAnswerBody(x, "chat.completion.chunk", choice, chunk)})
+	body := newAnswerBody(x, "chat.completion.chunk", choice, chunk)
+	s.writeEvent(eventstream.Event{ID: id.String(), Data: body})
 	if chunk.Finish != "" {
 		s.buf.WriteDone()
 	}
--- a/agentfleet/router/claimed.go
+++ b/agentfleet/router/claimed.go
@@ -97,7 +97,8 @@
 	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 	defer cancel()
 	if err := f.claims.Release(ctx, held); err != nil {
-		_ = f.log.Log("msg", "claim not released", "request", request, "account", held.Key.Account, "err", err)
+		account := held.Key.Account
+		_ = f.log.Log("msg", "claim not released", "request", request, "account", account, "err", err)
 	}
 }
 
