--- a/agentfleet/claim/claim.go
+++ b/agentfleet/claim/claim.go
@@ -3,8 +3,7 @@
 // key, one gets to run it.
 //
 // It owns the rows under claim/, which are never removed but by Release. It relies on
-// the table's conditional writes; writes that are made at about the same time go in one
-// transaction (see batcher).
+// the table's conditional writes; each claim is a transaction of its own.
 package claim
 
 import (
@@ -41,19 +40,26 @@
 	Incarnation ryeford.Incarnation `json:"incarnation"`
 }
 
+// An Attempt is what an agent admits at most once. One with a claim may be dispatched to
+// several agents, one after the other.
+type Attempt struct {
+	ID      ryeford.AttemptID `json:"attempt"`
+	Expires time.Time         `json:"expires"` // until when it may be admitted
+	Forget  time.Time         `json:"forget"`  // until when the agent that admitted it remembers it
+}
+
 // A Record says which attempt a key belongs to.
 type Record struct {
-	Attempt ryeford.AttemptID `json:"attempt"`
+	Attempt
 	Request ryeford.RequestID `json:"request"`
-	Digest  string            `json:"digest"`  // of the request's content, see Digest
-	Expires time.Time         `json:"expires"` // until when the attempt may be admitted
-	Forget  time.Time         `json:"forget"`  // until when its agent remembers the attempt
+	Digest  string            `json:"digest"` // of the request's content, see Digest
 	// Candidates are the only engines that the attempt is dispatched to.
 	Candidates []Candidate `json:"candidates"`
 }
 
 // A Claim is a key's record as the table holds it.
 type Claim struct {
+	Key    Key
 	Record Record
 	// Mine is true if the record is the one that was asked for.
 	Mine bool
@@ -63,18 +69,14 @@
 
 // Claims claims keys.
 type Claims struct {
-	table   ryeford.Table
-	batcher *batcher
+	table ryeford.Table
 }
 
 // New returns Claims in a table.
 func New(table ryeford.Table) *Claims {
-	return &Claims{table: table, batcher: &batcher{table: table, queue: make(chan *pending, batchQueue)}}
+	return &Claims{table: table}
 }
 
-// Run writes claims in batches until ctx ends.
-func (c *Claims) Run(ctx context.Context) error { return c.batcher.run(ctx) }
-
 // Claim claims a key for a record. If the key is claimed already, it returns the record
 // that holds it. After an error, an *Error, the key may be claimed for the record, which
 // must not be dispatched.
@@ -83,14 +85,14 @@
 }
 
 // Replace claims a key anew, in place of a claim whose attempt did not run.
-func (c *Claims) Replace(ctx context.Context, key Key, old *Claim, record Record) (*Claim, error) {
-	return c.write(ctx, key, record, old.version)
+func (c *Claims) Replace(ctx context.Context, old *Claim, record Record) (*Claim, error) {
+	return c.write(ctx, old.Key, record, old.version)
 }
 
 // Release gives up a claim of ours whose attempt did not run. It only spares the
 // caller's next request with the key to find that out.
-func (c *Claims) Release(ctx context.Context, key Key, held *Claim) error {
-	_, err := c.batcher.write(ctx, ryeford.Write{Key: key.String(), IfVersion: held.version, Delete: true})
+func (c *Claims) Release(ctx context.Context, held *Claim) error {
+	_, err := c.table.Transact(ctx, ryeford.Write{Key: held.Key.String(), IfVersion: held.version, Delete: true})
 	return err
 }
 
@@ -102,41 +104,31 @@
 		return nil, &Error{Key: key, Err: err}
 	}
 	for range maxWrites {
-		written, err := c.batcher.write(ctx, w)
+		written, err := c.table.Transact(ctx, w)
 		if err == nil {
-			return &Claim{Record: record, Mine: true, version: written}, nil
+			return &Claim{Key: key, Record: record, Mine: true, version: written}, nil
 		}
 		if !ryeford.NeedsReadBack(err) {
 			return nil, &Error{Key: key, Err: err}
 		}
-		held, err := c.read(ctx, key)
+		held := &Claim{Key: key}
+		held.version, err = row.Get(ctx, c.table, key.String(), &held.Record)
 		if err != nil {
 			return nil, &Error{Key: key, Err: err}
 		}
-		if decided(held, version) {
-			held.Mine = held.Record.Attempt == record.Attempt
+		if decided(held.version, version) {
+			held.Mine = held.Record.ID == record.ID
 			return held, nil
 		}
 	}
 	return nil, &Error{Key: key, Err: &ryeford.UnavailableError{Service: "claims", Err: context.DeadlineExceeded}}
 }
 
-// decided reports whether the claim that was read after a write of ours shows who
-// holds the key: it is not the one that the write was to replace, so the write took effect or
-// another came first. Otherwise the write may be made again.
-func decided(held *Claim, replaced int64) bool {
-	return held != nil && held.version != replaced
-}
-
-// read returns a key's claim, or nil.
-func (c *Claims) read(ctx context.Context, key Key) (*Claim, error) {
-	claim := &Claim{}
-	version, err := row.Get(ctx, c.table, key.String(), &claim.Record)
-	if err != nil || version == 0 {
-		return nil, err
-	}
-	claim.version = version
-	return claim, nil
+// decided reports whether the row that was read after a write of ours, by its version,
+// shows who holds the key: there is one, and not the one that the write was to replace, so
+// the write took effect or another came first. Otherwise the write may be made again.
+func decided(held, replaced int64) bool {
+	return held != 0 && held != replaced
 }
 
 // Digest returns the digest of a request's parts: the SHA-256 of each with its length
--- a/agentfleet/router/dispatch.go
+++ b/agentfleet/router/dispatch.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/ryeford/ryeford"
@@ -10,6 +12,69 @@
 	"github.com/ryeford/ryeford/agentfleet/wire"
 )
 
+// candidates are the engines that an exchange may dispatch its request to.
+type candidates struct {
+	home  ryeford.EngineID  // the first in the chat's rendezvous order
+	first claim.Candidate   // the first dispatched to, not counting a redirect
+	queue []claim.Candidate // not dispatched to yet
+}
+
+// redirected returns the queue after a home pointed to an engine: that engine first, if
+// it is connected and so is a candidate, target, the home next, then the others.
+func redirected(queue []claim.Candidate, home claim.Candidate, engine ryeford.EngineID, target claim.Candidate) []claim.Candidate {
+	others := slices.DeleteFunc(slices.Clone(queue), func(c claim.Candidate) bool { return c.Engine == engine })
+	next := append([]claim.Candidate{home}, others...)
+	if target.Engine == engine {
+		return append([]claim.Candidate{target}, next...)
+	}
+	return next
+}
+
+// suspectedFor is how long a VM that left a dispatch unanswered is tried last. Not
+// measured: the time is a multiple of a dispatch's (2.25 s with its grace), so that a
+// frozen VM costs few requests that wait; freeze.txtar passes with it.
+const suspectedFor = 5 * time.Second
+
+// suspects are the VMs that left a dispatch unanswered a short while ago. Their
+// connections may still be up: that a process is frozen is noticed by a connection only
+// after the idle time-out.
+type suspects struct {
+	mu    sync.Mutex
+	until map[ryeford.VMID]time.Time
+}
+
+func newSuspects() *suspects {
+	return &suspects{until: make(map[ryeford.VMID]time.Time)}
+}
+
+func (s *suspects) add(now time.Time, vm ryeford.VMID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.until[vm] = now.Add(suspectedFor)
+}
+
+func (s *suspects) clear(vm ryeford.VMID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.until, vm)
+}
+
+// last returns the candidates with those of suspected VMs after the others, and keeps
+// the order otherwise. They are not left out: all may be suspected.
+func (s *suspects) last(now time.Time, candidates []claim.Candidate) []claim.Candidate {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var trusted, suspected []claim.Candidate
+	for _, c := range candidates {
+		if now.Before(s.until[c.VM]) {
+			suspected = append(suspected, c)
+		} else {
+			trusted = append(trusted, c)
+		}
+	}
+	return append(trusted, suspected...)
+}
+
 const (
 	// dispatchGrace is how long after a dispatch's expiry its reply is waited for: an
 	// agent that admits in the last moment needs the way back. Not measured.
@@ -30,14 +95,14 @@
 	if !ok || a.inventory.Incarnation != c.Incarnation {
 		return &ryeford.NotRunError{Reason: ryeford.ReasonUnreachable}
 	}
-	openCtx, cancel := context.WithDeadline(ctx, x.attempt.expires)
+	openCtx, cancel := context.WithDeadline(ctx, x.attempt.Expires)
 	defer cancel()
 	stream, err := a.conn.Open(openCtx)
 	if err != nil { // the connection is going: keepConnected logs why
 		return &ryeford.NotRunError{Reason: ryeford.ReasonUnreachable}
 	}
 	x.stream.conn = stream
-	stream.SetReadDeadline(x.attempt.expires.Add(dispatchGrace))
+	stream.SetReadDeadline(x.attempt.Expires.Add(dispatchGrace))
 	if err := stream.Send(&wire.Message{Dispatch: x.dispatchMessage(c)}); err != nil {
 		return x.resolveLost(ctx, err)
 	}
@@ -50,12 +115,19 @@
 	return x.handleReply(m)
 }
 
-// dispatchMessage returns the dispatch of the attempt.
+// dispatchMessage returns the dispatch of the attempt, whose id the completion or call is
+// given.
 func (x *exchange) dispatchMessage(c claim.Candidate) *wire.Dispatch {
 	req := x.request
+	if req.call != nil {
+		req.call.Attempt = x.attempt.ID
+	} else {
+		req.completion.Attempt = x.attempt.ID
+		req.completion.Prefix = string(x.delivered.text)
+	}
 	d := &wire.Dispatch{
 		Request:     req.id,
-		Attempt:     x.attempt.id,
+		Attempt:     x.attempt.ID,
 		Account:     req.account,
 		Chat:        req.chat,
 		Engine:      c.Engine,
@@ -63,25 +135,17 @@
 		Priority:    req.priority,
 		Share:       req.share,
 		Repeatable:  req.repeatable,
-		Expires:     x.attempt.expires,
-		Forget:      x.attempt.forget,
+		Expires:     x.attempt.Expires,
+		Forget:      x.attempt.Forget,
 		PoolMean:    x.poolMean(),
 		MayRedirect: mayRedirect(req, c.Engine == x.candidates.home, x.history.dispatches),
 		Offset:      x.delivered.next,
+		Completion:  req.completion,
+		Call:        req.call,
 	}
 	if mayWait(x.history.rounds, x.history.dispatches) {
 		d.Wait = x.forwarder.limits.WarmWait
 	}
-	if req.call != nil {
-		call := *req.call
-		call.Attempt = x.attempt.id
-		d.Call = &call
-		return d
-	}
-	completion := *req.completion
-	completion.Attempt = x.attempt.id
-	completion.Prefix = string(x.delivered.text)
-	d.Completion = &completion
 	return d
 }
 
@@ -101,12 +165,12 @@
 // handleReply takes the agent's reply to a dispatch or a join.
 func (x *exchange) handleReply(m *wire.Message) error {
 	switch {
-	case m.Admitted != nil && m.Admitted.Attempt == x.attempt.id:
+	case m.Admitted != nil && m.Admitted.Attempt == x.attempt.ID:
 		x.addProbe(m.Admitted.Load)
 		x.history.warm = m.Admitted.Warm
 		x.beginAnswer(m.Admitted)
 		return nil
-	case m.Refused != nil && m.Refused.Attempt == x.attempt.id:
+	case m.Refused != nil && m.Refused.Attempt == x.attempt.ID:
 		return x.handleRefusal(m.Refused)
 	}
 	return &ryeford.MayHaveRunError{Reason: ryeford.ReasonUnreachable, Err: &ProtocolError{}}
@@ -117,7 +181,7 @@
 // one's id.
 func (x *exchange) beginAnswer(admitted *wire.Admitted) {
 	x.request.id = admitted.Request
-	x.stream.asm = answer.NewAssembler(x.attempt.id, x.delivered.next)
+	x.stream.asm = answer.NewAssembler(x.attempt.ID, x.delivered.next)
 }
 
 // handleRefusal takes a refusal, and returns it as an error.
@@ -132,8 +196,8 @@
 			x.history.retryAfter = refused.RetryAfter
 		}
 	case ryeford.ReasonRedirect:
-		target, ok := x.forwarder.fleet.candidate(refused.Engine)
-		x.candidates.queue = redirected(x.candidates.queue, x.stream.candidate, refused.Engine, target, ok)
+		target, _ := x.forwarder.fleet.candidate(refused.Engine)
+		x.candidates.queue = redirected(x.candidates.queue, x.stream.candidate, refused.Engine, target)
 	}
 	return &ryeford.NotRunError{Reason: refused.Reason, RetryAfter: refused.RetryAfter}
 }
--- a/agentfleet/router/fleet.go
+++ b/agentfleet/router/fleet.go
@@ -47,7 +47,7 @@
 
 func newFleet() *fleet {
 	f := &fleet{}
-	f.view.Store(&fleetView{})
+	f.view.Store(newFleetView(make(map[ryeford.VMID]*agent)))
 	return f
 }
 
@@ -83,8 +83,7 @@
 func (f *fleet) change(do func(agents map[ryeford.VMID]*agent)) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	agents := make(map[ryeford.VMID]*agent)
-	maps.Copy(agents, f.view.Load().agents)
+	agents := maps.Clone(f.view.Load().agents)
 	do(agents)
 	f.view.Store(newFleetView(agents))
 }
@@ -157,9 +156,8 @@
 
 // all returns the connected agents in the order of their VMs.
 func (f *fleet) all() []*agent {
-	agents := slices.Collect(maps.Values(f.view.Load().agents))
-	slices.SortFunc(agents, func(a, b *agent) int { return cmp.Compare(a.vm.ID, b.vm.ID) })
-	return agents
+	byVM := func(a, b *agent) int { return cmp.Compare(a.vm.ID, b.vm.ID) }
+	return slices.SortedFunc(maps.Values(f.view.Load().agents), byVM)
 }
 
 // reachable returns how many agents are connected.
