--- a/agentfleet/claim/claim.go
+++ b/agentfleet/claim/claim.go
@@ -3,7 +3,8 @@
 // key, one gets to run it.
 //
 // It owns the rows under claim/, which are never removed but by Release. It relies on
-// the table's conditional writes; each claim is a transaction of its own.
+// the table's conditional writes; writes that are made at about the same time go in one
+// transaction (see batcher).
 package claim
 
 import (
@@ -69,14 +70,18 @@
 
 // Claims claims keys.
 type Claims struct {
-	table ryeford.Table
+	table   ryeford.Table
+	batcher *batcher
 }
 
 // New returns Claims in a table.
 func New(table ryeford.Table) *Claims {
-	return &Claims{table: table}
+	return &Claims{table: table, batcher: &batcher{table: table, queue: make(chan *pending, batchQueue)}}
 }
 
+// Run writes claims in batches until ctx ends.
+func (c *Claims) Run(ctx context.Context) error { return c.batcher.run(ctx) }
+
 // Claim claims a key for a record. If the key is claimed already, it returns the record
 // that holds it. After an error, an *Error, the key may be claimed for the record, which
 // must not be dispatched.
@@ -92,7 +97,7 @@
 // Release gives up a claim of ours whose attempt did not run. It only spares the
 // caller's next request with the key to find that out.
 func (c *Claims) Release(ctx context.Context, held *Claim) error {
-	_, err := c.table.Transact(ctx, ryeford.Write{Key: held.Key.String(), IfVersion: held.version, Delete: true})
+	_, err := c.batcher.write(ctx, ryeford.Write{Key: held.Key.String(), IfVersion: held.version, Delete: true})
 	return err
 }
 
@@ -104,7 +109,7 @@
 		return nil, &Error{Key: key, Err: err}
 	}
 	for range maxWrites {
-		written, err := c.table.Transact(ctx, w)
+		written, err := c.batcher.write(ctx, w)
 		if err == nil {
 			return &Claim{Key: key, Record: record, Mine: true, version: written}, nil
 		}
--- a/agentfleet/claim/claim_test.go
+++ b/agentfleet/claim/claim_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -42,6 +43,7 @@
 	mine := 0
 	for i := range routers {
 		claims := New(table)
+		go func() { _ = claims.Run(ctx) }()
 		wait.Go(func() {
 			record := Record{Attempt: Attempt{ID: ryeford.AttemptID(fmt.Sprint(i))}}
 			held, err := claims.Claim(ctx, Key{Account: "bank", Key: "k"}, record)
@@ -56,31 +58,37 @@
 	return mine
 }
 
-// TestTakenKey checks that of claims made together, one of a key that is taken already
-// does not fail the others, and that each is written once.
-func TestTakenKey(t *testing.T) {
-	ctx := t.Context()
-	writes := 0
-	table := memtable.New(func(write bool) memtable.Fate {
-		if write {
-			writes++
+// TestBatch checks that claims made together are one transaction, and that one
+// that is taken already does not fail the others.
+func TestBatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		writes := 0
+		table := memtable.New(func(write bool) memtable.Fate {
+			if write {
+				writes++
+			}
+			return memtable.Succeeds
+		})
+		claims := New(table)
+		go func() { _ = claims.Run(ctx) }()
+		_, err := claims.Claim(ctx, Key{Account: "bank", Key: "7"}, Record{Attempt: Attempt{ID: "first"}})
+		assert.NilError(t, err)
+		writes = 0
+		var wait sync.WaitGroup
+		for i := range 20 {
+			wait.Go(func() {
+				held, err := claims.Claim(ctx, Key{Account: "bank", Key: fmt.Sprint(i)}, Record{Attempt: Attempt{ID: "second"}})
+				assert.Check(t, err)
+				assert.Check(t, held.Mine == (i != 7))
+			})
 		}
-		return memtable.Succeeds
+		wait.Wait()
+		assert.Equal(t, writes, 2) // with the taken key, and without it
+		cancel()
+		synctest.Wait()
 	})
-	claims := New(table)
-	_, err := claims.Claim(ctx, Key{Account: "bank", Key: "7"}, Record{Attempt: Attempt{ID: "first"}})
-	assert.NilError(t, err)
-	writes = 0
-	var wait sync.WaitGroup
-	for i := range 20 {
-		wait.Go(func() {
-			held, err := claims.Claim(ctx, Key{Account: "bank", Key: fmt.Sprint(i)}, Record{Attempt: Attempt{ID: "second"}})
-			assert.Check(t, err)
-			assert.Check(t, held.Mine == (i != 7))
-		})
-	}
-	wait.Wait()
-	assert.Equal(t, writes, 20)
 }
 
 // TestDecided checks when a row that was read back shows who holds a key.
--- a/agentfleet/router/router.go
+++ b/agentfleet/router/router.go
@@ -67,6 +67,7 @@
 	agents    *agentList
 	gossip    *agentGossip
 	planner   *planner
+	claims    *claim.Claims
 	callers   *forwarder
 	operators *operatorHandler
 }
@@ -78,7 +79,7 @@
 		return nil, err
 	}
 	fleet := newFleet()
-	r := &Router{dialer: dialer, shared: shared{
+	r := &Router{dialer: dialer, claims: claim.New(platform), shared: shared{
 		settings:  s,
 		limits:    &s.Limits,
 		platform:  platform,
@@ -108,7 +109,7 @@
 	r.callers = &forwarder{
 		shared:   &r.shared,
 		gossip:   r.gossip,
-		claims:   claim.New(r.platform),
+		claims:   r.claims,
 		suspects: newSuspects(),
 		budgets:  newBudgets(r.limits),
 	}
@@ -130,6 +131,7 @@
 	group.Go(func() error { return r.agents.run(work) })
 	group.Go(func() error { return r.syncTemplates(work) })
 	group.Go(func() error { return r.gossip.run(work) })
+	group.Go(func() error { return r.claims.Run(work) })
 	group.Go(func() error { return r.planner.run(work) })
 	group.Go(func() error { return serveHTTP(work, r.settings.Callers.AddrPort, maxBody, r.callers.serve) })
 	group.Go(func() error { return serveHTTP(work, r.settings.Operators.AddrPort, maxBody, r.operators.serve) })
