test: a prompt of many parts must not silence a router for its peers

Fails on: one request whose prompt has 4,000 parts (32 KB of header, of 64 KB that are read) makes a message of 36 KB. What it exceeds the budget of 5 KB a second by is taken from the next seconds, so that the router sends nothing for 6 s or more and counts as gone for its peers after 3 s: they hear neither of its loads nor of a configuration that it has. The message itself is above MaxMessage and lost.

--- a/gateway/peers_test.go
+++ b/gateway/peers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -121,3 +122,19 @@
 	narrow.await("the configuration", func() bool { return public(narrow) == 200 })
 	narrow.awaitReady(true)
 }
+
+// TestPeersAfterLongPrompt checks that a prompt of very many shared parts does not silence
+// a router for its peers: what it may send in a second bounds its messages.
+func TestPeersAfterLongPrompt(t *testing.T) {
+	gateways := newPeers(t, 2, time.Hour, nil)
+	sender, peer := gateways[0], gateways[1]
+	var parts strings.Builder
+	for i := range 4000 {
+		fmt.Fprintf(&parts, "%x:1,", i+1)
+	}
+	request := sender.request("GET", "/open/a", "", "")
+	request.Header.Set(wire.HeaderPrompt, parts.String()+"ffff:1")
+	assert.Equal(t, sender.do(request).status, 200)
+	time.Sleep(4 * time.Second) // a peer that says nothing counts as gone after 3 s
+	assert.Assert(t, !strings.Contains(peer.log.String(), "decision=peers alive=0"))
+}
