fix: gossip holds a bounded number of parts of prompts

Cause: a message's prompts were bounded in number, not in size (the test before).

Ruled out: a budget that forgives what is overspent, which then bounds nothing; cutting prompts off by the bytes of the encoded message, which takes a second encoding.

Change: the prompts of a message have at most MaxPromptParts (96) parts together; of a longer prompt its first parts are sent, which are those that others share most.

Conclusion: a message takes at most some 1.5 KB for prompts. Loads are one entry for each endpoint with requests of this router, and stay unbounded (some 20 bytes each).

--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -39,6 +39,7 @@
 
 	mu      sync.Mutex
 	prompts []peers.Prompt // to be sent with the next message
+	parts   int            // of these prompts
 }
 
 // The reasons for which ryeford_gossip_dropped_total counts a datagram. It counts
@@ -52,16 +53,20 @@
 
 func (g *gossip) drop(reason string) { g.metrics.Count("ryeford_gossip_dropped_total", reason) }
 
+// addPrompt adds a prompt that was sent to an endpoint to the next message, or as many of
+// its first parts as that has room for.
 func (g *gossip) addPrompt(endpoint ryeford.EndpointID, parts []ryeford.PromptPart) {
-	prompt := peers.Prompt{Endpoint: endpoint}
-	for _, part := range parts {
-		prompt.Parts = append(prompt.Parts, part.ID)
-	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if len(g.prompts) < peers.MaxPrompts {
-		g.prompts = append(g.prompts, prompt)
+	if len(g.prompts) >= peers.MaxPrompts {
+		return
+	}
+	prompt := peers.Prompt{Endpoint: endpoint}
+	for _, part := range parts[:min(len(parts), peers.MaxPromptParts-g.parts)] {
+		prompt.Parts = append(prompt.Parts, part.ID)
 	}
+	g.prompts = append(g.prompts, prompt)
+	g.parts += len(prompt.Parts)
 }
 
 // run exchanges messages with the peers until ctx ends. A failure is a
@@ -206,7 +211,7 @@
 	}
 	g.mu.Lock()
 	prompts := g.prompts
-	g.prompts = nil
+	g.prompts, g.parts = nil, 0
 	g.mu.Unlock()
 	return &peers.Message{
 		ConfirmedAt: confirmedAt,
--- a/gateway/peers/schedule.go
+++ b/gateway/peers/schedule.go
@@ -25,6 +25,9 @@
 	BytesPerSecond = 5000
 	// MaxPrompts is how many prompts a message holds; more are dropped. Not measured.
 	MaxPrompts = 24
+	// MaxPromptParts is how many parts the prompts of a message have together, of up to 9
+	// bytes each: callers may send prompts of any number. Not measured.
+	MaxPromptParts = 96
 	// MaxMessage is the largest message that is read, in bytes. Not measured.
 	MaxMessage = 16 << 10
 
