--- a/gateway/configuration_test.go
+++ b/gateway/configuration_test.go
@@ -239,6 +239,23 @@
 	}
 }
 
+// TestConfigurationWrongNews checks that a peer's word of a version that the source does not
+// have is forgotten once the source has answered, and is believed again if it comes again.
+func TestConfigurationWrongNews(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newConfigurationFixture()
+		f.source.size = 1 << 20
+		f.runFor(t, 100*time.Millisecond)
+		f.confirmedByPeer(time.Now(), 99, 0)
+		f.runFor(t, 3500*time.Millisecond)
+		assert.Equal(t, len(f.source.reads), 2, "the first one, and the one after the news")
+		assert.Equal(t, f.source.compared, 3)
+		f.confirmedByPeer(time.Now(), 99, 0)
+		f.runFor(t, 100*time.Millisecond)
+		assert.Equal(t, len(f.source.reads), 3)
+	})
+}
+
 // TestConfigurationRefusedComparison checks that a source that refuses to compare is asked
 // for the whole, so that the lease does not end.
 func TestConfigurationRefusedComparison(t *testing.T) {
