fix: a version that only a damaged message told of is forgotten

Cause: the newest version that a peer has told of was kept until the process ended. If the source does not have it, as after a datagram that was damaged on its way, every read transferred the whole configuration from then on.

Ruled out: believing the source at once: one that lags behind its peers would then confirm what it must not (TestConfigurationBehindPeers; before, such an answer renewed the lease of revoked keys, too, if its revision was no older than the newest known).

Change: an own read that has an older version than a peer had told of before it was sent does not count, as one with an older revision does not. If it comes newsTTL (1 s) after peers last told of that version, they are not believed any more.

Conclusion: one wrong message costs a second of whole reads.

--- a/gateway/configuration.go
+++ b/gateway/configuration.go
@@ -142,7 +142,7 @@
 
 // read reads the configuration once and reports whether it was answered.
 func (c *configuration) read(ctx context.Context) bool {
-	known := c.revision.get()
+	known := freshness.Seen{Revision: c.revision.get(), Version: c.newer.heard()}
 	sent := time.Now()
 	update, err := c.fetch(ctx)
 	if ctx.Err() != nil {
@@ -168,12 +168,14 @@
 }
 
 // apply puts a configuration in force, unless it is already, and renews the lease. It
-// reports whether the answer counts. known is the newest revision that was known when
-// the read was sent.
-func (c *configuration) apply(update *ryeford.ConfigurationUpdate, known int64, sent time.Time) bool {
-	if !freshness.Confirms(update.Revision, known) {
+// reports whether the answer counts. known is the newest that was known when the read was
+// sent.
+func (c *configuration) apply(update *ryeford.ConfigurationUpdate, known freshness.Seen, sent time.Time) bool {
+	read := freshness.Seen{Revision: update.Revision, Version: c.versionIn(update)}
+	if !freshness.Confirms(read, known) {
+		c.newer.contradict(time.Now())
 		c.metrics.Count("ryeford_stale_answers_total", "")
-		_ = c.log.Log("decision", "configuration", "revision", update.Revision, "known", known, "applied", false, "why", "stale answer")
+		_ = c.log.Log("decision", "configuration", "revision", read.Revision, "known", known.Revision, "version", read.Version, "heard", known.Version, "applied", false, "why", "stale answer")
 		return false
 	}
 	c.revision.raise(update.Revision)
@@ -193,6 +195,17 @@
 	return true
 }
 
+// versionIn returns the version that an update says the source has, or zero if none.
+func (c *configuration) versionIn(update *ryeford.ConfigurationUpdate) int64 {
+	switch {
+	case update.Unchanged:
+		return c.version()
+	case update.Configuration == nil:
+		return 0
+	}
+	return update.Configuration.Version
+}
+
 // putInForce puts the configuration of an update in force, unless it is already or there
 // is none. sent is when the read was sent.
 func (c *configuration) putInForce(update *ryeford.ConfigurationUpdate, sent time.Time) {
@@ -220,7 +233,7 @@
 	current := c.current()
 	switch freshness.AfterPeer(current != nil, versionOf(current), version) {
 	case freshness.PeerIsNewer:
-		c.newer.receive(version)
+		c.newer.receive(now, version)
 		c.readSoon()
 	case freshness.PeerRenews:
 		c.lease.RenewFromPeer(now, at)
--- a/gateway/freshness/confirm.go
+++ b/gateway/freshness/confirm.go
@@ -1,19 +1,37 @@
 package freshness
 
+import "time"
+
 // What confirms the configuration in force.
 //
 // Rule: an own read does, unless its revision is older than the newest one that was
-// known when it was sent. A peer's confirmation does if it is of the very version
+// known when it was sent, or its version than one that a peer had told of by then. What
+// peers told is forgotten if the source contradicts it newsTTL after they last did. A peer's confirmation does if it is of the very version
 // in force here; if the peer has a newer version, or there is none here, the router
 // reads by itself at once; if it has an older one, nothing follows.
 //
 // Why: a source whose reads are older than what it has answered before would keep a
 // revoked key alive, and since leases are shared, at every router (commit 090e5a4).
-// A peer does not send the configuration itself, so that a newer one must be read.
+// A peer does not send the configuration itself, so that a newer one must be read. Where
+// the source and a peer contradict each other, either may be wrong: of a version that is in
+// force somewhere peers tell in each round of gossip, while a message that was damaged comes
+// once.
+
+// newsTTL is how long after peers last told of a version the source is not believed against
+// them: some rounds of gossip. Not measured.
+const newsTTL = time.Second
+
+// Seen is what is known of the source's configuration.
+type Seen struct {
+	Revision int64 // of the source
+	Version  int64 // of the configuration
+}
 
-// Confirms reports whether an own read of a revision confirms what it says. known
-// is the newest revision that was known when the read was sent.
-func Confirms(revision, known int64) bool { return revision >= known }
+// Confirms reports whether an own read confirms what it says, given the newest that was
+// known when it was sent.
+func Confirms(read, known Seen) bool {
+	return read.Revision >= known.Revision && read.Version >= known.Version
+}
 
 // A PeerAction is what a router does after a peer has confirmed a version.
 type PeerAction int
@@ -40,3 +58,7 @@
 	}
 	return PeerIgnored
 }
+
+// Forgets reports whether what peers told of is forgotten once the source contradicts it.
+// age is the time since they last did.
+func Forgets(age time.Duration) bool { return age >= newsTTL }
--- a/gateway/newerversion.go
+++ b/gateway/newerversion.go
@@ -1,13 +1,19 @@
 package gateway
 
-import "sync"
+import (
+	"sync"
+	"time"
+
+	"github.com/ryeford/ryeford/gateway/freshness"
+)
 
 // A newerVersion is what is known of a version of the configuration that is newer than the
 // one in force here. It is safe for concurrent use.
 type newerVersion struct {
 	mu      sync.Mutex
-	inForce int64 // here
-	newest  int64 // at a peer
+	inForce int64     // here
+	newest  int64     // at a peer
+	told    time.Time // when a peer last told of newest
 	// changed says that the source has another version, whose number has not come yet.
 	changed bool
 }
@@ -20,10 +26,12 @@
 }
 
 // receive takes the version that a peer has.
-func (n *newerVersion) receive(version int64) {
+func (n *newerVersion) receive(now time.Time, version int64) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.newest = max(n.newest, version)
+	if version >= n.newest {
+		n.newest, n.told = version, now
+	}
 }
 
 // setChanged takes what the source has said before its answer has come whole.
@@ -33,6 +41,22 @@
 	n.changed = true
 }
 
+// heard returns the newest version that a peer has told of, or zero.
+func (n *newerVersion) heard() int64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.newest
+}
+
+// contradict takes that the source does not have the newest version that peers told of.
+func (n *newerVersion) contradict(now time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if freshness.Forgets(now.Sub(n.told)) {
+		n.newest = n.inForce
+	}
+}
+
 // putInForce takes the version that is in force here after an answer of the source.
 func (n *newerVersion) putInForce(version int64) {
 	n.mu.Lock()
