--- a/gateway/gossip_test.go
+++ b/gateway/gossip_test.go
@@ -66,6 +66,19 @@
 	assert.Equal(t, len(p.message(time.Now(), 1).Prompts), peers.MaxPrompts)
 }
 
+// TestGossipPromptParts checks that the parts of a message's prompts are bounded, and
+// counted anew for each message.
+func TestGossipPromptParts(t *testing.T) {
+	p := newGossip(7001)
+	p.addPrompt("e", make([]ryeford.PromptPart, peers.MaxPromptParts-1))
+	p.addPrompt("e", make([]ryeford.PromptPart, 2))
+	prompts := p.message(time.Now(), 1).Prompts
+	assert.Equal(t, len(prompts[0].Parts), peers.MaxPromptParts-1)
+	assert.Equal(t, len(prompts[1].Parts), 1)
+	p.addPrompt("e", make([]ryeford.PromptPart, 2))
+	assert.Equal(t, len(p.message(time.Now(), 2).Prompts[0].Parts), 2)
+}
+
 // TestGossipDropped checks that datagrams which can't be sent or decoded are counted.
 func TestGossipDropped(t *testing.T) {
 	p := newGossip(7001)
