test: a configuration that came too late is not used before it is confirmed

Fails on: a version whose transfer took longer than bounds.configuration, as the first one of a process on a narrow link, is used at once when it comes, while a newer one may have been due for as long as the transfer took beyond the bound. The router learns of that with its next read, 60 ms and a round trip later.

--- a/gateway/configuration_test.go
+++ b/gateway/configuration_test.go
@@ -239,6 +239,29 @@
 	}
 }
 
+// TestConfigurationLate checks that a configuration which came later than the bound after it
+// was asked for is not used before it is confirmed: a newer one may be due since.
+func TestConfigurationLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newConfigurationFixture()
+		f.source.size, f.source.takes = 1<<20, 2500*time.Millisecond
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			f.runFor(t, 3*time.Second)
+		}()
+		time.Sleep(f.source.takes + time.Millisecond)
+		version, superseded := f.version(), f.superseded(time.Now())
+		time.Sleep(100 * time.Millisecond)
+		confirmed := !f.superseded(time.Now())
+		<-done
+		assert.Equal(t, version, int64(1))
+		assert.Assert(t, superseded)
+		assert.Assert(t, confirmed)
+		assert.Assert(t, f.source.compared > 0)
+	})
+}
+
 // TestConfigurationWrongNews checks that a peer's word of a version that the source does not
 // have is forgotten once the source has contradicted it, and is believed again if it comes
 // again, and that the answer which contradicts it does not renew the lease.
