fix: a configuration that came too late is used once it is confirmed

Cause: a version that has been transferred for longer than bounds.configuration may have been superseded for as long. Until the next read says so, 60 ms and a round trip later, requests were served by it; a peer's news or the store's own word cannot come sooner.

Change: newerVersion.late; such a version counts as superseded until an answer of the source confirms it. A process with such a first version is unready until then.

Changed expectations: none.

Figures: TestConfigurationLate red before, green after it, with the race detector. All tests of gateway, platform, settings, docs and the root: green, once.

--- a/gateway/configuration.go
+++ b/gateway/configuration.go
@@ -80,7 +80,7 @@
 // superseded reports whether the configuration in force must not be used since a newer one
 // is known.
 func (c *configuration) superseded(now time.Time) bool {
-	if !c.newer.known() {
+	if !c.newer.mayBeDue() {
 		return false
 	}
 	confirmed, _ := c.lease.Age(now)
@@ -181,6 +181,11 @@
 	c.revision.raise(update.Revision)
 	if !update.Unchanged {
 		c.state, c.size = update.State, update.Size
+	}
+	switch {
+	case read.Version == c.version():
+		c.newer.confirm()
+	case update.Configuration != nil:
 		c.putInForce(update, sent)
 	}
 	if c.current() == nil {
@@ -206,25 +211,15 @@
 	return update.Configuration.Version
 }
 
-// putInForce puts the configuration of an update in force, unless it is already or there
-// is none. sent is when the read was sent.
+// putInForce puts the configuration of an update in force, unless a later one is. sent is
+// when the read was sent.
 func (c *configuration) putInForce(update *ryeford.ConfigurationUpdate, sent time.Time) {
-	if update.Configuration == nil {
-		return
-	}
-	if update.Configuration.Version != c.version() {
-		c.replace(update, sent)
-	}
-	c.newer.putInForce(c.version())
-}
-
-// replace puts the configuration of an update in force, unless a later one is. sent is when
-// the read was sent.
-func (c *configuration) replace(update *ryeford.ConfigurationUpdate, sent time.Time) {
 	next := catalog.New(update.Configuration)
 	applied := c.inForce.Put(next)
+	took := time.Since(sent)
+	c.newer.putInForce(c.version(), took >= c.bound)
 	_ = c.log.Log("decision", "configuration", "version", next.Version(), "revision", update.Revision,
-		"routes", len(update.Configuration.Routes), "accounts", len(update.Configuration.Accounts), "took", roundTime(time.Since(sent)), "applied", applied)
+		"routes", len(update.Configuration.Routes), "accounts", len(update.Configuration.Accounts), "took", roundTime(took), "applied", applied)
 }
 
 // confirmedByPeer takes a peer's confirmation that a version was the newest when
--- a/gateway/newerversion.go
+++ b/gateway/newerversion.go
@@ -16,6 +16,9 @@
 	told    time.Time // when a peer last told of newest
 	// changed says that the source has another version, whose number has not come yet.
 	changed bool
+	// late says that the one in force came later after it was asked for than a change may
+	// take, and was not confirmed since: a newer one may be due.
+	late bool
 }
 
 // known reports whether there is one.
@@ -41,6 +44,20 @@
 	n.changed = true
 }
 
+// mayBeDue reports whether there is one, or may have been for too long.
+func (n *newerVersion) mayBeDue() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.late || n.changed || n.newest > n.inForce
+}
+
+// confirm takes an answer of the source by which it has the one that is in force.
+func (n *newerVersion) confirm() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.changed, n.late = false, false
+}
+
 // heard returns the newest version that a peer has told of, or zero.
 func (n *newerVersion) heard() int64 {
 	n.mu.Lock()
@@ -57,9 +74,9 @@
 	}
 }
 
-// putInForce takes the version that is in force here after an answer of the source.
-func (n *newerVersion) putInForce(version int64) {
+// putInForce takes the version that is in force here from now on, and whether it is late.
+func (n *newerVersion) putInForce(version int64, late bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.inForce, n.changed = version, false
+	n.inForce, n.changed, n.late = version, false, late
 }
