fix: a transfer is seen to go on while a large buffer fills

Cause: a call of the store is given up if less than 8 KiB come in an interval (routing.store_timeout, 0.7 s). What comes is noted once a read of the body has returned. A body in chunks fills the reader's whole buffer first, and json.Decoder doubles its buffer as it reads: with a configuration of 12,000 routes (2.4 MB) it asks for 1 MB at once, which takes 1.6 s on a link of 5 Mbit/s. On 10 Mbit/s the same holds for sure from 4 MB on, and from about 2 MB if the interval falls so.

Ruled out: the emulated link (a reader of its own beside the gateway saw no gap above 280 ms), and responses with a length, whose reads return what has come.

Change: the response is read at most 4 KiB at a time (maxRead). Requests are read as before.

The tests of internal/transfer, platform and the soak's own are green, with the race detector too.

--- a/internal/transfer/transfer.go
+++ b/internal/transfer/transfer.go
@@ -19,6 +19,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"sync"
 	"time"
 )
@@ -28,6 +29,11 @@
 // Not measured.
 const minProgress = 8 << 10
 
+// maxRead is how many bytes are read at once, so that progress is noted as it comes: a body
+// in chunks fills the whole buffer before its read returns, and a reader that doubles its
+// buffer asks for a megabyte at once. Half of minProgress, so that a read can't hide more.
+const maxRead = minProgress / 2
+
 // A Watch follows the transfer of one call. It may be used by several goroutines.
 type Watch struct {
 	wait     time.Duration // for the response's first byte, beyond interval
@@ -62,11 +68,15 @@
 }
 
 // Reader returns a reader of the response's body that notes what comes.
-func (w *Watch) Reader(body io.Reader) io.Reader { return &reader{body: body, note: w.noteReceived} }
+func (w *Watch) Reader(body io.Reader) io.Reader {
+	return &reader{body: body, note: w.noteReceived, most: maxRead}
+}
 
 // Request returns a reader of the request's body that notes what is sent. What the kernel
 // has taken counts as sent.
-func (w *Watch) Request(body io.Reader) io.Reader { return &reader{body: body, note: w.noteSent} }
+func (w *Watch) Request(body io.Reader) io.Reader {
+	return &reader{body: body, note: w.noteSent, most: math.MaxInt}
+}
 
 // Broken returns the error of a transfer that broke off with err, which says how much had
 // come.
@@ -124,11 +134,12 @@
 type reader struct {
 	body io.Reader
 	note func(n int, err error)
+	most int // bytes of one read
 }
 
 // Read implements io.Reader.
 func (r *reader) Read(p []byte) (int, error) {
-	n, err := r.body.Read(p)
+	n, err := r.body.Read(p[:min(len(p), r.most)])
 	r.note(n, err)
 	return n, err
 }
--- a/internal/transfer/transfer_test.go
+++ b/internal/transfer/transfer_test.go
@@ -55,6 +55,47 @@
 	}
 }
 
+// A fullReader fills the buffer of each read before it returns, as the body of a response
+// in chunks does.
+type fullReader struct {
+	left int
+	rate int // bytes a second
+}
+
+// Read implements io.Reader.
+func (r *fullReader) Read(p []byte) (int, error) {
+	if r.left == 0 {
+		return 0, io.EOF
+	}
+	n := min(len(p), r.left)
+	r.left -= n
+	time.Sleep(time.Duration(n) * time.Second / time.Duration(r.rate))
+	return n, nil
+}
+
+// TestLargeBuffer checks that a transfer goes on that takes several intervals to fill the
+// buffer it is read into: json.Decoder doubles its own as it reads. It failed at the rate
+// of a link of 10 Mbit/s and with the gateway's interval, from 4 MB on for sure.
+func TestLargeBuffer(t *testing.T) {
+	const size, rate, interval = 4 << 20, 1_250_000, 700 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancelCause(t.Context())
+		w := NewWatch(0, interval, cancel)
+		defer w.Stop()
+		body := w.Reader(&fullReader{left: size, rate: rate})
+		received := 0
+		for buffer := make([]byte, 512); ; buffer = make([]byte, 2*len(buffer)) {
+			n, err := io.ReadFull(body, buffer)
+			received += n
+			if err != nil {
+				break
+			}
+		}
+		assert.NilError(t, context.Cause(ctx))
+		assert.Equal(t, received, size)
+	})
+}
+
 // TestBroken checks that the error of a broken transfer says how much had come.
 func TestBroken(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
