--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -19,11 +19,13 @@
 	route     string
 	probes    int  // the version whose own route it asks for, or zero
 	gateway   int  // its index in the fleet
+	life      int  // of the gateway, during the whole call; zero if it changed
 	secondKey bool // with the second client account's key
 	sent      time.Time
 	written   time.Time // when it was sent whole; zero if it was not
 	ended     time.Time
-	status    int // 0 if no answer came
+	status    int    // 0 if no answer came
+	server    string // that gave the answer; empty if the gateway did
 	body      string
 	closes    bool  // the answer says that the connection is closed
 	err       error // the answer broke off, or none came
@@ -104,7 +106,11 @@
 		if habit.stays && !last.closes && last.err == nil {
 			one.gateway = last.gateway
 		}
+		life := c.fleet.gateways[one.gateway].currentLife()
 		c.fleet.send(client, &one)
+		if c.fleet.gateways[one.gateway].currentLife() == life {
+			one.life = life
+		}
 		last = one
 		c.mu.Lock()
 		c.calls = append(c.calls, one)
@@ -180,6 +186,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	one.status, one.closes = response.StatusCode, response.Close
+	one.server = response.Header.Get("Ryeford-Instance-Id")
 	body, err := io.ReadAll(response.Body)
 	one.body, one.err = string(body), err
 }
--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -24,15 +24,19 @@
 	{"runs", "a request runs at most once, an idempotent one twice; one refused as not run, never", checkRuns},
 	{"key", "nothing runs whose key was revoked more than bounds.revoke ago", checkKey},
 	{"stop", "a request that ran is cut off only beside a fault that may cut it", checkStop},
+	{"refused", "a gateway that stops takes connections until the load balancer can know", checkRefused},
+	{"departed", "a gateway in touch serves by no server that has drained or left the list for longer than departTime", checkDeparted},
 }
 
 // evidence is what checks are given besides a call.
 type evidence struct {
 	runs    int      // how often the call's request ran, on all servers
+	calls   []call   // of the whole run
 	changes []change // of the configuration, in their order
 	cuts    []cut
 	outages []cut // times in which gateways were out of touch
 	stops   []stop
+	states  []listState
 	bounds  bounds
 	stalls  *stallRecorder
 }
@@ -54,9 +58,11 @@
 func checkCalls(t *testing.T, calls []call, runs map[string]int, in *injector) {
 	t.Helper()
 	served, probes, late := 0, 0, 0
+	markCloses(calls, runs, in)
 	for i := range calls {
 		c := &calls[i]
 		seen := in.evidence(runs[c.id])
+		seen.calls = calls
 		for _, one := range in.plan.checks {
 			if problem := one.check(c, seen); problem != "" {
 				t.Errorf("%s: %s of %s at %s, sent %6.3f, ended %6.3f: %s", one.name, c.id, c.route, in.fleet.gateways[c.gateway].name,
@@ -77,16 +83,23 @@
 		len(calls), served, probes, late, len(in.fleet.gateways), len(in.timeline), in.clockSteps.Load(), in.fleet.stalls.between(in.began, time.Now()))
 }
 
-// checkStops checks that each process that was stopped has ended within its grace
-// period, unless it was frozen meanwhile or the machine stood still.
+// checkStops checks that each process that was stopped was not ready from then on, so that
+// the load balancer sends callers elsewhere, and that it has ended within its grace period,
+// unless it was frozen meanwhile or the machine stood still.
 func checkStops(t *testing.T, in *injector) {
 	t.Helper()
 	seen := in.evidence(0)
 	for i := range in.stops {
 		s := &in.stops[i]
-		if s.overdue && !seen.delayed(s) {
-			t.Errorf("stops: %s was still there %s after SIGTERM at %6.3f", in.fleet.gateways[s.gateway].name,
-				in.plan.bounds.grace, s.ordered.Sub(in.began).Seconds())
+		if seen.delayed(s) {
+			continue
+		}
+		name, ordered := in.fleet.gateways[s.gateway].name, s.ordered.Sub(in.began).Seconds()
+		if s.overdue {
+			t.Errorf("stops: %s was still there %s after SIGTERM at %6.3f", name, in.plan.bounds.grace, ordered)
+		}
+		if s.readyAt != nil && s.readyAt.Sub(s.ordered) > signalMargin {
+			t.Errorf("stops: %s was ready %s after SIGTERM at %6.3f", name, s.readyAt.Sub(s.ordered), ordered)
 		}
 	}
 }
@@ -111,6 +124,7 @@
 		cuts:    in.cuts,
 		outages: in.outages,
 		stops:   in.stops,
+		states:  in.states,
 		bounds:  in.plan.bounds,
 		stalls:  &in.fleet.stalls,
 	}
--- /dev/null
+++ b/internal/soak/departed_test.go
@@ -0,0 +1,42 @@
+package soak
+
+import (
+	"fmt"
+	"time"
+)
+
+// departTime is how long a gateway in touch may take to learn that a server takes no more
+// requests. It pauses for 1 s between two reads of the list (gateway/watch); the rest is
+// for the reads. Not measured.
+const departTime = 1500 * time.Millisecond
+
+// checkDeparted checks that a call was not answered by a server that takes no requests: by
+// one that had drained or left the list for longer than departTime when the call was sent,
+// and was not back by its end.
+func checkDeparted(c *call, seen *evidence) string {
+	if c.server == "" || !seen.inTouch(c) {
+		return ""
+	}
+	for i := range seen.states {
+		away := &seen.states[i]
+		if away.server != c.server || away.state == stateReady {
+			continue
+		}
+		late := c.sent.Sub(away.accepted) - departTime - seen.stalls.between(away.accepted, c.sent)
+		if late > 0 && !seen.isBack(i, c.ended) {
+			return fmt.Sprintf("answered by %s, which was %s for %s when it was sent", c.server, away.state, c.sent.Sub(away.accepted))
+		}
+	}
+	return ""
+}
+
+// isBack reports whether a server that takes no requests since the i-th change was in the
+// list as ready again by some time.
+func (e *evidence) isBack(i int, by time.Time) bool {
+	for _, later := range e.states[i+1:] {
+		if later.server == e.states[i].server && later.state == stateReady && later.sent.Before(by) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -7,15 +7,17 @@
 //   - soak_test.go: TestSoak and TestSoakSeries, one run from its seed to its verdict;
 //   - plan_test.go: how the runs of these two differ;
 //   - seeds_test.go: the seeds that are run each time, and why each was kept;
-//   - faults_test.go, seriesfaults_test.go, clocks_test.go: the faults, and when they strike;
-//   - checks_test.go, serieschecks_test.go: what must hold of each call;
+//   - faults_test.go, seriesfaults_test.go, extrafaults_test.go: the faults, and when they
+//     strike;
+//   - checks_test.go, serieschecks_test.go, departed_test.go, refused_test.go,
+//     regress_test.go: what must hold of each call;
 //   - callers_test.go, fleet_test.go, gateway_test.go, process_test.go: the callers and
 //     the processes;
 //   - proxy_test.go, byterate_test.go, peerlinks_test.go: the links that faults impair;
 //   - stalls_test.go: by how much bounds in time are extended, and why;
 //   - crowd_test.go: TestSoakCrowd, one run with many processes;
 //   - hangup_test.go, largeconfiguration_test.go, laterequest_test.go,
-//     peerlinkscheck_test.go: single cases.
+//     peerlinkscheck_test.go, superseded_test.go: single cases.
 //
 // The kept seeds and the single cases, as CI runs them:
 //
--- a/internal/soak/clocks_test.go
+++ b/internal/soak/extrafaults_test.go
@@ -6,25 +6,26 @@
 	"time"
 )
 
-// clockFaults are clocks that are wrong: all that a gateway is told of the time by others.
+// extraFaults strike beside the others, from a generator of their own, so that the kept
+// seeds draw the same others as before them.
 //
-// Its own time of day can't be set here: that takes root, and the clock of the machine is
-// everyone's. TestSteadyClock (at the root of the module) proves from the code that no
-// decision depends on it. After a freeze a process finds that its steady clock has jumped.
-//
-// They strike beside the other faults, from a generator of their own, so that the kept
-// seeds draw the same faults as before.
-var clockFaults = []fault{
+// The first are clocks: all that a gateway is told of the time by others. Its own time of day
+// can't be set here: that takes root, and the clock of the machine is everyone's.
+// TestSteadyClock (at the root of the module) proves from the code that no decision depends
+// on it. After a freeze a process finds that its steady clock has jumped.
+var extraFaults = []fault{
 	{"store clock rate", "the store's clock is up to 5 % too fast or too slow, up to 3 s", noRequest, noRequest, (*injector).storeClockRate},
 	{"store clock step", "the store's clock starts anew, 15 s or more before or after", noRequest, noRequest, (*injector).storeClockStep},
 	{"dates", "the store and the servers state another day in their answers, up to 3 s", noRequest, noRequest, (*injector).dates},
+	{"store lags", "every second read of the store is answered as of the fault's beginning, up to 3 s; the configuration changes meanwhile", noRequest, anyRequest, (*injector).storeLags},
+	{"long drain", "a server drains for 2 to 4 s, longer than departTime, and is back", noRequest, noRequest, (*injector).longDrain},
 }
 
 const (
-	// clockStream is the stream of a seed's random numbers from which clockFaults are drawn.
-	clockStream = 1 << 16
-	// maxBetweenClockFaults is the longest time between the beginnings of two clockFaults.
-	maxBetweenClockFaults = 2 * time.Second
+	// extraStream is the stream of a seed's random numbers from which extraFaults are drawn.
+	extraStream = 1 << 16
+	// maxBetweenExtraFaults is the longest time between the beginnings of two extraFaults.
+	maxBetweenExtraFaults = 2 * time.Second
 	// maxClockError is by how much the store's clock is too fast or too slow. In the whole
 	// of a run that makes 0.3 s, less than the margin of 0.5 s that gateways leave at the
 	// end of a lease; the platform promises a steady clock.
@@ -32,14 +33,17 @@
 	// firstClockStep is the first step of the store's clock in a run. It is longer than
 	// the 10 s from which gateways take the clock for one that has started anew.
 	firstClockStep = 15 * time.Second
+	// minLongDrain is the least time of a long drain, and maxLongDrain the most beyond it.
+	minLongDrain = 2 * time.Second
+	maxLongDrain = 2 * time.Second
 	// maxDateError is by how much the day that is stated may be wrong.
 	maxDateError = 10 * 365 * 24 * time.Hour
 )
 
-// drawClockFaults draws those of one run: each kind with an even chance.
-func drawClockFaults(random *rand.Rand) []fault {
+// drawExtraFaults draws those of one run: each kind with an even chance.
+func drawExtraFaults(random *rand.Rand) []fault {
 	var drawn []fault
-	for _, one := range clockFaults {
+	for _, one := range extraFaults {
 		if random.IntN(2) == 0 {
 			drawn = append(drawn, one)
 		}
@@ -72,3 +76,21 @@
 	pause(random, maxStoreFault)
 	in.post(`{"date":""}`)
 }
+
+// storeLags makes the store answer every second read as a replica that gets no changes
+// would, for some time. The configuration changes at the beginning of that.
+func (in *injector) storeLags(random *rand.Rand, gateway int) {
+	in.post(`{"lagging":true}`)
+	in.configure(random, gateway)
+	pause(random, maxStoreFault)
+	in.post(`{"lagging":false}`)
+}
+
+// longDrain makes a server drain for so long that checkDeparted judges who still sends to it.
+func (in *injector) longDrain(random *rand.Rand, _ int) {
+	id := servers[random.IntN(len(servers))]
+	in.enter(id, stateDraining)
+	time.Sleep(minLongDrain)
+	pause(random, maxLongDrain)
+	in.enter(id, stateReady)
+}
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -67,6 +67,9 @@
 // stopBeside stops a gateway as planned while something else is done to its process.
 func (in *injector) stopBeside(gateway int, beside func(p *process)) {
 	p := in.fleet.gateways[gateway].end(syscall.SIGTERM)
+	if p.ended() {
+		return // it had ended before, and its successor is not there yet
+	}
 	ordered, overdue := time.Now(), false
 	var group sync.WaitGroup
 	group.Go(func() { beside(p) })
@@ -80,7 +83,7 @@
 		in.logf("%s has outlasted its grace period", in.fleet.gateways[gateway].name)
 		overdue = true
 	}
-	in.addStop(stop{gateway: gateway, ordered: ordered, ended: time.Now(), overdue: overdue})
+	in.addStop(stop{gateway: gateway, ordered: ordered, ended: time.Now(), readyAt: p.readyAt.Load(), overdue: overdue})
 	group.Wait()
 }
 
@@ -150,13 +153,13 @@
 // come back.
 func (in *injector) leave(random *rand.Rand, _ int) {
 	id := servers[random.IntN(len(servers))]
-	in.post(serverState(id, stateDraining))
+	in.enter(id, stateDraining)
 	pause(random, maxServerFault)
 	if random.IntN(2) == 0 {
-		in.post(serverState(id, stateGone))
+		in.enter(id, stateGone)
 		pause(random, maxServerFault)
 	}
-	in.post(serverState(id, stateReady))
+	in.enter(id, stateReady)
 }
 
 // configure changes the configuration: the second account's key is revoked or valid
--- a/internal/soak/gateway_test.go
+++ b/internal/soak/gateway_test.go
@@ -37,6 +37,7 @@
 	ready   bool // at the last probe
 	planned bool // the soak has ended this life of it
 	began   int  // where this life begins in the log
+	life    int  // counts its processes, from 1
 }
 
 // addGateway starts one gateway, keeps it running and probes its readiness.
@@ -80,6 +81,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.process, g.planned = process, false
+	g.life++
 	return err
 }
 
@@ -115,7 +117,11 @@
 		case <-f.stop:
 			return
 		case <-ticker.C:
+			p, sent := g.current(), time.Now()
 			ready := g.answersReady()
+			if ready && g.current() == p && !p.ended() { // else its successor may have answered
+				p.readyAt.Store(&sent)
+			}
 			g.mu.Lock()
 			g.ready = ready
 			g.mu.Unlock()
@@ -148,6 +154,13 @@
 	return g.process
 }
 
+// currentLife returns the number of the gateway's process.
+func (g *gateway) currentLife() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.life
+}
+
 // starting returns the gateway's process once its first line is in the log, or nil
 // before. Until then a signal may meet a process that has not begun to run the program,
 // and end it (seed 901001575).
--- a/internal/soak/injector_test.go
+++ b/internal/soak/injector_test.go
@@ -22,14 +22,24 @@
 	// clockSteps counts the steps of the store's clock.
 	clockSteps atomic.Int64
 
+	listing sync.Mutex // held while a server's state is changed
+
 	mu       sync.Mutex
 	changes  []change
 	cuts     []cut
 	outages  []cut // times out of touch
 	stops    []stop
+	states   []listState // of the servers
 	timeline []string
 }
 
+// A listState is what the list says of a server from a change on. The time lies between
+// when the change was sent and when it was accepted.
+type listState struct {
+	server, state  string
+	sent, accepted time.Time
+}
+
 // A change is one change of the configuration. The first is what the fleet started
 // with.
 type change struct {
@@ -48,7 +58,9 @@
 type stop struct {
 	gateway        int
 	ordered, ended time.Time
-	overdue        bool // it had to be killed at the end of its grace period
+	readyAt        *time.Time // when the last probe was sent that it answered as ready, or nil
+	closedAt       time.Time  // when it closed the first call without an answer, or zero
+	overdue        bool       // it had to be killed at the end of its grace period
 }
 
 // allGateways as a cut's gateway means that it was felt through each of them.
@@ -60,12 +72,12 @@
 }
 
 // run injects faults until faultTime is over, and waits until the last has ended. The
-// plan's faults come from random, and clockFaults from the seed.
+// plan's faults come from random, and extraFaults from the seed.
 func (in *injector) run(random *rand.Rand, seed uint64) {
 	in.began = time.Now()
 	in.group.Go(func() {
-		clocks := rand.New(rand.NewPCG(seed, clockStream))
-		in.strike(clocks, drawClockFaults(clocks), maxBetweenClockFaults)
+		extra := rand.New(rand.NewPCG(seed, extraStream))
+		in.strike(extra, drawExtraFaults(extra), maxBetweenExtraFaults)
 	})
 	in.strike(random, in.plan.faults(random), maxBetweenFaults)
 	in.group.Wait()
@@ -119,6 +131,18 @@
 	in.stops = append(in.stops, one)
 }
 
+// enter sets what the list says of a server. Such changes are made one after the other.
+func (in *injector) enter(server, state string) {
+	in.listing.Lock()
+	defer in.listing.Unlock()
+	next := listState{server: server, state: state, sent: time.Now()}
+	in.post(serverState(server, state))
+	next.accepted = time.Now()
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.states = append(in.states, next)
+}
+
 // newestVersion returns the newest version that was accepted.
 func (in *injector) newestVersion() int {
 	in.mu.Lock()
@@ -148,9 +172,12 @@
 
 // clear ends what may still be wrong after faults of one kind have overlapped.
 func (in *injector) clear() {
-	in.post(`{"store":{},"fault":"","requests":0,"state":"ready","clock_rate":1,"date":""}`)
+	in.post(`{"store":{},"fault":"","requests":0,"clock_rate":1,"date":"","lagging":false}`)
+	for _, id := range servers {
+		in.enter(id, stateReady)
+	}
 	if in.plan.slowServer {
-		in.post(serverState(slowServer, stateGone))
+		in.enter(slowServer, stateGone)
 	}
 	in.fleet.peers.clear()
 	for _, g := range in.fleet.gateways {
--- a/internal/soak/laterequest_test.go
+++ b/internal/soak/laterequest_test.go
@@ -8,22 +8,37 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/ryeford/ryeford/standin/appserver"
 )
 
 const (
 	// lateCallers is how many requests are sent to a gateway that stops.
 	lateCallers = 50
-	// lateShort is after how many of them streams turn slow: 2 s after SIGTERM, so that
-	// none has ended by admitTime after it, and the gateway knows of short ones only.
+	// lateShort is after how many of them requests turn long: 2 s after SIGTERM, so that
+	// none of these has ended by admitTime after it, and the gateway knows of short ones
+	// only.
 	lateShort = lateCallers / 3
 )
 
 // TestLateRequest checks that a gateway that stops takes no request that it has to cut
 // off later, if the request was sent more than admitTime after SIGTERM: callers open
-// connections until it is gone, and streams turn longer than any that it has seen. It
-// fails if one of the late requests is cut off. Times by which the machine stood still
-// are allowed for.
+// connections until it is gone, and requests turn longer than any that it has seen, because
+// streams turn slow or servers hang. It fails if one of the late requests is cut off, or if one that is not taken gets no answer.
+// Times by which the machine stood still are allowed for.
 func TestLateRequest(t *testing.T) {
+	for _, one := range []struct {
+		name, route string
+		turn        func(in *injector) // makes requests on the route long
+	}{
+		{"slow streams", routeStream, (*injector).onlySlowStreams},
+		{"servers hang", routeOnce, (*injector).allHang},
+	} {
+		t.Run(one.name, func(t *testing.T) { testLateRequest(t, one.route, one.turn) })
+	}
+}
+
+func testLateRequest(t *testing.T, route string, turn func(in *injector)) {
 	f := newFleet(t, &seriesPlan, 1)
 	in := newInjector(f, &seriesPlan)
 	client := &http.Client{Timeout: callTime + answerMargin, Transport: &http.Transport{DisableKeepAlives: true}}
@@ -32,21 +47,24 @@
 	group.Go(func() { in.stop(nil, 0) })
 	for i := range calls {
 		if i == lateShort {
-			in.onlySlowStreams()
+			turn(in)
 		}
 		group.Go(func() {
-			calls[i] = call{id: fmt.Sprintf("late-%d", i), route: routeStream}
+			calls[i] = call{id: fmt.Sprintf("late-%d", i), route: route}
 			f.send(client, &calls[i])
 		})
 		time.Sleep(f.bounds.grace / lateCallers)
 	}
 	group.Wait()
 	runs := f.runs()
+	markCloses(calls, runs, in)
 	late := 0
 	for i := range calls {
 		c := &calls[i]
-		if problem := checkDrain(c, in.evidence(runs[c.id])); problem != "" {
-			t.Errorf("%s: %s", c.id, problem)
+		for _, check := range []func(*call, *evidence) string{checkDrain, checkClosed} {
+			if problem := check(c, in.evidence(runs[c.id])); problem != "" {
+				t.Errorf("%s: %s", c.id, problem)
+			}
 		}
 		if c.sent.After(in.stops[0].ordered.Add(admitTime)) {
 			late++
@@ -57,10 +75,15 @@
 
 // onlySlowStreams leaves only the server with slow streams in the list.
 func (in *injector) onlySlowStreams() {
-	in.post(serverState(slowServer, stateReady))
+	in.enter(slowServer, stateReady)
 	for _, id := range servers {
 		if isModel(id) {
-			in.post(serverState(id, stateGone))
+			in.enter(id, stateGone)
 		}
 	}
 }
+
+// allHang makes all servers run each request and answer none.
+func (in *injector) allHang() {
+	in.post(fmt.Sprintf(`{"fault":%q,"requests":-1}`, appserver.FaultHang))
+}
--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -5,7 +5,9 @@
 	"os"
 	"os/exec"
 	"sync"
+	"sync/atomic"
 	"syscall"
+	"time"
 )
 
 // A process is one process that the soak has started.
@@ -13,6 +15,8 @@
 	cmd  *exec.Cmd
 	done chan struct{} // closed once it has ended
 	err  error         // how it ended; read it after done
+	// readyAt is when the last probe was sent that it answered as ready; nil if none was.
+	readyAt atomic.Pointer[time.Time]
 }
 
 // raceOptions keep a program that is built with the race detector from sleeping for a
--- /dev/null
+++ b/internal/soak/refused_test.go
@@ -0,0 +1,28 @@
+package soak
+
+import (
+	"errors"
+	"fmt"
+	"syscall"
+)
+
+// noticeTime is the least time from SIGTERM until the load balancer knows that a gateway
+// stops: two of its probes have to fail.
+const noticeTime = 2 * probeEvery
+
+// checkRefused checks that a gateway that was ready when it got SIGTERM refuses no
+// connection before the load balancer can know: callers that it sends there would find
+// nobody.
+func checkRefused(c *call, seen *evidence) string {
+	if !errors.Is(c.err, syscall.ECONNREFUSED) || seen.mayBeCut(c) {
+		return ""
+	}
+	s := seen.stopOf(c)
+	if s == nil || s.readyAt == nil {
+		return "" // a process that starts
+	}
+	if after := c.ended.Sub(s.ordered); after < noticeTime {
+		return fmt.Sprintf("no connection %s after SIGTERM", after)
+	}
+	return ""
+}
--- a/internal/soak/serieschecks_test.go
+++ b/internal/soak/serieschecks_test.go
@@ -13,9 +13,12 @@
 	{"runs", "as in basicChecks", checkRuns},
 	{"key", "as in basicChecks", checkKey},
 	{"drain", "a request that ran is cut off by a stop only in the last sixth of the grace period, and only if it was sent at most admitTime after SIGTERM", checkDrain},
-	{"closed", "a request that was sent whole gets an answer, unless it crosses the close of its connection", checkClosed},
+	{"closed", "a request that was sent whole gets an answer, unless it crosses the one moment of a stop at which connections are closed", checkClosed},
 	{"unanswered", "each request has an answer answerMargin after its deadline, unless its gateway was killed or frozen", checkUnanswered},
 	{"configuration", "a gateway in touch serves by no version that was replaced more than bounds.configuration ago", checkConfiguration},
+	{"regress", "a process that has served by a version serves by no older one later", checkRegress},
+	{"refused", "as in basicChecks", checkRefused},
+	{"departed", "as in basicChecks", checkDeparted},
 	{"denied", "no route or key that all versions have is answered with 401, 403 or 404", checkDenied},
 }
 
@@ -30,6 +33,9 @@
 	// crossingTime is how long a request that crosses the close of its connection may
 	// take until its caller notices. Not measured.
 	crossingTime = time.Second
+	// closeSpan is how long a gateway that stops may take to close its idle connections:
+	// net/http looks for them every 500 ms. Not measured.
+	closeSpan = time.Second
 )
 
 // stopOf returns the stop of a call's gateway during the call, or nil. If its process got
@@ -79,16 +85,41 @@
 	return ""
 }
 
-// checkClosed checks that a request that was sent whole and did not run got an answer.
+// wasClosed reports whether a call was sent whole and did not run, and got no answer.
+func (e *evidence) wasClosed(c *call) bool {
+	return c.err != nil && e.runs == 0 && !c.written.IsZero() && c.ended.Sub(c.sent) < callTime && !e.mayBeCut(c)
+}
+
+// markCloses notes for each stop when it closed the first call without an answer.
+func markCloses(calls []call, runs map[string]int, in *injector) {
+	for i := range calls {
+		c := &calls[i]
+		seen := in.evidence(runs[c.id])
+		s := seen.stopOf(c)
+		if s == nil || !seen.wasClosed(c) {
+			continue
+		}
+		if s.closedAt.IsZero() || c.ended.Before(s.closedAt) {
+			s.closedAt = c.ended
+		}
+	}
+}
+
+// checkClosed checks that a request that was sent whole and did not run got an answer. A
+// stop closes idle connections once: only requests that cross that moment get none.
 func checkClosed(c *call, seen *evidence) string {
-	if c.err == nil || seen.runs > 0 || c.written.IsZero() || c.ended.Sub(c.sent) >= callTime || seen.mayBeCut(c) {
+	if !seen.wasClosed(c) {
 		return ""
 	}
 	after := c.ended.Sub(c.written)
-	if seen.stopOf(c) != nil && after <= crossingTime+seen.stalls.between(c.written, c.ended) {
-		return ""
+	s := seen.stopOf(c)
+	if s == nil || after > crossingTime+seen.stalls.between(c.written, c.ended) {
+		return fmt.Sprintf("closed without an answer %s after it was sent whole: %v", after, c.err)
 	}
-	return fmt.Sprintf("closed without an answer %s after it was sent whole: %v", after, c.err)
+	if later := c.ended.Sub(s.closedAt); later > closeSpan+seen.stalls.between(s.closedAt, c.ended) {
+		return fmt.Sprintf("closed without an answer %s after the first call of the stop that was: %v", later, c.err)
+	}
+	return ""
 }
 
 // checkUnanswered checks that a call did not end by its caller's own patience, which is
--- a/internal/soak/seriesfaults_test.go
+++ b/internal/soak/seriesfaults_test.go
@@ -186,9 +186,9 @@
 
 // slowServer enters the server with slow streams into the list for some time.
 func (in *injector) slowServer(random *rand.Rand, _ int) {
-	in.post(serverState(slowServer, stateReady))
+	in.enter(slowServer, stateReady)
 	pause(random, maxServerFault)
-	in.post(serverState(slowServer, stateGone))
+	in.enter(slowServer, stateGone)
 }
 
 // serverHangs makes a server run requests without an answer.
@@ -215,7 +215,8 @@
 	id := servers[random.IntN(len(servers))]
 	in.post(fmt.Sprintf(`{"server":%q,"fault":%q,"requests":-1}`, id, appserver.FaultReset))
 	pause(random, maxServerFault)
-	in.post(serverState(id, stateGone))
+	in.enter(id, stateGone)
 	pause(random, maxServerFault)
-	in.post(fmt.Sprintf(`{"server":%q,"fault":"","requests":0,"state":%q}`, id, stateReady))
+	in.post(fmt.Sprintf(`{"server":%q,"fault":"","requests":0}`, id))
+	in.enter(id, stateReady)
 }
--- a/standin/emulator/emulator.go
+++ b/standin/emulator/emulator.go
@@ -134,6 +134,8 @@
 	// Date is the Date header of all answers, of the store and the endpoints, from now on;
 	// empty stands for the time of day.
 	Date *string `json:"date"`
+	// Lagging says whether every second read of the store is answered as of this change.
+	Lagging *bool `json:"lagging"`
 	// Configuration is the operators' next configuration.
 	Configuration json.RawMessage `json:"configuration"`
 	// Server is the ID of an endpoint, or empty for all of them. Fault applies to its
@@ -171,6 +173,9 @@
 		e.store.SetFault(*change.Store)
 	}
 	e.applyClock(change)
+	if change.Lagging != nil {
+		e.store.SetLagging(*change.Lagging)
+	}
 	if len(change.Configuration) > 0 {
 		e.store.Put(wire.TableOperators, wire.KeyConfig, change.Configuration)
 	}
--- a/standin/rowstore/clock_test.go
+++ b/standin/rowstore/clock_test.go
@@ -8,6 +8,22 @@
 	"gotest.tools/v3/assert"
 )
 
+// TestLagging checks that every second read of a lagging store is answered as of when the
+// lag began, and that a store that lags no more answers by its newest rows.
+func TestLagging(t *testing.T) {
+	store := New()
+	store.Put("t", "a", []byte("old"))
+	store.SetLagging(true)
+	store.Put("t", "a", []byte("new"))
+	for _, want := range []string{"old", "new", "old"} {
+		rows, _ := store.read("t", "")
+		assert.Equal(t, string(rows[0].Value), want)
+	}
+	store.SetLagging(false)
+	rows, _ := store.read("t", "")
+	assert.Equal(t, string(rows[0].Value), "new")
+}
+
 // TestClock checks what the store's clock shows while it is stepped and runs at other
 // rates: a change counts from then on only.
 func TestClock(t *testing.T) {
--- a/standin/rowstore/serve.go
+++ b/standin/rowstore/serve.go
@@ -54,7 +54,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	current, version := s.rows, s.version
-	if s.fault.StaleReads {
+	if s.answersStale() {
 		current, version = s.staleRows, s.staleVersion
 	}
 	var rows []wire.Row
--- a/standin/rowstore/store.go
+++ b/standin/rowstore/store.go
@@ -29,9 +29,12 @@
 	oldest  int64         // changes up to this version are forgotten
 	changed chan struct{} // closed at the next change
 	fault   Fault
-	// staleRows and staleVersion are as they were when the fault was set.
+	// staleRows and staleVersion are as they were when the fault or the lag was set.
 	staleRows    map[rowName]wire.Row
 	staleVersion int64
+	// lagging is as SetLagging says; lagged counts the reads since.
+	lagging bool
+	lagged  int
 }
 
 // A rowName identifies a row.
@@ -82,10 +85,33 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.fault = fault
-	s.staleRows, s.staleVersion = maps.Clone(s.rows), s.version
+	s.keepStale()
 	s.wake()
 }
 
+// SetLagging says whether every second read is answered as of now, as by a replica that
+// gets no changes any more.
+func (s *Store) SetLagging(lagging bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lagging, s.lagged = lagging, 0
+	s.keepStale()
+}
+
+// keepStale keeps the rows for stale reads as they are now. s.mu is held.
+func (s *Store) keepStale() {
+	s.staleRows, s.staleVersion = maps.Clone(s.rows), s.version
+}
+
+// answersStale reports whether the next read is answered from the rows kept for stale
+// reads. s.mu is held.
+func (s *Store) answersStale() bool {
+	if s.lagging {
+		s.lagged++
+	}
+	return s.fault.StaleReads || s.lagged%2 == 1
+}
+
 // change writes or removes one row and wakes the calls that wait for changes.
 func (s *Store) change(row wire.Row) int64 {
 	s.mu.Lock()
