--- a/gateway/newerversion_test.go
+++ b/gateway/newerversion_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -12,20 +13,26 @@
 // next.
 func TestNewerVersion(t *testing.T) {
 	var n newerVersion
+	now := time.Unix(1000, 0)
 	assert.Assert(t, !n.known())
-	n.putInForce(1)
-	n.receive(1)
+	n.putInForce(1, false)
+	n.receive(now, 1)
 	assert.Assert(t, !n.known())
-	n.receive(2)
+	n.receive(now, 2)
 	assert.Assert(t, n.known())
-	n.receive(3)
-	n.receive(2)
-	n.putInForce(2)
+	n.receive(now, 3)
+	n.receive(now, 2)
+	n.putInForce(2, false)
 	assert.Assert(t, n.known(), "version 3 is at a peer")
-	n.putInForce(3)
+	n.putInForce(3, false)
 	assert.Assert(t, !n.known())
 	n.setChanged()
 	assert.Assert(t, n.known(), "the source has another version")
-	n.putInForce(4)
+	n.putInForce(4, false)
 	assert.Assert(t, !n.known())
+	n.putInForce(5, true)
+	assert.Assert(t, !n.known())
+	assert.Assert(t, n.mayBeDue(), "it came late")
+	n.confirm()
+	assert.Assert(t, !n.mayBeDue())
 }
