refactor: one type for what counts lately; limits of one use are constants

Cause: gateway/fastest.go and refusals.go each kept a map by service under a lock; outlier and prefixcache had types of limits that the gateway filled with the constants beside them; prioritiesOf sorted a priority for each route. Change: recent keeps the values of all services; Verdict.Counts says what is a refusal; the limits are their constants; priorities are a set. Tests: TestRefusalCounts and TestFastest call the new names with the same expectations. TestFailuresInRow expects the gateway's terms (1.5, 3, 6, 6 s) in place of its own (1, 2, 4, 4 s), and TestForgetting the gateway's bounds (4 holders, 4096 parts, 60 s) in place of its own (2, 4, 60 s): the limits they gave are gone. Conclusion: no rule changed.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -27,7 +27,7 @@
 	sent := time.Now()
 	x.relay.onFirst = func() {
 		stopTimer()
-		f.fastest.observe(time.Now(), x.request.service, time.Since(sent))
+		f.fastest.add(time.Now(), x.request.service, time.Since(sent))
 	}
 	f.loads.Begin(to.ID)
 	defer f.loads.End(to.ID)
--- a/gateway/balancer.go
+++ b/gateway/balancer.go
@@ -34,9 +34,9 @@
 func newBalancer(s *settings.Gateway) *balancer {
 	return &balancer{
 		roster:   roster.New(),
-		detector: outlier.New(outlier.DefaultLimits()),
+		detector: outlier.New(),
 		loads:    loads.New(),
-		prefixes: prefixcache.New(prefixcache.DefaultLimits()),
+		prefixes: prefixcache.New(),
 		peers:    peers.New(s.Peers.AddrPort, peers.DefaultLimits()),
 		limits:   choice.Limits{CapFactor: s.Bounds.CapFactor, Domain: s.FailureDomain},
 	}
--- a/gateway/balancer_test.go
+++ b/gateway/balancer_test.go
@@ -21,9 +21,9 @@
 func newTestBalancer(now time.Time) *balancer {
 	b := &balancer{
 		roster:   roster.New(),
-		detector: outlier.New(outlier.DefaultLimits()),
+		detector: outlier.New(),
 		loads:    loads.New(),
-		prefixes: prefixcache.New(prefixcache.DefaultLimits()),
+		prefixes: prefixcache.New(),
 		peers:    peers.New(netip.AddrPort{}, peers.DefaultLimits()),
 		limits:   choice.Limits{CapFactor: 2},
 	}
--- a/gateway/catalog/catalog.go
+++ b/gateway/catalog/catalog.go
@@ -7,6 +7,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 
@@ -51,17 +52,16 @@
 
 // prioritiesOf returns the priorities that requests may have, the highest first.
 func prioritiesOf(configuration *ryeford.Configuration) []ryeford.Priority {
-	var priorities []ryeford.Priority
+	found := make(map[ryeford.Priority]bool)
 	for i := range configuration.Routes {
-		priorities = append(priorities, configuration.Routes[i].Priority)
+		found[configuration.Routes[i].Priority] = true
 	}
 	for i := range configuration.Accounts {
 		if priority := configuration.Accounts[i].Priority; priority != nil {
-			priorities = append(priorities, *priority)
+			found[*priority] = true
 		}
 	}
-	slices.SortFunc(priorities, func(a, b ryeford.Priority) int { return cmp.Compare(b, a) })
-	return slices.Compact(priorities)
+	return slices.SortedFunc(maps.Keys(found), func(a, b ryeford.Priority) int { return cmp.Compare(b, a) })
 }
 
 // Priorities returns the priorities that requests may have, the highest first. The
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -146,7 +146,7 @@
 		Err: err, Last: x.last, MayHaveRun: x.mayHaveRun, Begun: x.relay.begun.Load(),
 		Ejected: f.ejectedFor(now, q.service), Unlisted: len(f.roster.Serving(q.service)) == 0, Caller: q.caller(), Recent: f.refusals.of(now, q.service),
 	})
-	f.refusals.refused(now, q.service, &verdict)
+	f.refusals.add(now, q.service, verdict.Counts())
 	f.metrics.Count("ryeford_given_up_total", verdict.Reason)
 	_ = f.log.Log("decision", "give_up", "request", q.meta.ID, "route", q.rule.Name, "account", q.accountID(), "service", q.service,
 		"sent", x.history.Sent, "unsent", x.history.Unsent, "may_have_run", x.mayHaveRun, "begun", x.relay.begun.Load(), "events", x.relay.events,
@@ -170,7 +170,7 @@
 	f, q := x.forwarder, x.request
 	took := time.Since(q.arrived)
 	f.durations.observe(q.rule, took)
-	f.refusals.answered(time.Now(), q.service)
+	f.refusals.add(time.Now(), q.service, giveup.Recent{Answered: 1})
 	f.metrics.Count("ryeford_answered_total", "")
 	f.metrics.Observe("ryeford_answer_seconds", took.Seconds())
 	_ = f.log.Log("decision", "answer", "request", q.meta.ID, "route", q.rule.Name, "endpoint", to.ID, "status", status,
--- a/gateway/exchange_test.go
+++ b/gateway/exchange_test.go
@@ -156,7 +156,7 @@
 			e.request.arrived = time.Now().Add(-time.Minute)
 			e.request.deadline = time.Now().Add(-time.Millisecond)
 		}, 503, "deadline", false},
-		{"no endpoint was ever so fast", func(e *exchangeTest) { e.forwarder.fastest.observe(time.Now(), "s", time.Hour) }, 503, "deadline", true},
+		{"no endpoint was ever so fast", func(e *exchangeTest) { e.forwarder.fastest.add(time.Now(), "s", time.Hour) }, 503, "deadline", true},
 		{"the key was revoked while it waited", (*exchangeTest).revokeKey, 401, "key_taken", false},
 		{"the route was removed while it waited", (*exchangeTest).removeRoute, 404, "route_removed", false},
 		{"the configuration went stale while it waited", func(e *exchangeTest) {
--- a/gateway/forwarder.go
+++ b/gateway/forwarder.go
@@ -2,11 +2,13 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/go-kit/log"
 
 	"github.com/ryeford/ryeford"
 	"github.com/ryeford/ryeford/gateway/endpoint"
+	"github.com/ryeford/ryeford/gateway/giveup"
 	"github.com/ryeford/ryeford/internal/telemetry"
 	"github.com/ryeford/ryeford/retry"
 )
@@ -21,8 +23,8 @@
 	gossip        *gossip
 	minSharers    int // of the retry budget's reserve, from the settings
 	durations     *durations
-	fastest       *fastest
-	refusals      *refusals
+	fastest       *recent[time.Duration]
+	refusals      *recent[giveup.Recent]
 	log           log.Logger
 	metrics       *telemetry.Set
 }
--- a/gateway/giveup/retryafter.go
+++ b/gateway/giveup/retryafter.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"math"
+	"net/http"
 	"time"
 
 	"github.com/ryeford/ryeford"
@@ -104,6 +105,15 @@
 	Refused, Answered int
 }
 
+// Counts returns what a request counts for that ends with a verdict: as refused, if its
+// caller is told that it has not run.
+func (v *Verdict) Counts() Recent {
+	if v.Status == http.StatusServiceUnavailable {
+		return Recent{Refused: 1}
+	}
+	return Recent{}
+}
+
 // refusedShare returns the part of recent requests that were refused, from 0 to 1, if one
 // more is refused now.
 func (r Recent) refusedShare() float64 {
--- a/gateway/gossip_test.go
+++ b/gateway/gossip_test.go
@@ -31,7 +31,7 @@
 		table:         peers.New(self, peers.DefaultLimits()),
 		configuration: newConfiguration(configurationOptions{}),
 		roster:        r,
-		prefixes:      prefixcache.New(prefixcache.DefaultLimits()),
+		prefixes:      prefixcache.New(),
 		loads:         loads.New(),
 		log:           log.NewNopLogger(),
 		metrics:       telemetry.NewSet(),
--- a/gateway/outlier/limits.go
+++ b/gateway/outlier/limits.go
@@ -44,50 +44,25 @@
 	MisdirectedEjection = 5 * time.Second
 )
 
-// Limits say when an endpoint is ejected and for how long. The constants of the same
-// names, which are the gateway's, say what each one is.
-type Limits struct {
-	ConsecutiveFailures int
-	FailureShare        float64
-	MinResponses        float64
-	HalfLife            time.Duration
-	BaseEjection        time.Duration
-	MaxEjection         time.Duration
-	MaxSilence          time.Duration
-}
-
-// DefaultLimits returns the limits of the gateway.
-func DefaultLimits() Limits {
-	return Limits{
-		ConsecutiveFailures: consecutiveFailures,
-		FailureShare:        failureShare,
-		MinResponses:        minResponses,
-		HalfLife:            halfLife,
-		BaseEjection:        baseEjection,
-		MaxEjection:         maxEjection,
-		MaxSilence:          maxSilence,
-	}
-}
-
 // ejects reports whether an endpoint with this record, which has just failed, is
 // ejected: for its failures in a row, or for the share of them.
-func (l *Limits) ejects(r *record) bool {
-	if r.consecutive >= l.ConsecutiveFailures {
+func (r *record) ejects() bool {
+	if r.consecutive >= consecutiveFailures {
 		return true
 	}
-	return r.responses >= l.MinResponses && r.failures/r.responses >= l.FailureShare
+	return r.responses >= minResponses && r.failures/r.responses >= failureShare
 }
 
 // term returns how long an ejection lasts that follows so many others.
-func (l *Limits) term(earlier int) time.Duration {
-	return min(l.MaxEjection, l.BaseEjection<<min(earlier, maxDoublings))
+func term(earlier int) time.Duration {
+	return min(maxEjection, baseEjection<<min(earlier, maxDoublings))
 }
 
 // silent reports whether an endpoint has left a request unanswered for too long
 // and has begun no other response meanwhile. A zero lastResponse means that it
 // has never begun one.
-func (l *Limits) silent(now, sent, lastResponse time.Time) bool {
-	return now.Sub(sent) > l.MaxSilence && now.Sub(lastResponse) > l.MaxSilence
+func silent(now, sent, lastResponse time.Time) bool {
+	return now.Sub(sent) > maxSilence && now.Sub(lastResponse) > maxSilence
 }
 
 // A record is what the recent responses of one endpoint amount to.
@@ -99,7 +74,7 @@
 }
 
 // decay halves the weight of responses for each half-life that has passed.
-func (r *record) decay(now time.Time, halfLife time.Duration) {
+func (r *record) decay(now time.Time) {
 	if r.decayed.IsZero() {
 		r.decayed = now
 		return
--- a/gateway/outlier/limits_test.go
+++ b/gateway/outlier/limits_test.go
@@ -9,7 +9,6 @@
 
 // TestEjects checks which records eject an endpoint under the gateway's limits.
 func TestEjects(t *testing.T) {
-	limits := DefaultLimits()
 	for _, test := range []struct {
 		name   string
 		record record
@@ -24,13 +23,12 @@
 		{"half of too few responses", record{consecutive: 1, responses: 7.9, failures: 4}, false},
 		{"half of enough responses", record{consecutive: 1, responses: 8, failures: 4}, true},
 	} {
-		assert.Equal(t, limits.ejects(&test.record), test.ejects, test.name)
+		assert.Equal(t, test.record.ejects(), test.ejects, test.name)
 	}
 }
 
 // TestTerm checks how long successive ejections last.
 func TestTerm(t *testing.T) {
-	limits := DefaultLimits()
 	for _, test := range []struct {
 		earlier int
 		term    time.Duration
@@ -41,13 +39,12 @@
 		{3, 6 * time.Second},
 		{1 << 40, 6 * time.Second},
 	} {
-		assert.Equal(t, limits.term(test.earlier), test.term)
+		assert.Equal(t, term(test.earlier), test.term)
 	}
 }
 
 // TestSilent checks when an endpoint that was sent a request counts as silent.
 func TestSilent(t *testing.T) {
-	limits := DefaultLimits()
 	now := time.Unix(1000, 0)
 	for _, test := range []struct {
 		name               string
@@ -63,6 +60,6 @@
 		if test.lastResponse != 0 {
 			last = now.Add(-test.lastResponse)
 		}
-		assert.Equal(t, limits.silent(now, now.Add(-test.sent), last), test.silent, test.name)
+		assert.Equal(t, silent(now, now.Add(-test.sent), last), test.silent, test.name)
 	}
 }
--- a/gateway/outlier/outlier.go
+++ b/gateway/outlier/outlier.go
@@ -17,8 +17,6 @@
 
 // A Detector decides which endpoints are ejected.
 type Detector struct {
-	limits Limits
-
 	mu     sync.Mutex
 	states map[ryeford.EndpointID]*state
 }
@@ -34,9 +32,7 @@
 }
 
 // New returns a Detector without endpoints.
-func New(limits Limits) *Detector {
-	return &Detector{limits: limits, states: make(map[ryeford.EndpointID]*state)}
-}
+func New() *Detector { return &Detector{states: make(map[ryeford.EndpointID]*state)} }
 
 func (d *Detector) get(id ryeford.EndpointID) *state {
 	s := d.states[id]
@@ -76,30 +72,30 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	s := d.get(id)
-	s.decay(now, d.limits.HalfLife)
+	s.decay(now)
 	s.responses++
 	s.consecutive = 0
 	s.unusable = false
-	if s.ejections > 0 && now.After(s.until.Add(d.limits.MaxEjection)) {
+	if s.ejections > 0 && now.After(s.until.Add(maxEjection)) {
 		s.ejections = 0
 	}
 }
 
-// Failed records a failure, and ejects the endpoint if the limits say so. Failures
+// Failed records a failure, and ejects the endpoint if its record says so (limits.go). Failures
 // of an endpoint that is ejected already do not extend its term.
 func (d *Detector) Failed(now time.Time, id ryeford.EndpointID) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	s := d.get(id)
-	s.decay(now, d.limits.HalfLife)
+	s.decay(now)
 	s.responses++
 	s.failures++
 	s.consecutive++
-	if now.Before(s.until) || !d.limits.ejects(&s.record) {
+	if now.Before(s.until) || !s.ejects() {
 		return
 	}
 	s.unusable = false
-	s.until = now.Add(d.limits.term(s.ejections))
+	s.until = now.Add(term(s.ejections))
 	s.ejections++
 	s.consecutive, s.responses, s.failures = 0, 0, 0
 }
@@ -128,7 +124,7 @@
 		return false
 	}
 	for _, sent := range s.waiting {
-		if d.limits.silent(now, sent, s.lastResponse) {
+		if silent(now, sent, s.lastResponse) {
 			return false
 		}
 	}
--- a/gateway/outlier/outlier_test.go
+++ b/gateway/outlier/outlier_test.go
@@ -7,18 +7,13 @@
 	"gotest.tools/v3/assert"
 )
 
-var limits = Limits{
-	ConsecutiveFailures: 3, FailureShare: 0.35, MinResponses: 8, HalfLife: 4 * time.Second,
-	BaseEjection: time.Second, MaxEjection: 4 * time.Second, MaxSilence: time.Second,
-}
-
 // TestFailuresInRow checks that an endpoint that keeps failing is ejected, each
 // time for longer, and is healthy again after each term.
 func TestFailuresInRow(t *testing.T) {
-	d := New(limits)
+	d := New()
 	now := time.Unix(1000, 0)
-	for _, want := range []time.Duration{time.Second, 2 * time.Second, 4 * time.Second, 4 * time.Second} {
-		for range limits.ConsecutiveFailures {
+	for _, want := range []time.Duration{baseEjection, 2 * baseEjection, maxEjection, maxEjection} {
+		for range consecutiveFailures {
 			assert.Assert(t, d.Healthy(now, "a"))
 			d.Failed(now, "a")
 		}
@@ -36,7 +31,7 @@
 		failEvery int
 		healthy   bool
 	}{{2, false}, {7, true}} {
-		d := New(limits)
+		d := New()
 		for i := range 40 {
 			if i%test.failEvery == 1 {
 				d.Failed(now, "a")
@@ -54,7 +49,7 @@
 // TestSilence checks that an endpoint that leaves a request unanswered is unhealthy
 // until it responds.
 func TestSilence(t *testing.T) {
-	d := New(limits)
+	d := New()
 	now := time.Unix(1000, 0)
 	number := d.Start(now, "a")
 	assert.Assert(t, d.Healthy(now.Add(time.Second), "a"))
@@ -68,7 +63,7 @@
 // its ejection ends or it responds, and not when its failures eject it.
 func TestUnusable(t *testing.T) {
 	now := time.Unix(1000, 0)
-	d := New(limits)
+	d := New()
 	assert.Assert(t, !d.Unusable(now, "a"))
 	assert.Equal(t, d.EjectedFor(now, "a"), time.Duration(0))
 	d.Eject(now, "a", 3*time.Second)
@@ -78,9 +73,9 @@
 	assert.Equal(t, d.EjectedFor(now.Add(4*time.Second), "a"), time.Duration(0))
 	d.Succeeded(now.Add(2*time.Second), "a")
 	assert.Assert(t, !d.Unusable(now.Add(2*time.Second), "a"), "it has responded")
-	for range limits.ConsecutiveFailures {
+	for range consecutiveFailures {
 		d.Failed(now, "b")
 	}
 	assert.Assert(t, !d.Healthy(now, "b") && !d.Unusable(now, "b"), "it fails, but may serve")
-	assert.Equal(t, d.EjectedFor(now, "b"), limits.BaseEjection)
+	assert.Equal(t, d.EjectedFor(now, "b"), baseEjection)
 }
--- a/gateway/prefixcache/index.go
+++ b/gateway/prefixcache/index.go
@@ -31,24 +31,9 @@
 	holderTTL = time.Minute
 )
 
-// Limits bound an Index: maxParts, maxHolders and holderTTL, which are the gateway's,
-// say what each one is.
-type Limits struct {
-	Parts   int
-	Holders int
-	TTL     time.Duration
-}
-
-// DefaultLimits returns the limits of the gateway.
-func DefaultLimits() Limits {
-	return Limits{Parts: maxParts, Holders: maxHolders, TTL: holderTTL}
-}
-
 // An Index maps each part of a prompt to the endpoints that are likely to have it
 // cached. A part's ID stands for the part with all that precedes it.
 type Index struct {
-	limits Limits
-
 	mu    sync.Mutex
 	parts map[uint64][]holder // the latest first
 }
@@ -59,9 +44,7 @@
 }
 
 // New returns an empty Index.
-func New(limits Limits) *Index {
-	return &Index{limits: limits, parts: make(map[uint64][]holder)}
-}
+func New() *Index { return &Index{parts: make(map[uint64][]holder)} }
 
 // Add notes that an endpoint has read the parts.
 func (x *Index) Add(now time.Time, id ryeford.EndpointID, parts []ryeford.PromptPart) {
@@ -74,17 +57,17 @@
 
 // add puts an endpoint first among a part's holders; the last one makes room.
 func (x *Index) add(now time.Time, id ryeford.EndpointID, part uint64) {
-	if _, known := x.parts[part]; !known && len(x.parts) >= x.limits.Parts {
+	if _, known := x.parts[part]; !known && len(x.parts) >= maxParts {
 		x.makeRoom(now)
 	}
 	list := slices.Insert(without(x.parts[part], id), 0, holder{id: id, at: now})
-	x.parts[part] = list[:min(len(list), x.limits.Holders)]
+	x.parts[part] = list[:min(len(list), maxHolders)]
 }
 
 // makeRoom drops the parts whose holders have all expired, or else any one part.
 func (x *Index) makeRoom(now time.Time) {
 	before := len(x.parts)
-	maps.DeleteFunc(x.parts, func(_ uint64, list []holder) bool { return !x.holds(now, list[0]) })
+	maps.DeleteFunc(x.parts, func(_ uint64, list []holder) bool { return !list[0].holds(now) })
 	if len(x.parts) < before {
 		return
 	}
@@ -100,7 +83,7 @@
 }
 
 // holds reports whether an endpoint is still believed to hold what it was sent.
-func (x *Index) holds(now time.Time, h holder) bool { return now.Sub(h.at) <= x.limits.TTL }
+func (h holder) holds(now time.Time) bool { return now.Sub(h.at) <= holderTTL }
 
 // Longest returns the endpoint that is likely to hold the longest beginning of a
 // prompt, and of how many parts: the latest one for which allowed returns true. It
@@ -110,7 +93,7 @@
 	defer x.mu.Unlock()
 	for i := len(parts) - 1; i >= 0; i-- {
 		for _, h := range x.parts[parts[i].ID] {
-			if x.holds(now, h) && allowed(h.id) {
+			if h.holds(now) && allowed(h.id) {
 				return h.id, i + 1
 			}
 		}
@@ -128,7 +111,7 @@
 	for i := range parts {
 		tokens += parts[i].Tokens
 		for _, h := range x.parts[parts[i].ID] {
-			if x.holds(now, h) {
+			if h.holds(now) {
 				held[h.id] = tokens
 			}
 		}
--- a/gateway/prefixcache/index_test.go
+++ b/gateway/prefixcache/index_test.go
@@ -10,10 +10,7 @@
 	"github.com/ryeford/ryeford"
 )
 
-var (
-	start  = time.Unix(1000, 0)
-	limits = Limits{Parts: 4, Holders: 2, TTL: time.Minute}
-)
+var start = time.Unix(1000, 0)
 
 func parts(ids ...uint64) []ryeford.PromptPart {
 	var result []ryeford.PromptPart
@@ -32,7 +29,7 @@
 // TestBest checks that the holder of the longest beginning of a prompt is found, and of
 // several holders the latest.
 func TestBest(t *testing.T) {
-	m := New(limits)
+	m := New()
 	id, depth := longest(m, start, parts(1, 2))
 	assert.Equal(t, id, ryeford.EndpointID(""))
 	assert.Equal(t, depth, 0)
@@ -59,27 +56,30 @@
 // TestForgetting checks that entries are dropped after their TTL, with their endpoint,
 // and beyond the limits.
 func TestForgetting(t *testing.T) {
-	m := New(limits)
+	m := New()
 	m.Add(start, "a", parts(1))
-	_, depth := longest(m, start.Add(limits.TTL+1), parts(1))
+	_, depth := longest(m, start.Add(holderTTL+1), parts(1))
 	assert.Equal(t, depth, 0)
-	m.Add(start, "b", parts(1))
-	m.Add(start, "c", parts(1)) // pushes out a, the oldest
-	id, _ := longest(m, start, parts(1), "b", "c")
+	later := []ryeford.EndpointID{"b", "c", "d", "e"}
+	assert.Equal(t, len(later), maxHolders)
+	for _, id := range later {
+		m.Add(start, id, parts(1)) // the last one pushes out a, the oldest
+	}
+	id, _ := longest(m, start, parts(1), later...)
 	assert.Equal(t, id, ryeford.EndpointID(""))
-	m.Forget("c")
+	m.Forget("e")
 	id, _ = longest(m, start, parts(1))
-	assert.Equal(t, id, ryeford.EndpointID("b"))
-	for i := range uint64(100) {
+	assert.Equal(t, id, ryeford.EndpointID("d"))
+	for i := range uint64(maxParts + 100) {
 		m.Add(start, "d", parts(i))
 	}
-	assert.Assert(t, len(m.parts) <= limits.Parts)
+	assert.Assert(t, len(m.parts) <= maxParts)
 }
 
 // TestHeld checks how many tokens an endpoint holds: those of the longest beginning of
 // the prompt that it was sent.
 func TestHeld(t *testing.T) {
-	m := New(limits)
+	m := New()
 	prompt := []ryeford.PromptPart{{ID: 1, Tokens: 100}, {ID: 2, Tokens: 20}}
 	m.Add(start, "a", prompt[:1])
 	m.Add(start, "b", prompt)
@@ -87,5 +87,5 @@
 	assert.Equal(t, held["a"], 100)
 	assert.Equal(t, held["b"], 120)
 	assert.Equal(t, held["c"], 0)
-	assert.Equal(t, len(m.HeldTokens(start.Add(limits.TTL+1), prompt)), 0, "forgotten")
+	assert.Equal(t, len(m.HeldTokens(start.Add(holderTTL+1), prompt)), 0, "forgotten")
 }
--- a/gateway/refusals_test.go
+++ b/gateway/refusals_test.go
@@ -14,15 +14,15 @@
 func TestRefusalCounts(t *testing.T) {
 	now := time.Unix(1000, 0)
 	r := newRefusals()
-	refused := &giveup.Verdict{Status: 503}
-	r.refused(now, "s", refused)
-	r.refused(now, "s", &giveup.Verdict{Status: 404})
-	r.refused(now, "s", &giveup.Verdict{Status: 502})
-	r.answered(now, "s")
+	end := func(status int) { r.add(now, "s", (&giveup.Verdict{Status: status}).Counts()) }
+	end(503)
+	end(404)
+	end(502)
+	r.add(now, "s", giveup.Recent{Answered: 1})
 	assert.Equal(t, r.of(now, "s"), giveup.Recent{Refused: 1, Answered: 1})
 	assert.Equal(t, r.of(now, "another"), giveup.Recent{})
 	now = now.Add(refusalsWindow)
-	r.refused(now, "s", refused)
+	end(503)
 	assert.Equal(t, r.of(now, "s"), giveup.Recent{Refused: 2, Answered: 1})
 	now = now.Add(refusalsWindow)
 	assert.Equal(t, r.of(now, "s"), giveup.Recent{Refused: 1})
