refactor: the handler shares the forwarder's parts

Cause: the handler and the forwarder were each given the protocol, configuration, roster, durations, log and metrics, from one list of wiring; SourceOf had a type of two values that one line compared. Ruled out: to let probes share it, which need three of its parts. Change: the handler embeds the forwarder; FromAlternate reports what SourceOf returned (TestSourceOf is TestFromAlternate, with true for SourceAlternate); Accepts uses Entry. newRefusingHandler builds the same parts in a forwarder.

--- a/gateway/balancer.go
+++ b/gateway/balancer.go
@@ -141,7 +141,7 @@
 		return entry != nil && entry.Service == query.service && id != to.ID && b.detector.Healthy(now, id)
 	})
 	joined := !to.FirstSeen.IsZero()
-	if choice.SourceOf(chosen, parts, len(query.shared), joined) == choice.SourceAlternate {
+	if choice.FromAlternate(chosen, parts, len(query.shared), joined) {
 		return entries[chosen.Alternate]
 	}
 	return b.roster.Entry(indexed)
--- a/gateway/choice/rules_test.go
+++ b/gateway/choice/rules_test.go
@@ -156,25 +156,25 @@
 	}
 }
 
-// TestSourceOf checks from where the chosen endpoint may fetch what it lacks of a
+// TestFromAlternate checks from where the chosen endpoint may fetch what it lacks of a
 // prompt of two shared parts.
-func TestSourceOf(t *testing.T) {
+func TestFromAlternate(t *testing.T) {
 	home := Choice{Reason: ReasonHome, Alternate: 1}
 	for _, test := range []struct {
 		name    string
 		chosen  Choice
 		indexed int
 		joined  bool
-		want    Source
+		want    bool
 	}{
-		{"all is indexed", Choice{Reason: ReasonSpill, Alternate: 1}, 2, true, SourceIndexed},
-		{"nothing is indexed", home, 0, false, SourceAlternate},
-		{"nothing is indexed and there is no other", Choice{Reason: ReasonHome, Alternate: -1}, 0, false, SourceIndexed},
-		{"a beginning is indexed, sent home", home, 1, false, SourceIndexed},
-		{"a beginning is indexed, home has joined lately", home, 1, true, SourceAlternate},
-		{"a beginning is indexed, home drains", Choice{Reason: ReasonHome, Alternate: 1, AlternateFirst: true}, 1, false, SourceAlternate},
-		{"a beginning is indexed, not sent home", Choice{Reason: ReasonSpill, Alternate: 1}, 1, false, SourceAlternate},
+		{"all is indexed", Choice{Reason: ReasonSpill, Alternate: 1}, 2, true, false},
+		{"nothing is indexed", home, 0, false, true},
+		{"nothing is indexed and there is no other", Choice{Reason: ReasonHome, Alternate: -1}, 0, false, false},
+		{"a beginning is indexed, sent home", home, 1, false, false},
+		{"a beginning is indexed, home has joined lately", home, 1, true, true},
+		{"a beginning is indexed, home drains", Choice{Reason: ReasonHome, Alternate: 1, AlternateFirst: true}, 1, false, true},
+		{"a beginning is indexed, not sent home", Choice{Reason: ReasonSpill, Alternate: 1}, 1, false, true},
 	} {
-		assert.Equal(t, SourceOf(&test.chosen, test.indexed, 2, test.joined), test.want, test.name)
+		assert.Equal(t, FromAlternate(&test.chosen, test.indexed, 2, test.joined), test.want, test.name)
 	}
 }
--- a/gateway/forwarder.go
+++ b/gateway/forwarder.go
@@ -13,8 +13,8 @@
 	"github.com/ryeford/ryeford/retry"
 )
 
-// A forwarder is what all exchanges share: what is known of the endpoints, and the
-// connections to them. It owns nothing.
+// A forwarder is what the handler and all exchanges share: what is known of the endpoints,
+// and the connections to them. It owns nothing.
 type forwarder struct {
 	*balancer
 	protocol      ryeford.Protocol
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -145,27 +145,24 @@
 
 func (g *Gateway) addHandler() {
 	s := g.settings
-	durations := newDurations()
 	g.handler = &handler{
-		protocol:      g.platform.Protocol,
-		configuration: g.configuration,
-		roster:        g.roster,
-		drain:         g.drain,
-		initialSync:   g.initialSync,
-		bodies:        semaphore.NewWeighted(admit.BodyMemory(s.Memory)),
-		budgets:       retry.NewWindows(retry.WindowLimits{Span: s.Bounds.RetryWindow, Ratio: s.Bounds.RetryRatio, Reserve: s.Bounds.RetryReserve}),
-		durations:     durations,
-		log:           g.log,
-		metrics:       g.metrics,
+		forwarder:   g.newForwarder(),
+		drain:       g.drain,
+		initialSync: g.initialSync,
+		bodies:      semaphore.NewWeighted(admit.BodyMemory(s.Memory)),
+		budgets:     retry.NewWindows(retry.WindowLimits{Span: s.Bounds.RetryWindow, Ratio: s.Bounds.RetryRatio, Reserve: s.Bounds.RetryReserve}),
 	}
-	g.handler.forwarder = &forwarder{
+}
+
+func (g *Gateway) newForwarder() *forwarder {
+	return &forwarder{
 		balancer:      g.balancer,
 		protocol:      g.platform.Protocol,
 		configuration: g.configuration,
 		pool:          g.pool,
 		gossip:        g.gossip,
-		minSharers:    s.Routing.Routers,
-		durations:     durations,
+		minSharers:    g.settings.Routing.Routers,
+		durations:     newDurations(),
 		refusals:      newRefusals(),
 		fastest:       newFastest(),
 		log:           g.log,
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -7,31 +7,22 @@
 	"strings"
 	"time"
 
-	"github.com/go-kit/log"
 	"golang.org/x/sync/semaphore"
 
 	"github.com/ryeford/ryeford"
 	"github.com/ryeford/ryeford/gateway/admit"
 	"github.com/ryeford/ryeford/gateway/catalog"
-	"github.com/ryeford/ryeford/gateway/roster"
-	"github.com/ryeford/ryeford/internal/telemetry"
 	"github.com/ryeford/ryeford/retry"
 )
 
 // A handler serves callers' HTTP: it reads a request, admits or refuses it
 // (package admit), and has an exchange find the response.
 type handler struct {
-	protocol      ryeford.Protocol
-	configuration *configuration
-	roster        *roster.Roster
-	drain         *drain
-	initialSync   *initialSync
-	bodies        *semaphore.Weighted // bytes of callers' bodies that are kept
-	budgets       *retry.Windows
-	durations     *durations
-	forwarder     *forwarder
-	log           log.Logger
-	metrics       *telemetry.Set
+	*forwarder
+	drain       *drain
+	initialSync *initialSync
+	bodies      *semaphore.Weighted // bytes of callers' bodies that are kept
+	budgets     *retry.Windows
 }
 
 // ServeHTTP implements http.Handler.
@@ -67,7 +58,7 @@
 	q.hasBody = r.ContentLength != 0 || len(body) > 0 || r.Header.Get("Content-Length") != ""
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
-	h.forwarder.newExchange(q, r, w).serveUntil(ctx, h.drain.ending)
+	h.newExchange(q, r, w).serveUntil(ctx, h.drain.ending)
 }
 
 // checkUnread returns why a request whose body is still to be read is refused, or nil: its
--- a/gateway/handler_test.go
+++ b/gateway/handler_test.go
@@ -20,20 +20,22 @@
 )
 
 // newRefusingHandler returns a handler that knows a configuration with a public and a
-// keyed route, and a list without endpoints, and logs to b. It has no forwarder: it
-// can only refuse. Its configuration is stale.
+// keyed route, and a list without endpoints, and logs to b. Its forwarder lacks
+// what exchanges need: it can only refuse. Its configuration is stale.
 func newRefusingHandler(b *strings.Builder) *handler {
 	h := &handler{
-		protocol:      platform.Protocol{},
-		configuration: newConfiguration(configurationOptions{term: time.Minute}),
-		roster:        roster.New(),
-		drain:         newDrain(8*time.Second, log.NewNopLogger()),
-		initialSync:   newInitialSync(0),
-		bodies:        semaphore.NewWeighted(1000),
-		budgets:       retry.NewWindows(retry.WindowLimits{Span: time.Second}),
-		durations:     newDurations(),
-		log:           log.NewLogfmtLogger(b),
-		metrics:       telemetry.NewSet(),
+		forwarder: &forwarder{
+			balancer:      &balancer{roster: roster.New()},
+			protocol:      platform.Protocol{},
+			configuration: newConfiguration(configurationOptions{term: time.Minute}),
+			durations:     newDurations(),
+			log:           log.NewLogfmtLogger(b),
+			metrics:       telemetry.NewSet(),
+		},
+		drain:       newDrain(8*time.Second, log.NewNopLogger()),
+		initialSync: newInitialSync(0),
+		bodies:      semaphore.NewWeighted(1000),
+		budgets:     retry.NewWindows(retry.WindowLimits{Span: time.Second}),
 	}
 	h.configuration.inForce.Put(catalog.New(&ryeford.Configuration{
 		Version:  1,
--- a/gateway/roster/roster.go
+++ b/gateway/roster/roster.go
@@ -217,9 +217,7 @@
 
 // Accepts reports whether an endpoint accepts new requests.
 func (r *Roster) Accepts(id ryeford.EndpointID) bool {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
-	entry := r.entries[id]
+	entry := r.Entry(id)
 	return entry != nil && entry.Status.accepts()
 }
 
