refactor: a watch calls an outage; reasons stand once

Cause: watch.Handler passed on the two functions of an Outage and one more; initialSync wrapped a channel and a sync.Once; the packages shutdown and peers told the reasons that docs/decisions.md tells in the same words. Ruled out: the pauses of watch.Options as constants there (its tests give others); the reasons in packages whose page says less than they do. Change: Run takes the function and the Outage; a context ends the initial sync; three comments name their section. play in watch_test.go passes both, with the same expectations. Conclusion: no behaviour changed.

--- a/gateway/endpointlist.go
+++ b/gateway/endpointlist.go
@@ -58,14 +58,12 @@
 // run follows the list of endpoints until ctx ends.
 func (l *endpointList) run(ctx context.Context) error {
 	options := watch.Options{Wait: l.wait, Settle: l.settle, MinPause: minFeedPause, MaxPause: maxFeedPause}
-	watch.Run(ctx, l.source, options, watch.Handler{
-		Apply: l.apply,
-		Lost:  l.outage.Lost,
-		Regained: func(downtime ryeford.Downtime) {
-			l.suspectUntil = roster.SuspectUntil(&downtime, l.contact)
-			l.outage.Regained(downtime)
-		},
-	})
+	outage := l.outage
+	outage.Regained = func(downtime ryeford.Downtime) {
+		l.suspectUntil = roster.SuspectUntil(&downtime, l.contact)
+		l.outage.Regained(downtime)
+	}
+	watch.Run(ctx, l.source, options, l.apply, &outage)
 	return nil
 }
 
--- a/gateway/initialsync.go
+++ b/gateway/initialsync.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/ryeford/ryeford/gateway/admit"
@@ -13,19 +12,17 @@
 type initialSync struct {
 	started  time.Time
 	patience time.Duration
-	once     sync.Once
-	done     chan struct{}
+	done     <-chan struct{}
+	complete func() // lets all requests go on; it may be called again
 }
 
 // newInitialSync returns an initialSync for which requests wait at most until patience
 // has passed from now.
 func newInitialSync(patience time.Duration) *initialSync {
-	return &initialSync{started: time.Now(), patience: patience, done: make(chan struct{})}
+	done, complete := context.WithCancel(context.Background())
+	return &initialSync{started: time.Now(), patience: patience, done: done.Done(), complete: complete}
 }
 
-// complete lets all requests go on. It may be called again.
-func (s *initialSync) complete() { s.once.Do(func() { close(s.done) }) }
-
 // await waits until the sync is complete, ctx ends or the wait is over. left is for how
 // long the caller still waits for a response.
 func (s *initialSync) await(ctx context.Context, left time.Duration) {
--- a/gateway/peers/count.go
+++ b/gateway/peers/count.go
@@ -8,9 +8,7 @@
 // LoadTTL. Peers that are alive but whose loads no longer count are taken to have
 // as many requests at an endpoint as the others have on average.
 //
-// Why: in a large fleet the budget of bytes lets a router send to only a few peers
-// a second, so that some loads are always too old to be added up. Leaving those
-// peers out would underestimate every endpoint's load alike and overload it.
+// The reasons are in docs/decisions.md, Count a peer.
 //
 // Of a peer's messages only the newest counts: a datagram may be duplicated,
 // overtaken by a later one, or come from before the peer was started anew.
--- a/gateway/peers/schedule.go
+++ b/gateway/peers/schedule.go
@@ -8,10 +8,7 @@
 // Fanout peers drawn at random, or to fewer if more would exceed its budget of
 // bytes a second. Every eighth message names peers that are alive.
 //
-// Why: a router's traffic must not grow with the fleet. A message that is lost or
-// not sent is replaced by the next, which holds all loads anew; only prompts that
-// were sent since the last message are lost with it, and cost a cached prefix that
-// another router does not know of.
+// The reasons are in docs/decisions.md, Gossip.
 
 const (
 	// Interval is the time between two messages. Set by: the runs of commit 617d320
--- a/gateway/shutdown/shutdown.go
+++ b/gateway/shutdown/shutdown.go
@@ -12,18 +12,7 @@
 // refuses any other. Requests that are not answered EndMargin before the close are given
 // up then, so that their callers are told.
 //
-// Why: the balancer sends new connections until it has seen two readiness probes in
-// a row fail, and, if all routers of a zone stop at once, even after that. A router
-// that closed its listener once it had been probed twice left callers without any
-// router (docs/findings.md, nordlytt-etter mix seed 393948286208: 0.634 -> 0.81,
-// commit 01ef1b5).
-//
-// An estimate is wrong at times: how long streams take is spread widely, and a stream that
-// was taken 3.2 s after the order took longer than any that its router remembered, and was
-// broken off (incident inc1). Callers accept that of streams that come with the order,
-// while most other routers may be stopping too; later ones have had the time to go to
-// another router. A stream that has begun can only be broken off; other requests are
-// answered with a failure, which is why the estimate holds for them until the end.
+// The reasons are in docs/decisions.md, Stop.
 package shutdown
 
 import "time"
--- a/gateway/watch/watch.go
+++ b/gateway/watch/watch.go
@@ -28,20 +28,10 @@
 	MaxPause time.Duration
 }
 
-// A Handler is called with what a watch finds, from one goroutine.
-type Handler struct {
-	// Apply takes an answer and reports whether it holds any change.
-	Apply func(update *ryeford.EndpointUpdate) bool
-	// Lost is called at the first failure after an answer, Regained at the first
-	// answer after failures.
-	Lost     func(err error)
-	Regained func(downtime ryeford.Downtime)
-}
-
-// Run follows a source until ctx ends.
-func Run(ctx context.Context, source ryeford.EndpointSource, options Options, handler Handler) {
+// Run follows a source until ctx ends. apply takes an answer and reports whether it holds
+// any change; it and what outage calls are called from one goroutine.
+func Run(ctx context.Context, source ryeford.EndpointSource, options Options, apply func(*ryeford.EndpointUpdate) bool, outage *Outage) {
 	next := poll{whole: true}
-	outage := Outage{Lost: handler.Lost, Regained: handler.Regained}
 	for ctx.Err() == nil {
 		sent := time.Now()
 		update, err := send(ctx, source, next, &options)
@@ -53,7 +43,7 @@
 		switch v {
 		case current:
 			outage.Answered()
-			changed = handler.Apply(&update)
+			changed = apply(&update)
 		case stale:
 			outage.Answered()
 		case failed:
--- a/gateway/watch/watch_test.go
+++ b/gateway/watch/watch_test.go
@@ -72,11 +72,11 @@
 			return ryeford.EndpointUpdate{Revision: now.revision}, now.err
 		}
 		options := Options{Wait: time.Second, MinPause: 10 * time.Millisecond, MaxPause: 100 * time.Millisecond, Settle: settle}
-		Run(ctx, sourceStandIn(answer), options, Handler{
-			Apply: func(update *ryeford.EndpointUpdate) bool {
-				r.applied = append(r.applied, update.Revision)
-				return len(r.applied) > 1 && r.applied[len(r.applied)-2] < update.Revision
-			},
+		apply := func(update *ryeford.EndpointUpdate) bool {
+			r.applied = append(r.applied, update.Revision)
+			return len(r.applied) > 1 && r.applied[len(r.applied)-2] < update.Revision
+		}
+		Run(ctx, sourceStandIn(answer), options, apply, &Outage{
 			Lost:     func(error) { r.lost++ },
 			Regained: func(downtime ryeford.Downtime) { r.regained = append(r.regained, downtime) },
 		})
