--- a/gateway/balancer.go
+++ b/gateway/balancer.go
@@ -34,9 +34,9 @@
 func newBalancer(s *settings.Gateway) *balancer {
 	return &balancer{
 		roster:   roster.New(),
-		detector: outlier.New(outlier.DefaultLimits()),
+		detector: outlier.New(),
 		loads:    loads.New(),
-		prefixes: prefixcache.New(prefixcache.DefaultLimits()),
+		prefixes: prefixcache.New(),
 		peers:    peers.New(s.Peers.AddrPort, peers.DefaultLimits()),
 		limits:   choice.Limits{CapFactor: s.Bounds.CapFactor, Domain: s.FailureDomain},
 	}
@@ -141,7 +141,7 @@
 		return entry != nil && entry.Service == query.service && id != to.ID && b.detector.Healthy(now, id)
 	})
 	joined := !to.FirstSeen.IsZero()
-	if choice.SourceOf(chosen, parts, len(query.shared), joined) == choice.SourceAlternate {
+	if choice.FromAlternate(chosen, parts, len(query.shared), joined) {
 		return entries[chosen.Alternate]
 	}
 	return b.roster.Entry(indexed)
