refactor: settings are read with one Load, which is given the defaults

Cause: five functions each passed a file and the defaults of their kind on to load.

Ruled out: to find the defaults by the type: it would need a switch over types, or reflection.

Change: settings.Load; commands name the defaults that they read into, and newProcessCommand takes them in place of a function. TestExamples calls Load.

Conclusion: the same files are read into the same values.

--- a/internal/cmd/agentcmd.go
+++ b/internal/cmd/agentcmd.go
@@ -14,7 +14,7 @@
 
 func newAgentCommand() *cli.Command {
 	return newProcessCommand("agent", "run the agent of an endpoint VM (fleet with agents)",
-		settings.LoadAgent, runAgent)
+		settings.DefaultAgent(), runAgent)
 }
 
 func runAgent(ctx context.Context, s *settings.Agent, logger log.Logger) error {
--- a/internal/cmd/checkcmd.go
+++ b/internal/cmd/checkcmd.go
@@ -26,15 +26,15 @@
 	var err error
 	switch kind {
 	case "router":
-		_, err = settings.LoadRouter(file)
+		_, err = settings.Load(file, settings.DefaultRouter())
 	case "gateway":
-		_, err = settings.LoadGateway(file)
+		_, err = settings.Load(file, settings.DefaultGateway())
 	case "agent":
-		_, err = settings.LoadAgent(file)
+		_, err = settings.Load(file, settings.DefaultAgent())
 	case "standin":
-		_, err = settings.LoadStandin(file)
+		_, err = settings.Load(file, &settings.Standin{})
 	case "template":
-		_, err = settings.LoadTemplate(file)
+		_, err = settings.Load(file, settings.DefaultTemplate())
 	default:
 		return &UsageError{Problem: "want router, gateway, agent, standin or template, not " + kind}
 	}
--- a/internal/cmd/gatewaycmd.go
+++ b/internal/cmd/gatewaycmd.go
@@ -48,7 +48,7 @@
 	signal.Notify(hangups, syscall.SIGHUP)
 	defer signal.Stop(hangups)
 	file := c.String("settings")
-	s, err := settings.LoadGateway(file)
+	s, err := settings.Load(file, settings.DefaultGateway())
 	if err != nil {
 		return err
 	}
@@ -73,7 +73,7 @@
 		case <-ctx.Done():
 			return
 		case <-hangups:
-			s, err := settings.LoadGateway(file)
+			s, err := settings.Load(file, settings.DefaultGateway())
 			if err == nil {
 				setMemory(s)
 			}
--- a/internal/cmd/process.go
+++ b/internal/cmd/process.go
@@ -7,14 +7,16 @@
 
 	"github.com/go-kit/log"
 	"github.com/urfave/cli/v3"
+
+	"github.com/ryeford/ryeford/settings"
 )
 
-// newProcessCommand returns a command that runs one process from a settings file until
-// SIGINT or SIGTERM ends its context, which Main sees to. run returns once the process
-// has drained, or with the error that ended it; its log goes to standard error.
+// newProcessCommand returns a command that runs one process until SIGINT or SIGTERM ends its
+// context, which Main sees to. Its settings file is read into defaults. run returns once the
+// process has drained, or with the error that ended it; its log goes to standard error.
 func newProcessCommand[S any](
 	name, usage string,
-	load func(file string) (*S, error),
+	defaults *S,
 	run func(context.Context, *S, log.Logger) error,
 ) *cli.Command {
 	return &cli.Command{
@@ -22,7 +24,7 @@
 		Usage: usage,
 		Flags: []cli.Flag{settingsFlag()},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			s, err := load(c.String("settings"))
+			s, err := settings.Load(c.String("settings"), defaults)
 			if err != nil {
 				return err
 			}
--- a/internal/cmd/routercmd.go
+++ b/internal/cmd/routercmd.go
@@ -14,7 +14,7 @@
 
 func newRouterCommand() *cli.Command {
 	return newProcessCommand("router", "run a router on an entry VM (fleet with agents)",
-		settings.LoadRouter, runRouter)
+		settings.DefaultRouter(), runRouter)
 }
 
 func runRouter(ctx context.Context, s *settings.Router, logger log.Logger) error {
--- a/internal/cmd/standincmd.go
+++ b/internal/cmd/standincmd.go
@@ -18,7 +18,7 @@
 )
 
 func newStandinCommand() *cli.Command {
-	run := newProcessCommand("standin", "run the stand-ins of a settings file", settings.LoadStandin, standin.Run)
+	run := newProcessCommand("standin", "run the stand-ins of a settings file", &settings.Standin{}, standin.Run)
 	run.Name = "run"
 	return &cli.Command{
 		Name:  "standin",
--- a/internal/cmd/templatecmd.go
+++ b/internal/cmd/templatecmd.go
@@ -119,7 +119,7 @@
 	if err != nil {
 		return err
 	}
-	s, err := settings.LoadTemplate(file)
+	s, err := settings.Load(file, settings.DefaultTemplate())
 	if err != nil {
 		return err
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -18,23 +18,8 @@
 	"github.com/goccy/go-yaml"
 )
 
-// LoadRouter reads the settings of a router.
-func LoadRouter(file string) (*Router, error) { return load(file, DefaultRouter()) }
-
-// LoadAgent reads the settings of an agent.
-func LoadAgent(file string) (*Agent, error) { return load(file, DefaultAgent()) }
-
-// LoadGateway reads the settings of a gateway.
-func LoadGateway(file string) (*Gateway, error) { return load(file, DefaultGateway()) }
-
-// LoadStandin reads the settings of stand-ins.
-func LoadStandin(file string) (*Standin, error) { return load(file, &Standin{}) }
-
-// LoadTemplate reads a template file.
-func LoadTemplate(file string) (*Template, error) { return load(file, DefaultTemplate()) }
-
-// load reads a file into defaults and returns them.
-func load[S any](file string, defaults *S) (*S, error) {
+// Load reads a file into defaults and returns them. The error is an *Error.
+func Load[S any](file string, defaults *S) (*S, error) {
 	content, err := os.ReadFile(file)
 	if err != nil {
 		return nil, &Error{File: file, Err: err}
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -14,15 +14,15 @@
 
 // TestExamples checks that the annotated examples are accepted.
 func TestExamples(t *testing.T) {
-	_, err := LoadRouter(filepath.Join(examples, "router.yaml"))
+	_, err := Load(filepath.Join(examples, "router.yaml"), DefaultRouter())
 	assert.NilError(t, err)
-	_, err = LoadGateway(filepath.Join(examples, "gateway.yaml"))
+	_, err = Load(filepath.Join(examples, "gateway.yaml"), DefaultGateway())
 	assert.NilError(t, err)
-	_, err = LoadAgent(filepath.Join(examples, "agent.yaml"))
+	_, err = Load(filepath.Join(examples, "agent.yaml"), DefaultAgent())
 	assert.NilError(t, err)
-	_, err = LoadStandin(filepath.Join(examples, "standin.yaml"))
+	_, err = Load(filepath.Join(examples, "standin.yaml"), &Standin{})
 	assert.NilError(t, err)
-	_, err = LoadTemplate(filepath.Join(examples, "template.yaml"))
+	_, err = Load(filepath.Join(examples, "template.yaml"), DefaultTemplate())
 	assert.NilError(t, err)
 }
 
