--- a/retry/doc.go
+++ b/retry/doc.go
@@ -4,7 +4,7 @@
 //   - Policy is the rule for one request: what the end of an attempt proves,
 //     and what follows.
 //   - Window is the retry budget of one service at one router on the platform;
-//     share.go divides the fleet's budget among the routers.
+//     Sharers and Windows divide the fleet's budget among the routers.
 //   - Budget is the retry budget of one client account in the fleet with agents.
 //   - Spread and Between tell refused callers when to come back.
 //
