refactor: the cause of a stalled stream is a value

Cause: errStalled was a type without fields, made anew for each comparison; nobody but newStreamError asks for it.

Ruled out: an exported type: a caller learns ReasonStalled.

Change: a variable.

Conclusion: the same cause, found in the same place.

--- a/agentfleet/agent/execute.go
+++ b/agentfleet/agent/execute.go
@@ -100,7 +100,7 @@
 	ctx, cancel := context.WithCancelCause(r.ctx)
 	defer cancel(nil)
 	limits := &a.settings.Limits
-	watchdog := time.AfterFunc(stallLimit(limits, asm.Next() > 0), func() { cancel(errStalled{}) })
+	watchdog := time.AfterFunc(stallLimit(limits, asm.Next() > 0), func() { cancel(errStalled) })
 	defer watchdog.Stop()
 	reader, err := r.open(ctx, resume, asm.Next())
 	if err != nil {
@@ -124,17 +124,15 @@
 	return nil
 }
 
-// An errStalled is the cause of a stream that was cancelled at its stallLimit.
-type errStalled struct{}
-
-func (errStalled) Error() string { return "stalled" }
+// errStalled is the cause of a stream that was cancelled at its stallLimit.
+var errStalled = errors.New("stalled")
 
 // newStreamError returns the streamError of a failed open or read. A cancelled
 // context is the cause of whatever error came of it.
 func newStreamError(ctx context.Context, err error, notRun bool) *streamError {
 	e := &streamError{reason: ryeford.ReasonEngineLost, notRun: notRun, err: err}
 	switch {
-	case errors.Is(context.Cause(ctx), errStalled{}):
+	case errors.Is(context.Cause(ctx), errStalled):
 		e.reason = ryeford.ReasonStalled
 	case ctx.Err() != nil:
 		e.reason = ryeford.ReasonCancelled
