refactor: the gossip loop uses time.Tick

Cause: a ticker that is stopped at the end of the loop, which since Go 1.23 is collected without.

Ruled out: clock.Sleep, whose pauses would begin after each sending.

Change: time.Tick, as in the agent's loop.

Conclusion: TestLoop is unchanged.

--- a/agentfleet/gossip/gossip.go
+++ b/agentfleet/gossip/gossip.go
@@ -46,12 +46,11 @@
 // Run sends to one peer each interval, and to several at once after a new revision or a
 // new plan, until ctx ends. It returns nil.
 func (l *Loop) Run(ctx context.Context) error {
-	ticker := time.NewTicker(l.Interval)
-	defer ticker.Stop()
+	ticks := time.Tick(l.Interval)
 	changed := l.Book.Changed()
 	for {
 		select {
-		case <-ticker.C:
+		case <-ticks:
 			l.Send(1)
 		case <-changed:
 			changed = l.Book.Changed()
