refactor: a kept decision is encoded with logfmt's MarshalKeyvals

Cause: an encoder, its buffer and two calls, of which each could fail.

Ruled out: to keep the line that the logger writes: it belongs to the logger, and has its role.

Change: one call of the library.

Conclusion: the same text (TestLines). An empty key would lose the line, where it cut it before; keys are literals of the code.

--- a/agentfleet/decision/log.go
+++ b/agentfleet/decision/log.go
@@ -9,7 +9,7 @@
 package decision
 
 import (
-	"bytes"
+	"slices"
 	"sync"
 	"time"
 
@@ -55,15 +55,13 @@
 }
 
 func (l *Log) keep(request ryeford.RequestID, pairs []any) {
-	var b bytes.Buffer
-	e := logfmt.NewEncoder(&b)
-	// A buffer takes all that is written; a value that can't be encoded is replaced
-	// by the error's text.
-	_ = e.EncodeKeyval("ts", time.Now().UTC().Format(time.RFC3339Nano))
-	_ = e.EncodeKeyvals(pairs...)
+	now := time.Now().UTC().Format(time.RFC3339Nano)
+	// An error would say that a key is empty; a value that can't be encoded is replaced
+	// by its error's text.
+	text, _ := logfmt.MarshalKeyvals(slices.Concat([]any{"ts", now}, pairs)...)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.lines[l.next] = line{request: request, text: b.String()}
+	l.lines[l.next] = line{request: request, text: string(text)}
 	l.next = (l.next + 1) % keptLines
 }
 
