refactor: the validator of settings needs no function for addresses

Cause: a function gave the validator an address as a text, so that an empty one counts as missing. Since its option for required structs is set, an empty one does so itself.

Ruled out: an address that is not empty and not valid: UnmarshalYAML sets only what it parsed.

Change: the function is gone.

TestStrict, which reads each example after each of 1,151 mistakes (lines missing, values of null among them), gives the same text to the letter.

Conclusion: the same errors.

--- a/settings/errors.go
+++ b/settings/errors.go
@@ -127,11 +127,5 @@
 		}
 		return name
 	})
-	v.RegisterCustomTypeFunc(func(field reflect.Value) any {
-		if a, ok := field.Interface().(Address); ok && a.IsValid() {
-			return a.String()
-		}
-		return ""
-	}, Address{})
 	return v
 }
