refactor: the names of embedded settings are left out in one way

Cause: the decoder's texts lost the names of embedded structs by withoutEmbedded, the validator's by a name of their own that was cut off again.

Ruled out: settings without embedded structs, whose comments docs/settings.md is made from.

Change: withoutEmbedded for both; an embedded struct keeps its Go name in the validator's paths.

TestStrict's texts are the same to the letter.

Conclusion: the same errors.

--- a/settings/errors.go
+++ b/settings/errors.go
@@ -37,7 +37,8 @@
 	return fmt.Sprintf("line %d: %s: %s", e.Line, e.Key, e.Problem)
 }
 
-// withoutEmbedded leaves the names of embedded structs out of the decoder's text.
+// withoutEmbedded leaves the names of embedded structs, whose keys are in the file those of
+// the struct around them, out of the texts of the decoder and the validator.
 var withoutEmbedded = strings.NewReplacer(".Identity.", ".", ".Membership.", ".")
 
 // decodeError returns the FieldError of a failure to decode.
@@ -70,8 +71,7 @@
 		return &FieldError{Key: "file", Problem: err.Error()}
 	}
 	first := list[0]
-	_, key, _ := strings.Cut(first.Namespace(), ".")
-	key = strings.TrimPrefix(key, inlined+".")
+	_, key, _ := strings.Cut(withoutEmbedded.Replace(first.Namespace()), ".")
 	return &FieldError{
 		Line:    lineOf(content, key),
 		Key:     key,
@@ -113,18 +113,11 @@
 	return node.GetToken().Position.Line
 }
 
-// inlined stands in the validator's paths for an embedded struct, whose keys are
-// in the file those of the struct around it.
-const inlined = "inlined"
-
 // newValidator returns a validator that names keys as the file does.
 func newValidator() *validator.Validate {
 	v := validator.New(validator.WithRequiredStructEnabled())
 	v.RegisterTagNameFunc(func(f reflect.StructField) string {
 		name, _, _ := strings.Cut(f.Tag.Get("yaml"), ",")
-		if f.Anonymous {
-			return inlined
-		}
 		return name
 	})
 	return v
