docs: what each answer to a join says

Ruled out: the verdicts again, for their comments alone.

Change: a comment behind each return; TestJudge and TestSettleAccount in shorter lines.

Conclusion: no code has changed but the lines of tests.

--- a/agentfleet/agent/attemptrules_test.go
+++ b/agentfleet/agent/attemptrules_test.go
@@ -48,7 +48,10 @@
 		{"without its answer, it ran", attemptRan, 1, 2, false, ryeford.ReasonDuplicate, true},
 		{"an unseen attempt did not run", attemptUnseen, 1, 2, false, ryeford.ReasonTombstone, false},
 		{"nor one that was given up", attemptTombstone, 1, 2, false, ryeford.ReasonTombstone, false},
-		{"after its expiry an admission would still be remembered", attemptUnseen, -1, 0, false, ryeford.ReasonTombstone, false},
+		{
+			"after its expiry an admission would still be remembered",
+			attemptUnseen, -1, 0, false, ryeford.ReasonTombstone, false,
+		},
 		{"but not for ever", attemptUnseen, -2, -1, false, ryeford.ReasonExpired, true},
 		{"the later of both times counts", attemptUnseen, 0, -1, false, ryeford.ReasonTombstone, false},
 		{"a peek proves nothing before the expiry", attemptUnseen, 0, 2, true, ryeford.ReasonRunning, true},
@@ -67,15 +70,20 @@
 func TestSettleAccount(t *testing.T) {
 	a := newAttempts(time.Minute, time.Second)
 	now := time.Unix(1_000_000, 0)
-	d := &wire.Dispatch{Attempt: "a1", Account: "bank", Expires: now.Add(time.Second), Forget: now.Add(time.Minute)}
+	expires, forget := now.Add(time.Second), now.Add(time.Minute)
+	d := &wire.Dispatch{Attempt: "a1", Account: "bank", Expires: expires, Forget: forget}
 	admitted := newRun(d, nil, false)
 	defer admitted.cancel()
 	a.admit(now, d, func() *run { return admitted })
-	r, reason, unknown := a.settle(now, &wire.Join{Attempt: "a1", Account: "bank", Expires: d.Expires, Forget: d.Forget})
+
+	join := &wire.Join{Attempt: "a1", Account: "bank", Expires: expires, Forget: forget}
+	r, reason, unknown := a.settle(now, join)
 	assert.Equal(t, r, admitted)
 	assert.Equal(t, reason, ryeford.Reason(""))
 	assert.Assert(t, !unknown)
-	r, reason, unknown = a.settle(now, &wire.Join{Attempt: "a1", Account: "church", Expires: d.Expires, Forget: d.Forget})
+
+	join.Account = "church"
+	r, reason, unknown = a.settle(now, join)
 	assert.Assert(t, r == nil)
 	assert.Equal(t, reason, ryeford.ReasonDuplicate)
 	assert.Assert(t, unknown)
--- a/agentfleet/agent/attempts.go
+++ b/agentfleet/agent/attempts.go
@@ -57,7 +57,7 @@
 	defer a.mu.Unlock()
 	known := a.known[j.Attempt]
 	if known.run != nil && known.run.dispatch.Account != j.Account {
-		return nil, ryeford.ReasonDuplicate, true
+		return nil, ryeford.ReasonDuplicate, true // it runs, for another account
 	}
 	reason, unknown = judge(known.state, now, j.Expires, j.Forget, j.Peek)
 	if reason == ryeford.ReasonTombstone {
@@ -144,13 +144,13 @@
 	case s == attemptKept:
 		return "", false
 	case s == attemptRan:
-		return ryeford.ReasonDuplicate, true
+		return ryeford.ReasonDuplicate, true // its answer is gone
 	case now.After(later(forget, expires)):
-		return ryeford.ReasonExpired, true
+		return ryeford.ReasonExpired, true // nothing is remembered any more
 	case peek && !now.After(expires):
-		return ryeford.ReasonRunning, true
+		return ryeford.ReasonRunning, true // not so far, but it may yet
 	}
-	return ryeford.ReasonTombstone, false
+	return ryeford.ReasonTombstone, false // it did not and never will
 }
 
 // rememberUntil returns until when an admitted attempt is remembered: as long as
