refactor: all reasons to drop a chunk stand in one switch

Cause: that a chunk is kept already was asked after the switch, with the same outcome as one of its cases.

Ruled out: nothing else; a chunk that is kept is never too far ahead, so the order is free.

Change: a condition more in the case.

Conclusion: the same chunks are passed on, kept and counted (TestAssembler, TestAssemblerDrops).

--- a/agentfleet/answer/assembler.go
+++ b/agentfleet/answer/assembler.go
@@ -44,21 +44,18 @@
 // drops a chunk of another attempt, one that it had before or that follows the
 // end, and one that is maxPending or more ahead.
 func (a *Assembler) Add(chunk ryeford.Chunk) []ryeford.Chunk {
+	_, kept := a.pending[chunk.Offset]
 	switch {
 	case chunk.Attempt != a.attempt:
 		a.dropped.Foreign++
 		return nil
-	case chunk.Offset < a.next || a.finished:
+	case chunk.Offset < a.next || kept || a.finished:
 		a.dropped.Repeated++
 		return nil
 	case chunk.Offset-a.next >= maxPending:
 		a.dropped.Overflow++
 		return nil
 	}
-	if _, ok := a.pending[chunk.Offset]; ok {
-		a.dropped.Repeated++
-		return nil
-	}
 	a.pending[chunk.Offset] = chunk
 	var ready []ryeford.Chunk
 	for next, ok := a.pending[a.next]; ok && !a.finished; next, ok = a.pending[a.next] {
