--- a/internal/cmd/processcmd.go
+++ b/internal/cmd/processcmd.go
@@ -15,12 +15,12 @@
 	"github.com/ryeford/ryeford/settings"
 )
 
-// newProcessCommand returns a command that runs one process from a settings file until
-// SIGINT or SIGTERM ends its context, which Main sees to. run returns once the process
-// has drained, or with the error that ended it; its log goes to standard error.
+// newProcessCommand returns a command that runs one process until SIGINT or SIGTERM ends its
+// context, which Main sees to. Its settings file is read into defaults. run returns once the
+// process has drained, or with the error that ended it; its log goes to standard error.
 func newProcessCommand[S any](
 	name, usage string,
-	load func(file string) (*S, error),
+	defaults *S,
 	run func(context.Context, *S, log.Logger) error,
 ) *cli.Command {
 	return &cli.Command{
@@ -28,7 +28,7 @@
 		Usage: usage,
 		Flags: []cli.Flag{settingsFlag()},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			s, err := load(c.String("settings"))
+			s, err := settings.Load(c.String("settings"), defaults)
 			if err != nil {
 				return err
 			}
@@ -58,7 +58,7 @@
 
 func newRouterCommand() *cli.Command {
 	return newProcessCommand("router", "run a router on an entry VM (fleet with agents)",
-		settings.LoadRouter, runRouter)
+		settings.DefaultRouter(), runRouter)
 }
 
 func runRouter(ctx context.Context, s *settings.Router, logger log.Logger) error {
@@ -75,7 +75,7 @@
 
 func newAgentCommand() *cli.Command {
 	return newProcessCommand("agent", "run the agent of an endpoint VM (fleet with agents)",
-		settings.LoadAgent, runAgent)
+		settings.DefaultAgent(), runAgent)
 }
 
 func runAgent(ctx context.Context, s *settings.Agent, logger log.Logger) error {
