refactor: what an endpoint's stand-in received is kept by the tests that ask for it

Runs and AllRuns gave the same counts.

Ruled out: rowstore's and memtable's calls for tests: packages of both fleets and the emulator use them, so they stay where both reach them.

Change: Received and Working move to recordingEndpoint in the tests of gateway, which wraps the stand-in; Runs returns all counts. A request that is refused with 421 now counts as received, too, which makes the tests that expect none stricter.

Tests: the same names and assertions; TestLastEndpointAgain and the fixture's runs read a count as Runs()[id].

Conclusion: the stand-in answers as before.

--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -34,9 +34,9 @@
 type fixture struct {
 	t         testing.TB
 	store     *rowstore.Store
-	endpoints map[string]*appserver.Server // by ID
-	base      string                       // URL that callers connect to
-	ready     string                       // URL that is probed
+	endpoints map[string]*recordingEndpoint // by ID
+	base      string                        // URL that callers connect to
+	ready     string                        // URL that is probed
 	client    *http.Client
 	stop      context.CancelFunc // orders the gateway to stop
 	done      chan error         // what Run returned
@@ -64,7 +64,7 @@
 	f := &fixture{
 		t:         t,
 		store:     store,
-		endpoints: make(map[string]*appserver.Server),
+		endpoints: make(map[string]*recordingEndpoint),
 		client:    &http.Client{Transport: &http.Transport{DisableCompression: true}},
 		done:      make(chan error, 1),
 		log:       &lockedBuffer{},
@@ -165,9 +165,9 @@
 
 // addEndpoint starts an endpoint of a service and writes its row. It answers with so
 // many events, or with a plain body if events is zero.
-func (f *fixture) addEndpoint(service, id string, events int) *appserver.Server {
+func (f *fixture) addEndpoint(service, id string, events int) *recordingEndpoint {
 	f.t.Helper()
-	server := &appserver.Server{ID: id, Events: events, Step: time.Millisecond}
+	server := &recordingEndpoint{Server: &appserver.Server{ID: id, Events: events, Step: time.Millisecond}}
 	httpServer := httptest.NewServer(server)
 	f.t.Cleanup(func() {
 		httpServer.CloseClientConnections()
--- /dev/null
+++ b/gateway/recordingendpoint_test.go
@@ -0,0 +1,72 @@
+package gateway_test
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"slices"
+	"sync"
+
+	"github.com/ryeford/ryeford/standin/appserver"
+)
+
+// A recordingEndpoint is an endpoint that keeps the requests that have come.
+type recordingEndpoint struct {
+	*appserver.Server
+
+	mu       sync.Mutex
+	received []receivedRequest
+	working  int // requests that are running
+}
+
+// A receivedRequest is a request as the endpoint got it.
+type receivedRequest struct {
+	Method string
+	Target string
+	Header http.Header
+	Body   string
+}
+
+// ServeHTTP implements http.Handler.
+func (e *recordingEndpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return // the caller's connection broke: there is nobody to answer
+	}
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	e.begin(receivedRequest{
+		Method: r.Method,
+		Target: r.RequestURI,
+		Header: r.Header.Clone(),
+		Body:   string(body),
+	})
+	defer e.end()
+	e.Server.ServeHTTP(w, r)
+}
+
+func (e *recordingEndpoint) begin(request receivedRequest) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.received = append(e.received, request)
+	e.working++
+}
+
+func (e *recordingEndpoint) end() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.working--
+}
+
+// Received returns the requests that have come, in order.
+func (e *recordingEndpoint) Received() []receivedRequest {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.received)
+}
+
+// Working returns how many requests are running.
+func (e *recordingEndpoint) Working() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.working
+}
--- a/gateway/reply_test.go
+++ b/gateway/reply_test.go
@@ -64,7 +64,7 @@
 func (f *fixture) runs(id string) int {
 	n := 0
 	for _, server := range f.endpoints {
-		n += server.Runs(id)
+		n += server.Runs()[id]
 	}
 	return n
 }
--- a/gateway/retries_test.go
+++ b/gateway/retries_test.go
@@ -92,18 +92,18 @@
 	only.SetFault(appserver.FaultErrors, 1)
 	got := f.call("GET", "/safe/a")
 	assert.Equal(t, got.status, 200)
-	assert.Equal(t, only.Runs(got.id), 2)
+	assert.Equal(t, only.Runs()[got.id], 2)
 	only.SetFault(appserver.FaultErrors, 2)
 	got = f.call("GET", "/safe/a")
 	assert.Equal(t, got.status, 500, "the endpoint's own answer")
 	only.SetFault(appserver.FaultErrors, 1)
 	got = f.call("POST", "/once/a")
 	assert.Equal(t, got.status, 500)
-	assert.Equal(t, only.Runs(got.id), 1)
+	assert.Equal(t, only.Runs()[got.id], 1)
 	only.SetFault(appserver.FaultShed, 1)
 	got = f.call("GET", "/safe/a")
 	assert.Equal(t, got.status, 503)
-	assert.Equal(t, only.Runs(got.id), 0)
+	assert.Equal(t, only.Runs()[got.id], 0)
 }
 
 // TestReusedAddress checks that a request never runs at an endpoint that has got
--- a/standin/appserver/serve.go
+++ b/standin/appserver/serve.go
@@ -17,8 +17,7 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return // the caller's connection broke: there is nobody to answer
 	}
 	id := r.Header.Get(wire.HeaderRequestID)
@@ -30,7 +29,6 @@
 	}
 	s.mu.Lock()
 	fault := s.nextFault()
-	s.received = append(s.received, Received{Method: r.Method, Target: r.RequestURI, Header: r.Header.Clone(), Body: string(body)})
 	if fault != FaultShed {
 		s.begin(id)
 	}
--- a/standin/appserver/server.go
+++ b/standin/appserver/server.go
@@ -12,7 +12,6 @@
 
 import (
 	"maps"
-	"net/http"
 	"sync"
 	"time"
 )
@@ -26,50 +25,20 @@
 	// Step is the time before each event, or of a plain request's work.
 	Step time.Duration
 
-	mu       sync.Mutex
-	fault    Fault
-	faults   int // requests that the fault still applies to; negative: all
-	runs     map[string]int
-	received []Received
-	working  int
+	mu      sync.Mutex
+	fault   Fault
+	faults  int // requests that the fault still applies to; negative: all
+	runs    map[string]int
+	working int // requests that are running
 }
 
-// A Received is a request as the server got it.
-type Received struct {
-	Method string
-	Target string
-	Header http.Header
-	Body   string
-}
-
-// Runs returns how often a request has run here.
-func (s *Server) Runs(id string) int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.runs[id]
-}
-
-// AllRuns returns how often each request has run here, by its ID.
-func (s *Server) AllRuns() map[string]int {
+// Runs returns how often each request has run here, by its ID.
+func (s *Server) Runs() map[string]int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return maps.Clone(s.runs)
 }
 
-// Working returns how many requests are running.
-func (s *Server) Working() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.working
-}
-
-// Received returns the requests that have come, in order.
-func (s *Server) Received() []Received {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return append([]Received(nil), s.received...)
-}
-
 // begin counts a run. s.mu is held.
 func (s *Server) begin(id string) {
 	if s.runs == nil {
--- a/standin/emulator/emulator.go
+++ b/standin/emulator/emulator.go
@@ -175,7 +175,7 @@
 func (e *Emulator) serveRuns(w http.ResponseWriter, _ *http.Request) {
 	total := make(map[string]int)
 	for _, server := range e.servers {
-		for id, n := range server.AllRuns() {
+		for id, n := range server.Runs() {
 			total[id] += n
 		}
 	}
