refactor: the row store's stand-in makes all changes as transactions

Cause: Put and Remove had a way of their own to apply and announce one row.

Change: they make a transaction that expects nothing. Versions count as before.

Conclusion: same versions and changes; no test changed.

--- a/standin/rowstore/store.go
+++ b/standin/rowstore/store.go
@@ -51,7 +51,7 @@
 
 // Put writes a row and returns the store's new version.
 func (s *Store) Put(table, key string, value []byte) int64 {
-	return s.change(wire.Row{Table: table, Key: key, Value: value})
+	return s.change(&wire.Transaction{Put: []wire.Row{{Table: table, Key: key, Value: value}}})
 }
 
 // PutJSON writes a row whose value is the JSON of a value.
@@ -65,7 +65,7 @@
 
 // Remove removes a row and returns the store's new version.
 func (s *Store) Remove(table, key string) int64 {
-	return s.change(wire.Row{Table: table, Key: key, Removed: true})
+	return s.change(&wire.Transaction{Remove: []wire.Row{{Table: table, Key: key}}})
 }
 
 // ForgetHistory forgets all changes up to now: waiting for changes since an older
@@ -87,13 +87,10 @@
 	s.wake()
 }
 
-// change writes or removes one row and wakes the calls that wait for changes.
-func (s *Store) change(row wire.Row) int64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.apply(row)
-	s.wake()
-	return s.version
+// change makes a change that expects nothing, and returns the store's new version.
+func (s *Store) change(transaction *wire.Transaction) int64 {
+	_, response, _ := s.transact(transaction)
+	return response.Version
 }
 
 // apply writes or removes one row. s.mu is held.
