refactor: a fenced order's error has no epochs

Cause: FenceError.Epoch and Seen are set by a test's engine alone: the engines' client learns no epoch from a 412, so its error was always the one text without them.

Ruled out: telling the order's own epoch: `decision=order` has it, and `seen`, in the same line.

Change: the two fields and the second text go.

Tests: the fake engine of agentfleet/agent/plan_test.go makes the error without epochs; no assertion looked at them.

Conclusion: the text that operators see is the same.

--- a/agentfleet/agent/plan_test.go
+++ b/agentfleet/agent/plan_test.go
@@ -26,7 +26,7 @@
 
 func (e *fakeEngine) Order(_ context.Context, order ryeford.Order) error {
 	if e.fences && order.Epoch < e.serving.Epoch {
-		return &ryeford.FenceError{Epoch: order.Epoch, Seen: e.serving.Epoch}
+		return &ryeford.FenceError{}
 	}
 	e.orders++
 	e.serving = order
--- a/errors.go
+++ b/errors.go
@@ -91,16 +91,7 @@
 	return fmt.Sprintf("%s %q not found", e.Kind, e.Name)
 }
 
-// A FenceError says that an order was older than one that the engine has seen. The
-// epochs are zero if the engine does not state them.
-type FenceError struct {
-	Epoch int64 // of the order
-	Seen  int64
-}
+// A FenceError says that an order was older than one that the engine has seen.
+type FenceError struct{}
 
-func (e *FenceError) Error() string {
-	if e.Seen == 0 {
-		return "order refused: one of a newer epoch was seen"
-	}
-	return fmt.Sprintf("order of epoch %d refused: epoch %d was seen", e.Epoch, e.Seen)
-}
+func (e *FenceError) Error() string { return "order refused: one of a newer epoch was seen" }
