refactor: comments that only repeat a name go

Ruled out: the comments of the others, which say a unit, an error, what is not done or why; all comments of exported items.

Conclusion: nothing but comments differs.

--- a/caller/answer.go
+++ b/caller/answer.go
@@ -105,7 +105,6 @@
 	Error *Failure `json:"error"`
 }
 
-// read reads all events.
 func (r *eventReader) read(body io.Reader) error {
 	defer func() { r.answer.Text = r.text.String() }()
 	events := eventstream.NewReader(body)
--- a/standin/appserver/serve.go
+++ b/standin/appserver/serve.go
@@ -43,7 +43,6 @@
 	s.respond(w, r, fault)
 }
 
-// respond responds to a request that runs.
 func (s *Server) respond(w http.ResponseWriter, r *http.Request, fault Fault) {
 	switch fault {
 	case FaultHang:
@@ -73,7 +72,6 @@
 	s.respondPlain(w, r, fault)
 }
 
-// respondPlain responds as a plain service.
 func (s *Server) respondPlain(w http.ResponseWriter, r *http.Request, fault Fault) {
 	if !clock.Sleep(r.Context(), s.Step) {
 		return // the caller's connection broke
@@ -115,7 +113,6 @@
 	return n
 }
 
-// text returns the body of a plain response.
 func (s *Server) text(r *http.Request) string {
 	return "answer to " + r.Header.Get(wire.HeaderRequestID) + " of " + s.ID
 }
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -152,7 +152,6 @@
 	}
 }
 
-// serves reports whether a pool of this name is loaded.
 func (e *engineServer) serves(name string) bool {
 	return slices.ContainsFunc(e.serving.Pools, func(p ryeford.Pool) bool { return p.String() == name })
 }
--- a/standin/enginecompletion.go
+++ b/standin/enginecompletion.go
@@ -12,7 +12,6 @@
 	"github.com/ryeford/ryeford/internal/eventstream"
 )
 
-// complete starts a run and streams its answer.
 func (e *engineServer) complete(ctx *fasthttp.RequestCtx) {
 	r, err := newRun(ctx)
 	if err != nil {
--- a/standin/link.go
+++ b/standin/link.go
@@ -67,7 +67,6 @@
 	l.fault = fault
 }
 
-// run relays until ctx ends.
 func (l *link) run(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, l.close)
 	defer stop()
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -115,7 +115,6 @@
 	}
 }
 
-// available reports whether the platform is up.
 func (p *platformServer) available() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/standin/promptcache.go
+++ b/standin/promptcache.go
@@ -15,7 +15,6 @@
 	events  []ryeford.CacheEvent
 }
 
-// A cachedPrompt is the prompt of one chat.
 type cachedPrompt struct {
 	chat ryeford.ChatID
 	text string
@@ -35,7 +34,6 @@
 	return countTokens(text)
 }
 
-// text returns a chat's cached prompt.
 func (c *promptCache) text(chat ryeford.ChatID) (string, bool) {
 	for _, p := range c.prompts {
 		if p.chat == chat {
--- a/standin/rowstore/store.go
+++ b/standin/rowstore/store.go
@@ -35,7 +35,6 @@
 	staleVersion int64
 }
 
-// A rowName identifies a row.
 type rowName struct {
 	table, key string
 }
