refactor: commands search and print lists by the standard library

Cause: explain printed line by line in two loops, rollback searched the versions in a loop whose body was the whole publish.

Change: strings.Join prints, slices.IndexFunc finds the version. The output is the same, byte for byte; a failed write still is the command's error.

Conclusion: no test changed.

--- a/internal/cmd/explaincmd.go
+++ b/internal/cmd/explaincmd.go
@@ -106,15 +106,11 @@
 	if len(found) == 0 {
 		return &ryeford.NotFoundError{Kind: "request", Name: string(request)}
 	}
-	for _, line := range found {
-		if _, err := fmt.Fprintln(out, line.text); err != nil {
-			return err
-		}
-	}
-	return nil
+	_, err := fmt.Fprintln(out, strings.Join(found, "\n"))
+	return err
 }
 
-func linesOn(request ryeford.RequestID, lines []logLine) []logLine {
+func linesOn(request ryeford.RequestID, lines []logLine) []string {
 	first, last := make(map[string]time.Time), make(map[string]time.Time)
 	for _, line := range lines {
 		if line.request != request {
@@ -125,12 +121,12 @@
 		}
 		last[line.vm] = line.at
 	}
-	var found []logLine
+	var found []string
 	for _, line := range lines {
 		from, involved := first[line.vm]
 		within := involved && !line.at.Before(from.Add(-contextBefore)) && !line.at.After(last[line.vm])
 		if line.request == request || (within && slices.Contains(stateChanges, line.what)) {
-			found = append(found, line)
+			found = append(found, line.text)
 		}
 	}
 	return found
--- a/internal/cmd/templatecmd.go
+++ b/internal/cmd/templatecmd.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"text/tabwriter"
 	"time"
 
@@ -180,16 +181,14 @@
 		if err != nil {
 			return err
 		}
-		for i := range versions {
-			if versions[i].Sequence != to {
-				continue
-			}
-			t := versions[i]
-			t.Sequence = versions[len(versions)-1].Sequence
-			t.Change = uuid.NewString()
-			return publish(ctx, c, client, &t)
+		i := slices.IndexFunc(versions, func(t ryeford.Template) bool { return t.Sequence == to })
+		if i < 0 {
+			return &ryeford.NotFoundError{Kind: "version of " + name, Name: fmt.Sprint(to)}
 		}
-		return &ryeford.NotFoundError{Kind: "version of " + name, Name: fmt.Sprint(to)}
+		t := versions[i]
+		t.Sequence = versions[len(versions)-1].Sequence
+		t.Change = uuid.NewString()
+		return publish(ctx, c, client, &t)
 	})
 }
 
