--- a/gateway/recordingendpoint_test.go
+++ b/gateway/recordingendpoint_test.go
@@ -34,7 +34,12 @@
 		return // the caller's connection broke: there is nobody to answer
 	}
 	r.Body = io.NopCloser(bytes.NewReader(body))
-	e.begin(receivedRequest{Method: r.Method, Target: r.RequestURI, Header: r.Header.Clone(), Body: string(body)})
+	e.begin(receivedRequest{
+		Method: r.Method,
+		Target: r.RequestURI,
+		Header: r.Header.Clone(),
+		Body:   string(body),
+	})
 	defer e.end()
 	e.Server.ServeHTTP(w, r)
 }
--- a/standin/rowstore/store.go
+++ b/standin/rowstore/store.go
@@ -37,7 +37,6 @@
 	lagged  int
 }
 
-// A rowName identifies a row.
 type rowName struct {
 	table, key string
 }
