fix: an agent lowers a mean load that is old or above its own engines'

Cause: an agent admits against the mean that the router took when it sent the dispatch. Load falls faster than that at the end of a burst.

Change: lowerMean takes the lower of the router's estimate and of the mean of the VM's own engines with the same model, which is exact; of an estimate older than 0.2 s 0.9 count. The age is what a dispatch took beyond the fastest one of its router of late (clockOffsets, by the new field Dispatch.Sent), since clocks may be apart. An agent that gets no Sent takes the mean as new; a router's older agents ignore it.

TestMeanLoad fails without the rule.

--- a/agentfleet/agent/admit.go
+++ b/agentfleet/agent/admit.go
@@ -14,7 +14,8 @@
 )
 
 // serveDispatch admits or refuses an attempt and sends its answer.
-func (a *Agent) serveDispatch(ctx context.Context, stream *transport.Stream, d *wire.Dispatch) {
+func (a *Agent) serveDispatch(ctx context.Context, router ryeford.VMID, stream *transport.Stream, d *wire.Dispatch) {
+	d.Sent = a.offsets.sent(router, time.Now(), d.Sent)
 	r, refused := a.admitOrWait(ctx, d)
 	if refused != nil {
 		a.logRefused(d, refused)
@@ -59,7 +60,7 @@
 	var decided admission.Decision
 	r, reason := a.attempts.admit(d, func(now time.Time) *run {
 		var warm bool
-		decided, warm = b.admit(now, d)
+		decided, warm = b.admit(now, d, a.meanLoad(now, b, d))
 		if !decided.Admitted {
 			return nil
 		}
@@ -187,7 +188,7 @@
 	a.decisions.Record(d.Request,
 		"decision", "admit", "request", d.Request, "attempt", d.Attempt, "account", d.Account, "chat", d.Chat,
 		"engine", d.Engine, "failure_domain", a.settings.FailureDomain,
-		"load", decided.Load, "bound", decided.Bound, "mean", d.PoolMean, "held", decided.Held, "share", d.Share, "warm", warm)
+		"load", decided.Load, "bound", decided.Bound, "mean", d.PoolMean, "mean_age", time.Since(d.Sent), "held", decided.Held, "share", d.Share, "warm", warm)
 }
 
 func (a *Agent) logRefused(d *wire.Dispatch, refused *wire.Refused) {
@@ -195,5 +196,5 @@
 	a.decisions.Record(d.Request,
 		"decision", "refuse", "request", d.Request, "attempt", d.Attempt, "account", d.Account, "chat", d.Chat,
 		"engine", d.Engine, "failure_domain", a.settings.FailureDomain, "reason", refused.Reason,
-		"load", refused.Load, "bound", refused.Bound, "mean", d.PoolMean, "share", d.Share, "redirect", refused.Engine)
+		"load", refused.Load, "bound", refused.Bound, "mean", d.PoolMean, "mean_age", time.Since(d.Sent), "share", d.Share, "redirect", refused.Engine)
 }
--- a/agentfleet/agent/admit_test.go
+++ b/agentfleet/agent/admit_test.go
@@ -28,7 +28,7 @@
 	}
 	other := *d
 	other.Attempt, other.Chat = "a0", "c0"
-	admitted, _ := b.admit(now, &other)
+	admitted, _ := b.admit(now, &other, 0)
 	assert.Assert(t, admitted.Admitted)
 	assert.Assert(t, !other.Completion.Admitted.Before(now))
 
--- a/agentfleet/agent/agent.go
+++ b/agentfleet/agent/agent.go
@@ -53,6 +53,7 @@
 
 	backends map[ryeford.EngineID]*backend
 	attempts *attempts
+	offsets  clockOffsets
 	book     *template.Book
 	plan     *plan.Current // this VM's part of it
 
--- a/agentfleet/agent/backend.go
+++ b/agentfleet/agent/backend.go
@@ -45,6 +45,14 @@
 	return float64(b.gate.Load())
 }
 
+// servingLoad returns how many requests run, and whether b can serve a dispatch.
+func (b *backend) servingLoad(d *wire.Dispatch) (load float64, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return float64(b.gate.Load()), b.serves(d)
+}
+
+// serves reports whether b can serve a dispatch. The caller holds b.mu.
 func (b *backend) serves(d *wire.Dispatch) bool {
 	if d.Call != nil {
 		return b.service != nil
@@ -55,9 +63,9 @@
 	return slices.Contains(b.pools, d.Completion.Pool)
 }
 
-// admit decides on a dispatch and counts it if it is admitted. warm reports
-// whether the engine is believed to hold the chat's prefix already.
-func (b *backend) admit(now time.Time, d *wire.Dispatch) (decision admission.Decision, warm bool) {
+// admit decides on a dispatch against a mean load, in requests, and counts it if it is
+// admitted. warm reports whether the engine is believed to hold the chat's prefix already.
+func (b *backend) admit(now time.Time, d *wire.Dispatch, mean float64) (decision admission.Decision, warm bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if !b.serves(d) {
@@ -67,7 +75,7 @@
 		Account:  d.Account,
 		Priority: d.Priority,
 		Share:    d.Share,
-		PoolMean: d.PoolMean,
+		PoolMean: mean,
 	})
 	chat := d.ChatKey()
 	warm = b.chats.has(chat)
--- a/agentfleet/agent/connections.go
+++ b/agentfleet/agent/connections.go
@@ -41,7 +41,7 @@
 func (a *Agent) serveStream(ctx context.Context, conn *transport.Conn, stream *transport.Stream, m *wire.Message) {
 	switch {
 	case m.Dispatch != nil:
-		a.serveDispatch(ctx, stream, m.Dispatch)
+		a.serveDispatch(ctx, conn.Peer(), stream, m.Dispatch)
 	case m.Join != nil:
 		a.serveJoin(ctx, stream, m.Join)
 	case m.Watch != nil:
--- /dev/null
+++ b/agentfleet/agent/meanload_test.go
@@ -0,0 +1,119 @@
+package agent
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ryeford/ryeford"
+	"github.com/ryeford/ryeford/agentfleet/admission"
+	"github.com/ryeford/ryeford/agentfleet/wire"
+)
+
+// TestLowerMean has one row a clause of the rule.
+func TestLowerMean(t *testing.T) {
+	for _, test := range []struct {
+		rule     string
+		estimate float64
+		age      time.Duration
+		own      float64
+		want     float64
+	}{
+		{"the router's estimate", 8, 0, 9, 8},
+		{"the VM's own, if it is lower", 8, 0, 5, 5},
+		{"the estimate up to maxMeanAge", 10, maxMeanAge, 12, 10},
+		{"a part of an older one", 10, maxMeanAge + 1, 12, 9},
+		{"the VM's own has no age", 10, time.Hour, 5, 5},
+		{"none", 0, 0, 5, 0},
+	} {
+		t.Run(test.rule, func(t *testing.T) {
+			assert.Equal(t, lowerMean(test.estimate, test.age, test.own), test.want)
+		})
+	}
+}
+
+// TestClockOffsets has dispatches come from routers whose clocks are apart from the agent's,
+// and checks when they were sent, by the agent's clock.
+func TestClockOffsets(t *testing.T) {
+	start := time.Unix(1_000_000, 0)
+	const way = 2 * time.Millisecond
+	var c clockOffsets
+	for _, step := range []struct {
+		rule   string
+		router ryeford.VMID
+		after  time.Duration // the start: the receipt
+		ahead  time.Duration // the router's clock
+		took   time.Duration // the way, with what it waited
+		age    time.Duration
+	}{
+		{"the first has no age", "router-1", 0, time.Hour, way, 0},
+		{"nor has one as fast", "router-1", time.Second, time.Hour, way, 0},
+		{"one that waited has the wait", "router-1", 2 * time.Second, time.Hour, 300 * time.Millisecond, 298 * time.Millisecond},
+		{"another router has another clock", "router-2", 2 * time.Second, -time.Hour, way, 0},
+		{"a faster one shows the way to be shorter", "router-1", 3 * time.Second, time.Hour, way / 2, 0},
+		{"and later ones to have waited", "router-1", 4 * time.Second, time.Hour, way, way / 2},
+		{"a clock that is set back makes dispatches old", "router-1", 5 * time.Second, time.Hour - time.Second, way, time.Second + way/2},
+		{"still in the next window", "router-1", 31 * time.Second, time.Hour - time.Second, way, time.Second + way/2},
+		{"and not in the one after", "router-1", 62 * time.Second, time.Hour - time.Second, way, 0},
+	} {
+		t.Run(step.rule, func(t *testing.T) {
+			now := start.Add(step.after)
+			sent := now.Add(-step.took).Add(step.ahead)
+			assert.Equal(t, now.Sub(c.sent(step.router, now, sent)), step.age)
+		})
+	}
+	assert.Equal(t, c.sent("router-1", start, time.Time{}), start)
+}
+
+// TestMeanLoad gives an engine a dispatch with the router's mean, while another engine of
+// the VM runs so many requests. It fails if a mean from before the load fell lets the engine
+// be loaded further above the other than the bound allows.
+func TestMeanLoad(t *testing.T) {
+	const factor, floor = 1.25, 4
+	pool := ryeford.Pool{Model: "lira"}
+	for _, test := range []struct {
+		rule        string
+		load, other int // requests that run
+		otherPool   ryeford.Pool
+		mean        float64 // the router's
+		want        ryeford.Reason
+	}{
+		{"the router's mean, if the VM's is as high", 8, 8, pool, 8, ""},
+		{"or higher", 8, 8, pool, 6, ryeford.ReasonOverload},
+		{"the VM's, if it is lower", 8, 2, pool, 8, ryeford.ReasonOverload},
+		{"within its bound", 5, 5, pool, 8, ""},
+		{"the floor holds whatever it is", 3, 0, pool, 8, ""},
+		{"an engine with another model does not count", 8, 0, ryeford.Pool{Model: "psalm"}, 8, ""},
+	} {
+		t.Run(test.rule, func(t *testing.T) {
+			limits := admission.Limits{PoolFactor: factor, Floor: floor, Capacity: 64, ShareFrom: 1}
+			b, other := newBackend("endpoint-1.1", limits, 10), newBackend("endpoint-1.2", limits, 10)
+			b.engine, other.engine = &fakeStreamer{streams: []fakeStream{{chunks: 1, whole: true}}}, &fakeEngine{}
+			b.setServing(true, []ryeford.Pool{pool})
+			other.setServing(true, []ryeford.Pool{test.otherPool})
+			run := func(b *backend, pool ryeford.Pool, count int) {
+				for range count {
+					d := &wire.Dispatch{Account: "bank", Priority: ryeford.PriorityHighest, Share: 1, Completion: &ryeford.Completion{Pool: pool}}
+					assert.Assert(t, first(b.admit(time.Now(), d, 64)).Admitted)
+				}
+			}
+			run(b, pool, test.load)
+			run(other, test.otherPool, test.other)
+			a := testAgent(b)
+			a.backends[other.id] = other
+			_, refused := a.admit(&wire.Dispatch{
+				Attempt: "a1", Account: "bank", Chat: "c1", Engine: b.id, Incarnation: a.incarnation,
+				Priority: ryeford.PriorityHighest, Share: 1, PoolMean: test.mean, Sent: time.Now(),
+				Completion: &ryeford.Completion{Attempt: "a1", Pool: pool},
+				Expires:    time.Now().Add(time.Minute), Forget: time.Now().Add(time.Hour),
+			})
+			assert.Equal(t, refused == nil, test.want == "")
+			if refused != nil {
+				assert.Equal(t, refused.Reason, test.want)
+			}
+		})
+	}
+}
+
+func first(d admission.Decision, _ bool) admission.Decision { return d }
--- a/agentfleet/agent/queue_test.go
+++ b/agentfleet/agent/queue_test.go
@@ -67,7 +67,7 @@
 				}
 				running := *d
 				running.Attempt, running.Chat = "a0", "c0"
-				_, _ = b.admit(time.Now(), &running)
+				_, _ = b.admit(time.Now(), &running, 0)
 				time.AfterFunc(runTime, func() { b.release(time.Now(), d.Account) })
 				if test.warm {
 					b.chats.add(d.ChatKey(), pool)
--- a/agentfleet/router/dispatch.go
+++ b/agentfleet/router/dispatch.go
@@ -66,6 +66,7 @@
 		Expires:     x.attempt.expires,
 		Forget:      x.attempt.forget,
 		PoolMean:    x.poolMean(),
+		Sent:        time.Now(),
 		MayRedirect: mayRedirect(req, c.Engine == x.candidates.home, x.history.dispatches),
 		Offset:      x.delivered.next,
 	}
--- a/agentfleet/wire/attempt.go
+++ b/agentfleet/wire/attempt.go
@@ -40,6 +40,9 @@
 	// Wait is how long the dispatch may wait for the load of an engine to fall that
 	// holds the chat's prefix. Zero: not at all.
 	Wait time.Duration `cbor:"19,keyasint,omitempty"`
+	// Sent is when the router sent the dispatch, and estimated PoolMean, by its own clock;
+	// the agent replaces it by the time of its own clock. Zero: not known.
+	Sent time.Time `cbor:"20,keyasint,omitzero"`
 }
 
 // ChatKey returns the key of the dispatch's chat.
