--- a/agentfleet/router/dispatch.go
+++ b/agentfleet/router/dispatch.go
@@ -138,6 +138,7 @@
 		Expires:     x.attempt.Expires,
 		Forget:      x.attempt.Forget,
 		PoolMean:    x.poolMean(),
+		Sent:        time.Now(),
 		MayRedirect: mayRedirect(req, c.Engine == x.candidates.home, x.history.dispatches),
 		Offset:      x.delivered.next,
 		Completion:  req.completion,
