refactor: settings find the type of an error with errors.AsType

Cause: errors.As with a variable before it, in a tree that uses errors.AsType elsewhere.

Ruled out: nothing.

Change: errors.AsType.

Conclusion: the same errors (TestStrict, TestErrors).

--- a/settings/errors.go
+++ b/settings/errors.go
@@ -43,12 +43,11 @@
 
 // decodeError returns the FieldError of a failure to decode.
 func decodeError(err error) error {
-	var field *FieldError
-	if errors.As(err, &field) {
+	if field, ok := errors.AsType[*FieldError](err); ok {
 		return field
 	}
-	var yamlErr yaml.Error
-	if !errors.As(err, &yamlErr) || yamlErr.GetToken() == nil {
+	yamlErr, ok := errors.AsType[yaml.Error](err)
+	if !ok || yamlErr.GetToken() == nil {
 		return &FieldError{Key: "file", Problem: err.Error()}
 	}
 	tok := yamlErr.GetToken()
@@ -66,8 +65,8 @@
 // validationError returns the FieldError of the first value that is not
 // allowed.
 func validationError(err error, content []byte) error {
-	var list validator.ValidationErrors
-	if !errors.As(err, &list) || len(list) == 0 {
+	list, ok := errors.AsType[validator.ValidationErrors](err)
+	if !ok || len(list) == 0 {
 		return &FieldError{Key: "file", Problem: err.Error()}
 	}
 	first := list[0]
