refactor: the emulator's two admin paths stand where they are served

Cause: two constants and a function said which path is whose, for one user each.

Change: Run registers both patterns on the admin address.

Conclusion: same paths and methods; no test changed.

--- a/standin/emulator/emulator.go
+++ b/standin/emulator/emulator.go
@@ -60,7 +60,10 @@
 	if err := serve(ctx, group, e.settings.Store.AddrPort, e.store); err != nil {
 		return err
 	}
-	if err := serve(ctx, group, e.settings.Admin.AddrPort, e.adminHandler()); err != nil {
+	admin := http.NewServeMux()
+	admin.HandleFunc("POST /fault", e.serveChange)
+	admin.HandleFunc("GET /runs", e.serveRuns)
+	if err := serve(ctx, group, e.settings.Admin.AddrPort, admin); err != nil {
 		return err
 	}
 	return group.Wait()
@@ -98,12 +101,6 @@
 	return err
 }
 
-// The paths of the admin address.
-const (
-	pathChange = "/fault" // POST: a Change
-	pathRuns   = "/runs"  // GET: how often each request has run
-)
-
 // stateGone in a Change removes an endpoint's row.
 const stateGone = "gone"
 
@@ -124,13 +121,6 @@
 	State    string           `json:"state"`
 }
 
-func (e *Emulator) adminHandler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("POST "+pathChange, e.serveChange)
-	mux.HandleFunc("GET "+pathRuns, e.serveRuns)
-	return mux
-}
-
 // serveChange makes the change that a test posts.
 func (e *Emulator) serveChange(w http.ResponseWriter, r *http.Request) {
 	var change Change
