--- a/gateway/freshness/transfer.go
+++ b/gateway/freshness/transfer.go
@@ -18,8 +18,9 @@
 // 70 ms on a link of 10 Mbit/s. Set by: runs with 8 and 512 KiB (docs/decisions.md).
 const minComparedSize = 64 << 10
 
-// wholeAfter is after how many failures in a row a read transfers the whole, and again after
-// as many and that one.
+// wholeAfter is after how many failures in a row one read transfers the whole. If that fails,
+// too, the count begins anew. Two are the fewest that tell a lost answer from a source that
+// refuses to compare.
 const wholeAfter = 2
 
 // A Known is what a router knows of the configuration before it reads it.
