--- a/gateway/configuration.go
+++ b/gateway/configuration.go
@@ -26,10 +26,10 @@
 	wake    chan struct{} // holds one entry if a peer has told of a newer version
 
 	// Only run uses what follows.
-	outage   watch.Outage
-	state    ryeford.ConfigurationState // of the last answer that counts, at the source
-	size     int                        // of the configuration in that answer, in bytes
-	answered bool                       // the last read brought an answer that counts
+	outage watch.Outage
+	state  ryeford.ConfigurationState // of the last answer that counts, at the source
+	size   int                        // of the configuration in that answer, in bytes
+	failed int                        // reads in a row that brought no answer that counts
 }
 
 // configurationOptions are what a configuration relies on.
@@ -149,24 +149,35 @@
 		return false // the gateway stops: not an outage
 	}
 	if err != nil {
-		c.answered = false
+		c.failed++
 		c.outage.Failed(sent, err)
 		return false
 	}
 	c.outage.Answered()
-	c.answered = c.apply(&update, known, sent)
+	if c.apply(&update, known, sent) {
+		c.failed = 0
+	} else {
+		c.failed++
+	}
 	return true
 }
 
 // fetch asks the source for the configuration, or for what has changed of it.
 func (c *configuration) fetch(ctx context.Context) (ryeford.ConfigurationUpdate, error) {
-	known := ryeford.KnownConfiguration{State: c.state, Size: c.size, OnChange: c.newer.setChanged}
-	if freshness.Compares(freshness.Known{Size: c.size, Answered: c.answered, Outdated: c.newer.known()}) {
+	known := ryeford.KnownConfiguration{State: c.state, Size: c.size, OnChange: c.changed}
+	if freshness.Compares(freshness.Known{Size: c.size, Failed: c.failed, Outdated: c.newer.known()}) {
 		return c.source.ConfigurationIfChanged(ctx, known)
 	}
 	return c.source.Configuration(ctx, known)
 }
 
+// changed takes that the source has another configuration than the one that is known,
+// which is about to be transferred.
+func (c *configuration) changed() {
+	c.newer.setChanged()
+	_ = c.log.Log("decision", "configuration_news", "superseded", c.state)
+}
+
 // apply puts a configuration in force, unless it is already, and renews the lease. It
 // reports whether the answer counts. known is the newest that was known when the read was
 // sent.
