test: the soak excuses no more than the stall, and lags as a store may

"stops" and "unanswered" excused everything if the test's own timers came late at any moment in between. Beside other work (load averages of 130 to 260) they always do.

Ruled out: a fault of the gateway, which can't tell a stale first read from a newest one. The platform's store is linearizable, so the fault was the soak's.

Change: an overdue stop is excused by stalls of 0.5 s or more, a ready probe by their length, a call without an answer by as long as its caller waits beyond the deadline. Tests of rowstore pass a connection to read, which it takes now.

--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -91,28 +91,33 @@
 	seen := in.evidence(0)
 	for i := range in.stops {
 		s := &in.stops[i]
-		if seen.delayed(s) {
+		if seen.struck(s) {
 			continue
 		}
 		name, ordered := in.fleet.gateways[s.gateway].name, s.ordered.Sub(in.began).Seconds()
-		if s.overdue {
+		if s.overdue && seen.stalls.between(s.ordered, s.ended) < minStopStall {
 			t.Errorf("stops: %s was still there %s after SIGTERM at %6.3f", name, in.plan.bounds.grace, ordered)
 		}
-		if s.readyAt != nil && s.readyAt.Sub(s.ordered) > signalMargin {
+		if s.readyAt != nil && s.readyAt.Sub(s.ordered) > signalMargin+seen.stalls.between(s.ordered, *s.readyAt) {
 			t.Errorf("stops: %s was ready %s after SIGTERM at %6.3f", name, s.readyAt.Sub(s.ordered), ordered)
 		}
 	}
 }
 
-// delayed reports whether something else than its gateway made a stop take longer.
-func (e *evidence) delayed(s *stop) bool {
+// minStopStall is for how long the machine must have stood still in a stop that took longer
+// than its grace period: less than the 0.7 s before its end at which a gateway closes what
+// is open. Any stall was enough before, and beside other work there always is one.
+const minStopStall = 500 * time.Millisecond
+
+// struck reports whether another fault struck the process of a stop meanwhile.
+func (e *evidence) struck(s *stop) bool {
 	end := s.ordered.Add(e.bounds.grace)
 	for _, cut := range e.cuts {
 		if cut.gateway == s.gateway && cut.from.Before(end) && cut.until.After(s.ordered) {
 			return true
 		}
 	}
-	return e.stalls.between(s.ordered, end) > 0
+	return false
 }
 
 // evidence returns what the checks are given besides a call whose request has run some
--- a/internal/soak/extrafaults_test.go
+++ b/internal/soak/extrafaults_test.go
@@ -17,7 +17,7 @@
 	{"store clock rate", "the store's clock is up to 5 % too fast or too slow, up to 3 s", noRequest, noRequest, (*injector).storeClockRate},
 	{"store clock step", "the store's clock starts anew, 15 s or more before or after", noRequest, noRequest, (*injector).storeClockStep},
 	{"dates", "the store and the servers state another day in their answers, up to 3 s", noRequest, noRequest, (*injector).dates},
-	{"store lags", "every second read of the store is answered as of the fault's beginning, up to 3 s; the configuration changes meanwhile", noRequest, anyRequest, (*injector).storeLags},
+	{"store lags", "every second read of the store shows the state of the fault's beginning, up to 3 s; the configuration changes meanwhile", noRequest, anyRequest, (*injector).storeLags},
 	{"long drain", "a server drains for 2 to 4 s, longer than departTime, and is back", noRequest, noRequest, (*injector).longDrain},
 }
 
@@ -77,8 +77,12 @@
 	in.post(`{"date":""}`)
 }
 
-// storeLags makes the store answer every second read as a replica that gets no changes
-// would, for some time. The configuration changes at the beginning of that.
+// storeLags makes the store answer every second read of a connection as a replica that
+// gets no changes would, for some time. The configuration changes at the beginning of that.
+//
+// No connection begins with such an answer: from it a process that has just started could
+// not tell that it is stale, and would serve a revoked key for as long as its lease (seed
+// 104936069 of TestSoak). The platform's store never gives one.
 func (in *injector) storeLags(random *rand.Rand, gateway int) {
 	in.post(`{"lagging":true}`)
 	in.configure(random, gateway)
--- a/internal/soak/seeds_test.go
+++ b/internal/soak/seeds_test.go
@@ -40,6 +40,12 @@
 		cause:   "SIGHUP came to a process just started, which caught it only after it had read its settings",
 		mending: "hangups are caught first of all, 872af2e; TestHangupAtStart; see gateway.starting",
 	},
+	{
+		seed:    104936069,
+		failed:  "18:30, 1 of 12 fresh seeds: key, requests ran up to 1.6 s after their key was revoked",
+		cause:   "a fault of the soak: the lagging store gave a process that had just started a stale first read, which nobody could tell from a newest one",
+		mending: "no connection begins with a stale read; see injector.storeLags and TestLagging",
+	},
 }
 
 // keptSeriesSeeds are those of seriesPlan. The first four draw neither "large" nor "slow
--- a/internal/soak/serieschecks_test.go
+++ b/internal/soak/serieschecks_test.go
@@ -128,8 +128,8 @@
 	if c.err == nil || c.ended.Sub(c.sent) < callTime+answerMargin {
 		return ""
 	}
-	if seen.stalls.between(c.sent, c.ended) > 0 {
-		return "" // the caller's patience is over in a machine that stood still
+	if seen.stalls.between(c.sent, c.ended) >= answerMargin {
+		return "" // the machine stood still for as long as the caller waited more
 	}
 	for _, cut := range seen.cuts {
 		if cut.gateway == c.gateway && c.ended.After(cut.from) && c.sent.Before(cut.until) {
--- a/standin/emulator/emulator.go
+++ b/standin/emulator/emulator.go
@@ -134,7 +134,8 @@
 	// Date is the Date header of all answers, of the store and the endpoints, from now on;
 	// empty stands for the time of day.
 	Date *string `json:"date"`
-	// Lagging says whether every second read of the store is answered as of this change.
+	// Lagging says whether reads of the store are answered as of this change now and then
+	// (rowstore.Store.SetLagging).
 	Lagging *bool `json:"lagging"`
 	// Configuration is the operators' next configuration.
 	Configuration json.RawMessage `json:"configuration"`
--- a/standin/rowstore/clock_test.go
+++ b/standin/rowstore/clock_test.go
@@ -8,19 +8,26 @@
 	"gotest.tools/v3/assert"
 )
 
-// TestLagging checks that every second read of a lagging store is answered as of when the
-// lag began, and that a store that lags no more answers by its newest rows.
+// TestLagging checks that every second read of a connection, after one that showed a change,
+// is answered as of when the lag began, and that a store that lags no more answers by its
+// newest rows.
 func TestLagging(t *testing.T) {
 	store := New()
 	store.Put("t", "a", []byte("old"))
 	store.SetLagging(true)
+	for _, want := range []string{"old", "old"} {
+		rows, _ := store.read("c", "t", "")
+		assert.Equal(t, string(rows[0].Value), want, "nothing has changed")
+	}
 	store.Put("t", "a", []byte("new"))
-	for _, want := range []string{"old", "new", "old"} {
-		rows, _ := store.read("t", "")
+	for _, want := range []string{"new", "old", "new", "old", "new"} {
+		rows, _ := store.read("c", "t", "")
 		assert.Equal(t, string(rows[0].Value), want)
 	}
+	rows, _ := store.read("another", "t", "")
+	assert.Equal(t, string(rows[0].Value), "new", "its first read")
 	store.SetLagging(false)
-	rows, _ := store.read("t", "")
+	rows, _ = store.read("c", "t", "")
 	assert.Equal(t, string(rows[0].Value), "new")
 }
 
--- a/standin/rowstore/serve.go
+++ b/standin/rowstore/serve.go
@@ -39,7 +39,7 @@
 	if n, err := strconv.Atoi(query.Get(wire.QueryLimit)); err == nil && n > 0 {
 		limit = min(limit, n)
 	}
-	rows, version := s.read(query.Get(wire.QueryTable), query.Get(wire.QueryFrom))
+	rows, version := s.read(r.RemoteAddr, query.Get(wire.QueryTable), query.Get(wire.QueryFrom))
 	slices.SortFunc(rows, func(a, b wire.Row) int { return cmp.Compare(a.Key, b.Key) })
 	s.write(w, http.StatusOK, &wire.RowsResponse{
 		Rows:    rows[:min(limit, len(rows))],
@@ -49,12 +49,12 @@
 }
 
 // read returns the rows of a table from a key on, in no order, and the version that
-// they are of.
-func (s *Store) read(table, from string) ([]wire.Row, int64) {
+// they are of, as a connection is shown them.
+func (s *Store) read(connection, table, from string) ([]wire.Row, int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	current, version := s.rows, s.version
-	if s.answersStale() {
+	if s.answersStale(connection) {
 		current, version = s.staleRows, s.staleVersion
 	}
 	var rows []wire.Row
--- a/standin/rowstore/store.go
+++ b/standin/rowstore/store.go
@@ -32,9 +32,10 @@
 	// staleRows and staleVersion are as they were when the fault or the lag was set.
 	staleRows    map[rowName]wire.Row
 	staleVersion int64
-	// lagging is as SetLagging says; lagged counts the reads since.
+	// lagging is as SetLagging says. ahead are the connections whose last read was answered
+	// by newer rows than those of stale reads.
 	lagging bool
-	lagged  int
+	ahead   map[string]bool
 }
 
 // A rowName identifies a row.
@@ -89,12 +90,14 @@
 	s.wake()
 }
 
-// SetLagging says whether every second read is answered as of now, as by a replica that
-// gets no changes any more.
+// SetLagging says whether every second read of a connection is answered as of now, as by a
+// replica that gets no changes any more. A read is answered so only after one that showed
+// something newer, so that the caller can tell: the platform's store is linearizable, and
+// from a first answer that is stale nobody could.
 func (s *Store) SetLagging(lagging bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.lagging, s.lagged = lagging, 0
+	s.lagging, s.ahead = lagging, make(map[string]bool)
 	s.keepStale()
 }
 
@@ -103,13 +106,17 @@
 	s.staleRows, s.staleVersion = maps.Clone(s.rows), s.version
 }
 
-// answersStale reports whether the next read is answered from the rows kept for stale
-// reads. s.mu is held.
-func (s *Store) answersStale() bool {
+// answersStale reports whether the next read of a connection is answered from the rows kept
+// for stale reads. s.mu is held.
+func (s *Store) answersStale(connection string) bool {
+	if s.lagging && s.ahead[connection] {
+		s.ahead[connection] = false
+		return true
+	}
 	if s.lagging {
-		s.lagged++
+		s.ahead[connection] = s.version > s.staleVersion
 	}
-	return s.fault.StaleReads || s.lagged%2 == 1
+	return s.fault.StaleReads
 }
 
 // change writes or removes one row and wakes the calls that wait for changes.
--- a/standin/rowstore/store_test.go
+++ b/standin/rowstore/store_test.go
@@ -36,7 +36,7 @@
 		})
 		assert.Equal(t, status, test.status, test.name)
 		assert.DeepEqual(t, response.Rows, test.differ)
-		rows, newest := store.read("t", "")
+		rows, newest := store.read("c", "t", "")
 		assert.Equal(t, newest, response.Version, test.name)
 		assert.Equal(t, len(rows), 1, test.name)
 		assert.Equal(t, rows[0].Key == "b", status == http.StatusOK, test.name)
