fix: a refused body's deadline can't end the next request

Cause: found when the diff was read again. refuse set a read deadline of 10 ms also where the body had been read: net/http then reads on in the background, takes a deadline that passes there for the caller's end, and cancels the requests that follow on the connection. It needs a router that stands still for 10 ms between that and the answer's end.

Change: only a request whose body is unread is affected. refuseUnread reads what is on the way, lifts the deadline if that is all, and closes the connection otherwise, or if the context has ended.

Conclusion: by reading; the old fault was not reproduced.

--- a/gateway/callers_test.go
+++ b/gateway/callers_test.go
@@ -5,6 +5,8 @@
 	"context"
 	"io"
 	"net"
+	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -109,6 +111,43 @@
 	}
 }
 
+// TestRefusedBody checks that a connection serves on after a request is refused whose body
+// has come, and is closed after one whose body has not.
+func TestRefusedBody(t *testing.T) {
+	f := startedFixture(t, nil)
+	const head = "Host: host.example\r\nRyeford-Request-Id: s1\r\nAuthorization: Bearer key-1\r\n"
+	const next = "GET /safe/a HTTP/1.1\r\n" + head + "\r\n"
+	for name, test := range map[string]struct {
+		body   string
+		closes bool
+	}{
+		"whole": {strings.Repeat("x", 20000), false},
+		"none":  {"", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			conn, err := net.Dial("tcp", strings.TrimPrefix(f.base, "http://"))
+			assert.NilError(t, err)
+			defer func() { _ = conn.Close() }()
+			assert.NilError(t, conn.SetReadDeadline(time.Now().Add(5*time.Second)))
+			reader := bufio.NewReader(conn)
+			_, err = io.WriteString(conn, "POST /none/a HTTP/1.1\r\n"+head+"Content-Length: 20000\r\n\r\n"+test.body)
+			assert.NilError(t, err)
+			refused, err := http.ReadResponse(reader, nil)
+			assert.NilError(t, err)
+			assert.Equal(t, refused.StatusCode, 404)
+			assert.Equal(t, refused.Close, test.closes)
+			_, _ = io.WriteString(conn, next)
+			served, err := http.ReadResponse(reader, nil)
+			if test.closes {
+				assert.Assert(t, err != nil && !os.IsTimeout(err), "%v", err)
+				return
+			}
+			assert.NilError(t, err)
+			assert.Equal(t, served.StatusCode, 200)
+		})
+	}
+}
+
 // TestSlowSenders checks that the connection of a caller that does not finish a header,
 // or that is idle, is closed after the operators' timeouts, and that a later
 // configuration changes these.
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -35,17 +35,17 @@
 	var err error
 	q := &request{arrived: time.Now()}
 	if q.meta, err = h.protocol.ParseRequest(r.Header); err != nil {
-		h.refuse(w, r, q, err)
+		h.refuseUnread(w, r, q, err)
 		return
 	}
 	if err := h.checkUnread(r, q); err != nil {
-		h.refuse(w, r, q, err)
+		h.refuseUnread(w, r, q, err)
 		return
 	}
 	body, release, err := h.readBody(w, r, q)
 	if err != nil {
 		h.lookUp(r, q)
-		h.refuse(w, r, q, err)
+		h.refuseUnread(w, r, q, err)
 		return
 	}
 	defer release()
