test: a gateway that goes back to an older version is caught

A gateway that has gone back is told of the newer version by a peer within 150 ms, so that hardly a call comes in between.

Change: TestRegress, one gateway without peers, whose reads of the store show newer and older rows by turns. It fails too if no read showed older ones.

--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -17,7 +17,7 @@
 //   - stalls_test.go: by how much bounds in time are extended, and why;
 //   - crowd_test.go: TestSoakCrowd, one run with many processes;
 //   - hangup_test.go, largeconfiguration_test.go, laterequest_test.go,
-//     peerlinkscheck_test.go, superseded_test.go: single cases.
+//     peerlinkscheck_test.go, superseded_test.go, regress_test.go: single cases.
 //
 // The kept seeds and the single cases, as CI runs them:
 //
--- a/internal/soak/regress_test.go
+++ b/internal/soak/regress_test.go
@@ -3,6 +3,11 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
 )
 
 // checkRegress checks that a call was not handled by an older version than one by which
@@ -35,3 +40,28 @@
 	}
 	return shown
 }
+
+// TestRegress checks that a gateway that has served by a version serves by no older one
+// afterwards, while its reads of the store show newer and older rows by turns. It has no
+// peer that would tell it at once. It fails too if no read showed older rows.
+func TestRegress(t *testing.T) {
+	f := newFleet(t, &seriesPlan, 1)
+	in := newInjector(f, &seriesPlan)
+	in.post(`{"lagging":true}`)
+	in.configure(nil, 0)
+	client := &http.Client{Timeout: callTime}
+	defer client.CloseIdleConnections()
+	seen := in.evidence(0)
+	for limit := time.Now().Add(2 * maxStoreFault); time.Now().Before(limit); time.Sleep(conditionPoll) {
+		for _, version := range []int{1, 2} {
+			one := call{id: fmt.Sprintf("%s-%d", probeID(0), version), route: probeRoute(version), probes: version, life: 1}
+			f.send(client, &one)
+			if problem := checkRegress(&one, seen); problem != "" {
+				t.Errorf("%s", problem)
+			}
+			seen.calls = append(seen.calls, one)
+		}
+	}
+	assert.Equal(t, seen.shown(&call{life: 1, sent: time.Now()}), 2, "the newer version was never in force")
+	assert.Assert(t, strings.Contains(f.gateways[0].log.From(0), "stale answer"), "no read showed older rows")
+}
