--- a/gateway/freshness/confirm.go
+++ b/gateway/freshness/confirm.go
@@ -6,9 +6,10 @@
 //
 // Rule: an own read does, unless its revision is older than the newest one that was
 // known when it was sent, or its version than one that a peer had told of by then. What
-// peers told is forgotten if the source contradicts it newsTTL after they last did. A peer's confirmation does if it is of the very version
-// in force here; if the peer has a newer version, or there is none here, the router
-// reads by itself at once; if it has an older one, nothing follows.
+// peers told is forgotten if the source contradicts it newsTTL after they last did. A
+// peer's confirmation does if it is of the very version in force here; if the peer has a
+// newer version, or there is none here, the router reads by itself at once; if it has an
+// older one, nothing follows.
 //
 // Why: a source whose reads are older than what it has answered before would keep a
 // revoked key alive, and since leases are shared, at every router (commit 090e5a4).
