feat: keys may be served in an outage of the store

Cause: where a revoked key may still be served (strictRevoke false, a given of the deployment that the settings did not carry) every keyed request is refused 4.5 s into an outage of the store.

--- a/gateway/admit/admit.go
+++ b/gateway/admit/admit.go
@@ -32,6 +32,9 @@
 	// Reliable says that the configuration was confirmed so recently that no key of
 	// it can have been revoked for too long: the lease is valid.
 	Reliable bool
+	// ServesKeys says that requests that need a key are served: the configuration is
+	// reliable, or the operators allow it in an outage of its source.
+	ServesKeys bool
 	// RouteFound says that the configuration has a route for the request.
 	RouteFound bool
 	// NeedsKey says that the route is not public, and KeyFound that the request's
@@ -54,7 +57,7 @@
 		return &ryeford.InputError{Field: "path", Problem: "no such route", Status: http.StatusNotFound}
 	case s.NoTimeLeft:
 		return giveup.NotRun(ryeford.ReasonLeaving)
-	case s.NeedsKey && !s.Reliable:
+	case s.NeedsKey && (!s.ServesKeys || !s.KeyFound && !s.Reliable):
 		return giveup.NotRun(ryeford.ReasonStaleConfiguration)
 	case s.NeedsKey && !s.KeyFound:
 		return &ryeford.InputError{Field: "key", Problem: "unknown", Status: http.StatusUnauthorized}
@@ -71,8 +74,8 @@
 	RouteFound bool
 	// NeedsKey says that the request was admitted for its key.
 	NeedsKey bool
-	// Reliable is as in State.
-	Reliable bool
+	// Reliable and ServesKeys are as in State.
+	Reliable, ServesKeys bool
 	// KeyFound says that the key still belongs to a client account.
 	KeyFound bool
 }
@@ -88,7 +91,7 @@
 		return giveup.NotRun(ryeford.ReasonStaleConfiguration)
 	case !s.RouteFound:
 		return giveup.NotRun(ryeford.ReasonRouteRemoved)
-	case s.NeedsKey && !s.Reliable:
+	case s.NeedsKey && (!s.ServesKeys || !s.KeyFound && !s.Reliable):
 		return giveup.NotRun(ryeford.ReasonStaleConfiguration)
 	case s.NeedsKey && !s.KeyFound:
 		return giveup.NotRun(ryeford.ReasonKeyRevoked)
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -111,6 +111,7 @@
 		RouteFound:     same || findRoute(current, x.incoming) != nil,
 		NeedsKey:       q.keyed(),
 		Reliable:       f.configuration.reliable(now),
+		ServesKeys:     f.configuration.servesKeys(now),
 		KeyFound:       same || current.Account(q.meta.Key) != nil,
 	}
 }
--- a/gateway/configuration.go
+++ b/gateway/configuration.go
@@ -39,6 +39,8 @@
 	term time.Duration
 	// refresh is the age at which a router without peers reads it again.
 	refresh time.Duration
+	// bridges says that requests that need a key are served beyond the lease in an outage.
+	bridges bool
 	// bound is the time in which a change must be in force, and silence that after
 	// which a source that has answered nothing counts as out of reach.
 	bound, silence time.Duration
@@ -91,6 +93,12 @@
 // reliable reports whether the configuration in force may be relied on.
 func (c *configuration) reliable(now time.Time) bool { return c.lease.Valid(now) }
 
+// servesKeys reports whether requests that need a key are served by the configuration in
+// force.
+func (c *configuration) servesKeys(now time.Time) bool {
+	return freshness.ServesKeys(c.bridges, c.reliable(now), c.newer.mayBeDue())
+}
+
 // leaseLeft returns the time until the lease ends, as it is logged.
 func (c *configuration) leaseLeft() time.Duration {
 	return c.lease.Left(time.Now()).Round(time.Millisecond)
--- a/gateway/configuration_test.go
+++ b/gateway/configuration_test.go
@@ -117,6 +117,27 @@
 	})
 }
 
+// TestConfigurationBridged checks that keys are served in an outage, if the operators allow it,
+// until a peer tells of a newer version; and again once that version is in force.
+func TestConfigurationBridged(t *testing.T) {
+	for _, bridges := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newConfigurationFixture()
+			f.bridges = bridges
+			f.runFor(t, 100*time.Millisecond)
+			f.source.err = errors.New("out")
+			f.runFor(t, time.Minute)
+			assert.Assert(t, !f.reliable(time.Now()))
+			assert.Equal(t, f.servesKeys(time.Now()), bridges)
+			f.confirmedByPeer(time.Now(), 2, time.Minute)
+			assert.Assert(t, !f.servesKeys(time.Now()), "a key may be revoked in the newer version")
+			f.source.err, f.source.version = nil, 2
+			f.runFor(t, time.Second)
+			assert.Assert(t, f.servesKeys(time.Now()))
+		})
+	}
+}
+
 // TestConfigurationOutage checks that a configuration may be relied on until four
 // seconds after its last confirmed read was sent, and that an outage counts once.
 func TestConfigurationOutage(t *testing.T) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -91,6 +91,7 @@
 	g.configuration = newConfiguration(configurationOptions{
 		source:   g.platform.Configurations,
 		term:     freshness.Term(g.settings.Bounds.Revoke),
+		bridges:  !g.settings.Bounds.StrictRevoke,
 		refresh:  g.settings.RefreshConfiguration(),
 		bound:    g.settings.Bounds.Configuration,
 		silence:  g.settings.StoreSilence(),
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -142,6 +142,7 @@
 		Superseded: h.configuration.superseded(time.Now()),
 		Listed:     h.roster.Known(),
 		Reliable:   h.configuration.reliable(time.Now()),
+		ServesKeys: h.configuration.servesKeys(time.Now()),
 	}
 	if q.rule == nil {
 		return state
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -19,7 +19,8 @@
 	drain         *drain
 	log           log.Logger
 
-	wasReady atomic.Bool // at the last probe
+	wasReady   atomic.Bool // at the last probe
+	wasBridged atomic.Bool // at the last probe: keys were served beyond the lease
 }
 
 // ServeHTTP implements http.Handler. It answers 200 if the router is ready, and else
@@ -29,7 +30,10 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	reason := readiness.Check(h.state(time.Now()))
+	now := time.Now()
+	state := h.state(now)
+	h.logBridged(state.ServesKeys && !h.configuration.reliable(now))
+	reason := readiness.Check(state)
 	ready := reason == readiness.Ready
 	if h.wasReady.Swap(ready) != ready {
 		_ = h.log.Log("decision", "readiness", "ready", ready, "reason", reason, "lease", h.configuration.leaseLeft(), "endpoints", h.roster.Len())
@@ -50,7 +54,14 @@
 		Configured:     current != nil,
 		EndpointsKnown: h.roster.Known(),
 		Keyed:          current != nil && current.Keyed(),
-		Reliable:       h.configuration.reliable(now),
+		ServesKeys:     h.configuration.servesKeys(now),
 		Superseded:     h.configuration.superseded(now),
 	}
 }
+
+// logBridged logs when a router begins to serve keys beyond the lease, and when it ends.
+func (h *probeHandler) logBridged(bridged bool) {
+	if h.wasBridged.Swap(bridged) != bridged {
+		_ = h.log.Log("decision", "bridge_outage", "serves", bridged, "version", h.configuration.version(), "lease", h.configuration.leaseLeft())
+	}
+}
--- a/gateway/readiness/readiness.go
+++ b/gateway/readiness/readiness.go
@@ -2,8 +2,8 @@
 // router, and names why not. It is pure: values in, values out.
 //
 // Rule: a router is ready if it is not stopping, knows a configuration and the list
-// of endpoints, no newer configuration should be in force, and it may rely on the one that
-// is, unless requests need no keys.
+// of endpoints, no newer configuration should be in force, and it serves requests that need
+// keys, unless none do.
 //
 // Why: a router that can't tell whether a key was revoked has to refuse almost all
 // requests, while another one may serve them. Configurations without keys need no
@@ -16,7 +16,7 @@
 	Configured     bool // a configuration is in force
 	EndpointsKnown bool // the list of endpoints has been read
 	Keyed          bool // requests carry keys
-	Reliable       bool // the lease on the configuration is valid
+	ServesKeys     bool // requests that carry keys are served
 	Superseded     bool // a newer configuration should be in force here
 }
 
@@ -41,7 +41,7 @@
 		return NoConfiguration
 	case !s.EndpointsKnown:
 		return NoEndpoints
-	case s.Superseded, s.Keyed && !s.Reliable:
+	case s.Superseded, s.Keyed && !s.ServesKeys:
 		return StaleConfiguration
 	}
 	return Ready
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -38,6 +38,11 @@
 	// Less 0.5 s it is how long a confirmed configuration may be relied on, and so
 	// how long an outage of the store is bridged.
 	Revoke time.Duration `yaml:"revoke" validate:"min=500ms,max=1h"`
+	// StrictRevoke says that no request with a revoked key may run after revoke, also if
+	// the store can't be reached: then requests that need a key are refused. If it is false
+	// they are served by the last known configuration in an outage of the store, until a
+	// newer one is known; revoked keys work as long.
+	StrictRevoke bool `yaml:"strict_revoke"`
 	// Contact is how long a router must have reached the store until it is held to
 	// all bounds again. It limits endpoints_wait.
 	Contact time.Duration `yaml:"contact" validate:"min=100ms,max=10m"`
@@ -98,6 +103,7 @@
 		Memory: 256,
 		Bounds: GatewayBounds{
 			Revoke:        5 * time.Second,
+			StrictRevoke:  true,
 			Contact:       3 * time.Second,
 			Configuration: 2 * time.Second,
 			Drain:         2 * time.Second,
