fix: what can't be repeated isn't sent on an idle connection

An idle one that has gone silent takes a request that is then lost, and may not be repeated. Ruled out: only connections that were used lately (each traps a request all the same); keep-alive probes (seconds, and a window remains); sending something to probe first (it may be lost, too). Change: a request of a route that isn't idempotent goes over a new connection.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -75,6 +75,7 @@
 		Header:  f.protocol.ForwardHeader(x.incoming.Header, x.forwardMeta(to, source)),
 		Body:    q.body,
 		HasBody: q.hasBody,
+		Once:    !q.rule.Idempotent(),
 	}, func() error { return x.checkSend(to) })
 }
 
--- a/gateway/endpoint/endpoint_test.go
+++ b/gateway/endpoint/endpoint_test.go
@@ -65,6 +65,34 @@
 	return endpoint.New(platform.Protocol{})
 }
 
+// TestSilentIdleConnection checks that a request that can't be repeated is not lost on an idle
+// connection that has gone silent: no reset, no end, and nothing that is sent on it is read.
+// One that can be repeated is, and costs a retry.
+func TestSilentIdleConnection(t *testing.T) {
+	to, count := listen(t, func(conn net.Conn) {
+		if readRequest(conn) {
+			_, _ = io.WriteString(conn, answer)
+		}
+		<-t.Context().Done() // silent from here on
+		_ = conn.Close()
+	})
+	pool := newPool()
+	body, err := send(t.Context(), pool, to)
+	assert.NilError(t, err)
+	assert.Equal(t, body, "ok")
+	once := &endpoint.Request{ID: "r", Method: "POST", Target: "/", Host: "h", Header: http.Header{}, Once: true}
+	got, err := pool.Send(t.Context(), to, once, func() error { return nil })
+	assert.NilError(t, err)
+	got.Close()
+	assert.Equal(t, count.Load(), int64(2), "it went over a new connection")
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, err = send(ctx, pool, to)
+	var lost *endpoint.LostError
+	assert.Assert(t, errors.As(err, &lost), "%v", err)
+	assert.Equal(t, count.Load(), int64(2))
+}
+
 // TestReuse checks that a connection is used again, unless the endpoint has closed it
 // meanwhile: then a new one is opened, and no request is lost.
 func TestReuse(t *testing.T) {
--- a/gateway/endpoint/send.go
+++ b/gateway/endpoint/send.go
@@ -37,6 +37,10 @@
 	Body   []byte
 	// HasBody says that the caller sent a body, though it may be empty.
 	HasBody bool
+	// Once says that the request must not be sent again if it gets no response. An idle
+	// connection may have gone silent, which nothing shows until a request is lost on it:
+	// so a new one is opened, whose handshake proves that the endpoint is reached.
+	Once bool
 }
 
 // encode returns the bytes of a request. A body is framed by its length.
@@ -61,12 +65,9 @@
 // check is called right before the first byte is sent. Its error stops the request
 // there and is the cause of the *UnsentError.
 func (p *Pool) Send(ctx context.Context, to *ryeford.Endpoint, request *Request, check func() error) (*Response, error) {
-	c := p.idleConnection(to.ID)
-	if c == nil {
-		var err error
-		if c, err = dial(ctx, to); err != nil {
-			return nil, err
-		}
+	c, err := p.connection(ctx, to, request.Once)
+	if err != nil {
+		return nil, err
 	}
 	if err := check(); err != nil {
 		p.putBack(c)
@@ -84,6 +85,17 @@
 	return response, nil
 }
 
+// connection returns an idle connection to an endpoint, or a new one if there is none or
+// fresh asks for it. The error is an *UnsentError.
+func (p *Pool) connection(ctx context.Context, to *ryeford.Endpoint, fresh bool) (*connection, error) {
+	if !fresh {
+		if c := p.idleConnection(to.ID); c != nil {
+			return c, nil
+		}
+	}
+	return dial(ctx, to)
+}
+
 // exchange writes a request and reads the head of its response. A response is awaited
 // even if a part of the request could not be written: an endpoint may respond early
 // and close.
