--- a/gateway/exchange_test.go
+++ b/gateway/exchange_test.go
@@ -8,6 +8,8 @@
 	"net/netip"
 	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -271,3 +273,45 @@
 		})
 	}
 }
+
+// TestSilentConnections checks that an endpoint whose open connections have all gone silent,
+// without a reset, while new ones work, costs one request its time, and not one for each of its
+// idle connections.
+func TestSilentConnections(t *testing.T) {
+	const idle = 4
+	e := newExchangeTest(t)
+	server := &appserver.Server{ID: "e1"}
+	var silent sync.Map // connections, by the router's address
+	var atOnce sync.WaitGroup
+	atOnce.Add(idle)
+	var seen atomic.Int64
+	httpServer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if _, ok := silent.Load(r.RemoteAddr); ok {
+			<-r.Context().Done()
+			return
+		}
+		if seen.Add(1) <= idle {
+			atOnce.Done()
+			atOnce.Wait() // so that there are as many connections
+			silent.Store(r.RemoteAddr, true)
+		}
+		server.ServeHTTP(w, r)
+	}))
+	t.Cleanup(httpServer.Close)
+	e.setEndpoints(httpServer.Listener.Addr().String())
+	send := func() int {
+		q := *e.request
+		q.arrived = time.Now()
+		q.deadline = q.arrived.Add(300 * time.Millisecond)
+		return e.serveRequest(&q).Code
+	}
+	var group sync.WaitGroup
+	for range idle {
+		group.Go(func() { assert.Check(t, send() == http.StatusOK) })
+	}
+	group.Wait()
+	assert.Equal(t, send(), http.StatusGatewayTimeout, "its connection is silent")
+	for range idle {
+		assert.Equal(t, send(), http.StatusOK)
+	}
+}
