--- a/docs/decisions_test.go
+++ b/docs/decisions_test.go
@@ -13,17 +13,15 @@
 	"gotest.tools/v3/assert"
 )
 
-// constantRow matches a row of docs/decisions.md on a constant: its name as
+// constantRow matches a row of the pages of decisions on a constant: its name as
 // folder.name, and its value as the code writes it.
 var constantRow = regexp.MustCompile("(?m)^\\| `([a-z/]+)\\.([A-Za-z]+)` \\| `([^`]+)` \\|")
 
-// TestDecisionConstants checks that each constant that docs/decisions.md names has
+// TestDecisionConstants checks that each constant that the pages of decisions name has
 // the value there that it has in the code.
 func TestDecisionConstants(t *testing.T) {
-	page, err := os.ReadFile("decisions.md")
-	assert.NilError(t, err)
 	folders := make(map[string]map[string]string)
-	for _, match := range constantRow.FindAllStringSubmatch(string(page), -1) {
+	for _, match := range constantRow.FindAllStringSubmatch(decisionPages(t), -1) {
 		folder, name, want := match[1], match[2], match[3]
 		if folders[folder] == nil {
 			folders[folder] = constants(t, folder)
@@ -39,6 +37,30 @@
 	}
 }
 
+// decisionPages returns the pages with the rules, one after the other.
+func decisionPages(t *testing.T) string {
+	t.Helper()
+	var all strings.Builder
+	for _, name := range []string{"decisions-gateway.md", "decisions-agents.md"} {
+		page, err := os.ReadFile(name)
+		assert.NilError(t, err)
+		all.Write(page)
+	}
+	return all.String()
+}
+
+// TestDecisionIndex checks that decisions.md leads to each rule, and that the pages with the
+// rules have constants at all.
+func TestDecisionIndex(t *testing.T) {
+	index, err := os.ReadFile("decisions.md")
+	assert.NilError(t, err)
+	pages := decisionPages(t)
+	assert.Assert(t, len(constantRow.FindAllString(pages, -1)) > 100)
+	for _, match := range regexp.MustCompile(`(?m)^## (.*)$`).FindAllStringSubmatch(pages, -1) {
+		assert.Assert(t, strings.Contains(string(index), "["+match[1]+"]"), match[1])
+	}
+}
+
 // constants returns the constants of a folder's Go files, tests apart: each one's
 // expression as the code writes it, by name.
 func constants(t *testing.T, folder string) map[string]string {
--- a/docs/names_test.go
+++ b/docs/names_test.go
@@ -30,7 +30,7 @@
 // names exists. A file without its folder may be in any.
 func TestNamedFiles(t *testing.T) {
 	code := readCode(t)
-	for _, page := range []string{"../README.md", "architecture.md", "OPERATIONS.md", "decisions.md", "platform.md", "operators.md", "proofs.md"} {
+	for _, page := range []string{"../README.md", "architecture.md", "OPERATIONS.md", "decisions.md", "decisions-gateway.md", "decisions-agents.md", "platform.md", "operators.md", "proofs.md"} {
 		content, err := os.ReadFile(page)
 		assert.NilError(t, err)
 		for _, match := range fileName.FindAllStringSubmatch(string(content), -1) {
@@ -42,17 +42,15 @@
 	}
 }
 
-// TestNamedFunctions checks that each function, type and field that docs/decisions.md
-// names as the place of a rule, and each function in the tables of questions of
+// TestNamedFunctions checks that each function, type and field that the pages of
+// decisions name as the place of a rule, and each function in the tables of questions of
 // docs/OPERATIONS.md and docs/operators.md, is declared.
 func TestNamedFunctions(t *testing.T) {
 	code := readCode(t)
-	decisions, err := os.ReadFile("decisions.md")
-	assert.NilError(t, err)
-	for _, clause := range whereClause.FindAllString(string(decisions), -1) {
+	for _, clause := range whereClause.FindAllString(decisionPages(t), -1) {
 		for _, match := range namedCode.FindAllStringSubmatch(clause, -1) {
 			if match[1] != "go" && !code.declared[match[1]] && !code.files[match[1]] {
-				t.Errorf("decisions.md: nothing is called %s", match[0])
+				t.Errorf("decisions: nothing is called %s", match[0])
 			}
 		}
 	}
