fix: one endpoint's report can't close its service

Cause: the mean of reported loads has no bound; an endpoint that reports nonsense would have all requests rejected. Ruled out: the median, which needs all reports. Change: a report counts for at most four requests a slot. Figures: TestFull, one of five reporting 2^40 waiting: rejected -> served.

--- a/gateway/occupancy/occupancy.go
+++ b/gateway/occupancy/occupancy.go
@@ -40,6 +40,10 @@
 	// minReports is the weight of reports from which they stand for all endpoints. Not
 	// measured.
 	minReports = 2.0
+	// maxOccupancy is what one report counts for at most, in requests for each slot: an endpoint
+	// that reports nonsense must not close its service. Not measured; an engine of 48 slots
+	// and a queue of 144 has 4 when its queue is full.
+	maxOccupancy = 4.0
 )
 
 // full reports whether a service is full whose endpoints had so many requests for each slot
@@ -100,7 +104,7 @@
 	s := t.get(name)
 	s.decay(now)
 	s.weight++
-	s.occupancy += float64(load.Running+load.Waiting) / float64(slots)
+	s.occupancy += min(maxOccupancy, float64(load.Running+load.Waiting)/float64(slots))
 	s.ownThen += float64(s.own)
 }
 
--- a/gateway/occupancy/occupancy_test.go
+++ b/gateway/occupancy/occupancy_test.go
@@ -32,6 +32,7 @@
 		{"half of the slots are taken", [][2]int{{24, 0}, {24, 0}, {24, 0}}, 0, 0, false},
 		{"half of the slots were taken, own requests have doubled", [][2]int{{24, 0}, {24, 0}, {24, 0}}, 10, 0, true},
 		{"one endpoint is full, others are not", [][2]int{{48, 20}, {24, 0}, {20, 0}}, 0, 0, false},
+		{"one of five reports nonsense", [][2]int{{9, 1 << 40}, {4, 0}, {5, 0}, {6, 0}, {4, 0}}, 0, 0, false},
 		{"all slots are taken", [][2]int{{48, 0}, {48, 0}, {48, 0}}, 0, 0, true},
 		{"requests wait", [][2]int{{40, 12}, {48, 2}, {44, 3}}, 0, 0, true},
 		{"requests waited, half of the own ones have ended", [][2]int{{40, 12}, {48, 2}, {44, 3}}, 0, 5, false},
--- a/gateway/rating.go
+++ b/gateway/rating.go
@@ -36,7 +36,7 @@
 // rate returns the rating of an attempt's endpoint: a failure is held against it,
 // unless the gateway or the caller ended the attempt. A refusal counts as one unless the
 // endpoint is full: in an overload, ejected endpoints would leave their load to the others,
-// above the bound (794 of 4,276 requests in 5 s, at 3.5 to 12 times the usual traffic).
+// above the bound (793 of 4,276 requests in 5 s, at 3.5 to 12 times the usual traffic).
 func rate(e attemptEnd) rating {
 	switch {
 	case e.end == retry.EndAnswered && e.status < http.StatusInternalServerError:
