--- a/gateway/admit/admit.go
+++ b/gateway/admit/admit.go
@@ -57,7 +57,7 @@
 		return &ryeford.InputError{Field: "path", Problem: "no such route", Status: http.StatusNotFound}
 	case s.NoTimeLeft:
 		return giveup.NotRun(ryeford.ReasonLeaving)
-	case s.NeedsKey && (!s.ServesKeys || !s.KeyFound && !s.Reliable):
+	case s.NeedsKey && keyInDoubt(s.ServesKeys, s.KeyFound, s.Reliable):
 		return giveup.NotRun(ryeford.ReasonStaleConfiguration)
 	case s.NeedsKey && !s.KeyFound:
 		return &ryeford.InputError{Field: "key", Problem: "unknown", Status: http.StatusUnauthorized}
@@ -91,7 +91,7 @@
 		return giveup.NotRun(ryeford.ReasonStaleConfiguration)
 	case !s.RouteFound:
 		return giveup.NotRun(ryeford.ReasonRouteRemoved)
-	case s.NeedsKey && (!s.ServesKeys || !s.KeyFound && !s.Reliable):
+	case s.NeedsKey && keyInDoubt(s.ServesKeys, s.KeyFound, s.Reliable):
 		return giveup.NotRun(ryeford.ReasonStaleConfiguration)
 	case s.NeedsKey && !s.KeyFound:
 		return giveup.NotRun(ryeford.ReasonKeyRevoked)
@@ -99,6 +99,12 @@
 	return nil
 }
 
+// keyInDoubt reports whether nothing can be said of a request's key: keys are not served, or
+// this one is unknown to a configuration that may lack a new key.
+func keyInDoubt(served, found, reliable bool) bool {
+	return !served || !found && !reliable
+}
+
 // CheckTime returns why a request can't be answered in the time that it has left, or
 // nil: its deadline has passed, or no endpoint of its service has answered as fast as
 // that lately. fastest is the time of their fastest response, zero if none is known.
@@ -121,10 +127,9 @@
 // that it may not wait.
 //
 // When a whole fleet starts at once, all callers come back as soon as the routers listen
-// again, some 30 ms before the configuration is read (with the wait no request
-// of the worst second was refused, 14 without it). Later on, a
-// router that knows nothing refuses at once, so that requests are not held through an
-// outage of the store.
+// again, some 30 ms before the configuration is read (with the wait no request of the worst
+// second was refused, 14 without it). Later on, a router that knows nothing refuses at once,
+// so that requests are not held through an outage of the store.
 func StartWait(sinceStart, patience, left time.Duration) time.Duration {
 	return min(patience-sinceStart, time.Duration(startWaitShare*float64(left)))
 }
--- a/gateway/freshness/refresh.go
+++ b/gateway/freshness/refresh.go
@@ -10,11 +10,11 @@
 // it to the others, who then need not read. A router that learns that a peer has a
 // newer version reads at once.
 //
-// Why: calls of the source cost more than anything else on large sites: with
-// 26 routers 1,747 calls in 58 s, and 4,612 without turns. The order follows from the source's clock, so that routers
-// agree on it without asking each other, and the work goes round. The second is
-// there in case the first is down or cut off; if both are, every router reads by
-// itself as it would without peers.
+// Why: calls of the source cost more than anything else on large sites: with 26 routers
+// 1,747 calls in 58 s, and 4,612 without turns. The order follows from the source's clock,
+// so that routers agree on it without asking each other, and the work goes round. The second
+// is there in case the first is down or cut off; if both are, every router reads by itself as
+// it would without peers.
 
 const (
 	// shiftLength is how long one router is the first to read, by the source's
