fix: four slips that reading the change again has found

Cause: (1) a service that is full was told before a key that was revoked, so that its caller came back for its 401; (2) an endpoint that states no slots counted as full whatever its load, so that its refusals never ejected it; (3) a configuration from a peer made the router forget that the source had said of another version, or that one may be due; (4) the log said bridge_outage before any configuration was known. And what puts a configuration in force stood twice. Ruled out: nothing is loosened; each is as the rule beside it says. Change: the order of unservable; isFull without slots; putPeersInForce; replace serves both reads.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -173,8 +173,11 @@
 }
 
 // isFull reports whether an endpoint that refused the request has one or more for each of its
-// slots: by its own word, or else by what is known of its load.
+// slots: by its own word, or else by what is known of its load. Without slots it is not known.
 func (x *exchange) isFull(to *roster.Entry, response *endpoint.Response) bool {
+	if to.Slots <= 0 {
+		return false
+	}
 	if load := response.Meta.Load; load != nil {
 		return load.Running+load.Waiting >= to.Slots
 	}
--- a/gateway/configuration.go
+++ b/gateway/configuration.go
@@ -237,14 +237,19 @@
 // putInForce puts the configuration of an update in force, unless a later one is. sent is
 // when the read was sent.
 func (c *configuration) putInForce(update *ryeford.ConfigurationUpdate, sent time.Time) {
-	next := catalog.New(update.Configuration)
-	applied := c.inForce.Put(next)
-	took := time.Since(sent)
+	applied, took := c.replace(update.Configuration, sent)
 	c.newer.putInForce(c.version(), took >= c.bound)
-	_ = c.log.Log("decision", "configuration", "version", next.Version(), "revision", update.Revision,
+	_ = c.log.Log("decision", "configuration", "version", update.Configuration.Version, "revision", update.Revision,
 		"routes", len(update.Configuration.Routes), "accounts", len(update.Configuration.Accounts), "took", roundTime(took), "applied", applied)
 }
 
+// replace puts a configuration in force that was asked for at a time, unless a later one is.
+// It reports whether it did, and how long that took.
+func (c *configuration) replace(next *ryeford.Configuration, sent time.Time) (applied bool, took time.Duration) {
+	applied = c.inForce.Put(catalog.New(next))
+	return applied, time.Since(sent)
+}
+
 // confirmedByPeer takes the confirmation of a peer, whose address is from, that a version
 // was the newest when the source's steady clock showed at.
 func (c *configuration) confirmedByPeer(now time.Time, from netip.AddrPort, version int64, at time.Duration) {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -79,12 +79,12 @@
 // request that was not sent yet is rejected for load: a retry replaces work that has ended.
 func (x *exchange) unservable() error {
 	now, q := time.Now(), x.request
-	if x.history.Sent == 0 && x.forwarder.occupancy.Full(now, q.service) {
-		return giveup.NotRun(ryeford.ReasonOverload)
-	}
 	if err := admit.CheckSend(x.sending(now, true)); err != nil {
 		return err
 	}
+	if x.history.Sent == 0 && x.forwarder.occupancy.Full(now, q.service) {
+		return giveup.NotRun(ryeford.ReasonOverload)
+	}
 	return admit.CheckTime(q.deadline.Sub(now), x.forwarder.fastest.of(now, q.service))
 }
 
--- a/gateway/exchange_test.go
+++ b/gateway/exchange_test.go
@@ -20,6 +20,7 @@
 	"github.com/ryeford/ryeford/gateway/catalog"
 	"github.com/ryeford/ryeford/gateway/endpoint"
 	"github.com/ryeford/ryeford/gateway/occupancy"
+	"github.com/ryeford/ryeford/gateway/roster"
 	"github.com/ryeford/ryeford/internal/freeport"
 	"github.com/ryeford/ryeford/internal/telemetry"
 	"github.com/ryeford/ryeford/platform"
@@ -120,6 +121,14 @@
 	e.forwarder.configuration.inForce.Put(catalog.New(&next))
 }
 
+// fill lets the endpoints of the request's service report that all their slots are taken.
+func (e *exchangeTest) fill() {
+	e.forwarder.occupancy.Begin("s")
+	for range 9 {
+		e.forwarder.occupancy.Report(time.Now(), "s", 8, &ryeford.EndpointLoad{Running: 8})
+	}
+}
+
 // removeRoute puts a configuration in force that lacks the request's route.
 func (e *exchangeTest) removeRoute() {
 	next := *e.configuration
@@ -160,6 +169,11 @@
 			e.forwarder.configuration = newConfiguration(configurationOptions{})
 			e.forwarder.configuration.inForce.Put(e.request.catalog)
 		}, 503, "stale_configuration", true},
+		{"the service is full", (*exchangeTest).fill, 503, "overload", true},
+		{"the service is full, and the key was revoked: it would be refused for good", func(e *exchangeTest) {
+			e.fill()
+			e.revokeKey()
+		}, 401, "key_taken", false},
 		{"all endpoints are gone", func(e *exchangeTest) { e.setEndpoints() }, 503, "no_candidate", true},
 	} {
 		t.Run(row.rule, func(t *testing.T) {
@@ -274,6 +288,33 @@
 	}
 }
 
+// TestIsFull checks when an endpoint that refuses a request counts as full: not if it is not
+// known how many it runs at once.
+func TestIsFull(t *testing.T) {
+	for _, row := range []struct {
+		slots int
+		load  *ryeford.EndpointLoad
+		own   int // this router's requests there
+		want  bool
+	}{
+		{8, &ryeford.EndpointLoad{Running: 6, Waiting: 2}, 0, true},
+		{8, &ryeford.EndpointLoad{Running: 6, Waiting: 1}, 9, false},
+		{8, nil, 8, true},
+		{8, nil, 7, false},
+		{0, &ryeford.EndpointLoad{Running: 6, Waiting: 2}, 9, false},
+		{0, nil, 9, false},
+	} {
+		e := newExchangeTest(t)
+		to := &roster.Entry{Endpoint: ryeford.Endpoint{ID: "e1", Slots: row.slots}}
+		for range row.own {
+			e.forwarder.loads.Begin("e1")
+		}
+		x := &exchange{forwarder: e.forwarder}
+		response := &endpoint.Response{Meta: ryeford.ResponseMeta{Load: row.load}}
+		assert.Equal(t, x.isFull(to, response), row.want, "%+v", row)
+	}
+}
+
 // TestSilentConnections checks that an endpoint whose open connections have all gone silent,
 // without a reset, while new ones work, costs one request its time, and not one for each of its
 // idle connections.
--- a/gateway/newerversion.go
+++ b/gateway/newerversion.go
@@ -90,3 +90,11 @@
 	defer n.mu.Unlock()
 	n.inForce, n.changed, n.late = version, false, late
 }
+
+// putPeersInForce takes the same of a version that came from a peer. What the source has said
+// of another version, or that one may be due, stays until the source confirms this one.
+func (n *newerVersion) putPeersInForce(version int64, late bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.inForce, n.late = version, n.late || late
+}
--- a/gateway/newerversion_test.go
+++ b/gateway/newerversion_test.go
@@ -37,3 +37,20 @@
 	n.confirm()
 	assert.Assert(t, !n.mayBeDue())
 }
+
+// TestPeersVersion checks that a version that came from a peer does not make a router forget
+// that the source has said that it has another one, or that one may be due.
+func TestPeersVersion(t *testing.T) {
+	var n newerVersion
+	n.receive(time.Unix(1000, 0), netip.AddrPort{}, 2)
+	n.putPeersInForce(2, false)
+	assert.Assert(t, !n.mayBeDue(), "nothing was said of another one")
+	n.setChanged()
+	n.putPeersInForce(3, false)
+	assert.Assert(t, n.mayBeDue(), "the source's may be yet another")
+	n.confirm()
+	assert.Assert(t, !n.mayBeDue())
+	n.putPeersInForce(4, true)
+	n.putPeersInForce(5, false)
+	assert.Assert(t, n.mayBeDue(), "it came late")
+}
--- a/gateway/peerconfiguration.go
+++ b/gateway/peerconfiguration.go
@@ -11,7 +11,6 @@
 	"github.com/go-kit/log"
 
 	"github.com/ryeford/ryeford"
-	"github.com/ryeford/ryeford/gateway/catalog"
 	"github.com/ryeford/ryeford/internal/httpserver"
 	"github.com/ryeford/ryeford/internal/transfer"
 )
@@ -84,9 +83,9 @@
 		_ = c.log.Log("decision", "configuration_from_peer", "peer", peer, "version", version, "applied", false, "err", err)
 		return
 	}
-	applied := c.inForce.Put(catalog.New(read))
-	c.newer.putInForce(c.version(), false)
-	_ = c.log.Log("decision", "configuration_from_peer", "peer", peer, "version", read.Version, "took", roundTime(time.Since(sent)), "applied", applied)
+	applied, took := c.replace(read, sent)
+	c.newer.putPeersInForce(c.version(), took >= c.bound)
+	_ = c.log.Log("decision", "configuration_from_peer", "peer", peer, "version", read.Version, "took", roundTime(took), "applied", applied)
 }
 
 // A peerHandler hands the configuration in force out to peers.
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -32,7 +32,7 @@
 	}
 	now := time.Now()
 	state := h.state(now)
-	h.logBridged(state.ServesKeys && !h.configuration.reliable(now))
+	h.logBridged(state.Keyed && state.ServesKeys && !h.configuration.reliable(now))
 	reason := readiness.Check(state)
 	ready := reason == readiness.Ready
 	if h.wasReady.Swap(ready) != ready {
--- a/gateway/probe_test.go
+++ b/gateway/probe_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -41,3 +42,23 @@
 	assert.Equal(t, probe("/ready"), http.StatusServiceUnavailable)
 	assert.Equal(t, h.drain.failedProbes.Load(), int32(1))
 }
+
+// TestBridgedLog checks that a router says when it begins to serve keys beyond its lease, and
+// nothing of that as long as it knows no keys.
+func TestBridgedLog(t *testing.T) {
+	var lines strings.Builder
+	h := &probeHandler{
+		path:          "/ready",
+		configuration: newConfiguration(configurationOptions{bridges: true}),
+		roster:        roster.New(),
+		drain:         newDrain(8*time.Second, log.NewNopLogger()),
+		log:           log.NewLogfmtLogger(&lines),
+	}
+	probe := func() { h.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/ready", nil)) }
+	probe()
+	assert.Assert(t, !strings.Contains(lines.String(), "bridge_outage"), "it knows nothing yet")
+	h.configuration.inForce.Put(catalog.New(&ryeford.Configuration{Version: 1, Accounts: []ryeford.AccountRule{}}))
+	probe()
+	probe()
+	assert.Equal(t, strings.Count(lines.String(), "decision=bridge_outage serves=true"), 1)
+}
