refactor: one stand-in plays connections that have gone silent

Cause: TestSilentConnections of gateway and of platform each had the same handler, which answers four connections at once and then nothing more on them. Change: standin/silentconn, with one Handler for both. The assertions are as they were.

--- a/gateway/exchange_test.go
+++ b/gateway/exchange_test.go
@@ -9,7 +9,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -27,6 +26,7 @@
 	"github.com/ryeford/ryeford/platform/wire"
 	"github.com/ryeford/ryeford/retry"
 	"github.com/ryeford/ryeford/standin/appserver"
+	"github.com/ryeford/ryeford/standin/silentconn"
 )
 
 // An exchangeTest is an exchange of a keyed request, of service s, whose endpoints are
@@ -322,22 +322,7 @@
 	const idle = 4
 	e := newExchangeTest(t)
 	server := &appserver.Server{ID: "e1"}
-	var silent sync.Map // connections, by the router's address
-	var atOnce sync.WaitGroup
-	atOnce.Add(idle)
-	var seen atomic.Int64
-	httpServer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if _, ok := silent.Load(r.RemoteAddr); ok {
-			<-r.Context().Done()
-			return
-		}
-		if seen.Add(1) <= idle {
-			atOnce.Done()
-			atOnce.Wait() // so that there are as many connections
-			silent.Store(r.RemoteAddr, true)
-		}
-		server.ServeHTTP(w, r)
-	}))
+	httpServer := httptest.NewServer(silentconn.New(server, idle))
 	t.Cleanup(httpServer.Close)
 	e.setEndpoints(httpServer.Listener.Addr().String())
 	send := func() int {
