feat: routers send nothing to evacuated failure domains

Ruled out: the feed of a second table (twice the held calls); the rows among the expected ones of the comparison (whether its answer names all expected rows or those that differ isn't said, and a changed configuration would be transferred twice).

Change: evacuations come with each read of the configuration and with all that renews its lease: messages of gossip hold the whole set with the revision at which it was read, the newest counts. With no endpoint left, 503 and a Retry-After at once.

Test first: TestEvacuation (no order was known), TestPeersEvacuation, TestEvacuationInDisruption. How the load moves (at once or in part of the bound) is measured next.

--- a/gateway/balancer.go
+++ b/gateway/balancer.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -102,15 +103,24 @@
 // if there is none.
 func (b *balancer) ejectedFor(now time.Time, service string) time.Duration {
 	var shortest time.Duration
-	for i, entry := range b.roster.Serving(service) {
+	first := true
+	for _, entry := range b.roster.Serving(service) {
+		if !entry.Accepts() {
+			continue
+		}
 		left := b.detector.EjectedFor(now, entry.ID)
-		if i == 0 || left < shortest {
-			shortest = left
+		if first || left < shortest {
+			shortest, first = left, false
 		}
 	}
 	return shortest
 }
 
+// accepting reports whether any endpoint of a service accepts requests.
+func (b *balancer) accepting(service string) bool {
+	return slices.ContainsFunc(b.roster.Serving(service), (*roster.Entry).Accepts)
+}
+
 // candidates returns what is known of some endpoints, of which the first ones, as
 // many as serving, accept requests.
 func (b *balancer) candidates(now time.Time, query *endpointQuery, entries []*roster.Entry, serving int) []choice.Candidate {
@@ -136,6 +146,7 @@
 			Tried:         query.tried[entry.ID],
 			Unhealthy:     !b.detector.Healthy(now, entry.ID),
 			Draining:      i >= serving,
+			Barred:        entry.Evacuated,
 			MissingTokens: tokens - held[entry.ID],
 		})
 	}
--- a/gateway/choice/choice.go
+++ b/gateway/choice/choice.go
@@ -45,6 +45,9 @@
 	Unhealthy bool
 	// Draining endpoints accept no requests, but may still hold prompts.
 	Draining bool
+	// Barred endpoints may be sent nothing now, for a reason that is not their load: they may
+	// hold prompts, and count for the mean load.
+	Barred bool
 	// MissingTokens is how many tokens of the prompt's shared parts it is not known
 	// to hold.
 	MissingTokens int
@@ -60,7 +63,7 @@
 func (c *Candidate) isFull(bound float64) bool { return c.Load+deviations*c.Deviation > bound }
 
 // usable reports whether a candidate is to be considered first.
-func (c *Candidate) usable() bool { return !c.Draining && !c.Tried && !c.Unhealthy }
+func (c *Candidate) usable() bool { return !c.Draining && !c.Barred && !c.Tried && !c.Unhealthy }
 
 // Limits are the parameters of a choice that differ from gateway to gateway.
 type Limits struct {
--- a/gateway/configuration.go
+++ b/gateway/configuration.go
@@ -12,6 +12,7 @@
 	"github.com/ryeford/ryeford/gateway/freshness"
 	"github.com/ryeford/ryeford/gateway/peers"
 	"github.com/ryeford/ryeford/gateway/replica"
+	"github.com/ryeford/ryeford/gateway/roster"
 	"github.com/ryeford/ryeford/gateway/watch"
 	"github.com/ryeford/ryeford/internal/clock"
 	"github.com/ryeford/ryeford/internal/telemetry"
@@ -53,7 +54,8 @@
 	// clock is the source's.
 	clock *freshness.SourceClock
 	// revision is the newest of the store, on any of its tables.
-	revision *revision
+	revision    *revision
+	evacuations *evacuations
 	// onUpdate is called after each answer while a configuration is in force.
 	onUpdate func()
 	log      log.Logger
@@ -68,6 +70,9 @@
 	if options.start == nil {
 		options.start = &start{}
 	}
+	if options.evacuations == nil {
+		options.evacuations = &evacuations{roster: roster.New(), log: options.log, metrics: options.metrics}
+	}
 	c := &configuration{
 		configurationOptions: options,
 		lease:                freshness.NewLease(options.term, options.clock),
@@ -228,6 +233,7 @@
 		return false
 	}
 	c.revision.raise(update.Revision)
+	c.evacuations.learn(update.Evacuations, "source")
 	if !update.Unchanged {
 		c.state, c.size = update.State, update.Size
 	}
--- /dev/null
+++ b/gateway/evacuations.go
@@ -0,0 +1,43 @@
+package gateway
+
+import (
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/ryeford/ryeford"
+	"github.com/ryeford/ryeford/gateway/evacuation"
+	"github.com/ryeford/ryeford/gateway/roster"
+	"github.com/ryeford/ryeford/internal/telemetry"
+)
+
+// An evacuations puts in force which failure domains the operators have evacuated, as this router
+// or a peer has read it. It is safe for concurrent use.
+type evacuations struct {
+	table   evacuation.Table
+	roster  *roster.Roster
+	log     log.Logger
+	metrics *telemetry.Set
+
+	mu sync.Mutex // held while they are put in force
+}
+
+// learn takes evacuations that were read at their revision, and from whom they came. It must come
+// before the lease of the configuration is renewed by the same word.
+func (e *evacuations) learn(read ryeford.Evacuations, from string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.table.Learn(read) {
+		return
+	}
+	began, ended := e.roster.SetEvacuated(time.Now(), read)
+	for _, domain := range began {
+		e.metrics.Count("ryeford_evacuations_total", domain)
+	}
+	_ = e.log.Log("decision", "evacuation", "from", from, "revision", read.Revision, "began", strings.Join(began, ","), "ended", strings.Join(ended, ","))
+}
+
+// known returns the evacuations that are in force.
+func (e *evacuations) known() ryeford.Evacuations { return e.table.Known() }
--- /dev/null
+++ b/gateway/evacuations_test.go
@@ -0,0 +1,85 @@
+package gateway_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ryeford/ryeford/platform/wire"
+	"github.com/ryeford/ryeford/standin/rowstore"
+)
+
+// evacuate orders that a failure domain be evacuated.
+func (f *fixture) evacuate(domain string) {
+	f.store.Put(wire.TableOperators, wire.PrefixEvacuation+domain, []byte("{}"))
+}
+
+// received returns how many requests the endpoints have received.
+func (f *fixture) received() int {
+	n := 0
+	for _, server := range f.endpoints {
+		n += len(server.Received())
+	}
+	return n
+}
+
+// TestEvacuation checks that no endpoint of an evacuated failure domain is sent a request, that
+// callers are refused with a time to come back if there is no other, and that requests are served
+// again once the order is withdrawn.
+func TestEvacuation(t *testing.T) {
+	f := startedFixture(t, nil)
+	assert.Equal(t, f.call("GET", "/safe/a").status, 200)
+	f.evacuate("a")
+	f.awaitLog("began=a")
+	before := f.received()
+	for _, path := range []string{"/safe/a", "/open/a"} {
+		got := f.call("GET", path)
+		assert.Equal(t, got.status, 503)
+		assert.Assert(t, got.header.Get("Retry-After") != "")
+	}
+	f.addEndpoint("plain", "p3", 0) // listed after the order
+	f.awaitEndpoints(6)
+	assert.Equal(t, f.call("GET", "/safe/a").status, 503)
+	assert.Equal(t, f.received(), before)
+
+	f.store.Remove(wire.TableOperators, wire.PrefixEvacuation+"a")
+	f.awaitStatus(200, "GET", "/safe/a")
+}
+
+// TestEvacuationInDisruption checks that an evacuation that was ordered while the store failed in
+// some way is in force after it, also if it was withdrawn and given again.
+func TestEvacuationInDisruption(t *testing.T) {
+	for name, fault := range map[string]rowstore.Fault{
+		"silent": {Silent: true}, "busy": {Status: 503}, "reset": {Reset: true}, "slow": {Slow: time.Second}, "stale": {StaleReads: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := startedFixture(t, nil)
+			f.store.SetFault(fault)
+			f.evacuate("a")
+			f.store.Remove(wire.TableOperators, wire.PrefixEvacuation+"a")
+			f.evacuate("a")
+			f.store.ForgetHistory()
+			time.Sleep(100 * time.Millisecond)
+			f.store.SetFault(rowstore.Fault{})
+			f.awaitStatus(503, "GET", "/safe/a")
+			f.awaitLog("began=a")
+		})
+	}
+}
+
+// TestPeersEvacuation checks that a router that can't reach the store learns of an evacuation, and
+// of its end, from its peers; that one that starts meanwhile does; and that none serves on.
+func TestPeersEvacuation(t *testing.T) {
+	gateways := newPeers(t, 2, time.Hour, nil)
+	cut, connected := gateways[0], gateways[1]
+	cut.cutOffStore()
+	cut.awaitLog("dependency lost")
+	connected.evacuate("a")
+	cut.awaitLog("began=a")
+	connected.awaitLog("began=a")
+	assert.Equal(t, cut.call("GET", "/safe/a").status, 503)
+	connected.store.Remove(wire.TableOperators, wire.PrefixEvacuation+"a")
+	cut.awaitLog("ended=a")
+	cut.awaitStatus(200, "GET", "/safe/a")
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -95,19 +95,20 @@
 
 func (g *Gateway) addConfiguration() {
 	g.configuration = newConfiguration(configurationOptions{
-		source:   g.platform.Configurations,
-		term:     freshness.Term(g.settings.Bounds.Revoke),
-		bridges:  !g.settings.Bounds.StrictRevoke,
-		refresh:  g.settings.RefreshConfiguration(),
-		bound:    g.settings.Bounds.Configuration,
-		silence:  g.settings.StoreSilence(),
-		peers:    g.peers,
-		clock:    g.clock,
-		start:    g.start,
-		revision: g.revision,
-		onUpdate: g.checkSynced,
-		log:      g.log,
-		metrics:  g.metrics,
+		source:      g.platform.Configurations,
+		term:        freshness.Term(g.settings.Bounds.Revoke),
+		bridges:     !g.settings.Bounds.StrictRevoke,
+		refresh:     g.settings.RefreshConfiguration(),
+		bound:       g.settings.Bounds.Configuration,
+		silence:     g.settings.StoreSilence(),
+		peers:       g.peers,
+		clock:       g.clock,
+		start:       g.start,
+		revision:    g.revision,
+		evacuations: &evacuations{roster: g.roster, log: g.log, metrics: g.metrics},
+		onUpdate:    g.checkSynced,
+		log:         g.log,
+		metrics:     g.metrics,
 	})
 }
 
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -170,6 +170,7 @@
 		g.welcome(message.Sender)
 	}
 	g.endpoints.hear(message.Sender, message.List)
+	g.configuration.evacuations.learn(message.Evacuations.Read(), message.Sender.String())
 	if message.Confirmed {
 		g.configuration.confirmedByPeer(now, message.Sender, message.Version, message.ConfirmedAt)
 	}
@@ -255,14 +256,15 @@
 
 // briefMessage returns the brief message of a sequence number.
 func (g *gossip) briefMessage(now time.Time, sequence uint64) *peers.Message {
-	// The confirmation is read before the version: a version that takes effect in
-	// between was not yet the newest then, which is harmless, while an older one no
+	// The confirmation is read before the version and the evacuations: a version that takes
+	// effect in between was not yet the newest then, which is harmless, while an older one no
 	// longer was.
 	confirmedAt, confirmed := g.configuration.lease.Confirmed()
 	return &peers.Message{
 		ConfirmedAt: confirmedAt,
 		Confirmed:   confirmed,
 		Version:     g.configuration.version(),
+		Evacuations: peers.EvacuationsOf(g.configuration.evacuations.known()),
 		Sender:      g.self,
 		Started:     g.started,
 		Sequence:    sequence,
--- a/gateway/peerconfiguration.go
+++ b/gateway/peerconfiguration.go
@@ -18,6 +18,8 @@
 	// be the newest, and Latest the most that it may show now.
 	ConfirmedAt time.Duration
 	Latest      time.Duration
+	// Evacuations are those in force, as of ConfirmedAt or later.
+	Evacuations ryeford.Evacuations
 }
 
 // readFromPeer puts the configuration of a peer in force that has told of a newer one, and
@@ -38,6 +40,7 @@
 		return false
 	}
 	c.clock.Observe(sent, read.Latest)
+	c.evacuations.learn(read.Evacuations, peer.String())
 	applied, took := c.replace(read.Configuration, sent)
 	c.newer.putPeersInForce(c.version(), took >= c.bound)
 	if read.Configuration.Version == c.version() {
@@ -51,12 +54,12 @@
 // answer returns what a peer is handed out, or nil if there is no configuration or it may be stale.
 func (c *configuration) answer() *configurationAnswer {
 	now := time.Now()
-	// The confirmation is read before the configuration, as in gossip.briefMessage.
+	// The confirmation is read before the configuration and the evacuations, as in gossip.briefMessage.
 	confirmed, known := c.lease.Confirmed()
 	latest, bounded := c.clock.Latest(now)
 	current := c.current()
 	if !known || !bounded || current == nil || !c.reliable(now) {
 		return nil
 	}
-	return &configurationAnswer{Configuration: current.Configuration(), ConfirmedAt: confirmed, Latest: latest}
+	return &configurationAnswer{Configuration: current.Configuration(), ConfirmedAt: confirmed, Latest: latest, Evacuations: c.evacuations.known()}
 }
--- a/gateway/peers/message.go
+++ b/gateway/peers/message.go
@@ -50,6 +50,8 @@
 	Confirmed bool `cbor:"12,keyasint"`
 	// List is what the sender has of the list of endpoints; nil if it says nothing of it.
 	List *List `cbor:"19,keyasint,omitempty"`
+	// Evacuations are what the sender knows of them; nil if it says nothing of them.
+	Evacuations *Evacuations `cbor:"20,keyasint,omitempty"`
 	// Prompts were sent to endpoints since the last message.
 	Prompts []Prompt `cbor:"6,keyasint,omitempty"`
 }
@@ -84,6 +86,20 @@
 	ConfirmedAt time.Duration
 }
 
+// Evacuations are the evacuations of failure domains as of a revision of their source.
+type Evacuations struct {
+	_        struct{} `cbor:",toarray"`
+	Revision int64
+	Orders   []Evacuation
+}
+
+// An Evacuation is the evacuation of one failure domain.
+type Evacuation struct {
+	_             struct{} `cbor:",toarray"`
+	FailureDomain string
+	State         int64 // as in a ryeford.Evacuation
+}
+
 // A Total is how many requests a router has under way at all endpoints of a service.
 type Total struct {
 	_        struct{} `cbor:",toarray"`
--- /dev/null
+++ b/gateway/roster/evacuated_test.go
@@ -0,0 +1,38 @@
+package roster
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ryeford/ryeford"
+)
+
+// TestSetEvacuated checks that the endpoints of an evacuated failure domain accept nothing, also
+// those that are listed later, that they stay known, and that they accept again after it.
+func TestSetEvacuated(t *testing.T) {
+	r := New()
+	in := func(id ryeford.EndpointID, domain string) ryeford.Endpoint {
+		return ryeford.Endpoint{ID: id, Service: "s", FailureDomain: domain}
+	}
+	r.Apply(start, &ryeford.EndpointUpdate{Snapshot: true, Revision: 1, Present: []ryeford.Endpoint{in("a1", "a"), in("b1", "b")}}, never)
+	evacuated := ryeford.Evacuations{Revision: 2, Orders: []ryeford.Evacuation{{FailureDomain: "a", State: 2}}}
+	began, ended := r.SetEvacuated(start, evacuated)
+	assert.DeepEqual(t, began, []string{"a"})
+	assert.Equal(t, len(ended), 0)
+	r.Apply(start, &ryeford.EndpointUpdate{Revision: 3, Present: []ryeford.Endpoint{in("a2", "a")}}, never)
+	for id, accepts := range map[ryeford.EndpointID]bool{"a1": false, "a2": false, "b1": true} {
+		assert.Equal(t, r.Accepts(id), accepts, id)
+		assert.Assert(t, r.Knows(id), id)
+	}
+	assert.Equal(t, len(r.Serving("s")), 3) // they count for the mean load
+
+	end := start.Add(time.Minute)
+	began, ended = r.SetEvacuated(end, ryeford.Evacuations{Revision: 4})
+	assert.Equal(t, len(began), 0)
+	assert.DeepEqual(t, ended, []string{"a"})
+	assert.Assert(t, r.Accepts("a1") && r.Accepts("a2"))
+	assert.Equal(t, r.Entry("a1").Returned, end)
+	assert.Assert(t, r.Entry("b1").Returned.IsZero())
+}
--- a/gateway/roster/roster.go
+++ b/gateway/roster/roster.go
@@ -28,6 +28,11 @@
 	// FirstSeen is when the router first saw the endpoint on the list. It is zero
 	// if the first list had it: such an endpoint may have served for long.
 	FirstSeen time.Time
+	// Evacuated endpoints accept no requests, whatever their status: the operators have
+	// evacuated their failure domain.
+	Evacuated bool
+	// Returned is when the last evacuation of its failure domain ended, or zero.
+	Returned time.Time
 	// expires is when an endpoint that is off the list is forgotten.
 	expires time.Time
 }
@@ -40,11 +45,18 @@
 	draining map[string][]*Entry // by service, sorted by ID: the others
 	known    bool
 	revision int64
+
+	evacuated map[string]bool      // failure domains
+	returned  map[string]time.Time // when failure domains were last taken back
 }
 
 // New returns an empty Roster.
 func New() *Roster {
-	return &Roster{entries: make(map[ryeford.EndpointID]*Entry)}
+	return &Roster{
+		entries:   make(map[ryeford.EndpointID]*Entry),
+		evacuated: make(map[string]bool),
+		returned:  make(map[string]time.Time),
+	}
 }
 
 // A Change is what an update did, as the IDs whose status has changed.
@@ -90,7 +102,8 @@
 // put enters an endpoint that the list names.
 func (r *Roster) put(now time.Time, endpoint ryeford.Endpoint, change *Change) {
 	old := r.entries[endpoint.ID]
-	entry := &Entry{Endpoint: endpoint, Status: listedStatus(endpoint.State), Hash: route.NameHash(string(endpoint.ID))}
+	entry := &Entry{Endpoint: endpoint, Status: listedStatus(endpoint.State), Hash: route.NameHash(string(endpoint.ID)),
+		Evacuated: r.evacuated[endpoint.FailureDomain], Returned: r.returned[endpoint.FailureDomain]}
 	switch {
 	case old != nil:
 		entry.FirstSeen = old.FirstSeen
@@ -188,8 +201,8 @@
 	return r.known
 }
 
-// Serving returns the endpoints of a service that accept requests. The caller must
-// not change them.
+// Serving returns the endpoints of a service that accept requests, and those that would if
+// their failure domain were not evacuated. The caller must not change them.
 func (r *Roster) Serving(service string) []*Entry {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
@@ -218,9 +231,12 @@
 // Accepts reports whether an endpoint accepts new requests.
 func (r *Roster) Accepts(id ryeford.EndpointID) bool {
 	entry := r.Entry(id)
-	return entry != nil && entry.Status.accepts()
+	return entry != nil && entry.Accepts()
 }
 
+// Accepts reports whether the endpoint accepts new requests.
+func (e *Entry) Accepts() bool { return e.Status.accepts() && !e.Evacuated }
+
 // Len returns the number of known endpoints, whatever their status.
 func (r *Roster) Len() int {
 	r.mu.RLock()
--- a/source.go
+++ b/source.go
@@ -39,6 +39,8 @@
 	// Revision is the newest of the source. It rises with every change there, also of
 	// other things than the configuration.
 	Revision int64
+	// Evacuations are those in force, whether or not the configuration is Unchanged.
+	Evacuations Evacuations
 	// Clock is the source's monotonic clock when it answered, which was no later than
 	// Begun, when its answer began to come. Its zero means nothing.
 	Clock time.Duration
--- a/standin/rowstore/serve.go
+++ b/standin/rowstore/serve.go
@@ -40,6 +40,9 @@
 		limit = min(limit, n)
 	}
 	rows, version := s.read(r.RemoteAddr, query.Get(wire.QueryTable), query.Get(wire.QueryFrom))
+	if to := query.Get(wire.QueryTo); to != "" {
+		rows = slices.DeleteFunc(rows, func(row wire.Row) bool { return row.Key >= to })
+	}
 	slices.SortFunc(rows, func(a, b wire.Row) int { return cmp.Compare(a.Key, b.Key) })
 	s.write(w, http.StatusOK, &wire.RowsResponse{
 		Rows:    rows[:min(limit, len(rows))],
