feat: cold endpoints get no more requests than they bear

Cause: coldMs, coldS and coldPerS were not read.

Change: package gateway/slowstart: turns by the store's clock, one router's each. Cold is known by the entry, and assumed after an evacuation's end and after an endpoint was unreachable.

--- a/configuration.go
+++ b/configuration.go
@@ -65,6 +65,15 @@
 	Priority *Priority
 }
 
+// A ServiceRule is what the operators say of a service's endpoints.
+type ServiceRule struct {
+	Name string
+	// ColdTime is how long an endpoint is cold after its start, and ColdRate how many requests a
+	// second, of all routers, it bears meanwhile. Zero stands for no such bound.
+	ColdTime time.Duration
+	ColdRate float64
+}
+
 // RequestLimits bound what a caller may send. Zero stands for the router's default.
 type RequestLimits struct {
 	MaxBody       int // bytes
@@ -79,5 +88,6 @@
 	Routes  []RouteRule
 	// Accounts is nil if requests carry no keys. If it is empty, no key is valid.
 	Accounts []AccountRule
+	Services []ServiceRule
 	Limits   RequestLimits
 }
--- a/endpoint.go
+++ b/endpoint.go
@@ -1,6 +1,9 @@
 package ryeford
 
-import "net/netip"
+import (
+	"net/netip"
+	"time"
+)
 
 // An EndpointID names one life of an endpoint: it changes at each start.
 type EndpointID string
@@ -25,6 +28,8 @@
 	// Slots is how many requests it runs at once; more wait in its queue.
 	Slots int
 	State EndpointState
+	// Cold is for how much longer it bears only few requests, as of when it said so.
+	Cold time.Duration
 }
 
 // An EndpointLoad is the load that an endpoint reports with a response, in requests.
--- a/gateway/balancer.go
+++ b/gateway/balancer.go
@@ -10,11 +10,13 @@
 
 	"github.com/ryeford/ryeford"
 	"github.com/ryeford/ryeford/gateway/choice"
+	"github.com/ryeford/ryeford/gateway/freshness"
 	"github.com/ryeford/ryeford/gateway/loads"
 	"github.com/ryeford/ryeford/gateway/outlier"
 	"github.com/ryeford/ryeford/gateway/peers"
 	"github.com/ryeford/ryeford/gateway/prefixcache"
 	"github.com/ryeford/ryeford/gateway/roster"
+	"github.com/ryeford/ryeford/gateway/slowstart"
 	"github.com/ryeford/ryeford/settings"
 )
 
@@ -29,7 +31,13 @@
 	peers    *peers.Table // kept by gossip
 	limits   choice.Limits
 
-	start atomic.Uint64
+	slowStart *slowstart.Table
+	clock     *freshness.SourceClock // by which turns are counted
+	start     *start
+	// minRouters is among how many routers what a cold endpoint bears is divided at least.
+	minRouters int
+
+	next atomic.Uint64 // where the next search for the least loaded endpoint starts
 }
 
 // newBalancer returns a balancer that knows nothing yet.
@@ -41,11 +49,17 @@
 		prefixes: prefixcache.New(),
 		peers:    peers.New(s.Peers.AddrPort, peers.DefaultLimits()),
 		limits:   choice.Limits{CapFactor: s.Bounds.CapFactor, Domain: s.FailureDomain},
+
+		slowStart:  slowstart.New(),
+		clock:      &freshness.SourceClock{},
+		start:      newStart(s),
+		minRouters: s.Routing.Routers,
 	}
 }
 
 type endpointQuery struct {
 	service string
+	rule    *ryeford.ServiceRule // what the operators say of it
 	// shared are the parts of the prompt that other requests may share; if there are
 	// any, affinity is the hash of the last one.
 	shared   []ryeford.PromptPart
@@ -78,7 +92,7 @@
 	if byAffinity {
 		chosen = choice.ByAffinity(candidates, b.prompt(now, query), b.limits, rand.Uint64())
 	} else {
-		chosen = choice.ByLoad(candidates, b.limits, int(b.start.Add(1)%maxStart))
+		chosen = choice.ByLoad(candidates, b.limits, int(b.next.Add(1)%maxStart))
 	}
 	result := selection{choice: chosen, candidates: len(candidates)}
 	if chosen.Index < 0 {
@@ -133,6 +147,7 @@
 		tokens += part.Tokens
 	}
 	sample := b.peers.Sample(now, query.service)
+	cold := coldness{balancer: b, now: now, service: query.rule}
 	candidates := make([]choice.Candidate, 0, len(entries))
 	for i, entry := range entries {
 		load, deviation := b.estimate(now, entry, sample, sample.Mean(serving))
@@ -146,7 +161,7 @@
 			Tried:         query.tried[entry.ID],
 			Unhealthy:     !b.detector.Healthy(now, entry.ID),
 			Draining:      i >= serving,
-			Barred:        entry.Evacuated,
+			Barred:        entry.Evacuated || !cold.allows(entry),
 			MissingTokens: tokens - held[entry.ID],
 		})
 	}
@@ -187,12 +202,12 @@
 // one from which it may fetch the cached part of the prompt, or nil.
 func (x *exchange) choose() (to, source *roster.Entry) {
 	q := x.request
-	query := endpointQuery{service: q.service, affinity: q.affinity, tried: x.tried}
+	query := endpointQuery{service: q.service, rule: q.catalog.Service(q.service), affinity: q.affinity, tried: x.tried}
 	if q.shared {
 		query.shared = q.sharedParts()
 	}
 	selected := x.forwarder.choose(time.Now(), &query)
-	for selected.to != nil && !x.tries(selected.to) {
+	for selected.to != nil && !(x.tries(selected.to) && x.forwarder.takeTurn(time.Now(), selected.to, query.rule)) {
 		x.tried[selected.to.ID] = true
 		selected = x.forwarder.choose(time.Now(), &query)
 	}
--- a/gateway/catalog/catalog.go
+++ b/gateway/catalog/catalog.go
@@ -20,7 +20,8 @@
 	configuration *ryeford.Configuration
 	hosts         map[string]*hostRoutes
 	accounts      map[string]*ryeford.AccountRule // by key
-	priorities    []ryeford.Priority              // the highest first
+	services      map[string]*ryeford.ServiceRule
+	priorities    []ryeford.Priority // the highest first
 }
 
 // hostRoutes are the routes of one host.
@@ -35,6 +36,7 @@
 		configuration: configuration,
 		hosts:         make(map[string]*hostRoutes),
 		accounts:      make(map[string]*ryeford.AccountRule, len(configuration.Accounts)),
+		services:      make(map[string]*ryeford.ServiceRule, len(configuration.Services)),
 	}
 	for i := range configuration.Routes {
 		rule := &configuration.Routes[i]
@@ -46,6 +48,9 @@
 			c.accounts[key] = account
 		}
 	}
+	for i := range configuration.Services {
+		c.services[configuration.Services[i].Name] = &configuration.Services[i]
+	}
 	c.priorities = prioritiesOf(configuration)
 	return c
 }
@@ -84,6 +89,17 @@
 // Account returns the client account that a key belongs to, or nil.
 func (c *Catalog) Account(key string) *ryeford.AccountRule { return c.accounts[key] }
 
+// noService stands for a service of which the operators say nothing.
+var noService ryeford.ServiceRule
+
+// Service returns what the operators say of a service. The caller must not change it.
+func (c *Catalog) Service(name string) *ryeford.ServiceRule {
+	if rule := c.services[name]; rule != nil {
+		return rule
+	}
+	return &noService
+}
+
 // Route returns the route of a request: of its host's routes the one with the
 // longest prefix of the path, or nil.
 func (c *Catalog) Route(host, path string) *ryeford.RouteRule {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -63,8 +63,6 @@
 	*balancer // what is known of the endpoints
 	pool      *endpoint.Pool
 	revision  *revision // the newest of the store
-	clock     *freshness.SourceClock
-	start     *start
 }
 
 // New returns a Gateway.
@@ -77,8 +75,6 @@
 		balancer:    newBalancer(s),
 		pool:        endpoint.New(platform.Protocol),
 		revision:    &revision{},
-		clock:       &freshness.SourceClock{},
-		start:       newStart(s),
 		drain:       newDrain(s.Bounds.Grace, logger),
 		initialSync: newInitialSync(s.Routing.StartPatience),
 	}
@@ -127,7 +123,7 @@
 		revision:   g.revision,
 		roster:     g.roster,
 		pool:       g.pool,
-		forgetters: []forgetter{g.detector, g.loads, g.prefixes},
+		forgetters: []forgetter{g.detector, g.loads, g.prefixes, g.slowStart},
 		outage:     newOutage("endpoints", g.configuration.leaseLeft, g.log, g.metrics),
 		onUpdate:   g.checkSynced,
 		log:        g.log,
--- a/gateway/outlier/outlier.go
+++ b/gateway/outlier/outlier.go
@@ -23,12 +23,13 @@
 
 type state struct {
 	record
-	ejections    int // in succession; each makes the next longer
-	until        time.Time
-	unusable     bool                 // until then, as one event proved; no response has come since
-	lastResponse time.Time            // when it last began a response
-	waiting      map[uint64]time.Time // when each request was sent that has no response yet
-	lastAttempt  uint64
+	ejections     int // in succession; each makes the next longer
+	until         time.Time
+	unusableUntil time.Time            // the end of the last ejection because of one such event
+	unusable      bool                 // until then, as one event proved; no response has come since
+	lastResponse  time.Time            // when it last began a response
+	waiting       map[uint64]time.Time // when each request was sent that has no response yet
+	lastAttempt   uint64
 }
 
 // New returns a Detector without endpoints.
@@ -110,6 +111,7 @@
 	if until := now.Add(term); until.After(s.until) {
 		s.until = until
 	}
+	s.unusableUntil = s.until
 }
 
 // Healthy reports whether an endpoint is neither ejected nor silent.
@@ -140,6 +142,17 @@
 	return s != nil && s.unusable && now.Before(s.until)
 }
 
+// ReachableSince returns the end of the last ejection because one event had proved an endpoint
+// unusable, or zero if there was none: it may have started again meanwhile.
+func (d *Detector) ReachableSince(id ryeford.EndpointID) time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if s := d.states[id]; s != nil {
+		return s.unusableUntil
+	}
+	return time.Time{}
+}
+
 // EjectedFor returns for how long an endpoint is still ejected; zero if it is not.
 func (d *Detector) EjectedFor(now time.Time, id ryeford.EndpointID) time.Duration {
 	d.mu.Lock()
--- a/gateway/roster/roster.go
+++ b/gateway/roster/roster.go
@@ -33,6 +33,9 @@
 	Evacuated bool
 	// Returned is when the last evacuation of its failure domain ended, or zero.
 	Returned time.Time
+	// ColdUntil is until when the endpoint is cold by its own word, counted from when this router
+	// learnt of it.
+	ColdUntil time.Time
 	// expires is when an endpoint that is off the list is forgotten.
 	expires time.Time
 }
@@ -110,6 +113,11 @@
 	case r.known:
 		entry.FirstSeen = now
 	}
+	if old != nil && old.Endpoint == endpoint {
+		entry.ColdUntil = old.ColdUntil // the same word again
+	} else if endpoint.Cold > 0 {
+		entry.ColdUntil = now.Add(endpoint.Cold)
+	}
 	if old == nil {
 		change.Added = append(change.Added, endpoint.ID)
 	}
--- /dev/null
+++ b/gateway/slowstart/slowstart_test.go
@@ -0,0 +1,46 @@
+package slowstart
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestTurn checks that each turn belongs to one router, that turns come at rateShare of the
+// endpoint's rate, and that a turn is valid for its time only.
+func TestTurn(t *testing.T) {
+	const routers, rate, hash = 5, 8.0, 3
+	taken := make(map[int64]int) // by number: the router that has it
+	for at := 10 * time.Second; at < 20*time.Second; at += 10 * time.Millisecond {
+		for rank := range routers {
+			f := Fleet{Clock: at, Rank: rank, Routers: routers}
+			if number, valid := f.Turn(hash, rate); valid {
+				if owner, ok := taken[number]; ok {
+					assert.Equal(t, owner, rank)
+				}
+				taken[number] = rank
+			}
+		}
+	}
+	assert.Assert(t, len(taken) >= 60 && len(taken) <= 64, "%d turns in 10 s, %v a second", len(taken), rate*rateShare)
+	alone := Fleet{Clock: 100 * time.Millisecond, Routers: 4}
+	number, valid := alone.Turn(0, rate)
+	assert.Assert(t, number == 0 && valid)
+	alone.Clock = validity
+	_, valid = alone.Turn(0, rate)
+	assert.Assert(t, !valid)
+	nobody := Fleet{}
+	_, valid = nobody.Turn(0, rate)
+	assert.Assert(t, !valid)
+}
+
+// TestTable checks that a turn is taken once, and that an earlier one is over then.
+func TestTable(t *testing.T) {
+	table := New()
+	assert.Assert(t, table.Free("a", 7) && table.Take("a", 7))
+	assert.Assert(t, !table.Free("a", 7) && !table.Take("a", 7) && !table.Take("a", 6))
+	assert.Assert(t, table.Take("b", 6) && table.Take("a", 8))
+	table.Forget("a")
+	assert.Assert(t, table.Take("a", 7))
+}
