feat: an endpoint that starts again is another life; entries by others hide no endpoint

Ruled out: a field of the life beside the ID in each table and message (ten places, each of which can be missed, and bytes in each report).

Change: the moment of the start is a part of EndpointID, so that index, loads, ratings, connections, turns and gossip are of one life, and word of an earlier one finds nothing; the list has one life a name, the one of the newest revision, whatever the clock of its VM. An entry with a field that is missing, of another type or out of range, an unknown state or bytes that can't be read names no endpoint, what it named has left, and it is logged and counted once.

--- a/endpoint.go
+++ b/endpoint.go
@@ -2,12 +2,36 @@
 
 import (
 	"net/netip"
+	"strconv"
+	"strings"
 	"time"
 )
 
-// An EndpointID names one life of an endpoint: it changes at each start.
+// An EndpointID names one life of an endpoint. It is the name under which the endpoint is listed,
+// and, if the endpoint says when it was started, that moment. So all that is known of a life, here
+// or at a peer, is of that life alone.
 type EndpointID string
 
+// lifeMark stands between the name and the moment in an EndpointID.
+const lifeMark = "#"
+
+// NewEndpointID returns the ID of an endpoint's life, given the name under which the endpoint is
+// listed and the Unix time of its start in milliseconds, or zero if it doesn't say that.
+func NewEndpointID(name string, started int64) EndpointID {
+	if started == 0 && !strings.Contains(name, lifeMark) {
+		return EndpointID(name)
+	}
+	return EndpointID(name + lifeMark + strconv.FormatInt(started, 36))
+}
+
+// Name returns the ID without the moment: it is the same for all lives of an endpoint.
+func (id EndpointID) Name() EndpointID {
+	if i := strings.LastIndex(string(id), lifeMark); i >= 0 {
+		return id[:i]
+	}
+	return id
+}
+
 // An EndpointState is what an endpoint says of itself in the list of endpoints.
 type EndpointState int
 
--- a/gateway/endpointlist.go
+++ b/gateway/endpointlist.go
@@ -70,7 +70,8 @@
 	// roster).
 	suspectUntil time.Time
 	// failed is when the last read of the source that failed was sent.
-	failed time.Time
+	failed    time.Time
+	malformed map[ryeford.EndpointID]bool // names of entries that can't be read, as they were logged
 	// whole is when the copy was read whole by this router, whose newest change then may be of any
 	// revision up to its own; zero if it is known, or has been read on for long enough.
 	whole time.Time
@@ -139,6 +140,7 @@
 // since a revision, and reports whether it holds any change.
 func (l *endpointList) applySource(update *ryeford.EndpointUpdate, since int64, sent time.Time) bool {
 	l.revision.raise(update.Revision)
+	l.logMalformed(update)
 	changes := replica.FromSource(update, since)
 	l.mu.Lock()
 	switch {
@@ -155,6 +157,31 @@
 	return len(update.Present)+len(update.Removed) > 0
 }
 
+// maxMalformed is how many malformed entries are remembered, so that each is logged once. Not
+// measured; bounds memory.
+const maxMalformed = 1024
+
+// logMalformed logs and counts entries that name no endpoint to use, each once for as long as it is
+// like that.
+func (l *endpointList) logMalformed(update *ryeford.EndpointUpdate) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i := range update.Present {
+		delete(l.malformed, update.Present[i].ID.Name())
+	}
+	for _, entry := range update.Malformed {
+		if l.malformed[entry.Name] {
+			continue
+		}
+		if l.malformed == nil || len(l.malformed) >= maxMalformed {
+			l.malformed = make(map[ryeford.EndpointID]bool)
+		}
+		l.malformed[entry.Name] = true
+		l.metrics.Count("ryeford_malformed_entries_total", "")
+		_ = l.log.Log("decision", "endpoints", "malformed", entry.Name, "err", entry.Err)
+	}
+}
+
 // endOutage is called before the lease is renewed, and before the changes that came with that are
 // applied. If that ends an outage, endpoints that are missing from now on are suspect for a time:
 // nothing confirmed the list for long, and this router's own read failed in between. Without that
@@ -201,7 +228,7 @@
 		// troubled says that an outage has just ended, and doubted names the endpoints
 		// that have become suspect: the log keeps its old keys.
 		_ = l.log.Log("decision", "endpoints", "from", from, "revision", changes.Range.To, "whole", changes.Snapshot, "troubled", now.Before(l.suspectUntil),
-			"added", join(change.Added), "draining", join(change.Drained), "dropped", join(change.Dropped), "doubted", join(change.Suspected), "departed", join(change.Departed), "known", l.roster.Len())
+			"added", join(change.Added), "draining", join(change.Drained), "dropped", join(change.Dropped), "doubted", join(change.Suspected), "departed", join(change.Departed), "restarted", join(change.Restarted), "known", l.roster.Len())
 		for _, id := range change.Dropped {
 			l.forget(id)
 		}
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -35,6 +35,7 @@
 	t         testing.TB
 	store     *rowstore.Store
 	endpoints map[string]*recordingEndpoint // by ID
+	addresses map[string]string             // of these
 	base      string                        // URL that callers connect to
 	ready     string                        // URL that is probed
 	peers     netip.AddrPort                // for gossip
@@ -66,6 +67,7 @@
 		t:         t,
 		store:     store,
 		endpoints: make(map[string]*recordingEndpoint),
+		addresses: make(map[string]string),
 		client:    &http.Client{Transport: &http.Transport{DisableCompression: true}},
 		done:      make(chan error, 1),
 		log:       &lockedBuffer{},
@@ -176,7 +178,8 @@
 		httpServer.Close()
 	})
 	f.endpoints[id] = server
-	f.putEndpoint(service, id, strings.TrimPrefix(httpServer.URL, "http://"), wire.StateReady)
+	f.addresses[id] = strings.TrimPrefix(httpServer.URL, "http://")
+	f.putEndpoint(service, id, f.addresses[id], wire.StateReady)
 	return server
 }
 
--- a/gateway/replica/replica.go
+++ b/gateway/replica/replica.go
@@ -29,7 +29,7 @@
 // Changes are what brings a copy from one range of revisions to another.
 type Changes struct {
 	// Snapshot says that Present is the whole list. Otherwise Present and Removed are what
-	// has changed after Since.
+	// has changed after Since; Removed are names.
 	Snapshot bool
 	Since    int64
 	Present  []ryeford.Endpoint
@@ -74,8 +74,8 @@
 type Replica struct {
 	mu      sync.Mutex
 	at      Range
-	entries map[ryeford.EndpointID]entry
-	removed map[ryeford.EndpointID]int64 // the revision up to which each has left
+	entries map[ryeford.EndpointID]entry // by name: of an endpoint's lives the list has one
+	removed map[ryeford.EndpointID]int64 // by name: the revision up to which each has left
 	horizon int64                        // removals up to this revision are forgotten
 }
 
@@ -133,15 +133,16 @@
 	differs := false
 	present := make(map[ryeford.EndpointID]bool, len(c.Present))
 	for _, endpoint := range c.Present {
-		present[endpoint.ID] = true
-		if old, known := r.entries[endpoint.ID]; !known || old.endpoint != endpoint {
+		name := endpoint.ID.Name()
+		present[name] = true
+		if old, known := r.entries[name]; !known || old.endpoint != endpoint {
 			r.put(endpoint, c.Range.From)
 			differs = true
 		}
 	}
-	for id := range r.entries {
-		if !present[id] {
-			r.remove(id, c.Range.From)
+	for name := range r.entries {
+		if !present[name] {
+			r.remove(name, c.Range.From)
 			differs = true
 		}
 	}
@@ -156,17 +157,18 @@
 }
 
 func (r *Replica) put(endpoint ryeford.Endpoint, changed int64) {
-	r.entries[endpoint.ID] = entry{endpoint: endpoint, changed: changed}
-	delete(r.removed, endpoint.ID)
+	name := endpoint.ID.Name()
+	r.entries[name] = entry{endpoint: endpoint, changed: changed}
+	delete(r.removed, name)
 }
 
-func (r *Replica) remove(id ryeford.EndpointID, changed int64) {
-	delete(r.entries, id)
+func (r *Replica) remove(name ryeford.EndpointID, changed int64) {
+	delete(r.entries, name)
 	if len(r.removed) >= maxRemoved {
 		clear(r.removed)
 		r.horizon = changed
 	}
-	r.removed[id] = changed
+	r.removed[name] = changed
 }
 
 // Since returns what has changed after a revision: the whole list if r can't tell.
@@ -182,9 +184,9 @@
 	if c.Snapshot {
 		return c
 	}
-	for id, changed := range r.removed {
+	for name, changed := range r.removed {
 		if changed > revision {
-			c.Removed = append(c.Removed, id)
+			c.Removed = append(c.Removed, name)
 		}
 	}
 	return c
--- /dev/null
+++ b/gateway/roster/restarted_test.go
@@ -0,0 +1,31 @@
+package roster
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ryeford/ryeford"
+)
+
+// TestRestarted checks that another life of an endpoint takes the place of the one before, whichever
+// is later by the clock of its VM, and that a name that leaves takes the life that is known with it.
+func TestRestarted(t *testing.T) {
+	r := New()
+	life := func(started int64) ryeford.Endpoint { return ready(string(ryeford.NewEndpointID("a", started))) }
+	first, second, stepped := life(1000), life(2000), life(500)
+	r.Apply(start, &ryeford.EndpointUpdate{Snapshot: true, Revision: 1, Present: []ryeford.Endpoint{first, ready("b")}}, never)
+	for i, next := range []ryeford.Endpoint{second, stepped} {
+		before := []ryeford.Endpoint{first, second}[i].ID
+		change := r.Apply(start, &ryeford.EndpointUpdate{Revision: int64(2 + i), Present: []ryeford.Endpoint{next}}, never)
+		assert.DeepEqual(t, change.Dropped, []ryeford.EndpointID{before})
+		assert.DeepEqual(t, change.Added, []ryeford.EndpointID{next.ID})
+		assert.DeepEqual(t, change.Restarted, []ryeford.EndpointID{next.ID})
+		assert.Assert(t, !r.Knows(before) && r.Accepts(next.ID) && r.Accepts("b"))
+		assert.Equal(t, r.Entry(next.ID).FirstSeen, start)
+	}
+	change := r.Apply(start, &ryeford.EndpointUpdate{Revision: 4, Removed: []ryeford.EndpointID{"a"}}, never)
+	assert.DeepEqual(t, change.Departed, []ryeford.EndpointID{stepped.ID})
+	r.Expire(start.Add(2 * departedTTL))
+	assert.Equal(t, r.Len(), 1)
+}
--- a/gateway/roster/roster.go
+++ b/gateway/roster/roster.go
@@ -44,8 +44,9 @@
 type Roster struct {
 	mu       sync.RWMutex
 	entries  map[ryeford.EndpointID]*Entry
-	serving  map[string][]*Entry // by service, sorted by ID: those that accept requests
-	draining map[string][]*Entry // by service, sorted by ID: the others
+	lives    map[ryeford.EndpointID]ryeford.EndpointID // the life that is known, by name
+	serving  map[string][]*Entry                       // by service, sorted by ID: those that accept requests
+	draining map[string][]*Entry                       // by service, sorted by ID: the others
 	known    bool
 	revision int64
 
@@ -57,6 +58,7 @@
 func New() *Roster {
 	return &Roster{
 		entries:   make(map[ryeford.EndpointID]*Entry),
+		lives:     make(map[ryeford.EndpointID]ryeford.EndpointID),
 		evacuated: make(map[string]bool),
 		returned:  make(map[string]time.Time),
 	}
@@ -65,6 +67,8 @@
 // A Change is what an update did, as the IDs whose status has changed.
 type Change struct {
 	Added, Drained, Dropped, Suspected, Departed []ryeford.EndpointID
+	// Restarted are the endpoints of which another life is known now; the earlier one is Dropped.
+	Restarted []ryeford.EndpointID
 }
 
 // Empty reports whether nothing has changed.
@@ -87,8 +91,8 @@
 		present[endpoint.ID] = true
 		r.put(now, endpoint, &change)
 	}
-	for _, id := range update.Removed {
-		r.drop(now, id, suspectUntil, &change)
+	for _, name := range update.Removed {
+		r.drop(now, r.lives[name], suspectUntil, &change)
 	}
 	if update.Snapshot {
 		for id, entry := range r.entries {
@@ -104,6 +108,7 @@
 
 // put enters an endpoint that the list names.
 func (r *Roster) put(now time.Time, endpoint ryeford.Endpoint, change *Change) {
+	r.endLife(endpoint.ID, change)
 	old := r.entries[endpoint.ID]
 	entry := &Entry{Endpoint: endpoint, Status: listedStatus(endpoint.State), Hash: route.NameHash(string(endpoint.ID)),
 		Evacuated: r.evacuated[endpoint.FailureDomain], Returned: r.returned[endpoint.FailureDomain]}
@@ -127,6 +132,26 @@
 	r.entries[endpoint.ID] = entry
 }
 
+// endLife forgets another life of an endpoint of which the list names a life from now on: nothing is
+// left of it, and it may be later or earlier by the clock of the endpoint's VM.
+func (r *Roster) endLife(id ryeford.EndpointID, change *Change) {
+	name := id.Name()
+	if other, known := r.lives[name]; known && other != id {
+		delete(r.entries, other)
+		change.Dropped = append(change.Dropped, other)
+		change.Restarted = append(change.Restarted, id)
+	}
+	r.lives[name] = id
+}
+
+// forget drops an endpoint.
+func (r *Roster) forget(id ryeford.EndpointID) {
+	delete(r.entries, id)
+	if name := id.Name(); r.lives[name] == id {
+		delete(r.lives, name)
+	}
+}
+
 // drop gives its new status to an endpoint that the list no longer names.
 func (r *Roster) drop(now time.Time, id ryeford.EndpointID, suspectUntil time.Time, change *Change) {
 	entry := r.entries[id]
@@ -142,7 +167,7 @@
 		change.Departed = append(change.Departed, id)
 		expires = now.Add(departedTTL)
 	default:
-		delete(r.entries, id)
+		r.forget(id)
 		change.Dropped = append(change.Dropped, id)
 		return
 	}
@@ -160,7 +185,7 @@
 	var expired []ryeford.EndpointID
 	for id, entry := range r.entries {
 		if entry.Status.expires() && now.After(entry.expires) {
-			delete(r.entries, id)
+			r.forget(id)
 			expired = append(expired, id)
 		}
 	}
--- a/source.go
+++ b/source.go
@@ -64,10 +64,12 @@
 // An EndpointUpdate is what an EndpointSource returns.
 type EndpointUpdate struct {
 	// Snapshot says that Present is the whole list. Otherwise Present holds the
-	// endpoints that are new or have changed, and Removed those that have left.
+	// endpoints that are new or have changed, and Removed the names of those that have left.
 	Snapshot bool
 	Present  []Endpoint
 	Removed  []EndpointID
+	// Malformed are entries that name no endpoint to use; what they named before has left.
+	Malformed []MalformedEntry
 	// Revision is the newest of the source, and what the next call asks from.
 	Revision int64
 	// Changed is the revision of the newest change of what Present and Removed name, or zero
@@ -79,9 +81,15 @@
 	Begun time.Time
 }
 
+// A MalformedEntry is an entry of the list of endpoints that can't be read or used.
+type MalformedEntry struct {
+	Name EndpointID // without the moment of a start
+	Err  error
+}
+
 // An EndpointSource is the list of endpoints. It lags behind the truth.
 //
-// A failure is an *UnavailableError, or the error of an entry that cannot be read.
+// A failure is an *UnavailableError.
 type EndpointSource interface {
 	// Endpoints returns the whole list.
 	Endpoints(ctx context.Context) (EndpointUpdate, error)
