feat: logs, metrics, emulator and soak tell of evacuations, cold endpoints and lives

Cause: decision=send did not say why an endpoint was passed over; the emulator and the soak could not play evacuations, cold starts, restarts under a name and entries by others.

Not in the soak: evacuations and cold endpoints that a check judges.

--- a/gateway/balancer.go
+++ b/gateway/balancer.go
@@ -73,6 +73,7 @@
 	choice     choice.Choice
 	load       float64 // estimated, of the chosen endpoint
 	candidates int
+	barred     barred // of these
 }
 
 // maxStart keeps the start of a search within an int of any size.
@@ -82,33 +83,44 @@
 // parts, of which draining endpoints may be sources, or else by load.
 func (b *balancer) choose(now time.Time, query *endpointQuery) selection {
 	if len(query.shared) == 0 {
-		entries := b.roster.Serving(query.service)
-		candidates := b.candidates(now, query, entries)
-		return b.selected(now, query, entries, candidates, choice.ByLoad(candidates, b.limits, int(b.next.Add(1)%maxStart)))
+		s := b.candidateSet(now, query, b.roster.Serving(query.service))
+		return b.selected(now, query, s, choice.ByLoad(s.candidates, b.limits, int(b.next.Add(1)%maxStart)))
 	}
 	prompt := b.prompt(now, query)
 	if first := b.firstByAffinity(now, query); first.entries != nil {
 		prompt.Means = &first.means
-		candidates := b.candidates(now, query, first.entries)
-		if chosen := choice.ByAffinity(candidates, prompt, b.limits, rand.Uint64()); chosen.Settled {
-			return b.selected(now, query, first.entries, candidates, chosen)
+		s := b.candidateSet(now, query, first.entries)
+		if chosen := choice.ByAffinity(s.candidates, prompt, b.limits, rand.Uint64()); chosen.Settled {
+			return b.selected(now, query, s, chosen)
 		}
 		prompt.Means = nil
 	}
-	entries := slices.Concat(b.roster.Serving(query.service), b.roster.Draining(query.service))
-	candidates := b.candidates(now, query, entries)
-	return b.selected(now, query, entries, candidates, choice.ByAffinity(candidates, prompt, b.limits, rand.Uint64()))
+	s := b.candidateSet(now, query, slices.Concat(b.roster.Serving(query.service), b.roster.Draining(query.service)))
+	return b.selected(now, query, s, choice.ByAffinity(s.candidates, prompt, b.limits, rand.Uint64()))
 }
 
-// selected returns the selection of a choice among candidates, which are as many as entries.
-func (b *balancer) selected(now time.Time, query *endpointQuery, entries []*roster.Entry, candidates []choice.Candidate, chosen choice.Choice) selection {
-	result := selection{choice: chosen, candidates: len(candidates)}
+// A candidateSet is the endpoints among which one is chosen.
+type candidateSet struct {
+	entries    []*roster.Entry
+	candidates []choice.Candidate // what is known of each
+	barred     barred
+}
+
+// candidateSet returns what is known of some endpoints.
+func (b *balancer) candidateSet(now time.Time, query *endpointQuery, entries []*roster.Entry) candidateSet {
+	candidates, barred := b.candidates(now, query, entries)
+	return candidateSet{entries: entries, candidates: candidates, barred: barred}
+}
+
+// selected returns the selection of a choice.
+func (b *balancer) selected(now time.Time, query *endpointQuery, s candidateSet, chosen choice.Choice) selection {
+	result := selection{choice: chosen, candidates: len(s.candidates), barred: s.barred}
 	if chosen.Index < 0 {
 		return result
 	}
-	result.to, result.load = entries[chosen.Index], candidates[chosen.Index].Load
+	result.to, result.load = s.entries[chosen.Index], s.candidates[chosen.Index].Load
 	if len(query.shared) > 0 {
-		result.source = b.source(now, query, entries, &chosen)
+		result.source = b.source(now, query, s.entries, &chosen)
 	}
 	return result
 }
@@ -139,7 +151,7 @@
 }
 
 // candidates returns what is known of some endpoints.
-func (b *balancer) candidates(now time.Time, query *endpointQuery, entries []*roster.Entry) []choice.Candidate {
+func (b *balancer) candidates(now time.Time, query *endpointQuery, entries []*roster.Entry) ([]choice.Candidate, barred) {
 	var held map[ryeford.EndpointID]int // tokens of the prompt's shared parts
 	if len(query.shared) > 0 {
 		held = b.prefixes.HeldTokens(now, query.shared)
@@ -158,6 +170,9 @@
 		if few {
 			expected = 0
 		}
+		if !allowed && entry.Listed() {
+			cold.barred.add(entry)
+		}
 		load, deviation := b.estimate(now, entry, sample, expected)
 		candidates = append(candidates, choice.Candidate{
 			ID:            entry.ID,
@@ -173,7 +188,7 @@
 			MissingTokens: tokens - held[entry.ID],
 		})
 	}
-	return candidates
+	return candidates, cold.barred
 }
 
 // load returns the estimated number of requests at an endpoint.
@@ -219,10 +234,12 @@
 		x.tried[selected.to.ID] = true
 		selected = x.forwarder.choose(time.Now(), &query)
 	}
-	if selected.to != nil {
-		x.sentHome = selected.choice.Reason == choice.ReasonHome
-		x.logChoice(&selected)
+	if selected.to == nil {
+		x.logNoChoice(&selected)
+		return nil, nil
 	}
+	x.sentHome = selected.choice.Reason == choice.ReasonHome
+	x.logChoice(&selected)
 	return selected.to, selected.source
 }
 
@@ -239,10 +256,16 @@
 		sourceID = s.source.ID
 	}
 	_ = f.log.Log("decision", "send", "request", q.meta.ID, "route", q.rule.Name, "account", q.accountID(), "service", q.service,
-		"endpoint", s.to.ID, "why", s.choice.Reason, "load", roundLoad(s.load), "mean", roundLoad(s.choice.Mean), "cap", roundLoad(s.choice.Cap), "candidates", s.candidates, "prompt", promptText(q.meta.Prefix), "source", sourceID,
+		"endpoint", s.to.ID, "why", s.choice.Reason, "load", roundLoad(s.load), "mean", roundLoad(s.choice.Mean), "cap", roundLoad(s.choice.Cap), "candidates", s.candidates, "evacuated", s.barred.evacuated, "cold", s.barred.cold, "prompt", promptText(q.meta.Prefix), "source", sourceID,
 		"sent", x.history.Sent, "unsent", x.history.Unsent, "version", q.catalog.Version(), "lease", f.configuration.leaseLeft())
 }
 
+// logNoChoice logs that no endpoint may be sent the request now.
+func (x *exchange) logNoChoice(s *selection) {
+	f, q := x.forwarder, x.request
+	_ = f.log.Log("decision", "no_endpoint", "request", q.meta.ID, "service", q.service, "candidates", s.candidates, "tried", len(x.tried), "evacuated", s.barred.evacuated, "cold", s.barred.cold)
+}
+
 // promptText returns the shared parts of a prompt as they are logged: ID and tokens
 // of each.
 func promptText(parts []ryeford.PromptPart) string {
--- a/gateway/endpointlist.go
+++ b/gateway/endpointlist.go
@@ -224,6 +224,9 @@
 		Snapshot: changes.Snapshot, Present: changes.Present, Removed: changes.Removed, Revision: changes.Range.To,
 	}, l.suspectUntil)
 	l.onUpdate()
+	for range change.Restarted {
+		l.metrics.Count("ryeford_restarted_endpoints_total", "")
+	}
 	if !change.Empty() {
 		// troubled says that an outage has just ended, and doubted names the endpoints
 		// that have become suspect: the log keeps its old keys.
--- a/gateway/fleetload_test.go
+++ b/gateway/fleetload_test.go
@@ -254,7 +254,8 @@
 func (f *simulatedFleet) estimates(now time.Time, r *simulatedRouter) map[ryeford.EndpointID]float64 {
 	estimates := make(map[ryeford.EndpointID]float64)
 	entries := r.roster.Serving("s")
-	for i, candidate := range r.candidates(now, &endpointQuery{service: "s"}, entries) {
+	candidates, _ := r.candidates(now, &endpointQuery{service: "s"}, entries)
+	for i, candidate := range candidates {
 		estimates[entries[i].ID] = candidate.Load
 	}
 	return estimates
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -217,6 +217,7 @@
 func (g *Gateway) addMetrics() {
 	g.metrics.Gauge("ryeford_in_flight", func() float64 { return float64(g.drain.inFlight.Load()) })
 	g.metrics.Gauge("ryeford_endpoints", func() float64 { return float64(g.roster.Len()) })
+	g.metrics.Gauge("ryeford_evacuated_domains", func() float64 { return float64(len(g.configuration.evacuations.known().Orders)) })
 	g.metrics.Gauge("ryeford_peers", func() float64 { return float64(g.peers.Alive(time.Now())) })
 	g.metrics.Gauge("ryeford_lease_seconds", func() float64 { return g.configuration.lease.Left(time.Now()).Seconds() })
 	g.metrics.Gauge("ryeford_endpoints_age_seconds", func() float64 {
--- a/internal/cmd/devcmd.go
+++ b/internal/cmd/devcmd.go
@@ -117,11 +117,11 @@
 func runDevPlatform(ctx context.Context, c *cli.Command, callers netip.AddrPort) error {
 	emulated := &settings.Emulator{Store: freeAddress(), Admin: freeAddress()}
 	for _, server := range []settings.EmulatorServer{
-		{ID: "model-1", Service: emulator.DemoModel, Events: 20, Step: 20 * time.Millisecond},
-		{ID: "model-2", Service: emulator.DemoModel, Events: 20, Step: 20 * time.Millisecond},
-		{ID: "notes-1", Service: emulator.DemoNotes, Step: 20 * time.Millisecond},
+		{ID: "model-1", Service: emulator.DemoModel, FailureDomain: "domain-1", Events: 20, Step: 20 * time.Millisecond},
+		{ID: "model-2", Service: emulator.DemoModel, FailureDomain: "domain-2", Events: 20, Step: 20 * time.Millisecond},
+		{ID: "notes-1", Service: emulator.DemoNotes, FailureDomain: "domain-1", Step: 20 * time.Millisecond},
 	} {
-		server.Address, server.FailureDomain = freeAddress(), "domain-1"
+		server.Address = freeAddress()
 		emulated.Servers = append(emulated.Servers, server)
 	}
 	s := settings.DefaultGateway()
@@ -159,6 +159,13 @@
 
 Let a server fail:
   go run ./cmd/ryeford standin fault %[2]s '{"server":"model-1","fault":"cut","requests":-1}'
+
+Evacuate a failure domain, and take it back:
+  go run ./cmd/ryeford standin fault %[2]s '{"evacuate":"domain-1"}'
+  go run ./cmd/ryeford standin fault %[2]s '{"withdraw":"domain-1"}'
+
+Let a server start again, cold for 20 s:
+  go run ./cmd/ryeford standin fault %[2]s '{"server":"model-1","state":"ready","cold_ms":20000,"born":1700000000000}'
 `, s.Callers, emulated.Admin, emulator.DemoCommand(s.Callers.AddrPort, devKey))
 	return err
 }
--- a/internal/soak/injector_test.go
+++ b/internal/soak/injector_test.go
@@ -72,13 +72,16 @@
 }
 
 // run injects faults until faultTime is over, and waits until the last has ended. The
-// plan's faults come from random, and extraFaults from the seed.
+// plan's faults come from random, and extraFaults and lifeFaults from the seed.
 func (in *injector) run(random *rand.Rand, seed uint64) {
 	in.began = time.Now()
 	in.group.Go(func() {
 		extra := rand.New(rand.NewPCG(seed, extraStream))
 		in.strike(extra, drawExtraFaults(extra), maxBetweenExtraFaults)
 	})
+	in.group.Go(func() {
+		in.strike(rand.New(rand.NewPCG(seed, lifeStream)), lifeFaults, maxBetweenLifeFaults)
+	})
 	in.strike(random, in.plan.faults(random), maxBetweenFaults)
 	in.group.Wait()
 }
@@ -133,10 +136,15 @@
 
 // enter sets what the list says of a server. Such changes are made one after the other.
 func (in *injector) enter(server, state string) {
+	in.enterAs(server, state, serverState(server, state))
+}
+
+// enterAs makes a change of the list after which it says that a server is in a state.
+func (in *injector) enterAs(server, state, change string) {
 	in.listing.Lock()
 	defer in.listing.Unlock()
 	next := listState{server: server, state: state, sent: time.Now()}
-	in.post(serverState(server, state))
+	in.post(change)
 	next.accepted = time.Now()
 	in.mu.Lock()
 	defer in.mu.Unlock()
--- a/standin/emulator/emulator.go
+++ b/standin/emulator/emulator.go
@@ -57,7 +57,7 @@
 		if err := serve(ctx, group, listen, e.dated(server)); err != nil {
 			return err
 		}
-		if err := e.enter(i, wire.StateReady); err != nil {
+		if err := e.enter(i, &Change{State: wire.StateReady}); err != nil {
 			return err
 		}
 	}
@@ -98,10 +98,10 @@
 	return nil
 }
 
-// enter writes the row of the i-th endpoint, or removes it.
-func (e *Emulator) enter(i int, state string) error {
+// enter writes the row of the i-th endpoint as a change says, or removes it.
+func (e *Emulator) enter(i int, change *Change) error {
 	server := &e.settings.Servers[i]
-	if state == stateGone {
+	if change.State == stateGone {
 		e.store.Remove(wire.TableEndpoints, server.ID)
 		return nil
 	}
@@ -110,7 +110,9 @@
 		Address:       server.Address.String(),
 		FailureDomain: server.FailureDomain,
 		Slots:         appserver.ReportedSlots,
-		State:         state,
+		State:         change.State,
+		ColdMs:        change.ColdMs,
+		Born:          change.Born,
 	})
 	return err
 }
@@ -136,6 +138,13 @@
 	Lagging *bool `json:"lagging"`
 	// Configuration is the operators' next configuration.
 	Configuration json.RawMessage `json:"configuration"`
+	// Evacuate is a failure domain that operators evacuate, and Withdraw one whose evacuation they
+	// end.
+	Evacuate string `json:"evacuate"`
+	Withdraw string `json:"withdraw"`
+	// Row is the key of an entry of the list of endpoints that another writer gives a Value.
+	Row   string `json:"row"`
+	Value string `json:"value"`
 	// Server is the ID of an endpoint, or empty for all of them. Fault applies to its
 	// next Requests requests, or to all if negative; State is what its row says from
 	// now on.
@@ -143,6 +152,9 @@
 	Fault    *appserver.Fault `json:"fault"`
 	Requests int              `json:"requests"`
 	State    string           `json:"state"`
+	// ColdMs and Born are what the row says beside State.
+	ColdMs float64 `json:"cold_ms"`
+	Born   int64   `json:"born"`
 }
 
 // serveChange makes the change that a test posts.
@@ -170,6 +182,15 @@
 	if len(change.Configuration) > 0 {
 		e.store.Put(wire.TableOperators, wire.KeyConfig, change.Configuration)
 	}
+	if change.Evacuate != "" {
+		e.store.Put(wire.TableOperators, wire.PrefixEvacuation+change.Evacuate, []byte("{}"))
+	}
+	if change.Withdraw != "" {
+		e.store.Remove(wire.TableOperators, wire.PrefixEvacuation+change.Withdraw)
+	}
+	if change.Row != "" {
+		e.store.Put(wire.TableEndpoints, change.Row, []byte(change.Value))
+	}
 	if change.ForgetHistory {
 		e.store.ForgetHistory()
 	}
@@ -181,7 +202,7 @@
 			server.SetFault(*change.Fault, change.Requests)
 		}
 		if change.State != "" {
-			if err := e.enter(i, change.State); err != nil {
+			if err := e.enter(i, change); err != nil {
 				return err
 			}
 		}
@@ -232,7 +253,7 @@
 "routes":[
 {"name":"chat","host":%[1]q,"pathPrefix":"/chat/","kind":"streaming","service":%[2]q,"timeoutMs":15000,"goalMs":500,"maxAttempts":2,"resumable":true,"priority":1},
 {"name":"notes","host":%[1]q,"pathPrefix":"/notes/","kind":"unsafe","service":%[3]q,"timeoutMs":4000,"goalMs":300,"maxAttempts":1,"priority":2}],
-"services":[{"name":%[3]q},{"name":%[2]q,"engine":{"slots":64,"kvCapacity":100000}}],
+"services":[{"name":%[3]q},{"name":%[2]q,"coldS":3,"coldPerS":4,"engine":{"slots":64,"kvCapacity":100000}}],
 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
 "tenants":[{"name":"demo","apiKeys":[%[4]q]}]}`, demoHost, DemoModel, DemoNotes, key)
 }
