--- a/gateway/balancer.go
+++ b/gateway/balancer.go
@@ -106,12 +106,6 @@
 	barred     barred
 }
 
-// candidateSet returns what is known of some endpoints.
-func (b *balancer) candidateSet(now time.Time, query *endpointQuery, entries []*roster.Entry) candidateSet {
-	candidates, barred := b.candidates(now, query, entries)
-	return candidateSet{entries: entries, candidates: candidates, barred: barred}
-}
-
 // selected returns the selection of a choice.
 func (b *balancer) selected(now time.Time, query *endpointQuery, s candidateSet, chosen choice.Choice) selection {
 	result := selection{choice: chosen, candidates: len(s.candidates), barred: s.barred}
@@ -150,8 +144,8 @@
 	return shortest
 }
 
-// candidates returns what is known of some endpoints.
-func (b *balancer) candidates(now time.Time, query *endpointQuery, entries []*roster.Entry) ([]choice.Candidate, barred) {
+// candidateSet returns what is known of some endpoints.
+func (b *balancer) candidateSet(now time.Time, query *endpointQuery, entries []*roster.Entry) candidateSet {
 	var held map[ryeford.EndpointID]int // tokens of the prompt's shared parts
 	if len(query.shared) > 0 {
 		held = b.prefixes.HeldTokens(now, query.shared)
@@ -188,7 +182,7 @@
 			MissingTokens: tokens - held[entry.ID],
 		})
 	}
-	return candidates, cold.barred
+	return candidateSet{entries: entries, candidates: candidates, barred: cold.barred}
 }
 
 // load returns the estimated number of requests at an endpoint.
--- a/gateway/configuration.go
+++ b/gateway/configuration.go
@@ -71,7 +71,7 @@
 		options.start = &start{}
 	}
 	if options.evacuations == nil {
-		options.evacuations = &evacuations{roster: roster.New(), log: options.log, metrics: options.metrics}
+		options.evacuations = newEvacuations(roster.New(), options.log, options.metrics)
 	}
 	c := &configuration{
 		configurationOptions: options,
@@ -89,14 +89,6 @@
 // version returns the version of the configuration in force, or zero.
 func (c *configuration) version() int64 { return versionOf(c.current()) }
 
-// versionOf returns the version of a catalog, or zero if there is none.
-func versionOf(current *catalog.Catalog) int64 {
-	if current == nil {
-		return 0
-	}
-	return current.Version()
-}
-
 // superseded reports whether the configuration in force must not be used since a newer one
 // is known.
 func (c *configuration) superseded(now time.Time) bool {
--- a/gateway/evacuations.go
+++ b/gateway/evacuations.go
@@ -24,6 +24,11 @@
 	mu sync.Mutex // held while they are put in force
 }
 
+// newEvacuations returns evacuations of which none was read yet.
+func newEvacuations(list *roster.Roster, logger log.Logger, metrics *telemetry.Set) *evacuations {
+	return &evacuations{roster: list, log: logger, metrics: metrics}
+}
+
 // learn takes evacuations that were read at their revision, and from whom they came. It must come
 // before the lease of the configuration is renewed by the same word.
 func (e *evacuations) learn(read ryeford.Evacuations, from string) {
--- a/gateway/fleetload_test.go
+++ b/gateway/fleetload_test.go
@@ -254,8 +254,7 @@
 func (f *simulatedFleet) estimates(now time.Time, r *simulatedRouter) map[ryeford.EndpointID]float64 {
 	estimates := make(map[ryeford.EndpointID]float64)
 	entries := r.roster.Serving("s")
-	candidates, _ := r.candidates(now, &endpointQuery{service: "s"}, entries)
-	for i, candidate := range candidates {
+	for i, candidate := range r.candidateSet(now, &endpointQuery{service: "s"}, entries).candidates {
 		estimates[entries[i].ID] = candidate.Load
 	}
 	return estimates
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -101,7 +101,7 @@
 		clock:       g.clock,
 		start:       g.start,
 		revision:    g.revision,
-		evacuations: &evacuations{roster: g.roster, log: g.log, metrics: g.metrics},
+		evacuations: newEvacuations(g.roster, g.log, g.metrics),
 		onUpdate:    g.checkSynced,
 		log:         g.log,
 		metrics:     g.metrics,
--- a/gateway/newerversion.go
+++ b/gateway/newerversion.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/ryeford/ryeford/gateway/catalog"
 	"github.com/ryeford/ryeford/gateway/freshness"
 )
 
@@ -98,3 +99,11 @@
 	defer n.mu.Unlock()
 	n.inForce, n.late = version, n.late || late
 }
+
+// versionOf returns the version of a catalog, or zero if there is none.
+func versionOf(current *catalog.Catalog) int64 {
+	if current == nil {
+		return 0
+	}
+	return current.Version()
+}
