--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -4,7 +4,7 @@
 // must last.
 //
 // A Gateway wires its parts together and runs them. Each part owns one
-// piece of state: configuration, endpointList, gossip, drain, probeHandler, and
+// piece of state: configuration, evacuations, endpointList, gossip, drain, probeHandler, and
 // server for the HTTP servers. A request's life begins in handler.go. The packages below
 // this one hold the rules by which the parts decide.
 //
--- a/gateway/loads/loads_test.go
+++ b/gateway/loads/loads_test.go
@@ -168,3 +168,24 @@
 	table.EndPrompt(2)
 	assert.Equal(t, table.Prompt(2), 0)
 }
+
+// TestTotal checks that a service's total is that of its requests under way, also if an endpoint is
+// forgotten while it has some.
+func TestTotal(t *testing.T) {
+	table := New()
+	for range 3 {
+		table.Begin("a", "s")
+	}
+	table.Begin("b", "s")
+	table.Begin("c", "other")
+	assert.Equal(t, table.Total("s"), 4)
+	table.End("a")
+	assert.Equal(t, table.Total("s"), 3)
+	table.Forget("a")
+	table.End("a") // the requests that were under way end later
+	table.End("a")
+	assert.Equal(t, table.Total("s"), 1)
+	assert.Equal(t, table.Total("other"), 1)
+	table.End("b")
+	assert.Equal(t, table.Total("s"), 0)
+}
