--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -100,9 +100,9 @@
 	// for a part of it that it draws. The longer, the fewer calls when all start at once, and the
 	// longer requests wait.
 	StartSpread time.Duration `yaml:"start_spread" validate:"min=0s,max=10s"`
-	// Routers is the least number of routers among which the retry budget is
-	// divided. If there are more and they don't exchange gossip, the fleet exceeds
-	// its budget.
+	// Routers is the least number of routers among which the retry budget, and what a
+	// cold endpoint bears, are divided. If there are more and they don't exchange gossip, the
+	// fleet exceeds both.
 	Routers int `yaml:"routers" unit:"routers" validate:"min=1,max=10000"`
 }
 
