feat: logs tell which lost requests are the same, and which endpoints have ended

Cause: the log of a request that ended endpoint after endpoint, each time under another ID, showed prompts and accounts only: not whether the requests were the same, nor whether an endpoint had ended or just a connection to it.

Change: a line of a lost attempt has a fingerprint of account, target and body; an endpoint that breaks an attempt off is dialled, and counts as ended if its host answers that nothing listens there. Nothing is decided by either.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -133,6 +133,9 @@
 		x.countSent(true)
 	}
 	over := ctx.Err() != nil
+	if end == retry.EndLost && !over {
+		x.examineLost(to, err)
+	}
 	var withdrawn *ryeford.NotRunError // by checkSend
 	errors.As(err, &withdrawn)
 	rate(attemptEnd{end: end, withdrawn: withdrawn != nil, over: over}).report(x.forwarder.detector, to.ID)
@@ -202,6 +205,9 @@
 	if over {
 		end, err = retry.EndStopped, x.stopped(ctx)
 	}
+	if end == retry.EndLost {
+		x.examineLost(to, err)
+	}
 	x.recordFailed(to, end, err)
 	return end, err
 }
--- /dev/null
+++ b/gateway/endpoint/refuses_test.go
@@ -0,0 +1,45 @@
+package endpoint
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/netip"
+	"os"
+	"syscall"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ryeford/ryeford"
+)
+
+// TestRefuses checks that a port counts as refused only while nothing listens there.
+func TestRefuses(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := netip.MustParseAddrPort(listener.Addr().String())
+	assert.Assert(t, !Refuses(t.Context(), address))
+	assert.NilError(t, listener.Close())
+	assert.Assert(t, Refuses(t.Context(), address))
+}
+
+// TestBrokeOff checks which ends of an attempt say that the endpoint's end of the connection is gone.
+func TestBrokeOff(t *testing.T) {
+	reset := &net.OpError{Op: "read", Err: os.NewSyscallError("read", syscall.ECONNRESET)}
+	for _, test := range []struct {
+		name string
+		err  error
+		want bool
+	}{
+		{"closed before a response", &LostError{Err: io.EOF}, true},
+		{"closed amid a response", &LostError{Err: io.ErrUnexpectedEOF}, true},
+		{"reset", &ryeford.MayHaveRunError{Reason: ryeford.ReasonEngineLost, Err: reset}, true},
+		{"silent", &LostError{Err: os.ErrDeadlineExceeded}, false},
+		{"unusable", &LostError{Err: &UnusableResponseError{Problem: "another request's"}}, false},
+		{"an error of the endpoint's own", &ryeford.MayHaveRunError{Reason: ryeford.ReasonEngineError, Err: errors.New("status 500")}, false},
+		{"none", nil, false},
+	} {
+		assert.Equal(t, BrokeOff(test.err), test.want, test.name)
+	}
+}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -8,7 +8,9 @@
 
 	"github.com/ryeford/ryeford"
 	"github.com/ryeford/ryeford/gateway/admit"
+	"github.com/ryeford/ryeford/gateway/endpoint"
 	"github.com/ryeford/ryeford/gateway/giveup"
+	"github.com/ryeford/ryeford/gateway/quarantine"
 	"github.com/ryeford/ryeford/gateway/roster"
 	"github.com/ryeford/ryeford/retry"
 )
@@ -30,6 +32,9 @@
 	paid       bool  // the retry after the last attempt was taken from the budget
 	mayHaveRun bool  // at any endpoint
 	last       error // how the last attempt ended
+
+	print         quarantine.Fingerprint // if fingerprinted is set
+	fingerprinted bool
 }
 
 // A stoppingError says that a request was given up since the gateway is about to close
@@ -170,8 +175,31 @@
 func (x *exchange) recordFailed(to *roster.Entry, end retry.End, err error) {
 	f, q := x.forwarder, x.request
 	f.metrics.Count("ryeford_tries_failed_total", end.String())
-	_ = f.log.Log("decision", "try_failed", "request", q.meta.ID, "endpoint", to.ID, "address", to.Address,
-		"outcome", end, "sent", x.history.Sent, "events", x.relay.events, "took", roundTime(time.Since(q.arrived)), "err", err)
+	line := []any{"decision", "try_failed", "request", q.meta.ID, "endpoint", to.ID, "address", to.Address,
+		"outcome", end, "sent", x.history.Sent, "events", x.relay.events, "took", roundTime(time.Since(q.arrived)), "err", err}
+	if end == retry.EndLost {
+		line = append(line, "fingerprint", x.fingerprint())
+	}
+	_ = f.log.Log(line...)
+}
+
+// fingerprint returns what the request has in common with others that are the same but for their
+// IDs. It is worked out when it is first needed: most requests never need it.
+func (x *exchange) fingerprint() quarantine.Fingerprint {
+	if !x.fingerprinted {
+		x.print = quarantine.FingerprintOf(x.request.accountID(), x.incoming.RequestURI, x.request.body)
+		x.fingerprinted = true
+	}
+	return x.print
+}
+
+// examineLost finds out, beside the request, whether the endpoint of an attempt that was lost has
+// ended. err is how it was lost.
+func (x *exchange) examineLost(to *roster.Entry, err error) {
+	if !endpoint.BrokeOff(err) {
+		return
+	}
+	go x.forwarder.crashes.crashed(to)
 }
 
 // recordAnswered logs and counts a response that the caller has whole.
--- a/gateway/forwarder.go
+++ b/gateway/forwarder.go
@@ -28,6 +28,7 @@
 	refusals      *recent[giveup.Recent]
 	occupancy     *occupancy.Table
 	overloads     *overloads
+	crashes       *crashes
 	log           log.Logger
 	metrics       *telemetry.Set
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -208,6 +208,7 @@
 		refusals:      newRefusals(),
 		occupancy:     occupancy.New(),
 		overloads:     newOverloads(),
+		crashes:       newCrashes(g.log, g.metrics),
 		fastest:       newFastest(),
 		log:           g.log,
 		metrics:       g.metrics,
--- a/imports_test.go
+++ b/imports_test.go
@@ -68,6 +68,7 @@
 	"gateway/occupancy":   {rules, platform},
 	"gateway/outlier":     {rules, platform},
 	"gateway/peers":       {rules, platform},
+	"gateway/quarantine":  {rules, platform},
 	"gateway/roster":      {rules, platform},
 	"gateway/endpoint":    {plumbing, platform},
 	"gateway/watch":       {plumbing, platform},
