fix: a request that ends what runs it is held once three endpoints have ended

Cause: routers rated endpoints by their attempts, and knew of a request only while they served it. One that ends each engine that begins to run it was sent on for as long as its callers repeated it, under new IDs and at any router.

Change: package gateway/quarantine. Ends of endpoints are counted by a fingerprint of account, target and body, on all routers together by gossip; three that follow each other, without a success since, hold such requests: 503, Retry-After until the next trial, X-Should-Retry: false. A success ends it.

Before and after: TestCrashingRequest 20 of 20 endpoints ended, now 6 at most.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -37,6 +37,7 @@
 	}
 	f.occupancy.Begin(x.request.service)
 	defer f.occupancy.End(x.request.service)
+	x.began = sent
 	number := f.detector.Start(time.Now(), to.ID)
 	response, err := x.send(attemptCtx, to, source)
 	f.detector.End(time.Now(), to.ID, number, err == nil)
@@ -134,7 +135,7 @@
 	}
 	over := ctx.Err() != nil
 	if end == retry.EndLost && !over {
-		x.examineLost(to, err)
+		x.recordLost(to, err)
 	}
 	var withdrawn *ryeford.NotRunError // by checkSend
 	errors.As(err, &withdrawn)
@@ -206,7 +207,7 @@
 		end, err = retry.EndStopped, x.stopped(ctx)
 	}
 	if end == retry.EndLost {
-		x.examineLost(to, err)
+		x.recordLost(to, err)
 	}
 	x.recordFailed(to, end, err)
 	return end, err
--- a/gateway/crashingrequest_test.go
+++ b/gateway/crashingrequest_test.go
@@ -57,7 +57,9 @@
 	}
 	time.Sleep(contact)
 	for i := range 8 * len(gateways) {
-		assert.Assert(t, send(i).status != 200)
+		got := send(i)
+		assert.NilError(t, got.err)
+		assert.Assert(t, got.status == 502 || got.status == 503, "%d", got.status)
 	}
 	ended := first.endedEndpoints()
 	assert.Assert(t, ended <= 6, "%d endpoints ended", ended)
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -8,7 +8,6 @@
 
 	"github.com/ryeford/ryeford"
 	"github.com/ryeford/ryeford/gateway/admit"
-	"github.com/ryeford/ryeford/gateway/endpoint"
 	"github.com/ryeford/ryeford/gateway/giveup"
 	"github.com/ryeford/ryeford/gateway/quarantine"
 	"github.com/ryeford/ryeford/gateway/roster"
@@ -33,8 +32,8 @@
 	mayHaveRun bool  // at any endpoint
 	last       error // how the last attempt ended
 
-	print         quarantine.Fingerprint // if fingerprinted is set
-	fingerprinted bool
+	began time.Time              // the last attempt
+	print quarantine.Fingerprint // zero before it is needed
 }
 
 // A stoppingError says that a request was given up since the gateway is about to close
@@ -88,6 +87,9 @@
 	if err := admit.CheckSend(x.sending(now, true)); err != nil {
 		return err
 	}
+	if verdict := x.checkQuarantine(now); verdict.Held {
+		return giveup.Quarantined(verdict.Left)
+	}
 	if x.history.Sent == 0 && x.forwarder.occupancy.Full(now, q.service) {
 		return giveup.NotRun(ryeford.ReasonOverload)
 	}
@@ -183,30 +185,14 @@
 	_ = f.log.Log(line...)
 }
 
-// fingerprint returns what the request has in common with others that are the same but for their
-// IDs. It is worked out when it is first needed: most requests never need it.
-func (x *exchange) fingerprint() quarantine.Fingerprint {
-	if !x.fingerprinted {
-		x.print = quarantine.FingerprintOf(x.request.accountID(), x.incoming.RequestURI, x.request.body)
-		x.fingerprinted = true
-	}
-	return x.print
-}
-
-// examineLost finds out, beside the request, whether the endpoint of an attempt that was lost has
-// ended. err is how it was lost.
-func (x *exchange) examineLost(to *roster.Entry, err error) {
-	if !endpoint.BrokeOff(err) {
-		return
-	}
-	go x.forwarder.crashes.crashed(to)
-}
-
 // recordAnswered logs and counts a response that the caller has whole.
 func (x *exchange) recordAnswered(to *roster.Entry, status int) {
 	f, q := x.forwarder, x.request
 	took := time.Since(q.arrived)
 	f.durations.observe(q.rule, took)
+	if isSuccess(status) {
+		x.clearQuarantine()
+	}
 	f.refusals.add(time.Now(), q.service, giveup.Recent{Answered: 1})
 	f.metrics.Count("ryeford_answered_total", "")
 	f.metrics.Observe("ryeford_answer_seconds", took.Seconds())
--- a/gateway/exchange_test.go
+++ b/gateway/exchange_test.go
@@ -18,7 +18,10 @@
 	"github.com/ryeford/ryeford"
 	"github.com/ryeford/ryeford/gateway/catalog"
 	"github.com/ryeford/ryeford/gateway/endpoint"
+	"github.com/ryeford/ryeford/gateway/freshness"
+	"github.com/ryeford/ryeford/gateway/giveup"
 	"github.com/ryeford/ryeford/gateway/occupancy"
+	"github.com/ryeford/ryeford/gateway/quarantine"
 	"github.com/ryeford/ryeford/gateway/roster"
 	"github.com/ryeford/ryeford/internal/freeport"
 	"github.com/ryeford/ryeford/internal/telemetry"
@@ -55,6 +58,8 @@
 	}
 	balancer := newTestBalancer(time.Now())
 	balancer.roster.Apply(time.Now(), &ryeford.EndpointUpdate{Snapshot: true, Revision: 1}, time.Time{})
+	balancer.clock, balancer.start = &freshness.SourceClock{}, &start{}
+	logger, metrics := log.NewLogfmtLogger(log.NewSyncWriter(&e.log)), telemetry.NewSet()
 	e.forwarder = &forwarder{
 		protocol:      platform.Protocol{},
 		configuration: newConfiguration(configurationOptions{term: time.Minute}),
@@ -66,8 +71,9 @@
 		refusals:      newRefusals(),
 		occupancy:     occupancy.New(),
 		overloads:     newOverloads(),
-		log:           log.NewLogfmtLogger(log.NewSyncWriter(&e.log)),
-		metrics:       telemetry.NewSet(),
+		quarantine:    newQuarantined(balancer, logger, metrics),
+		log:           logger,
+		metrics:       metrics,
 	}
 	e.forwarder.configuration.lease.RenewRead(time.Now(), time.Now(), 0)
 	e.forwarder.configuration.inForce.Put(catalog.New(e.configuration))
@@ -129,6 +135,16 @@
 	}
 }
 
+// quarantine lets three endpoints have ended, one after the other, by requests like this one.
+func (e *exchangeTest) quarantine() {
+	now := time.Now()
+	for i := range 3 {
+		began := now.Add(time.Duration(i-5) * time.Second)
+		e.forwarder.quarantine.table.Crashed(now, quarantine.FingerprintOf("bank", "/keyed/a", nil), 0,
+			quarantine.Crash{Endpoint: uint32(i), Began: began, Ended: began.Add(time.Second / 2)})
+	}
+}
+
 // removeRoute puts a configuration in force that lacks the request's route.
 func (e *exchangeTest) removeRoute() {
 	next := *e.configuration
@@ -175,6 +191,11 @@
 			e.revokeKey()
 		}, 401, "key_taken", false},
 		{"all endpoints are gone", func(e *exchangeTest) { e.setEndpoints() }, 503, "no_candidate", true},
+		{"requests like it have ended endpoints", (*exchangeTest).quarantine, 503, "quarantined", true},
+		{"the same, and the key was revoked: it would be refused for good", func(e *exchangeTest) {
+			e.quarantine()
+			e.revokeKey()
+		}, 401, "key_taken", false},
 	} {
 		t.Run(row.rule, func(t *testing.T) {
 			e := newExchangeTest(t)
@@ -189,6 +210,32 @@
 	}
 }
 
+// TestQuarantinedAnswer checks that the caller of a held request is told when requests like it are
+// tried again, and common clients not to send it by themselves; that the promise of 503 is not given
+// once an attempt has been made; and that it counts for no one else's return.
+func TestQuarantinedAnswer(t *testing.T) {
+	e := newExchangeTest(t)
+	e.setEndpoints(startEndpoint(t, &appserver.Server{ID: "e1"}, func() {}))
+	e.quarantine()
+	w := e.serve()
+	assert.Equal(t, w.Code, 503)
+	assert.Equal(t, w.Header().Get("X-Should-Retry"), "false")
+	seconds, err := strconv.ParseFloat(w.Header().Get("Retry-After"), 64)
+	assert.NilError(t, err)
+	assert.Assert(t, seconds > 590 && seconds < 600, "%v", seconds)
+	assert.Equal(t, e.forwarder.refusals.of(time.Now(), "s"), giveup.Recent{})
+
+	e = newExchangeTest(t)
+	server := &appserver.Server{ID: "e1"}
+	server.SetFault(appserver.FaultReset, -1)
+	e.setEndpoints(startEndpoint(t, server, e.quarantine), startEndpoint(t, &appserver.Server{ID: "e2"}, e.quarantine))
+	e.forwarder.roster.Apply(time.Now(), &ryeford.EndpointUpdate{Revision: 3, Removed: []ryeford.EndpointID{"e2"}}, time.Time{})
+	w = e.serve()
+	assert.Equal(t, w.Code, 502)
+	assert.Equal(t, w.Header().Get("X-Should-Retry"), "false")
+	assert.Equal(t, e.sends(), 1)
+}
+
 // TestUnservableBetweenAttempts checks that a request whose key is revoked, or whose route
 // is removed, during an attempt that an endpoint refuses is sent nowhere else.
 func TestUnservableBetweenAttempts(t *testing.T) {
--- a/gateway/fleetload_test.go
+++ b/gateway/fleetload_test.go
@@ -126,7 +126,8 @@
 		r.roster.Apply(f.began, update, time.Time{})
 		r.gossip = &gossip{
 			self: s.Peers.AddrPort, started: 1, table: r.peers, configuration: newConfiguration(configurationOptions{}),
-			endpoints: newEndpointList(s, nil), roster: r.roster, prefixes: r.prefixes, loads: r.loads, log: log.NewNopLogger(), metrics: telemetry.NewSet(),
+			endpoints: newEndpointList(s, nil), roster: r.roster, prefixes: r.prefixes, loads: r.loads,
+			quarantine: newQuarantined(r.balancer, log.NewNopLogger(), telemetry.NewSet()), log: log.NewNopLogger(), metrics: telemetry.NewSet(),
 		}
 		f.routers = append(f.routers, r)
 		f.byAddress[s.Peers.AddrPort] = r
--- a/gateway/forwarder.go
+++ b/gateway/forwarder.go
@@ -28,7 +28,7 @@
 	refusals      *recent[giveup.Recent]
 	occupancy     *occupancy.Table
 	overloads     *overloads
-	crashes       *crashes
+	quarantine    *quarantined
 	log           log.Logger
 	metrics       *telemetry.Set
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -60,9 +60,10 @@
 	handler       *handler
 
 	// What several parts use:
-	*balancer // what is known of the endpoints
-	pool      *endpoint.Pool
-	revision  *revision // the newest of the store
+	*balancer  // what is known of the endpoints
+	pool       *endpoint.Pool
+	revision   *revision // the newest of the store
+	quarantine *quarantined
 }
 
 // New returns a Gateway.
@@ -78,6 +79,7 @@
 		drain:       newDrain(s.Bounds.Grace, logger),
 		initialSync: newInitialSync(s.Routing.StartPatience),
 	}
+	g.quarantine = newQuarantined(g.balancer, g.log, g.metrics)
 	g.addConfiguration()
 	g.addEndpoints()
 	g.addGossip()
@@ -154,6 +156,7 @@
 		roster:        g.roster,
 		prefixes:      g.prefixes,
 		loads:         g.loads,
+		quarantine:    g.quarantine,
 		log:           g.log,
 		metrics:       g.metrics,
 	}
@@ -208,7 +211,7 @@
 		refusals:      newRefusals(),
 		occupancy:     occupancy.New(),
 		overloads:     newOverloads(),
-		crashes:       newCrashes(g.log, g.metrics),
+		quarantine:    g.quarantine,
 		fastest:       newFastest(),
 		log:           g.log,
 		metrics:       g.metrics,
@@ -219,6 +222,7 @@
 	g.metrics.Gauge("ryeford_in_flight", func() float64 { return float64(g.drain.inFlight.Load()) })
 	g.metrics.Gauge("ryeford_endpoints", func() float64 { return float64(g.roster.Len()) })
 	g.metrics.Gauge("ryeford_evacuated_domains", func() float64 { return float64(len(g.configuration.evacuations.known().Orders)) })
+	g.metrics.Gauge("ryeford_quarantined_requests", func() float64 { return float64(len(g.quarantine.table.Held())) })
 	g.metrics.Gauge("ryeford_peers", func() float64 { return float64(g.peers.Alive(time.Now())) })
 	g.metrics.Gauge("ryeford_lease_seconds", func() float64 { return g.configuration.lease.Left(time.Now()).Seconds() })
 	g.metrics.Gauge("ryeford_endpoints_age_seconds", func() float64 {
--- a/gateway/giveup/giveup.go
+++ b/gateway/giveup/giveup.go
@@ -27,6 +27,12 @@
 	return &ryeford.NotRunError{Reason: reason, RetryAfter: returnAfter(reason)}
 }
 
+// Quarantined returns the error of a request that is held for a time since others that are the same
+// have ended the endpoints that ran them.
+func Quarantined(left time.Duration) *ryeford.NotRunError {
+	return &ryeford.NotRunError{Reason: ryeford.ReasonQuarantined, RetryAfter: left}
+}
+
 // Stopped returns the error of a request that ends before an endpoint has answered it: its
 // deadline has passed, its caller has gone, or the router stops.
 func Stopped(reason ryeford.Reason, mayHaveRun bool) error {
@@ -65,6 +71,9 @@
 	RetryAfter Band
 	// Reason is the code of the failure in logs and metrics.
 	Reason string
+	// Final says that callers are not to send the request again by themselves, whatever the status
+	// is: many do so after a 503.
+	Final bool
 	// Abort says that the caller's connection is broken off.
 	Abort bool
 }
@@ -78,7 +87,12 @@
 		err = &ryeford.MayHaveRunError{Reason: notRun.Reason, Err: r.Last}
 	}
 	verdict := Verdict{Err: err, Status: statusOf(err), Reason: reasonOf(err), Abort: r.Begun}
-	if verdict.Status == http.StatusServiceUnavailable {
+	verdict.Final = verdict.Reason == string(ryeford.ReasonQuarantined)
+	switch {
+	case verdict.Status != http.StatusServiceUnavailable:
+	case verdict.Final: // it is not load that holds the request: there is no crowd to spread
+		verdict.RetryAfter = Band{From: r.earliestReturn(), To: r.earliestReturn()}
+	default:
 		verdict.RetryAfter = returnBand(r.earliestReturn(), r.Overloaded, r.Caller, r.Recent)
 	}
 	return verdict
--- a/gateway/giveup/giveup_test.go
+++ b/gateway/giveup/giveup_test.go
@@ -55,6 +55,8 @@
 		{"the key was revoked, but an attempt may have run", Request{Err: NotRun(ryeford.ReasonKeyRevoked), Last: lost, MayHaveRun: true}, 502, "key_taken", false},
 		{"the route was removed: it would be refused for good", Request{Err: NotRun(ryeford.ReasonRouteRemoved)}, 404, "route_removed", false},
 		{"the route was removed, but an attempt may have run", Request{Err: NotRun(ryeford.ReasonRouteRemoved), Last: lost, MayHaveRun: true}, 502, "route_removed", false},
+		{"requests like it end endpoints: not run", Request{Err: Quarantined(time.Hour)}, 503, "quarantined", false},
+		{"requests like it end endpoints, and an attempt may have run", Request{Err: Quarantined(time.Hour), Last: lost, MayHaveRun: true}, 502, "quarantined", false},
 		{"a response has begun: broken off", Request{Err: lost, Last: lost, MayHaveRun: true, Begun: true}, 502, "engine_lost", true},
 	} {
 		t.Run(row.rule, func(t *testing.T) {
@@ -64,6 +66,10 @@
 			assert.Equal(t, got.Reason, string(row.reason))
 			assert.Equal(t, got.RetryAfter.From > 0, row.status == http.StatusServiceUnavailable)
 			assert.Equal(t, got.Abort, row.abort)
+			assert.Equal(t, got.Final, row.reason == ryeford.ReasonQuarantined)
+			if got.Final && got.Status == http.StatusServiceUnavailable {
+				assert.Equal(t, got.RetryAfter, Band{From: time.Hour, To: time.Hour})
+			}
 			assert.Assert(t, !row.request.MayHaveRun || !PromisesNotRun(got.Status))
 		})
 	}
--- a/gateway/giveup/retryafter.go
+++ b/gateway/giveup/retryafter.go
@@ -106,9 +106,9 @@
 }
 
 // Counts returns what a request counts for that ends with a verdict: as refused, if its
-// caller is told that it has not run.
+// caller is told that it has not run, unless it is for the request alone.
 func (v *Verdict) Counts() Recent {
-	if v.Status == http.StatusServiceUnavailable {
+	if v.Status == http.StatusServiceUnavailable && !v.Final {
 		return Recent{Refused: 1}
 	}
 	return Recent{}
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -39,6 +39,7 @@
 	roster        *roster.Roster
 	prefixes      *prefixcache.Index
 	loads         *loads.Table
+	quarantine    *quarantined
 	log           log.Logger
 	metrics       *telemetry.Set
 
@@ -175,6 +176,7 @@
 		g.configuration.confirmedByPeer(now, message.Sender, message.Version, message.ConfirmedAt)
 	}
 	g.loads.Learn(now, message.Reports)
+	g.quarantine.merge(now, message)
 	for _, prompt := range message.Prompts {
 		if !g.roster.Knows(prompt.Endpoint) {
 			continue
@@ -265,6 +267,7 @@
 		Confirmed:   confirmed,
 		Version:     g.configuration.version(),
 		Evacuations: peers.EvacuationsOf(g.configuration.evacuations.known()),
+		Quarantined: g.quarantine.outgoing(now),
 		Sender:      g.self,
 		Started:     g.started,
 		Sequence:    sequence,
--- a/gateway/gossip_test.go
+++ b/gateway/gossip_test.go
@@ -16,6 +16,7 @@
 	"github.com/ryeford/ryeford/gateway/loads"
 	"github.com/ryeford/ryeford/gateway/peers"
 	"github.com/ryeford/ryeford/gateway/prefixcache"
+	"github.com/ryeford/ryeford/gateway/quarantine"
 	"github.com/ryeford/ryeford/gateway/roster"
 	"github.com/ryeford/ryeford/internal/telemetry"
 	"github.com/ryeford/ryeford/settings"
@@ -37,6 +38,7 @@
 		roster:        r,
 		prefixes:      prefixcache.New(),
 		loads:         loads.New(),
+		quarantine:    newQuarantined(nil, log.NewNopLogger(), telemetry.NewSet()),
 		log:           log.NewNopLogger(),
 		metrics:       telemetry.NewSet(),
 	}
@@ -56,6 +58,10 @@
 	assert.Equal(t, b.table.Sample(now, "s"), peers.Sample{Alive: 1, Counted: 1, Complete: 1, Requests: 1})
 	assert.Equal(t, len(b.prefixes.HeldTokens(now, parts)), 1)
 	assert.Equal(t, len(a.message(now, 2, true).Prompts), 0, "prompts are sent once")
+	suspect := quarantine.FingerprintOf("bank", "/stream/a", nil)
+	a.quarantine.table.Crashed(now, suspect, 0, quarantine.Crash{Began: now.Add(-time.Second), Ended: now})
+	b.merge(now, a.briefMessage(now, 3))
+	assert.Assert(t, b.quarantine.table.Suspects(suspect.Filter()))
 	b.merge(now, a.message(now, 1, true))
 	assert.Equal(t, b.table.Alive(now), 1, "an old message changes nothing")
 }
--- a/gateway/peers/message.go
+++ b/gateway/peers/message.go
@@ -52,6 +52,9 @@
 	List *List `cbor:"19,keyasint,omitempty"`
 	// Evacuations are what the sender knows of them; nil if it says nothing of them.
 	Evacuations *Evacuations `cbor:"20,keyasint,omitempty"`
+	// Quarantined are records of requests that end what runs them: those that changed lately at
+	// the sender, and others by turns.
+	Quarantined []Quarantined `cbor:"21,keyasint,omitempty"`
 	// Prompts were sent to endpoints since the last message.
 	Prompts []Prompt `cbor:"6,keyasint,omitempty"`
 }
--- /dev/null
+++ b/gateway/peers/quarantine_test.go
@@ -0,0 +1,60 @@
+package peers
+
+import (
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"gotest.tools/v3/assert"
+
+	"github.com/ryeford/ryeford/gateway/quarantine"
+)
+
+// TestQuarantinedInMessage checks that records come back from a message as they were sent, whenever
+// it comes, and how many bytes they take.
+func TestQuarantinedInMessage(t *testing.T) {
+	sent := time.Unix(10_000, 0)
+	ago := func(d time.Duration) time.Time { return sent.Add(-d) }
+	fingerprint := quarantine.FingerprintOf("bank", "/stream/a", []byte("body"))
+	without, err := cbor.Marshal(&Message{})
+	assert.NilError(t, err)
+	for _, test := range []struct {
+		name   string
+		record quarantine.Record
+		bytes  int // at most
+	}{
+		{"a suspect", quarantine.Record{
+			Fingerprint: fingerprint, Account: 1 << 31,
+			Crashes: []quarantine.Crash{{Endpoint: 1 << 30, Began: ago(900 * time.Millisecond), Ended: ago(400 * time.Millisecond)}},
+		}, 48},
+		{"held", quarantine.Record{
+			Fingerprint: fingerprint, Account: 1 << 31,
+			Crashes: []quarantine.Crash{
+				{Endpoint: 1 << 30, Began: ago(9 * time.Second), Ended: ago(8 * time.Second)},
+				{Endpoint: 1 << 29, Began: ago(7 * time.Second), Ended: ago(6 * time.Second)},
+				{Endpoint: 1 << 28, Began: ago(5 * time.Second), Ended: ago(4 * time.Second)},
+			},
+			Held: ago(4 * time.Second), Trials: 1, Tried: ago(time.Second),
+		}, 78},
+		{"answered", quarantine.Record{Fingerprint: fingerprint, Account: 1 << 31, Answered: ago(time.Second)}, 36},
+	} {
+		content, err := cbor.Marshal(&Message{Quarantined: QuarantinedOf(sent, []quarantine.Record{test.record})})
+		assert.NilError(t, err)
+		var got Message
+		assert.NilError(t, cbor.Unmarshal(content, &got))
+		assert.DeepEqual(t, Records(sent, got.Quarantined), []quarantine.Record{test.record})
+		t.Logf("%s: %d bytes", test.name, len(content)-len(without))
+		assert.Assert(t, len(content)-len(without) <= test.bytes, test.name)
+	}
+}
+
+// TestTooManyQuarantined checks that a message with more than its bounds has no effect beyond them.
+func TestTooManyQuarantined(t *testing.T) {
+	many := make([]Quarantined, 1000)
+	for i := range many {
+		many[i].Crashes = make([]Crash, 1000)
+	}
+	got := Records(time.Unix(10_000, 0), many)
+	assert.Equal(t, len(got), MaxQuarantined)
+	assert.Equal(t, len(got[0].Crashes), quarantine.MaxCrashes)
+}
--- /dev/null
+++ b/gateway/quarantine/record.go
@@ -0,0 +1,159 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// crashesToHold is how many endpoints must have ended, one after the other. With two, one of
+	// 156 bystanders would have been held on a day on which 35 endpoints ended; with three, none.
+	crashesToHold = 3
+	// MaxCrashes is how many ends a Record keeps at most: some overlap, and don't count each. Not
+	// measured.
+	MaxCrashes = 8
+	// trialAfter is how long after it was held a request is tried again, and trialFactor how many
+	// times longer after each trial that has not ended well. An engine that is mended is rolled out in
+	// minutes at the least; each trial of one that is not costs an engine and its streams. Not
+	// measured.
+	trialAfter  = 10 * time.Minute
+	trialFactor = 6
+	// maxTrials is how often a request is tried again in all: together with an attempt that is under way
+	// as it is held, at most three endpoints end after that. Not measured.
+	maxTrials = 2
+	// suspectTTL is for how long ends count that have not led to a hold, and holdTTL for how long
+	// a request is held that did not come again. Not measured.
+	suspectTTL = time.Hour
+	holdTTL    = 24 * time.Hour
+	// answeredTTL is for how long a success is remembered, so that late word of earlier ends has no
+	// effect. Not measured.
+	answeredTTL = time.Minute
+)
+
+// A Crash is an endpoint that ended while it ran a request.
+type Crash struct {
+	Endpoint uint32    // the low half of route.NameHash of its ID
+	Began    time.Time // the attempt
+	Ended    time.Time // the endpoint
+}
+
+// A Record is what is known of the requests with one fingerprint. Times are of the steady clock.
+type Record struct {
+	Fingerprint Fingerprint
+	Account     uint32  // the low half of route.NameHash of the client account
+	Crashes     []Crash // by Ended
+	// Answered is when one was last answered; zero if none was. Earlier attempts don't count.
+	Answered time.Time
+	// Held is since when they are held; zero if they are not.
+	Held time.Time
+	// Trials is how often one was tried again since, and Tried when that began last.
+	Trials int
+	Tried  time.Time
+}
+
+// add adds an end, unless it is known or doesn't count.
+func (r *Record) add(crash Crash) (added bool) {
+	known := func(other Crash) bool { return other.Endpoint == crash.Endpoint }
+	if !crash.Began.After(r.Answered) || slices.ContainsFunc(r.Crashes, known) {
+		return false
+	}
+	r.Crashes = append(r.Crashes, crash)
+	slices.SortStableFunc(r.Crashes, func(a, b Crash) int { return a.Ended.Compare(b.Ended) })
+	r.hold()
+	if len(r.Crashes) > MaxCrashes {
+		r.Crashes = slices.Delete(r.Crashes, 0, 1)
+	}
+	return true
+}
+
+// hold holds the requests if enough endpoints have ended.
+func (r *Record) hold() {
+	if r.Held.IsZero() && successive(r.Crashes) >= crashesToHold {
+		r.Held = r.Crashes[len(r.Crashes)-1].Ended
+	}
+}
+
+// successive returns the most ends, ordered by their time, of which each attempt began after the end
+// before. To take the earliest end that fits each time gives the most.
+func successive(crashes []Crash) int {
+	count, ended := 0, time.Time{}
+	for _, crash := range crashes {
+		if crash.Began.Before(ended) {
+			continue
+		}
+		count, ended = count+1, crash.Ended
+	}
+	return count
+}
+
+// answer forgets what was known before a success at a time, and reports whether that changed
+// anything.
+func (r *Record) answer(at time.Time) bool {
+	if !at.After(r.Answered) {
+		return false
+	}
+	r.Answered = at
+	r.Crashes = slices.DeleteFunc(r.Crashes, func(crash Crash) bool { return !crash.Began.After(at) })
+	if !r.Held.After(at) {
+		r.Held, r.Tried, r.Trials = time.Time{}, time.Time{}, 0
+	}
+	return true
+}
+
+// merge adds what a peer knows, and reports whether it was news.
+func (r *Record) merge(other *Record) (news bool) {
+	news = !other.Answered.IsZero() && r.answerOf(other.Answered)
+	for _, crash := range other.Crashes {
+		news = r.add(crash) || news
+	}
+	if r.Held.IsZero() && other.Held.After(r.Answered) {
+		r.Held, news = other.Held, true
+	}
+	if !r.Held.IsZero() && other.Trials > r.Trials {
+		r.Trials, r.Tried, news = other.Trials, other.Tried, true
+	}
+	return news
+}
+
+// sameMoment is by how much the times of one event may differ that come by several messages, each as
+// an age of whole milliseconds and some time under way.
+const sameMoment = time.Second
+
+// answerOf is answer for a success that a peer knows of: it may be known already.
+func (r *Record) answerOf(at time.Time) bool {
+	if !r.Answered.IsZero() && at.Sub(r.Answered) < sameMoment {
+		return false
+	}
+	return r.answer(at)
+}
+
+// trialDue returns when the next attempt of a held request may be made, and false if there is none.
+func (r *Record) trialDue() (time.Time, bool) {
+	if r.Trials >= maxTrials {
+		return time.Time{}, false
+	}
+	since, wait := r.Held, trialAfter
+	for range r.Trials {
+		since, wait = r.Tried, wait*trialFactor
+	}
+	return since.Add(wait), true
+}
+
+// expires returns when a record is of no use any more, if nothing more is heard.
+func (r *Record) expires() time.Time {
+	last := r.Answered.Add(answeredTTL)
+	if n := len(r.Crashes); n > 0 {
+		last = later(last, r.Crashes[n-1].Ended.Add(suspectTTL))
+	}
+	if !r.Held.IsZero() {
+		last = later(last, later(r.Held, r.Tried).Add(holdTTL))
+	}
+	return last
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/gateway/quarantine/record_test.go
@@ -0,0 +1,103 @@
+package quarantine
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// at returns a moment, in seconds.
+func at(seconds float64) time.Time {
+	return time.Unix(10_000, 0).Add(time.Duration(seconds * float64(time.Second)))
+}
+
+// ends returns the record of attempts at different endpoints that began and ended at such seconds.
+func ends(spans ...[2]float64) *Record {
+	record := &Record{}
+	for i, span := range spans {
+		record.add(Crash{Endpoint: uint32(i), Began: at(span[0]), Ended: at(span[1])})
+	}
+	return record
+}
+
+// TestHold checks after which ends requests are held: three that follow each other, however many more
+// overlap and in whatever order word of them comes.
+func TestHold(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		record *Record
+		held   bool
+	}{
+		{"none", ends(), false},
+		{"two", ends([2]float64{0, 1}, [2]float64{2, 3}), false},
+		{"three", ends([2]float64{0, 1}, [2]float64{2, 3}, [2]float64{4, 5}), true},
+		{"each right after the other", ends([2]float64{0, 1}, [2]float64{1, 2}, [2]float64{2, 3}), true},
+		{"word of the first comes last", ends([2]float64{4, 5}, [2]float64{2, 3}, [2]float64{0, 1}), true},
+		{"five at once, as of a failure domain", ends([2]float64{0, 1}, [2]float64{0, 1}, [2]float64{0.1, 1}, [2]float64{0.2, 1}, [2]float64{0.3, 1}), false},
+		{"twice some at once", ends([2]float64{0, 1}, [2]float64{0, 1}, [2]float64{2, 3}, [2]float64{2.5, 3}), false},
+		{"three among others that overlap", ends([2]float64{0, 1}, [2]float64{0.5, 1.5}, [2]float64{1.2, 2}, [2]float64{1.8, 2.6}, [2]float64{2.1, 3}), true},
+		{"a long attempt over all", ends([2]float64{0, 9}, [2]float64{1, 2}, [2]float64{3, 4}), false},
+	} {
+		assert.Equal(t, !test.record.Held.IsZero(), test.held, test.name)
+	}
+}
+
+// TestSameEndpoint checks that one endpoint's end counts once, of however many attempts.
+func TestSameEndpoint(t *testing.T) {
+	var record Record
+	for i := range 5 {
+		record.add(Crash{Endpoint: 7, Began: at(float64(i)), Ended: at(float64(i) + 0.5)})
+	}
+	assert.Equal(t, len(record.Crashes), 1)
+}
+
+// TestAnswer checks that a success ends what came before it, and that late word of that has no
+// effect.
+func TestAnswer(t *testing.T) {
+	record := ends([2]float64{0, 1}, [2]float64{2, 3}, [2]float64{4, 5})
+	assert.Assert(t, record.answer(at(6)))
+	assert.Assert(t, record.Held.IsZero() && len(record.Crashes) == 0)
+	late := ends([2]float64{0, 1}, [2]float64{2, 3}, [2]float64{4, 5.5})
+	assert.Assert(t, !record.merge(late))
+	assert.Assert(t, record.Held.IsZero() && len(record.Crashes) == 0)
+	for i, span := range [][2]float64{{7, 8}, {9, 10}, {11, 12}} {
+		record.add(Crash{Endpoint: uint32(i), Began: at(span[0]), Ended: at(span[1])})
+	}
+	assert.Equal(t, record.Held, at(12))
+	assert.Assert(t, !record.merge(&Record{Answered: at(6.01)}), "the same success, by another message")
+	assert.Equal(t, record.Held, at(12))
+}
+
+// TestMerge checks that routers that have each seen one end hold the requests once they know of all,
+// and that it doesn't matter in which order they hear of them, or how often.
+func TestMerge(t *testing.T) {
+	parts := []*Record{ends([2]float64{0, 1}), {}, {}}
+	parts[1].add(Crash{Endpoint: 11, Began: at(2), Ended: at(3)})
+	parts[2].add(Crash{Endpoint: 12, Began: at(4), Ended: at(5)})
+	for _, order := range [][]int{{0, 1, 2}, {2, 1, 0}, {1, 1, 2, 2, 0, 1}} {
+		var record Record
+		for _, i := range order {
+			record.merge(parts[i])
+		}
+		assert.Equal(t, record.Held, at(5))
+		assert.Equal(t, len(record.Crashes), 3)
+	}
+	var told Record
+	assert.Assert(t, told.merge(&Record{Held: at(5)}), "a peer holds them, whatever it has left of the ends")
+	assert.Equal(t, told.Held, at(5))
+}
+
+// TestTrialDue checks when held requests are tried again, and that it ends.
+func TestTrialDue(t *testing.T) {
+	record := Record{Held: at(0)}
+	for _, want := range []time.Duration{10 * time.Minute, time.Hour} {
+		due, possible := record.trialDue()
+		assert.Assert(t, possible)
+		assert.Equal(t, due.Sub(later(record.Held, record.Tried)), want)
+		record.Trials, record.Tried = record.Trials+1, due
+	}
+	_, possible := record.trialDue()
+	assert.Assert(t, !possible)
+	assert.Equal(t, record.expires(), record.Tried.Add(holdTTL))
+}
--- /dev/null
+++ b/gateway/quarantine/table_test.go
@@ -0,0 +1,155 @@
+package quarantine
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ryeford/ryeford"
+)
+
+// poison is the fingerprint of a request that ends what runs it.
+var poison = FingerprintOf("bank", "/stream/a", []byte("body"))
+
+// holdIt notes as many ends as hold a request, from a second on.
+func holdIt(t *Table, fingerprint Fingerprint, account uint32, second float64) {
+	for i := range crashesToHold {
+		began := second + float64(i)
+		t.Crashed(at(began+0.5), fingerprint, account, Crash{Endpoint: uint32(i), Began: at(began), Ended: at(began + 0.5)})
+	}
+}
+
+// TestCheck follows a request from its first end to a trial that ends well.
+func TestCheck(t *testing.T) {
+	table := New()
+	assert.Assert(t, !table.Suspects(poison.Filter()))
+	holdIt(table, poison, 1, 0)
+	assert.Assert(t, table.Suspects(poison.Filter()))
+	assert.Equal(t, table.Check(at(3), poison, true), Verdict{Held: true, Left: trialAfter - 500*time.Millisecond})
+	assert.Equal(t, table.Check(at(3), FingerprintOf("church", "/stream/a", []byte("body")), true), Verdict{})
+
+	due := at(2.5).Add(trialAfter)
+	assert.Equal(t, table.Check(due, poison, false), Verdict{Held: true, Left: trialLength})
+	assert.Equal(t, table.Check(due, poison, true), Verdict{Trial: true})
+	assert.Equal(t, table.Check(due, poison, true), Verdict{Held: true, Left: trialFactor * trialAfter})
+	assert.Assert(t, table.Answered(due.Add(time.Second), poison))
+	assert.Equal(t, table.Check(due.Add(time.Second), poison, false), Verdict{})
+	assert.Equal(t, len(table.Held()), 0)
+}
+
+// TestTrials checks that a request which ends what runs it is tried twice, and never again while it
+// comes.
+func TestTrials(t *testing.T) {
+	table := New()
+	holdIt(table, poison, 1, 0)
+	trials := 0
+	for minute := range 24 * 60 {
+		if table.Check(at(float64(60*minute)), poison, true).Trial {
+			trials++
+		}
+	}
+	assert.Equal(t, trials, maxTrials)
+}
+
+// TestSpread checks that what one router of many has seen reaches all by messages that each go to eight
+// others, and within how many rounds; and that one that starts later has it from anyone's turns.
+func TestSpread(t *testing.T) {
+	for _, routers := range []int{4, 27, 103, 390} {
+		tables := make([]*Table, routers)
+		for i := range tables {
+			tables[i] = New()
+		}
+		holdIt(tables[0], poison, 1, 0)
+		rounds := 0
+		for spread(tables, poison) < routers {
+			rounds++
+			assert.Assert(t, rounds < 20, "%d routers", routers)
+			for i, table := range tables {
+				records := table.Outgoing(at(3), 6)
+				for k := range min(8, routers-1) {
+					tables[(i+1+(k*k*7+rounds*13+i*5)%(routers-1))%routers].Merge(at(3), records)
+				}
+			}
+		}
+		t.Logf("%d routers: %d rounds", routers, rounds)
+		newcomer := New()
+		for _, table := range tables {
+			for range 2 * sendings {
+				newcomer.Merge(at(4), table.Outgoing(at(4), 6))
+			}
+		}
+		assert.Equal(t, len(newcomer.Held()), 1)
+	}
+}
+
+// spread returns how many tables hold a request.
+func spread(tables []*Table, fingerprint Fingerprint) int {
+	n := 0
+	for _, table := range tables {
+		if table.Check(at(3), fingerprint, false).Held {
+			n++
+		}
+	}
+	return n
+}
+
+// TestOutgoing checks that what is held goes out before what is only suspected, that no message is
+// larger than asked for, and that what is held goes out again by turns.
+func TestOutgoing(t *testing.T) {
+	table := New()
+	for i := range 20 {
+		fingerprint := FingerprintOf("bank", fmt.Sprint(i), nil)
+		table.Crashed(at(1), fingerprint, 1, Crash{Endpoint: 1, Began: at(0), Ended: at(1)})
+	}
+	holdIt(table, poison, 1, 2)
+	first := table.Outgoing(at(5), 3)
+	assert.Equal(t, len(first), 3)
+	assert.Equal(t, first[0].Fingerprint, poison)
+	for range 21 * sendings {
+		table.Outgoing(at(5), 3)
+	}
+	later := table.Outgoing(at(6), 3)
+	assert.Equal(t, len(later), 1)
+	assert.Equal(t, later[0].Fingerprint, poison)
+}
+
+// TestExpiry checks that suspects are forgotten after their time, and held requests later.
+func TestExpiry(t *testing.T) {
+	table := New()
+	table.Crashed(at(1), FingerprintOf("bank", "/once", nil), 1, Crash{Endpoint: 1, Began: at(0), Ended: at(1)})
+	holdIt(table, poison, 1, 0)
+	table.Outgoing(at(1).Add(suspectTTL), 1)
+	assert.Equal(t, table.Len(), 1)
+	table.Outgoing(at(2.5).Add(holdTTL), 1)
+	assert.Equal(t, table.Len(), 0)
+	assert.Assert(t, !table.Suspects(poison.Filter()))
+}
+
+// TestMasses checks that an account which sends many requests that end endpoints neither takes more
+// memory than is set aside nor pushes another account's record out.
+func TestMasses(t *testing.T) {
+	table := New()
+	holdIt(table, poison, 1, 0)
+	for i := range 3 * maxRecords {
+		holdIt(table, FingerprintOf("other", fmt.Sprint(i), nil), 2, 10)
+	}
+	assert.Assert(t, table.Len() <= maxRecords && table.Len() > maxRecords*7/8)
+	assert.Assert(t, table.Check(at(20), poison, false).Held)
+}
+
+// TestTableMemory gives the bytes of a full table.
+func TestTableMemory(t *testing.T) {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	table := New()
+	for i := range maxRecords {
+		holdIt(table, FingerprintOf(ryeford.AccountID(fmt.Sprint(i)), "/stream/a", nil), uint32(i), 0)
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	t.Logf("%d records: %d KiB", table.Len(), (after.HeapAlloc-before.HeapAlloc)>>10)
+}
--- a/gateway/refuse.go
+++ b/gateway/refuse.go
@@ -56,10 +56,16 @@
 		"version", h.configuration.version(), "lease", h.configuration.leaseLeft(), "status", verdict.Status, "reason", verdict.Reason, "took", roundTime(time.Since(q.arrived)), "err", err)
 }
 
+// headerShouldRetry keeps common clients of model APIs from sending a request again by themselves.
+const headerShouldRetry = "X-Should-Retry"
+
 // writeVerdict writes a response of the gateway's own.
 func writeVerdict(w http.ResponseWriter, protocol ryeford.Protocol, id ryeford.RequestID, verdict *giveup.Verdict) {
 	header := w.Header()
 	protocol.ErrorHeader(header, id, retry.Between(verdict.RetryAfter.From, verdict.RetryAfter.To))
+	if verdict.Final {
+		header.Set(headerShouldRetry, "false")
+	}
 	header["Content-Type"] = nil // none of net/http's own
 	header.Set("Content-Length", "0")
 	w.WriteHeader(verdict.Status)
--- a/reason.go
+++ b/reason.go
@@ -22,6 +22,7 @@
 	ReasonStaleConfiguration Reason = "stale_configuration" // the configuration may be out of date
 	ReasonKeyRevoked         Reason = "key_taken"           // the key was revoked after the request came (codes never change)
 	ReasonRouteRemoved       Reason = "route_removed"       // the route was removed after the request came
+	ReasonQuarantined        Reason = "quarantined"         // requests that are the same have ended what ran them
 )
 
 // The reasons of the fleet with agents.
