feat: held requests outlast the routers

Cause: what is held was known to running routers only. After a loss of all of them at once three more endpoints would end by the same request; and a router cut off from its peers would not learn of it.

Change: a held request is written to a table of the platform's store by the routers that saw an endpoint end by it, and removed once one is answered. A router reads the table within a second of its start, unless a peer says that it has been read, and every two seconds while it has no peers.

Ruled out: a read by every router at its start (390 calls at once); the list of routers as the place (it is read rarely, and its rows expire).

Before and after: TestHeldRequestOutlastsRouters and TestLonelyRouter end further endpoints on the commit before; three in all now.

--- a/gateway/crashingrequest_test.go
+++ b/gateway/crashingrequest_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/ryeford/ryeford/settings"
+	"github.com/ryeford/ryeford/standin/rowstore"
 )
 
 // One request ended each engine that began to run it. Its callers sent it again within seconds, under
@@ -78,3 +79,57 @@
 		server.SetCrashBody(body)
 	}
 }
+
+// holdCrashing sends a request that ends what runs it until it is held, and checks that the platform
+// keeps that.
+func (f *fixture) holdCrashing() {
+	f.t.Helper()
+	for f.endedEndpoints() < 3 {
+		f.do(f.request("POST", "/stream/a", "key-1", crashBody))
+	}
+	f.awaitLog("decision=quarantine_written")
+}
+
+// TestHeldRequestOutlastsRouters checks that routers which start when none runs hold what was held
+// before, by what the platform keeps.
+func TestHeldRequestOutlastsRouters(t *testing.T) {
+	store := rowstore.New()
+	before := newFixtureAt(t, store, baseConfiguration(), nil)
+	for i := range 8 {
+		before.addEndpoint("model", fmt.Sprintf("m%d", i), 5)
+	}
+	before.awaitReady(true)
+	before.awaitEndpoints(8)
+	before.holdCrashing()
+	before.stop()
+	before.awaitStopped()
+
+	after := newFixtureAt(t, store, nil, nil)
+	after.awaitReady(true)
+	after.awaitEndpoints(8)
+	after.awaitLog("from=store")
+	got := after.do(after.request("POST", "/stream/a", "key-1", crashBody))
+	assert.Equal(t, got.status, 503)
+	assert.Equal(t, before.endedEndpoints(), 3)
+}
+
+// TestLonelyRouter checks that a router which loses all its peers learns from the platform what is
+// held since.
+func TestLonelyRouter(t *testing.T) {
+	gateways := newPeers(t, 2, time.Hour, nil)
+	lonely, other := gateways[0], newFixtureAt(t, gateways[0].store, nil, nil) // without gossip
+	for i := range 8 {
+		other.addEndpoint("model", fmt.Sprintf("m%d", i), 5)
+	}
+	for _, f := range []*fixture{lonely, other} {
+		f.awaitReady(true)
+		f.awaitEndpoints(10)
+	}
+	gateways[1].stop()
+	gateways[1].awaitStopped()
+	other.holdCrashing()
+	lonely.awaitLog("from=store")
+	got := lonely.do(lonely.request("POST", "/stream/a", "key-1", crashBody))
+	assert.Equal(t, got.status, 503)
+	assert.Equal(t, other.endedEndpoints(), 3)
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -40,6 +40,9 @@
 	Endpoints      ryeford.EndpointSource
 	// Routers may be nil if the settings name no address for peers.
 	Routers ryeford.RouterList
+	// HeldRequests may be nil: the requests that are held are then known to the running routers
+	// only.
+	HeldRequests ryeford.QuarantineStore
 	// ReadyPath is the path of the load balancer's readiness probe.
 	ReadyPath string
 }
@@ -79,7 +82,7 @@
 		drain:       newDrain(s.Bounds.Grace, logger),
 		initialSync: newInitialSync(s.Routing.StartPatience),
 	}
-	g.quarantine = newQuarantined(g.balancer, g.log, g.metrics)
+	g.addQuarantine()
 	g.addConfiguration()
 	g.addEndpoints()
 	g.addGossip()
@@ -91,6 +94,11 @@
 
 // The parts of a Gateway are added in the order in which they use each other.
 
+func (g *Gateway) addQuarantine() {
+	g.quarantine = newQuarantined(g.balancer, g.log, g.metrics)
+	g.quarantine.keepAt(g.platform.HeldRequests, g.settings.Peers.IsValid())
+}
+
 func (g *Gateway) addConfiguration() {
 	g.configuration = newConfiguration(configurationOptions{
 		source:      g.platform.Configurations,
@@ -253,6 +261,7 @@
 	group.Go(func() error { return g.endpoints.follow(work) })
 	group.Go(func() error { return g.endpoints.sweep(work) })
 	group.Go(func() error { return g.gossip.run(work) })
+	group.Go(func() error { return g.quarantine.kept.run(work) })
 	group.Go(func() error {
 		handler := &peerHandler{configuration: g.configuration, endpoints: g.endpoints, log: g.log}
 		return handler.serve(work, g.settings.Peers.AddrPort)
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -268,6 +268,7 @@
 		Version:     g.configuration.version(),
 		Evacuations: peers.EvacuationsOf(g.configuration.evacuations.known()),
 		Quarantined: g.quarantine.outgoing(now),
+		HeldRead:    g.quarantine.kept.read.Load(),
 		Sender:      g.self,
 		Started:     g.started,
 		Sequence:    sequence,
--- /dev/null
+++ b/gateway/heldrequests.go
@@ -0,0 +1,156 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/ryeford/ryeford"
+	"github.com/ryeford/ryeford/gateway/peers"
+	"github.com/ryeford/ryeford/gateway/quarantine"
+	"github.com/ryeford/ryeford/gateway/replica"
+	"github.com/ryeford/ryeford/internal/clock"
+	"github.com/ryeford/ryeford/internal/telemetry"
+)
+
+const (
+	// heldReadSpread is within what time a router that starts reads the held requests from the
+	// platform, unless a peer has read them: few of a fleet that starts together do. Not measured.
+	heldReadSpread = time.Second
+	// heldInterval is how often a router looks whether it has to read or write them. Not measured.
+	heldInterval = 2 * time.Second
+	// maxHeldChanges bounds the changes that wait to be written. Not measured.
+	maxHeldChanges = 256
+	// causeHeld is for which the store's calls are counted.
+	causeHeld = "quarantine"
+)
+
+// A heldRequests keeps the held requests on the platform, so that they outlast the fleet's
+// processes: writes what this router has held or released, and reads what there is at the
+// start, and while the router has no peers. It is safe for concurrent use.
+type heldRequests struct {
+	source  ryeford.QuarantineStore // nil: nothing is kept
+	table   *quarantine.Table
+	peers   *peers.Table
+	gossips bool // there may be peers
+	log     log.Logger
+	metrics *telemetry.Set
+
+	read    atomic.Bool // by this router, or by a peer which passes them on
+	mu      sync.Mutex
+	changes map[quarantine.Fingerprint]*quarantine.Record // to be written; nil: to be removed
+}
+
+// keep has a held request written.
+func (h *heldRequests) keep(record *quarantine.Record) { h.change(record.Fingerprint, record) }
+
+// release has a request that is held no more removed.
+func (h *heldRequests) release(fingerprint quarantine.Fingerprint) { h.change(fingerprint, nil) }
+
+func (h *heldRequests) change(fingerprint quarantine.Fingerprint, record *quarantine.Record) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.source == nil || len(h.changes) >= maxHeldChanges {
+		return // the other routers know it all the same
+	}
+	h.changes[fingerprint] = record
+}
+
+// run reads and writes until ctx ends.
+func (h *heldRequests) run(ctx context.Context) error {
+	if h.source == nil {
+		return nil
+	}
+	clock.Sleep(ctx, replica.StartDelay(heldReadSpread, rand.Float64()))
+	ticker := time.NewTicker(heldInterval)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		if !h.read.Load() || h.lonely(time.Now()) {
+			h.readAll(ctx)
+		}
+		h.writeAll(ctx)
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
+// lonely reports whether no peer would tell of what it holds.
+func (h *heldRequests) lonely(now time.Time) bool { return h.gossips && h.peers.Alive(now) == 0 }
+
+// readAll reads the held requests.
+func (h *heldRequests) readAll(ctx context.Context) {
+	h.metrics.Count("ryeford_store_calls_total", causeHeld)
+	held, err := h.source.HeldRequests(ctx)
+	if err != nil {
+		_ = h.log.Log("decision", "quarantine_read", "err", err)
+		return
+	}
+	now := time.Now()
+	var records []quarantine.Record
+	for i := range held {
+		records = append(records, recordOf(now, &held[i]))
+	}
+	for _, record := range h.table.Merge(now, records) {
+		_ = h.log.Log("decision", "quarantine", "fingerprint", record.Fingerprint, "crashes", len(record.Crashes), "from", "store")
+	}
+	h.read.Store(true)
+}
+
+// writeAll writes the changes that wait. Those that fail wait on.
+func (h *heldRequests) writeAll(ctx context.Context) {
+	h.mu.Lock()
+	changes := h.changes
+	h.changes = make(map[quarantine.Fingerprint]*quarantine.Record)
+	h.mu.Unlock()
+	for fingerprint, record := range changes {
+		h.metrics.Count("ryeford_store_calls_total", causeHeld)
+		err := h.write(ctx, fingerprint, record)
+		_ = h.log.Log("decision", "quarantine_written", "fingerprint", fingerprint, "held", record != nil, "err", err)
+		if err != nil {
+			h.retry(fingerprint, record)
+		}
+	}
+}
+
+// write writes one change.
+func (h *heldRequests) write(ctx context.Context, fingerprint quarantine.Fingerprint, record *quarantine.Record) error {
+	if record == nil {
+		return h.source.ReleaseRequest(ctx, fingerprint)
+	}
+	return h.source.HoldRequest(ctx, heldRequestOf(time.Now(), record))
+}
+
+// retry has a change written again, unless there is a later one.
+func (h *heldRequests) retry(fingerprint quarantine.Fingerprint, record *quarantine.Record) {
+	h.mu.Lock()
+	_, newer := h.changes[fingerprint]
+	h.mu.Unlock()
+	if !newer {
+		h.change(fingerprint, record)
+	}
+}
+
+// heldRequestOf returns what the platform keeps of a record.
+func heldRequestOf(now time.Time, record *quarantine.Record) ryeford.HeldRequest {
+	request := ryeford.HeldRequest{Fingerprint: record.Fingerprint, Account: record.Account, Held: now.Sub(record.Held), Trials: record.Trials}
+	if record.Trials > 0 {
+		request.Tried = now.Sub(record.Tried)
+	}
+	return request
+}
+
+// recordOf returns the record of what the platform keeps.
+func recordOf(now time.Time, request *ryeford.HeldRequest) quarantine.Record {
+	record := quarantine.Record{Fingerprint: request.Fingerprint, Account: request.Account, Held: now.Add(-request.Held), Trials: request.Trials}
+	if request.Trials > 0 {
+		record.Tried = now.Add(-request.Tried)
+	}
+	return record
+}
--- a/gateway/peers/message.go
+++ b/gateway/peers/message.go
@@ -55,6 +55,9 @@
 	// Quarantined are records of requests that end what runs them: those that changed lately at
 	// the sender, and others by turns.
 	Quarantined []Quarantined `cbor:"21,keyasint,omitempty"`
+	// HeldRead says that the sender, or a peer of it, has read the held requests that the platform
+	// keeps, and passes them on.
+	HeldRead bool `cbor:"22,keyasint,omitempty"`
 	// Prompts were sent to endpoints since the last message.
 	Prompts []Prompt `cbor:"6,keyasint,omitempty"`
 }
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -21,14 +21,29 @@
 // router and its peers have seen. It is safe for concurrent use.
 type quarantined struct {
 	table    *quarantine.Table
+	kept     *heldRequests
 	crashes  *crashes
 	balancer *balancer // for this router's place among its peers
 	log      log.Logger
 	metrics  *telemetry.Set
 }
 
+// newQuarantined returns a quarantined that knows nothing yet and keeps nothing on the platform.
 func newQuarantined(b *balancer, logger log.Logger, metrics *telemetry.Set) *quarantined {
-	return &quarantined{table: quarantine.New(), crashes: newCrashes(logger, metrics), balancer: b, log: logger, metrics: metrics}
+	table := quarantine.New()
+	return &quarantined{
+		table:    table,
+		kept:     &heldRequests{table: table, log: logger, metrics: metrics, changes: make(map[quarantine.Fingerprint]*quarantine.Record)},
+		crashes:  newCrashes(logger, metrics),
+		balancer: b,
+		log:      logger,
+		metrics:  metrics,
+	}
+}
+
+// keepAt has what is held kept on the platform, by a router that may have peers.
+func (h *quarantined) keepAt(source ryeford.QuarantineStore, gossips bool) {
+	h.kept.source, h.kept.peers, h.kept.gossips = source, h.balancer.peers, gossips
 }
 
 // outgoing returns the records that go out with the next message to peers.
@@ -38,6 +53,9 @@
 
 // merge adds what a peer's message says.
 func (h *quarantined) merge(now time.Time, message *peers.Message) {
+	if message.HeldRead {
+		h.kept.read.Store(true)
+	}
 	for _, record := range h.table.Merge(now, peers.Records(now, message.Quarantined)) {
 		h.logHeld(&record, message.Sender.String())
 	}
@@ -80,7 +98,11 @@
 	record := h.table.Crashed(now, lost.fingerprint, uint32(route.NameHash(string(lost.account))), crash)
 	_ = h.log.Log("decision", "request_crashed", "request", lost.request, "fingerprint", lost.fingerprint, "account", lost.account,
 		"endpoint", to.ID, "crashes", len(record.Crashes), "held", !record.Held.IsZero())
-	if !before && !record.Held.IsZero() {
+	if record.Held.IsZero() {
+		return
+	}
+	h.kept.keep(&record)
+	if !before {
 		h.logHeld(&record, "self")
 	}
 }
@@ -108,6 +130,7 @@
 	h := x.forwarder.quarantine
 	verdict := h.table.Check(now, x.fingerprint(), h.mayTry(now))
 	if verdict.Trial {
+		h.kept.keep(&verdict.Record)
 		_ = h.log.Log("decision", "quarantine_trial", "request", x.request.meta.ID, "fingerprint", x.fingerprint())
 	}
 	return verdict
@@ -120,6 +143,7 @@
 	}
 	h := x.forwarder.quarantine
 	if h.table.Answered(time.Now(), x.fingerprint()) {
+		h.kept.release(x.fingerprint())
 		_ = h.log.Log("decision", "quarantine_ended", "request", x.request.meta.ID, "fingerprint", x.fingerprint(), "why", "answered")
 	}
 }
--- a/gateway/quarantine/table.go
+++ b/gateway/quarantine/table.go
@@ -78,8 +78,10 @@
 	Held bool
 	// Left is how long a held request is not tried again.
 	Left time.Duration
-	// Trial says that the request may be sent though others like it are held.
-	Trial bool
+	// Trial says that the request may be sent though others like it are held, and Record what
+	// is known of them with that.
+	Trial  bool
+	Record Record
 }
 
 // Check returns the verdict on a request, of which this router may be the one that tries held ones
@@ -101,7 +103,7 @@
 		return Verdict{Held: true, Left: trialLength}
 	}
 	e.Trials, e.Tried, e.sendings = e.Trials+1, now, sendings
-	return Verdict{Trial: true}
+	return Verdict{Trial: true, Record: e.copy()}
 }
 
 // Merge adds what a peer knows, and returns the records that are held since.
--- a/internal/cmd/gatewaycmd.go
+++ b/internal/cmd/gatewaycmd.go
@@ -90,6 +90,7 @@
 		Configurations: store,
 		Endpoints:      store,
 		Routers:        store,
+		HeldRequests:   store,
 		ReadyPath:      platform.PathReady,
 	}, logger, metrics)
 }
--- a/source.go
+++ b/source.go
@@ -127,3 +127,26 @@
 type HistoryLostError struct{}
 
 func (e *HistoryLostError) Error() string { return "history lost: read the whole again" }
+
+// A HeldRequest is what the platform keeps of requests that are sent to no endpoint, since those
+// that were the same have ended what ran them.
+type HeldRequest struct {
+	Fingerprint [16]byte // quarantine.Fingerprint
+	Account     uint32   // a hash of the client account's ID
+	// Held is for how long they have been held.
+	Held time.Duration
+	// Trials is how often one was tried again, and Tried how long ago that was last.
+	Trials int
+	Tried  time.Duration
+}
+
+// A QuarantineStore is where the platform keeps the held requests, for routers that start when no
+// other one runs. Failures are *UnavailableErrors.
+type QuarantineStore interface {
+	// HeldRequests returns all held requests.
+	HeldRequests(ctx context.Context) ([]HeldRequest, error)
+	// HoldRequest keeps a held request, unless one of as many trials is kept.
+	HoldRequest(ctx context.Context, request HeldRequest) error
+	// ReleaseRequest removes a held request, if it is kept.
+	ReleaseRequest(ctx context.Context, fingerprint [16]byte) error
+}
