fix: ages and deadlines count the time for which the machine was suspended

Cause: a suspended machine's steady clock stands still, and all ages went by it: a router that woke held its lease for as fresh as before. A key revoked meanwhile would work for the bound and the whole span, and the rule binds every router.

Change: internal/clock has Now, Since, Until: the runtime's clock, ahead by all suspensions since the start. Each reading compares the time of day with the steady clock, and asks the kernel (CLOCK_BOOTTIME) if they have moved apart or every 0.1 s. All of the gateway goes by it; deadlines of contexts and connections stay the runtime's. Idle connections from before a suspension aren't used again. TestSteadyClock forbids the runtime's clock elsewhere.

Ruled out: CLOCK_BOOTTIME at each reading (a system call, 190 ns); dropping what was known place by place.

Before and after: TestSuspendedLease and TestSuspendedRevocation served 200, now 503; TestSuspendedConnections used 2 of 2 connections again, now none; TestSuspendedPeers never saw its peer dead.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -11,6 +11,7 @@
 	"github.com/ryeford/ryeford/gateway/endpoint"
 	"github.com/ryeford/ryeford/gateway/giveup"
 	"github.com/ryeford/ryeford/gateway/roster"
+	"github.com/ryeford/ryeford/internal/clock"
 	"github.com/ryeford/ryeford/retry"
 )
 
@@ -24,10 +25,10 @@
 	defer func() { x.paid = timedOut(attemptCtx) }()
 	stopTimer := x.startPerTryTimeout(cancel)
 	defer stopTimer()
-	sent := time.Now()
+	sent := clock.Now()
 	x.relay.onFirst = func() {
 		stopTimer()
-		f.fastest.add(time.Now(), x.request.service, time.Since(sent))
+		f.fastest.add(clock.Now(), x.request.service, clock.Since(sent))
 	}
 	f.loads.Begin(to.ID, x.request.service)
 	defer f.loads.End(to.ID)
@@ -38,9 +39,9 @@
 	f.occupancy.Begin(x.request.service)
 	defer f.occupancy.End(x.request.service)
 	x.began = sent
-	number := f.detector.Start(time.Now(), to.ID)
+	number := f.detector.Start(clock.Now(), to.ID)
 	response, err := x.send(attemptCtx, to, source)
-	f.detector.End(time.Now(), to.ID, number, err == nil)
+	f.detector.End(clock.Now(), to.ID, number, err == nil)
 	if err != nil {
 		if timedOut(attemptCtx) || errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			// The endpoint's open connections may have gone silent, without a reset, and each
@@ -50,8 +51,8 @@
 		return x.endUnanswered(ctx, attemptCtx, to, err)
 	}
 	defer response.Close()
-	f.loads.Report(time.Now(), to.ID, response.Meta.Load)
-	f.occupancy.Report(time.Now(), x.request.service, to.Slots, response.Meta.Load)
+	f.loads.Report(clock.Now(), to.ID, response.Meta.Load)
+	f.occupancy.Report(clock.Now(), x.request.service, to.Slots, response.Meta.Load)
 	if response.Meta.NotRun {
 		return x.endRefused(to, response)
 	}
@@ -95,7 +96,7 @@
 	meta := &ryeford.ForwardMeta{
 		Request:   q.meta.ID,
 		Endpoint:  to.ID,
-		Timeout:   time.Until(q.deadline),
+		Timeout:   clock.Until(q.deadline),
 		Account:   q.accountID(),
 		Priority:  q.priority(),
 		LastEvent: x.relay.lastID,
@@ -109,7 +110,7 @@
 // checkSend is called right before the first byte is sent. Its error is a
 // *ryeford.NotRunError.
 func (x *exchange) checkSend(to *roster.Entry) error {
-	return admit.CheckSend(x.sending(time.Now(), x.forwarder.roster.Accepts(to.ID)))
+	return admit.CheckSend(x.sending(clock.Now(), x.forwarder.roster.Accepts(to.ID)))
 }
 
 // sending returns what decides whether the request may still be sent to an endpoint.
@@ -189,7 +190,7 @@
 	if load := response.Meta.Load; load != nil {
 		return load.Running+load.Waiting >= to.Slots
 	}
-	return x.forwarder.load(time.Now(), to) >= float64(to.Slots)
+	return x.forwarder.load(clock.Now(), to) >= float64(to.Slots)
 }
 
 // receive passes a response on, as far as it may be.
@@ -227,7 +228,7 @@
 		return
 	}
 	shared := x.request.sharedParts()
-	x.forwarder.prefixes.Add(time.Now(), to.ID, shared)
+	x.forwarder.prefixes.Add(clock.Now(), to.ID, shared)
 	x.forwarder.gossip.addPrompt(to.ID, shared, x.sentHome)
 }
 
--- a/gateway/balancer.go
+++ b/gateway/balancer.go
@@ -17,6 +17,7 @@
 	"github.com/ryeford/ryeford/gateway/prefixcache"
 	"github.com/ryeford/ryeford/gateway/roster"
 	"github.com/ryeford/ryeford/gateway/slowstart"
+	"github.com/ryeford/ryeford/internal/clock"
 	"github.com/ryeford/ryeford/settings"
 )
 
@@ -223,10 +224,10 @@
 	if q.shared {
 		query.shared = q.sharedParts()
 	}
-	selected := x.forwarder.choose(time.Now(), &query)
-	for selected.to != nil && !(x.tries(selected.to) && x.forwarder.takeTurn(time.Now(), selected.to, query.rule)) {
+	selected := x.forwarder.choose(clock.Now(), &query)
+	for selected.to != nil && !(x.tries(selected.to) && x.forwarder.takeTurn(clock.Now(), selected.to, query.rule)) {
 		x.tried[selected.to.ID] = true
-		selected = x.forwarder.choose(time.Now(), &query)
+		selected = x.forwarder.choose(clock.Now(), &query)
 	}
 	if selected.to == nil {
 		x.logNoChoice(&selected)
@@ -239,7 +240,7 @@
 
 // tries reports whether an attempt may go to an endpoint.
 func (x *exchange) tries(to *roster.Entry) bool {
-	return x.history.Tries(x.forwarder.detector.Unusable(time.Now(), to.ID))
+	return x.history.Tries(x.forwarder.detector.Unusable(clock.Now(), to.ID))
 }
 
 // logChoice logs where an attempt goes and why.
--- a/gateway/configuration.go
+++ b/gateway/configuration.go
@@ -75,7 +75,7 @@
 	}
 	c := &configuration{
 		configurationOptions: options,
-		lease:                freshness.NewLease(options.term, options.clock),
+		lease:                freshness.NewLease(clock.Now(), options.term, options.clock),
 		wake:                 make(chan struct{}, 1),
 		peerReader:           newPeerReader(),
 	}
@@ -111,7 +111,7 @@
 
 // leaseLeft returns the time until the lease ends, as it is logged.
 func (c *configuration) leaseLeft() time.Duration {
-	return c.lease.Left(time.Now()).Round(time.Millisecond)
+	return c.lease.Left(clock.Now()).Round(time.Millisecond)
 }
 
 // run reads the configuration whenever this router is due to (freshness.ReadAge),
@@ -121,7 +121,7 @@
 // changes, so its silence would confirm nothing.
 func (c *configuration) run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if wait := c.untilRead(time.Now()); wait > 0 && !c.awaitNewer(ctx, wait) {
+		if wait := c.untilRead(clock.Now()); wait > 0 && !c.awaitNewer(ctx, wait) {
 			continue // a peer may have renewed the lease meanwhile
 		}
 		answered := c.read(ctx)
@@ -138,7 +138,7 @@
 	wait, least := freshness.PauseAfterRead(answered, c.current() != nil), freshness.PauseAfterRead(true, true)
 	clock.Sleep(ctx, least)
 	if wait > least {
-		c.awaitNewer(ctx, replica.MaxPause(wait, c.peers.Alive(time.Now()))-least)
+		c.awaitNewer(ctx, replica.MaxPause(wait, c.peers.Alive(clock.Now()))-least)
 	}
 }
 
@@ -177,7 +177,7 @@
 		return true
 	}
 	c.metrics.Count("ryeford_store_calls_total", causeConfiguration)
-	sent := time.Now()
+	sent := clock.Now()
 	update, err := c.fetch(ctx)
 	if ctx.Err() != nil {
 		return false // the gateway stops: not an outage
@@ -219,7 +219,7 @@
 func (c *configuration) apply(update *ryeford.ConfigurationUpdate, known freshness.Seen, sent time.Time) bool {
 	read := freshness.Seen{Revision: update.Revision, Version: c.versionIn(update)}
 	if !freshness.Confirms(read, known) {
-		c.newer.contradict(time.Now())
+		c.newer.contradict(clock.Now())
 		c.metrics.Count("ryeford_stale_answers_total", "")
 		_ = c.log.Log("decision", "configuration", "revision", read.Revision, "known", known.Revision, "version", read.Version, "heard", known.Version, "applied", false, "why", "stale answer")
 		return false
@@ -271,7 +271,7 @@
 // It reports whether it did, and how long that took.
 func (c *configuration) replace(next *ryeford.Configuration, sent time.Time) (applied bool, took time.Duration) {
 	applied = c.inForce.Put(catalog.New(next))
-	return applied, time.Since(sent)
+	return applied, clock.Since(sent)
 }
 
 // confirmedByPeer takes the confirmation of a peer, whose address is from, that a version
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -49,7 +49,7 @@
 // Crashed reports whether an endpoint that has just broken off an attempt has ended. It waits
 // until that is known.
 func (c *crashes) crashed(to *roster.Entry) bool {
-	check, first := c.check(time.Now(), to.ID)
+	check, first := c.check(clock.Now(), to.ID)
 	if first {
 		check.run(to)
 		if check.crashed {
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -11,6 +11,7 @@
 
 	"github.com/ryeford/ryeford"
 	"github.com/ryeford/ryeford/gateway/shutdown"
+	"github.com/ryeford/ryeford/internal/clock"
 )
 
 // A drain stops a gateway: it serves on until callers go elsewhere, and then waits
@@ -49,16 +50,16 @@
 		callers.close()
 		return
 	}
-	ordered := time.Now()
+	ordered := clock.Now()
 	closeBy := shutdown.CloseBy(ordered, d.grace)
 	d.ordered.Store(&ordered)
 	d.stopping.Store(true)
 	_ = d.log.Log("msg", "stopping", "in_flight", d.inFlight.Load())
-	timer := time.AfterFunc(time.Until(closeBy)-shutdown.EndMargin, d.end)
+	timer := time.AfterFunc(clock.Until(closeBy)-shutdown.EndMargin, d.end)
 	defer timer.Stop()
 	d.awaitNotice(ordered, closeBy)
 	d.awaitQuiet(closeBy)
-	limit, cancel := context.WithDeadline(context.WithoutCancel(work), closeBy)
+	limit, cancel := context.WithTimeout(context.WithoutCancel(work), clock.Until(closeBy))
 	defer cancel()
 	// polls are the readiness probes that failed: operators know the log by that name.
 	_ = d.log.Log("msg", "closing idle connections", "in_flight", d.inFlight.Load(), "polls", d.failedProbes.Load())
@@ -72,16 +73,16 @@
 // awaitNotice waits until the balancer has noticed that the gateway stops, but no longer
 // than until closeBy.
 func (d *drain) awaitNotice(ordered, closeBy time.Time) {
-	for !shutdown.Noticed(time.Since(ordered), int(d.failedProbes.Load())) && time.Now().Before(closeBy) {
+	for !shutdown.Noticed(clock.Since(ordered), int(d.failedProbes.Load())) && clock.Now().Before(closeBy) {
 		time.Sleep(shutdown.CheckInterval)
 	}
-	time.Sleep(min(shutdown.NoticeMargin, time.Until(closeBy)))
+	time.Sleep(min(shutdown.NoticeMargin, clock.Until(closeBy)))
 }
 
 // awaitQuiet waits until no caller has connected for some time, but no longer than until
 // closeBy.
 func (d *drain) awaitQuiet(closeBy time.Time) {
-	for now := time.Now(); now.Before(closeBy); now = time.Now() {
+	for now := clock.Now(); now.Before(closeBy); now = clock.Now() {
 		var last time.Time
 		if p := d.lastConnection.Load(); p != nil {
 			last = *p
@@ -96,7 +97,7 @@
 // recordConnection records when callers connect. It is an http.Server's ConnState.
 func (d *drain) recordConnection(_ net.Conn, state http.ConnState) {
 	if state == http.StateNew {
-		now := time.Now()
+		now := clock.Now()
 		d.lastConnection.Store(&now)
 	}
 }
@@ -111,7 +112,7 @@
 // leavesTimeFor reports whether a gateway that stops takes a request now. slowest is the
 // time of the slowest requests on its route.
 func (d *drain) leavesTimeFor(q *request, slowest time.Duration) bool {
-	now, ordered := time.Now(), *d.ordered.Load()
+	now, ordered := clock.Now(), *d.ordered.Load()
 	return shutdown.LeavesTimeFor(shutdown.Request{
 		SinceOrder: now.Sub(ordered),
 		Left:       shutdown.CloseBy(ordered, d.grace).Sub(now),
--- a/gateway/endpoint/connection.go
+++ b/gateway/endpoint/connection.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/ryeford/ryeford"
+	"github.com/ryeford/ryeford/internal/clock"
 )
 
 const (
@@ -45,7 +46,7 @@
 	if err != nil {
 		return nil, &UnsentError{Err: err}
 	}
-	now := time.Now()
+	now := clock.Now()
 	return &connection{
 		Conn:      conn,
 		endpoint:  to.ID,
--- a/gateway/endpoint/pool.go
+++ b/gateway/endpoint/pool.go
@@ -24,6 +24,7 @@
 	"time"
 
 	"github.com/ryeford/ryeford"
+	"github.com/ryeford/ryeford/internal/clock"
 )
 
 const (
@@ -67,13 +68,14 @@
 // if there is none, and closes those that it finds unfit. If it is for a request that must not
 // be sent again, it was used lately.
 func (p *Pool) idleConnection(id ryeford.EndpointID, once bool) *connection {
-	now := time.Now()
+	now, woke := clock.Now(), clock.Woke()
 	usedSince := time.Time{}
 	if once {
 		usedSince = now.Add(-onceIdle)
 	}
 	for c := p.pop(id, usedSince); c != nil; c = p.pop(id, usedSince) {
-		if now.Before(c.idleUntil) && c.silent() {
+		// One that was open in a suspension of the machine may have gone silent meanwhile.
+		if now.Before(c.idleUntil) && !c.usedAt.Before(woke) && c.silent() {
 			return c
 		}
 		c.close()
@@ -102,7 +104,7 @@
 		c.close()
 		return
 	}
-	c.usedAt = time.Now()
+	c.usedAt = clock.Now()
 	c.idleUntil = c.usedAt.Add(c.maxIdle)
 	p.putBack(c)
 }
--- a/gateway/endpointlist.go
+++ b/gateway/endpointlist.go
@@ -15,6 +15,7 @@
 	"github.com/ryeford/ryeford/gateway/replica"
 	"github.com/ryeford/ryeford/gateway/roster"
 	"github.com/ryeford/ryeford/gateway/watch"
+	"github.com/ryeford/ryeford/internal/clock"
 	"github.com/ryeford/ryeford/internal/telemetry"
 )
 
@@ -84,7 +85,7 @@
 		Known:    func() int64 { return l.copy.Range().To },
 		Settle:   l.settle,
 		MinPause: minFeedPause,
-		MaxPause: func() time.Duration { return replica.MaxPause(maxFeedPause, l.peers.Alive(time.Now())) },
+		MaxPause: func() time.Duration { return replica.MaxPause(maxFeedPause, l.peers.Alive(clock.Now())) },
 		Sent:     func(whole bool) { l.metrics.Count("ryeford_store_calls_total", causeOf(whole)) },
 		Failed:   l.sourceFailed,
 	}, l.applySource, l.outage)
@@ -149,7 +150,7 @@
 	case !changes.Empty() || sent.Sub(l.whole) > replica.JoinTime:
 		l.whole = time.Time{}
 	}
-	l.endOutage(time.Now())
+	l.endOutage(clock.Now())
 	l.mu.Unlock()
 	l.apply(&changes, "source")
 	// Renewed only now: what peers are told is confirmed must have been applied.
@@ -200,11 +201,11 @@
 func (l *endpointList) renewFromPeer(confirmed time.Duration, apply func() bool) {
 	l.mu.Lock()
 	if own, known := l.lease.Confirmed(); !known || confirmed > own {
-		l.endOutage(time.Now())
+		l.endOutage(clock.Now())
 	}
 	l.mu.Unlock()
 	if apply() {
-		l.lease.RenewFromPeer(time.Now(), confirmed)
+		l.lease.RenewFromPeer(clock.Now(), confirmed)
 	}
 }
 
@@ -219,7 +220,7 @@
 		_ = l.log.Log("decision", "endpoints", "applied", false, "from", from, "since", changes.Since, "revision", changes.Range.To, "known", l.copy.Range().To, "gap", verdict == replica.Gap)
 		return false
 	}
-	now := time.Now()
+	now := clock.Now()
 	change := l.roster.Apply(now, &ryeford.EndpointUpdate{
 		Snapshot: changes.Snapshot, Present: changes.Present, Removed: changes.Removed, Revision: changes.Range.To,
 	}, l.suspectUntil)
@@ -270,7 +271,7 @@
 		case <-l.dropped:
 		case <-timer.C:
 		}
-		now := time.Now()
+		now := clock.Now()
 		l.pool.CloseExpired(now)
 		for _, id := range l.roster.Expire(now) {
 			_ = l.log.Log("decision", "endpoints", "expired", id)
--- a/gateway/endpointlist_test.go
+++ b/gateway/endpointlist_test.go
@@ -80,7 +80,7 @@
 		settle:   s.SettleEndpoints(),
 		contact:  s.Bounds.Contact,
 		copy:     replica.New(),
-		lease:    freshness.NewLease(time.Hour, clock),
+		lease:    freshness.NewLease(time.Now(), time.Hour, clock),
 		clock:    clock,
 		peers:    peers.New(netip.AddrPort{}, peers.DefaultLimits()),
 		reader:   newPeerReader(),
--- a/gateway/evacuations.go
+++ b/gateway/evacuations.go
@@ -3,13 +3,13 @@
 import (
 	"strings"
 	"sync"
-	"time"
 
 	"github.com/go-kit/log"
 
 	"github.com/ryeford/ryeford"
 	"github.com/ryeford/ryeford/gateway/evacuation"
 	"github.com/ryeford/ryeford/gateway/roster"
+	"github.com/ryeford/ryeford/internal/clock"
 	"github.com/ryeford/ryeford/internal/telemetry"
 )
 
@@ -37,7 +37,7 @@
 	if !e.table.Learn(read) {
 		return
 	}
-	began, ended := e.roster.SetEvacuated(time.Now(), read)
+	began, ended := e.roster.SetEvacuated(clock.Now(), read)
 	for _, domain := range began {
 		e.metrics.Count("ryeford_evacuations_total", domain)
 	}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/ryeford/ryeford/gateway/giveup"
 	"github.com/ryeford/ryeford/gateway/quarantine"
 	"github.com/ryeford/ryeford/gateway/roster"
+	"github.com/ryeford/ryeford/internal/clock"
 	"github.com/ryeford/ryeford/retry"
 )
 
@@ -83,7 +84,7 @@
 // unservable returns why no endpoint may or can serve the request any more, or nil. Only a
 // request that was not sent yet is rejected for load: a retry replaces work that has ended.
 func (x *exchange) unservable() error {
-	now, q := time.Now(), x.request
+	now, q := clock.Now(), x.request
 	if err := admit.CheckSend(x.sending(now, true)); err != nil {
 		return err
 	}
@@ -124,7 +125,7 @@
 // takeRetry takes a retry from the service's retry budget, and reports whether there
 // was one.
 func (x *exchange) takeRetry() bool {
-	now := time.Now()
+	now := clock.Now()
 	routers := x.forwarder.peers.Alive(now) + 1
 	return x.request.budget.TakeRetry(now, retry.Sharers(x.forwarder.minSharers, routers))
 }
@@ -153,7 +154,7 @@
 
 // giveUp ends the request without a whole response of an endpoint.
 func (x *exchange) giveUp(err error) {
-	f, q, now := x.forwarder, x.request, time.Now()
+	f, q, now := x.forwarder, x.request, clock.Now()
 	verdict := giveup.Decide(giveup.Request{
 		Err: err, Last: x.last, MayHaveRun: x.mayHaveRun, Begun: x.relay.begun.Load(),
 		Ejected: f.ejectedFor(now, q.service), Unlisted: f.roster.Accepting(q.service) == 0, Caller: q.caller(), Recent: f.refusals.of(now, q.service),
@@ -166,7 +167,7 @@
 	f.metrics.Count("ryeford_given_up_total", verdict.Reason)
 	_ = f.log.Log("decision", "give_up", "request", q.meta.ID, "route", q.rule.Name, "account", q.accountID(), "service", q.service,
 		"sent", x.history.Sent, "unsent", x.history.Unsent, "may_have_run", x.mayHaveRun, "begun", x.relay.begun.Load(), "events", x.relay.events,
-		"version", q.catalog.Version(), "status", verdict.Status, "reason", verdict.Reason, "took", roundTime(time.Since(q.arrived)), "err", verdict.Err)
+		"version", q.catalog.Version(), "status", verdict.Status, "reason", verdict.Reason, "took", roundTime(clock.Since(q.arrived)), "err", verdict.Err)
 	if verdict.Abort {
 		panic(http.ErrAbortHandler) // net/http then closes the connection
 	}
@@ -178,7 +179,7 @@
 	f, q := x.forwarder, x.request
 	f.metrics.Count("ryeford_tries_failed_total", end.String())
 	line := []any{"decision", "try_failed", "request", q.meta.ID, "endpoint", to.ID, "address", to.Address,
-		"outcome", end, "sent", x.history.Sent, "events", x.relay.events, "took", roundTime(time.Since(q.arrived)), "err", err}
+		"outcome", end, "sent", x.history.Sent, "events", x.relay.events, "took", roundTime(clock.Since(q.arrived)), "err", err}
 	if end == retry.EndLost {
 		line = append(line, "fingerprint", x.fingerprint())
 	}
@@ -188,12 +189,12 @@
 // recordAnswered logs and counts a response that the caller has whole.
 func (x *exchange) recordAnswered(to *roster.Entry, status int) {
 	f, q := x.forwarder, x.request
-	took := time.Since(q.arrived)
+	took := clock.Since(q.arrived)
 	f.durations.observe(q.rule, took)
 	if isSuccess(status) {
 		x.clearQuarantine()
 	}
-	f.refusals.add(time.Now(), q.service, giveup.Recent{Answered: 1})
+	f.refusals.add(clock.Now(), q.service, giveup.Recent{Answered: 1})
 	f.metrics.Count("ryeford_answered_total", "")
 	f.metrics.Observe("ryeford_answer_seconds", took.Seconds())
 	_ = f.log.Log("decision", "answer", "request", q.meta.ID, "route", q.rule.Name, "endpoint", to.ID, "status", status,
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -180,7 +180,9 @@
 	f.t.Helper()
 	server := &recordingEndpoint{Server: &appserver.Server{ID: id, Events: events, Step: time.Millisecond}}
 	server.SetCrashBody(crashBody)
-	httpServer := httptest.NewServer(server)
+	httpServer := httptest.NewUnstartedServer(server)
+	httpServer.Config.ConnState = server.recordConnection
+	httpServer.Start()
 	server.Crash = func() {
 		_ = httpServer.Listener.Close() // it is closed again with the server
 		httpServer.CloseClientConnections()
--- a/gateway/freshness/lease.go
+++ b/gateway/freshness/lease.go
@@ -46,10 +46,10 @@
 	known     bool
 }
 
-// NewLease returns an expired Lease of a source with a clock. A term of zero or less never renews
+// NewLease returns an expired Lease, made now, of a source with a clock. A term of zero or less never renews
 // it.
-func NewLease(term time.Duration, clock *SourceClock) *Lease {
-	l := &Lease{term: term, started: time.Now(), clock: clock}
+func NewLease(now time.Time, term time.Duration, clock *SourceClock) *Lease {
+	l := &Lease{term: term, started: now, clock: clock}
 	l.until.Store(-1)
 	return l
 }
--- a/gateway/freshness/lease_test.go
+++ b/gateway/freshness/lease_test.go
@@ -12,7 +12,7 @@
 // read shortens nothing.
 func TestLease(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		l := NewLease(time.Second, &SourceClock{})
+		l := NewLease(time.Now(), time.Second, &SourceClock{})
 		assert.Assert(t, !l.Valid(time.Now()))
 		_, confirmed := l.Age(time.Now())
 		assert.Assert(t, !confirmed)
@@ -39,7 +39,7 @@
 // TestFrozen checks that a process that was frozen finds its lease ended.
 func TestFrozen(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		l := NewLease(time.Second, &SourceClock{})
+		l := NewLease(time.Now(), time.Second, &SourceClock{})
 		sent := time.Now()
 		time.Sleep(5 * time.Second) // frozen before the answer is read
 		l.renew(sent)
--- a/gateway/freshness/refresh_test.go
+++ b/gateway/freshness/refresh_test.go
@@ -61,5 +61,5 @@
 // TestTerm checks that a lease ends before a revoked key must not work any more.
 func TestTerm(t *testing.T) {
 	assert.Equal(t, Term(5*time.Second), 4500*time.Millisecond)
-	assert.Assert(t, !NewLease(Term(400*time.Millisecond), &SourceClock{}).Valid(time.Now()))
+	assert.Assert(t, !NewLease(time.Now(), Term(400*time.Millisecond), &SourceClock{}).Valid(time.Now()))
 }
--- a/gateway/freshness/sourceclock_test.go
+++ b/gateway/freshness/sourceclock_test.go
@@ -15,7 +15,7 @@
 // TestSharedRead checks that a read of one process renews another's lease by no
 // more than the read's own age, however long the message took.
 func TestSharedRead(t *testing.T) {
-	reader, other := NewLease(term, &SourceClock{}), NewLease(term, &SourceClock{})
+	reader, other := NewLease(time.Now(), term, &SourceClock{}), NewLease(time.Now(), term, &SourceClock{})
 	// Each process's own read sets its view of the source's clock.
 	reader.RenewRead(start, start.Add(100*time.Millisecond), 50*time.Second)
 	other.RenewRead(start, start.Add(20*time.Millisecond), 50*time.Second)
@@ -40,7 +40,7 @@
 // TestSharedBeforeOwnRead checks that a process that has never read the source itself,
 // and so doesn't know the age of a confirmation, ignores a peer's.
 func TestSharedBeforeOwnRead(t *testing.T) {
-	l := NewLease(term, &SourceClock{})
+	l := NewLease(time.Now(), term, &SourceClock{})
 	assert.Assert(t, !l.RenewFromPeer(start, time.Second))
 	assert.Assert(t, !l.Valid(time.Now()))
 }
@@ -48,7 +48,7 @@
 // TestSharedFuture checks that a confirmation that lies in the future of the
 // source's clock is not believed: it is of another clock.
 func TestSharedFuture(t *testing.T) {
-	l := NewLease(term, &SourceClock{})
+	l := NewLease(time.Now(), term, &SourceClock{})
 	l.RenewRead(start, start, 50*time.Second)
 	assert.Assert(t, !l.RenewFromPeer(start.Add(time.Second), 52*time.Second))
 	assert.Assert(t, l.RenewFromPeer(start.Add(time.Second), 51*time.Second))
@@ -57,7 +57,7 @@
 // TestSharedFrozen checks that the age of a message counts from the read that it
 // confirms, though the process that receives it was frozen meanwhile.
 func TestSharedFrozen(t *testing.T) {
-	l := NewLease(term, &SourceClock{})
+	l := NewLease(time.Now(), term, &SourceClock{})
 	l.RenewRead(start, start, 50*time.Second)
 	now := start.Add(20 * time.Second)
 	l.RenewFromPeer(now, 51*time.Second)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -125,7 +125,7 @@
 		settle:     g.settings.SettleEndpoints(),
 		contact:    g.settings.Bounds.Contact,
 		copy:       replica.New(),
-		lease:      freshness.NewLease(time.Hour, g.clock),
+		lease:      freshness.NewLease(clock.Now(), time.Hour, g.clock),
 		clock:      g.clock,
 		peers:      g.peers,
 		reader:     newPeerReader(),
@@ -231,10 +231,10 @@
 	g.metrics.Gauge("ryeford_endpoints", func() float64 { return float64(g.roster.Len()) })
 	g.metrics.Gauge("ryeford_evacuated_domains", func() float64 { return float64(len(g.configuration.evacuations.known().Orders)) })
 	g.metrics.Gauge("ryeford_quarantined_requests", func() float64 { return float64(len(g.quarantine.table.Held())) })
-	g.metrics.Gauge("ryeford_peers", func() float64 { return float64(g.peers.Alive(time.Now())) })
-	g.metrics.Gauge("ryeford_lease_seconds", func() float64 { return g.configuration.lease.Left(time.Now()).Seconds() })
+	g.metrics.Gauge("ryeford_peers", func() float64 { return float64(g.peers.Alive(clock.Now())) })
+	g.metrics.Gauge("ryeford_lease_seconds", func() float64 { return g.configuration.lease.Left(clock.Now()).Seconds() })
 	g.metrics.Gauge("ryeford_endpoints_age_seconds", func() float64 {
-		age, _ := g.endpoints.lease.Age(time.Now())
+		age, _ := g.endpoints.lease.Age(clock.Now())
 		return age.Seconds()
 	})
 	g.metrics.Gauge("ryeford_configuration_version", func() float64 { return float64(g.configuration.version()) })
@@ -262,6 +262,7 @@
 	group.Go(func() error { return g.endpoints.sweep(work) })
 	group.Go(func() error { return g.gossip.run(work) })
 	group.Go(func() error { return g.quarantine.kept.run(work) })
+	group.Go(func() error { return logSuspensions(work, g.log, g.metrics) })
 	group.Go(func() error {
 		handler := &peerHandler{configuration: g.configuration, endpoints: g.endpoints, log: g.log}
 		return handler.serve(work, g.settings.Peers.AddrPort)
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -104,17 +104,17 @@
 // others to the table of peers, whenever that is due.
 func (g *gossip) lookUp(ctx context.Context) error {
 	clock.Sleep(ctx, replica.StartDelay(peers.RegisterSpread, rand.Float64()))
-	began, registered, tried := time.Now(), time.Time{}, false
+	began, registered, tried := clock.Now(), time.Time{}, false
 	ticker := time.NewTicker(peers.LookupInterval)
 	defer ticker.Stop()
 	for {
-		if g.lookupDue(time.Now(), began, registered) {
+		if g.lookupDue(clock.Now(), began, registered) {
 			g.metrics.Count("ryeford_store_calls_total", causeRouters)
 			addresses, err := g.routers.Register(ctx, g.vm, g.self, peers.EnoughEntries(tried))
 			tried = true
 			_ = g.log.Log("decision", "look_up_peers", "found", len(addresses), "err", err)
 			if err == nil {
-				registered = time.Now()
+				registered = clock.Now()
 				g.table.Add(registered, addresses)
 			}
 		}
@@ -157,7 +157,7 @@
 			g.drop(droppedFormat)
 			continue
 		}
-		g.merge(time.Now(), &message)
+		g.merge(clock.Now(), &message)
 	}
 }
 
@@ -202,10 +202,10 @@
 	ticker := time.NewTicker(peers.Interval)
 	defer ticker.Stop()
 	known := 0
-	g.table.Add(time.Now(), g.seeds)
-	schedule := peers.NewSchedule(time.Now(), peers.BytesPerSecond)
+	g.table.Add(clock.Now(), g.seeds)
+	schedule := peers.NewSchedule(clock.Now(), peers.BytesPerSecond)
 	for sequence := uint64(1); ctx.Err() == nil; sequence++ {
-		now := time.Now()
+		now := clock.Now()
 		alive := g.table.Alive(now)
 		if alive != known {
 			_ = g.log.Log("decision", "peers", "alive", alive, "before", known)
@@ -235,7 +235,7 @@
 			return sequence
 		case peer := <-g.newcomers:
 			sequence++
-			now := time.Now()
+			now := clock.Now()
 			g.sendTo(conn, []netip.AddrPort{peer}, g.message(now, sequence, schedule.Complete(g.table.Alive(now))), schedule)
 		}
 	}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -12,6 +12,7 @@
 	"github.com/ryeford/ryeford"
 	"github.com/ryeford/ryeford/gateway/admit"
 	"github.com/ryeford/ryeford/gateway/catalog"
+	"github.com/ryeford/ryeford/internal/clock"
 	"github.com/ryeford/ryeford/retry"
 )
 
@@ -33,7 +34,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	var err error
-	q := &request{arrived: time.Now()}
+	q := &request{arrived: clock.Now()}
 	if q.meta, err = h.protocol.ParseRequest(r.Header); err != nil {
 		h.refuseUnread(w, r, q, err)
 		return
@@ -56,7 +57,7 @@
 	}
 	q.body = body
 	q.hasBody = r.ContentLength != 0 || len(body) > 0 || r.Header.Get("Content-Length") != ""
-	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
+	ctx, cancel := context.WithTimeout(r.Context(), clock.Until(q.deadline))
 	defer cancel()
 	h.newExchange(q, r, w).serveUntil(ctx, h.drain.ending)
 }
@@ -113,7 +114,7 @@
 	}
 	q.setAffinity()
 	q.setService()
-	q.budget = h.budgets.Of(q.service)
+	q.budget = h.budgets.Of(q.arrived, q.service)
 	q.budget.CountRequest(q.arrived)
 	return nil
 }
@@ -139,10 +140,10 @@
 func (h *handler) state(q *request) admit.State {
 	state := admit.State{
 		Configured: q.catalog != nil,
-		Superseded: h.configuration.superseded(time.Now()),
+		Superseded: h.configuration.superseded(clock.Now()),
 		Listed:     h.roster.Known(),
-		Reliable:   h.configuration.reliable(time.Now()),
-		ServesKeys: h.configuration.servesKeys(time.Now()),
+		Reliable:   h.configuration.reliable(clock.Now()),
+		ServesKeys: h.configuration.servesKeys(clock.Now()),
 	}
 	if q.rule == nil {
 		return state
--- a/gateway/heldrequests.go
+++ b/gateway/heldrequests.go
@@ -69,7 +69,7 @@
 	ticker := time.NewTicker(heldInterval)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
-		if !h.read.Load() || h.lonely(time.Now()) {
+		if !h.read.Load() || h.lonely(clock.Now()) {
 			h.readAll(ctx)
 		}
 		h.writeAll(ctx)
@@ -92,7 +92,7 @@
 		_ = h.log.Log("decision", "quarantine_read", "err", err)
 		return
 	}
-	now := time.Now()
+	now := clock.Now()
 	var records []quarantine.Record
 	for i := range held {
 		records = append(records, recordOf(now, &held[i]))
@@ -124,7 +124,7 @@
 	if record == nil {
 		return h.source.ReleaseRequest(ctx, fingerprint)
 	}
-	return h.source.HoldRequest(ctx, heldRequestOf(time.Now(), record))
+	return h.source.HoldRequest(ctx, heldRequestOf(clock.Now(), record))
 }
 
 // retry has a change written again, unless there is a later one.
--- a/gateway/initialsync.go
+++ b/gateway/initialsync.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/ryeford/ryeford/gateway/admit"
+	"github.com/ryeford/ryeford/internal/clock"
 )
 
 // An initialSync holds requests back until the first configuration and the first
@@ -20,7 +21,7 @@
 // has passed from now.
 func newInitialSync(patience time.Duration) *initialSync {
 	done, complete := context.WithCancel(context.Background())
-	return &initialSync{started: time.Now(), patience: patience, done: done.Done(), complete: complete}
+	return &initialSync{started: clock.Now(), patience: patience, done: done.Done(), complete: complete}
 }
 
 // await waits until the sync is complete, ctx ends or the wait is over. left is for how
@@ -31,7 +32,7 @@
 		return
 	default:
 	}
-	wait := admit.StartWait(time.Since(s.started), s.patience, left)
+	wait := admit.StartWait(clock.Since(s.started), s.patience, left)
 	if wait <= 0 {
 		return
 	}
--- a/gateway/peerconfiguration.go
+++ b/gateway/peerconfiguration.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/ryeford/ryeford"
+	"github.com/ryeford/ryeford/internal/clock"
 )
 
 // A router takes the configuration from a peer that has told of a newer one, and reads the source
@@ -29,7 +30,7 @@
 	if !peer.IsValid() || version <= c.version() {
 		return false
 	}
-	sent := time.Now()
+	sent := clock.Now()
 	read, err := c.peerReader.configuration(ctx, peer)
 	if err != nil {
 		_ = c.log.Log("decision", "configuration_from_peer", "peer", peer, "version", version, "applied", false, "err", err)
@@ -44,7 +45,7 @@
 	applied, took := c.replace(read.Configuration, sent)
 	c.newer.putPeersInForce(c.version(), took >= c.bound)
 	if read.Configuration.Version == c.version() {
-		c.lease.RenewFromPeer(time.Now(), read.ConfirmedAt)
+		c.lease.RenewFromPeer(clock.Now(), read.ConfirmedAt)
 		c.onUpdate()
 	}
 	_ = c.log.Log("decision", "configuration_from_peer", "peer", peer, "version", read.Configuration.Version, "took", roundTime(took), "applied", applied)
@@ -53,7 +54,7 @@
 
 // answer returns what a peer is handed out, or nil if there is no configuration or it may be stale.
 func (c *configuration) answer() *configurationAnswer {
-	now := time.Now()
+	now := clock.Now()
 	// The confirmation is read before the configuration and the evacuations, as in gossip.briefMessage.
 	confirmed, known := c.lease.Confirmed()
 	latest, bounded := c.clock.Latest(now)
--- a/gateway/peerlist.go
+++ b/gateway/peerlist.go
@@ -7,6 +7,7 @@
 
 	"github.com/ryeford/ryeford/gateway/peers"
 	"github.com/ryeford/ryeford/gateway/replica"
+	"github.com/ryeford/ryeford/internal/clock"
 )
 
 // A router that hears of a peer with a newer copy of the list of endpoints reads from it what it
@@ -82,7 +83,7 @@
 
 // readPeer reads what this router lacks of a peer's copy.
 func (l *endpointList) readPeer(ctx context.Context, peer netip.AddrPort) {
-	sent := time.Now()
+	sent := clock.Now()
 	answer, err := l.reader.endpoints(ctx, peer, l.copy.Range().To)
 	if err != nil {
 		_ = l.log.Log("decision", "endpoints_from_peer", "peer", peer, "applied", false, "err", err)
@@ -118,7 +119,7 @@
 func (l *endpointList) answer(since int64) *listAnswer {
 	// The confirmation is read before the changes, which then are as new as it says or newer.
 	confirmed, known := l.lease.Confirmed()
-	latest, bounded := l.clock.Latest(time.Now())
+	latest, bounded := l.clock.Latest(clock.Now())
 	if !known || !bounded || !l.copy.Range().Known() {
 		return nil
 	}
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -9,6 +9,7 @@
 
 	"github.com/ryeford/ryeford/gateway/readiness"
 	"github.com/ryeford/ryeford/gateway/roster"
+	"github.com/ryeford/ryeford/internal/clock"
 )
 
 // A probeHandler answers the load balancer's readiness probes.
@@ -30,7 +31,7 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	now := time.Now()
+	now := clock.Now()
 	state := h.state(now)
 	h.logBridged(state.Keyed && state.ServesKeys && !h.configuration.reliable(now))
 	reason := readiness.Check(state)
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -10,6 +10,7 @@
 	"github.com/ryeford/ryeford/gateway/peers"
 	"github.com/ryeford/ryeford/gateway/quarantine"
 	"github.com/ryeford/ryeford/gateway/roster"
+	"github.com/ryeford/ryeford/internal/clock"
 	"github.com/ryeford/ryeford/internal/telemetry"
 	"github.com/ryeford/ryeford/route"
 )
@@ -92,7 +93,7 @@
 	if !h.crashes.crashed(to) {
 		return
 	}
-	now := time.Now()
+	now := clock.Now()
 	crash := quarantine.Crash{Endpoint: uint32(route.NameHash(string(to.ID))), Began: lost.began, Ended: lost.lost}
 	before := h.table.Check(now, lost.fingerprint, false).Held
 	record := h.table.Crashed(now, lost.fingerprint, uint32(route.NameHash(string(lost.account))), crash)
@@ -142,7 +143,7 @@
 		return
 	}
 	h := x.forwarder.quarantine
-	if h.table.Answered(time.Now(), x.fingerprint()) {
+	if h.table.Answered(clock.Now(), x.fingerprint()) {
 		h.kept.release(x.fingerprint())
 		_ = h.log.Log("decision", "quarantine_ended", "request", x.request.meta.ID, "fingerprint", x.fingerprint(), "why", "answered")
 	}
@@ -156,7 +157,7 @@
 	}
 	lost := &lostAttempt{
 		request: x.request.meta.ID, fingerprint: x.fingerprint(), account: x.request.accountID(),
-		began: x.began, lost: time.Now(),
+		began: x.began, lost: clock.Now(),
 	}
 	go x.forwarder.quarantine.note(to, lost)
 }
--- a/gateway/rating.go
+++ b/gateway/rating.go
@@ -2,10 +2,10 @@
 
 import (
 	"net/http"
-	"time"
 
 	"github.com/ryeford/ryeford"
 	"github.com/ryeford/ryeford/gateway/outlier"
+	"github.com/ryeford/ryeford/internal/clock"
 	"github.com/ryeford/ryeford/retry"
 )
 
@@ -56,7 +56,7 @@
 }
 
 func (r rating) report(detector *outlier.Detector, id ryeford.EndpointID) {
-	now := time.Now()
+	now := clock.Now()
 	switch r {
 	case ratingGood:
 		detector.Succeeded(now, id)
--- a/gateway/recordingendpoint_test.go
+++ b/gateway/recordingendpoint_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -17,6 +18,24 @@
 	mu       sync.Mutex
 	received []receivedRequest
 	working  int // requests that are running
+	opened   int // connections
+}
+
+// Connections returns how many connections were opened.
+func (e *recordingEndpoint) Connections() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.opened
+}
+
+// recordConnection is an http.Server's ConnState.
+func (e *recordingEndpoint) recordConnection(_ net.Conn, state http.ConnState) {
+	if state != http.StateNew {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.opened++
 }
 
 // A receivedRequest is a request as the endpoint got it.
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -12,6 +12,7 @@
 
 	"github.com/ryeford/ryeford"
 	"github.com/ryeford/ryeford/gateway/endpoint"
+	"github.com/ryeford/ryeford/internal/clock"
 	"github.com/ryeford/ryeford/internal/telemetry"
 	"github.com/ryeford/ryeford/retry"
 )
@@ -118,7 +119,7 @@
 		r.onFirst = nil
 	}
 	if r.first == 0 {
-		r.first = time.Since(r.arrived)
+		r.first = clock.Since(r.arrived)
 		r.metrics.Observe("ryeford_first_seconds", r.first.Seconds())
 	}
 }
@@ -126,7 +127,7 @@
 // writeHeader sets the response's header, without sending it yet.
 func (r *relay) writeHeader(response *endpoint.Response) {
 	// An error means that the connection is closed already, which writing shows.
-	_ = r.control.SetWriteDeadline(r.deadline.Add(writeMargin))
+	_ = r.control.SetWriteDeadline(time.Now().Add(clock.Until(r.deadline) + writeMargin))
 	header := r.writer.Header()
 	for name, values := range r.protocol.ResponseHeader(response.Header) {
 		header[name] = values
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -6,6 +6,7 @@
 	"github.com/ryeford/ryeford"
 	"github.com/ryeford/ryeford/gateway/catalog"
 	"github.com/ryeford/ryeford/gateway/giveup"
+	"github.com/ryeford/ryeford/internal/clock"
 	"github.com/ryeford/ryeford/retry"
 	"github.com/ryeford/ryeford/route"
 )
@@ -74,7 +75,7 @@
 	if q.meta == nil || q.meta.Timeout <= 0 {
 		return giveup.NoLimit
 	}
-	return q.meta.Timeout - time.Since(q.arrived)
+	return q.meta.Timeout - clock.Since(q.arrived)
 }
 
 // accountID returns the request's client account, or none.
--- a/gateway/revision.go
+++ b/gateway/revision.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/ryeford/ryeford/internal/clock"
 )
 
 // A revision is the newest revision that the store has answered with, on any of its
@@ -36,7 +38,7 @@
 func (r *revision) raise(answered int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.newest, r.answered, r.failing = max(r.newest, answered), time.Now(), false
+	r.newest, r.answered, r.failing = max(r.newest, answered), clock.Now(), false
 }
 
 // fail takes that a call of the store has failed.
--- a/gateway/start.go
+++ b/gateway/start.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/ryeford/ryeford/gateway/replica"
+	"github.com/ryeford/ryeford/internal/clock"
 	"github.com/ryeford/ryeford/settings"
 )
 
@@ -18,7 +19,7 @@
 
 // newStart returns a start that is now.
 func newStart(s *settings.Gateway) *start {
-	result := &start{at: time.Now(), peers: s.Peers.IsValid()}
+	result := &start{at: clock.Now(), peers: s.Peers.IsValid()}
 	if len(seedAddresses(s)) > 0 {
 		result.delay = replica.StartDelay(s.Routing.StartSpread, rand.Float64())
 	}
--- /dev/null
+++ b/gateway/suspended_test.go
@@ -0,0 +1,83 @@
+package gateway_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ryeford/ryeford/internal/clock"
+	"github.com/ryeford/ryeford/settings"
+)
+
+// A machine that is suspended stands still without its steady clock noticing: when it wakes, all ages
+// that go by that clock are too small by the whole span. These tests inject a suspension, and ask
+// what the first request after it is decided by.
+
+// TestSuspendedLease checks that a router which was suspended for longer than its lease serves no key
+// until it has read the configuration again, from the first request on, and then does.
+func TestSuspendedLease(t *testing.T) {
+	f := startedFixture(t, func(s *settings.Gateway) { s.Bounds.Revoke = 3 * time.Second })
+	assert.Equal(t, f.call("GET", "/safe/a").status, 200)
+	f.cutOffStore()
+	f.awaitLog("dependency lost")
+	assert.Equal(t, f.call("GET", "/safe/a").status, 200)
+	sent := f.received()
+	clock.Suspend(3 * time.Second)
+	assert.Equal(t, f.call("GET", "/safe/a").status, 503)
+	assert.Equal(t, f.received(), sent)
+	f.awaitReady(false)
+	f.awaitLog("decision=suspended")
+	f.storeCutOff.Store(false)
+	f.awaitStatus(200, "GET", "/safe/a")
+	f.awaitReady(true)
+}
+
+// TestSuspendedRevocation checks that a key which is revoked while the router is suspended does not work
+// after it, though the store is silent when it wakes.
+func TestSuspendedRevocation(t *testing.T) {
+	f := startedFixture(t, func(s *settings.Gateway) { s.Bounds.Revoke = 3 * time.Second })
+	f.cutOffStore()
+	f.awaitLog("dependency lost")
+	f.putConfiguration(keyRevoked())
+	clock.Suspend(10 * time.Second)
+	for range 20 {
+		assert.Equal(t, f.call("GET", "/safe/a").status, 503)
+	}
+	f.storeCutOff.Store(false)
+	f.awaitStatus(401, "GET", "/safe/a")
+}
+
+// TestSuspendedConnections checks that no connection is used again that was open before a suspension: it may
+// have gone silent meanwhile.
+func TestSuspendedConnections(t *testing.T) {
+	f := startedFixture(t, nil)
+	opened := func() int {
+		n := 0
+		for _, server := range f.endpoints {
+			n += server.Connections()
+		}
+		return n
+	}
+	for range 4 {
+		assert.Equal(t, f.call("GET", "/safe/a").status, 200)
+	}
+	before := opened()
+	assert.Assert(t, before <= 2, "%d connections to two endpoints", before)
+	clock.Suspend(time.Second)
+	for range 2 {
+		assert.Equal(t, f.call("GET", "/safe/a").status, 200)
+	}
+	assert.Equal(t, opened(), before+2)
+}
+
+// TestSuspendedPeers checks that a router which was suspended takes no peer for alive until it
+// has heard of it again, and does so then.
+func TestSuspendedPeers(t *testing.T) {
+	gateways := newPeers(t, 2, time.Hour, nil)
+	clock.Suspend(10 * time.Second) // of both: they run in one process
+	for _, f := range gateways {
+		f.awaitLog("alive=0 before=1")
+		f.awaitLog("alive=1 before=0")
+	}
+}
--- a/gateway/watch/watch.go
+++ b/gateway/watch/watch.go
@@ -44,7 +44,7 @@
 func Run(ctx context.Context, source ryeford.EndpointSource, options Options, apply func(update *ryeford.EndpointUpdate, since int64, sent time.Time) bool, outage *Outage) {
 	next := poll{whole: true}
 	for ctx.Err() == nil {
-		in, hold := options.Turn(time.Now())
+		in, hold := options.Turn(clock.Now())
 		if in > 0 {
 			clock.Sleep(ctx, min(in, maxSleep))
 			continue
@@ -54,7 +54,7 @@
 			next.whole, next.revision = false, known
 		}
 		options.Sent(next.whole)
-		sent := time.Now()
+		sent := clock.Now()
 		update, err := send(ctx, source, next)
 		if ctx.Err() != nil {
 			return
@@ -69,7 +69,7 @@
 			outage.Answered()
 		case failed:
 			options.Failed(sent)
-			outage.failedSince(next.awaySince(sent, time.Now()), sent, err)
+			outage.failedSince(next.awaySince(sent, clock.Now()), sent, err)
 		}
 		next = next.after(v, revision)
 		if pause := next.pause(v, changed, &options); pause > 0 {
@@ -118,6 +118,6 @@
 		return
 	}
 	o.lost = false
-	o.downtime.Ended = time.Now()
+	o.downtime.Ended = clock.Now()
 	o.Regained(o.downtime)
 }
--- a/retry/share_test.go
+++ b/retry/share_test.go
@@ -31,7 +31,7 @@
 	w := NewWindows(WindowLimits{Span: 10 * time.Second, Ratio: 0.2, Reserve: 10})
 	now := time.Now()
 	spend := func(service string) (retries int) {
-		for w.Of(service).TakeRetry(now, 1) {
+		for w.Of(now, service).TakeRetry(now, 1) {
 			retries++
 		}
 		return retries
@@ -40,7 +40,7 @@
 	assert.Equal(t, spend("chat"), 0)
 	assert.Equal(t, spend("plain"), 9)
 	for range 100 {
-		w.Of("chat").CountRequest(now)
+		w.Of(now, "chat").CountRequest(now)
 	}
 	assert.Equal(t, spend("chat"), 18)
 }
--- a/retry/window.go
+++ b/retry/window.go
@@ -123,13 +123,13 @@
 	return &Windows{limits: limits, windows: make(map[string]*Window)}
 }
 
-// Of returns the Window of a service.
-func (w *Windows) Of(service string) *Window {
+// Of returns the Window of a service, which begins now if there is none yet.
+func (w *Windows) Of(now time.Time, service string) *Window {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	window := w.windows[service]
 	if window == nil {
-		window = NewWindow(time.Now(), w.limits)
+		window = NewWindow(now, w.limits)
 		w.windows[service] = window
 	}
 	return window
--- a/steadyclock_test.go
+++ b/steadyclock_test.go
@@ -31,23 +31,39 @@
 	"time.Unix", "time.UnixMilli", "time.UnixMicro", "time.Date", "time.Parse", "time.ParseInLocation", "net/http.ParseTime",
 }
 
+// runtimeFunctions read the runtime's clock, which stands still while the machine is suspended:
+// ages and deadlines go by those of internal/clock.
+var runtimeFunctions = []string{"time.Now", "time.Since", "time.Until"}
+
 // timeInTaggedStruct is the use of a time in a struct that is written or read as a whole.
 const timeInTaggedStruct = "a time in a struct with tags"
 
-// wallExceptions are the uses of the time of day by which the gateway decides nothing,
-// with the reason.
+// connectionDeadline is why a deadline of a connection goes by the runtime's clock.
+const connectionDeadline = "a connection's deadline is one of the runtime's clock"
+
+// wallExceptions are the uses of the time of day, and of the runtime's clock, by which the gateway
+// decides nothing that a suspension would change, with the reason.
 var wallExceptions = map[wallUse]string{
-	{"gateway/endpoint/send.go", "time.Unix"}:    "a deadline that has passed by any clock ends what waits on a connection",
-	{"engine.go", timeInTaggedStruct}:            "of the fleet with agents",
-	{"plan.go", timeInTaggedStruct}:              "of the fleet with agents",
-	{"template.go", timeInTaggedStruct}:          "of the fleet with agents",
-	{"settings/template.go", timeInTaggedStruct}: "of the fleet with agents",
+	{"internal/clock/now.go", "(time.Time).UnixNano"}: "says when the kernel's clocks are compared, which decide",
+	{"internal/clock/now.go", "time.Now"}:             "is what suspensions are added to",
+	{"gateway/callerconn.go", "time.Now"}:             connectionDeadline,
+	{"gateway/callerconn.go", "time.Until"}:           connectionDeadline,
+	{"gateway/handler.go", "time.Now"}:                connectionDeadline,
+	{"gateway/refuse.go", "time.Now"}:                 connectionDeadline,
+	{"gateway/relay.go", "time.Now"}:                  connectionDeadline,
+	{"internal/transfer/transfer.go", "time.Now"}:     "the progress of a call is watched by a timer of the runtime's clock",
+	{"internal/transfer/transfer.go", "time.Since"}:   "for the log",
+	{"gateway/endpoint/send.go", "time.Unix"}:         "a deadline that has passed by any clock ends what waits on a connection",
+	{"engine.go", timeInTaggedStruct}:                 "of the fleet with agents",
+	{"plan.go", timeInTaggedStruct}:                   "of the fleet with agents",
+	{"template.go", timeInTaggedStruct}:               "of the fleet with agents",
+	{"settings/template.go", timeInTaggedStruct}:      "of the fleet with agents",
 }
 
 // TestSteadyClock checks that no code of the gateway goes by the time of day, which may
 // step: its times keep their reading of the steady clock, and none of them crosses
-// processes, in a message, a row or a setting. The clock can't be set in a test, so that
-// this is read from the code.
+// processes, in a message, a row or a setting; nor by the runtime's clock, which doesn't count
+// suspensions. The clocks can't be set in a test, so that this is read from the code.
 //
 // It fails if a package that runs on the platform, commands apart, makes a time from a
 // text or a number, uses another method of time.Time than those of steadyMethods, or has
@@ -154,7 +170,7 @@
 	receiver := function.Signature().Recv()
 	if receiver == nil {
 		name := function.Pkg().Path() + "." + function.Name()
-		return name, slices.Contains(wallFunctions, name)
+		return name, slices.Contains(wallFunctions, name) || slices.Contains(runtimeFunctions, name)
 	}
 	name := fmt.Sprintf("(%s).%s", receiver.Type(), function.Name())
 	return name, isTime(receiver.Type()) && !slices.Contains(steadyMethods, function.Name())
