fix: a number of the configuration that breaks its use counts as missing

Cause: nothing bounded the numbers of the operators' rows. A cold rate of 2e9 requests a second made a turn of no length, by which each choice at a cold endpoint divides, on all routers; a time beyond a time.Duration turned negative.

Ruled out: refusing the whole configuration (one mistyped number would keep a revoked key in force).

Numbers of gossip and settings were not gone through.

--- a/gateway/configuration.go
+++ b/gateway/configuration.go
@@ -258,6 +258,10 @@
 	return update.Configuration.Version
 }
 
+// maxIgnoredLogged is how many values of one configuration that can't be used are logged. Not
+// measured.
+const maxIgnoredLogged = 8
+
 // putInForce puts the configuration of an update in force, unless a later one is. sent is
 // when the read was sent.
 func (c *configuration) putInForce(update *ryeford.ConfigurationUpdate, sent time.Time) {
@@ -265,6 +269,12 @@
 	c.newer.putInForce(c.version(), took >= c.bound)
 	_ = c.log.Log("decision", "configuration", "version", update.Configuration.Version, "revision", update.Revision,
 		"routes", len(update.Configuration.Routes), "accounts", len(update.Configuration.Accounts), "took", roundTime(took), "applied", applied)
+	if !applied {
+		return
+	}
+	for _, value := range update.Ignored[:min(len(update.Ignored), maxIgnoredLogged)] {
+		_ = c.log.Log("decision", "configuration_value", "version", update.Configuration.Version, "key", value.Key, "value", value.Value, "ignored", len(update.Ignored))
+	}
 }
 
 // replace puts a configuration in force that was asked for at a time, unless a later one is.
--- a/gateway/slowstart/slowstart.go
+++ b/gateway/slowstart/slowstart.go
@@ -30,6 +30,10 @@
 	// rateShare is the part of the rate that an endpoint bears with which turns come: with
 	// validity it keeps each second's requests below the rate.
 	rateShare = 0.75
+	// minTurn and maxTurn bound the length of a turn, whatever the rate is: a turn of no length would
+	// divide by zero in every choice, and one of years exceeds a time.Duration. Not measured.
+	minTurn = time.Microsecond
+	maxTurn = time.Hour
 )
 
 // A Fleet is what a router knows of the routers whose turns these are.
@@ -43,10 +47,10 @@
 // Turn returns the number of this router's latest turn at an endpoint that bears so many requests a
 // second, given the uniform hash of the endpoint's ID, and reports whether it is still valid.
 func (f *Fleet) Turn(hash uint64, rate float64) (number int64, valid bool) {
-	if f.Routers <= 0 || rate <= 0 {
+	if f.Routers <= 0 || !(rate > 0) { // NaN is none
 		return 0, false
 	}
-	length := time.Duration(float64(time.Second) / (rateShare * rate))
+	length := turnLength(rate)
 	// The hash shifts the turns, so that a router's are not at the same moment at all endpoints.
 	routers := int64(f.Routers)
 	clock := f.Clock + length*time.Duration(hash%uint64(routers))
@@ -55,6 +59,12 @@
 	return number, clock-time.Duration(number)*length < max(validity, length)
 }
 
+// turnLength returns the time from one turn to the next, within minTurn and maxTurn.
+func turnLength(rate float64) time.Duration {
+	length := float64(time.Second) / (rateShare * rate)
+	return time.Duration(min(max(length, float64(minTurn)), float64(maxTurn)))
+}
+
 // modulo returns n modulo m, from 0.
 func modulo(n, m int64) int64 { return ((n % m) + m) % m }
 
--- a/gateway/slowstart/slowstart_test.go
+++ b/gateway/slowstart/slowstart_test.go
@@ -1,6 +1,7 @@
 package slowstart
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -44,3 +45,18 @@
 	table.Forget("a")
 	assert.Assert(t, table.Take("a", 7))
 }
+
+// FuzzTurn checks that no rate, however large or small, and no clock breaks the turns: a choice asks
+// for them at each cold endpoint.
+func FuzzTurn(f *testing.F) {
+	for _, rate := range []float64{0, -1, 1e-300, 1e300, 2e9, math.NaN(), math.Inf(1), math.MaxFloat64, 9.6} {
+		f.Add(int64(time.Hour), 3, 27, uint64(12345), rate)
+		f.Add(int64(math.MaxInt64), math.MaxInt32, math.MaxInt32, uint64(math.MaxUint64), rate)
+	}
+	f.Fuzz(func(t *testing.T, clock int64, rank, routers int, hash uint64, rate float64) {
+		fleet := Fleet{Clock: time.Duration(clock), Rank: rank, Routers: routers}
+		if _, valid := fleet.Turn(hash, rate); valid && (routers <= 0 || !(rate > 0)) {
+			t.Fatalf("a turn of %+v at %v a second", fleet, rate)
+		}
+	})
+}
--- a/source.go
+++ b/source.go
@@ -36,6 +36,8 @@
 	// State is that of Configuration, and Size its size at the source in bytes.
 	State ConfigurationState
 	Size  int
+	// Ignored are values of Configuration that can't be used: it is as if they were missing.
+	Ignored []IgnoredValue
 	// Revision is the newest of the source. It rises with every change there, also of
 	// other things than the configuration.
 	Revision int64
@@ -47,6 +49,11 @@
 	Begun time.Time
 }
 
+// An IgnoredValue is a value that is out of bounds, with the key under which it was written.
+type IgnoredValue struct {
+	Key, Value string
+}
+
 // A ConfigurationSource is where the operators' accepted configuration is kept.
 //
 // A failure is an *UnavailableError, or the error of a configuration that cannot be
