fix: ends at once, and endpoints that are back under their ID, count for the quarantine

Cause: a request that comes several times at once ends several endpoints at once, which counted as one end; and an endpoint that was back under its ID and ended again counted once, so that a request which always went to the same one was never held.

Ruled out: counting each end (a failure domain lost under a popular request would hold it).

Before and after: the new rows of TestHold and TestSameEndpoint failed, and pass.

--- a/gateway/quarantine/doc.go
+++ b/gateway/quarantine/doc.go
@@ -2,8 +2,8 @@
 // runs them.
 //
 // Rule: a request that is the same as earlier ones but for its ID (a Fingerprint) is held once
-// crashesToHold endpoints have ended, one after the other, while they ran such a request, and none was
-// answered since. The attempts must follow each other: an attempt counts only if it began after the
+// crashesToHold endpoints have ended, one after the other, while they ran such a request, or manyCrashes
+// of which only fewCrashes followed each other, and none was answered since. The attempts must follow each other: an attempt counts only if it began after the
 // endpoint of the one before had ended. A single success of such a request, at any router, ends it.
 //
 // Why: an engine that crashes takes all its streams with it, and is away for seconds; a request that is
--- a/gateway/quarantine/record.go
+++ b/gateway/quarantine/record.go
@@ -9,6 +9,10 @@
 	// crashesToHold is how many endpoints must have ended, one after the other. With two, one of
 	// 156 bystanders would have been held on a day on which 35 endpoints ended; with three, none.
 	crashesToHold = 3
+	// manyCrashes is how many must have ended if only fewCrashes followed each other: a request that comes
+	// several times at once ends as many endpoints at once. Not measured.
+	manyCrashes = 5
+	fewCrashes  = 2
 	// MaxCrashes is how many ends a Record keeps at most: some overlap, and don't count each. Not
 	// measured.
 	MaxCrashes = 8
@@ -51,9 +55,16 @@
 	Tried  time.Time
 }
 
+// same reports whether two records are of one end: an endpoint may be back under its ID and end
+// again.
+func (c Crash) same(other Crash) bool {
+	overlap := c.Began.Before(other.Ended) && other.Began.Before(c.Ended)
+	return c.Endpoint == other.Endpoint && (overlap || c.Ended.Sub(other.Ended).Abs() < sameMoment)
+}
+
 // add adds an end, unless it is known or doesn't count.
 func (r *Record) add(crash Crash) (added bool) {
-	known := func(other Crash) bool { return other.Endpoint == crash.Endpoint }
+	known := func(other Crash) bool { return crash.same(other) }
 	if !crash.Began.After(r.Answered) || slices.ContainsFunc(r.Crashes, known) {
 		return false
 	}
@@ -68,7 +79,8 @@
 
 // hold holds the requests if enough endpoints have ended.
 func (r *Record) hold() {
-	if r.Held.IsZero() && successive(r.Crashes) >= crashesToHold {
+	n := successive(r.Crashes)
+	if r.Held.IsZero() && (n >= crashesToHold || n >= fewCrashes && len(r.Crashes) >= manyCrashes) {
 		r.Held = r.Crashes[len(r.Crashes)-1].Ended
 	}
 }
--- a/gateway/quarantine/record_test.go
+++ b/gateway/quarantine/record_test.go
@@ -36,6 +36,7 @@
 		{"word of the first comes last", ends([2]float64{4, 5}, [2]float64{2, 3}, [2]float64{0, 1}), true},
 		{"five at once, as of a failure domain", ends([2]float64{0, 1}, [2]float64{0, 1}, [2]float64{0.1, 1}, [2]float64{0.2, 1}, [2]float64{0.3, 1}), false},
 		{"twice some at once", ends([2]float64{0, 1}, [2]float64{0, 1}, [2]float64{2, 3}, [2]float64{2.5, 3}), false},
+		{"twice many at once", ends([2]float64{0, 1}, [2]float64{0, 1}, [2]float64{0, 1}, [2]float64{2, 3}, [2]float64{2.5, 3}), true},
 		{"three among others that overlap", ends([2]float64{0, 1}, [2]float64{0.5, 1.5}, [2]float64{1.2, 2}, [2]float64{1.8, 2.6}, [2]float64{2.1, 3}), true},
 		{"a long attempt over all", ends([2]float64{0, 9}, [2]float64{1, 2}, [2]float64{3, 4}), false},
 	} {
@@ -43,13 +44,18 @@
 	}
 }
 
-// TestSameEndpoint checks that one endpoint's end counts once, of however many attempts.
+// TestSameEndpoint checks that one endpoint's end counts once, of however many attempts and whenever
+// word of it comes, and that an endpoint which is back under its ID counts again.
 func TestSameEndpoint(t *testing.T) {
 	var record Record
 	for i := range 5 {
-		record.add(Crash{Endpoint: 7, Began: at(float64(i)), Ended: at(float64(i) + 0.5)})
+		record.add(Crash{Endpoint: 7, Began: at(2 + float64(i)/10), Ended: at(3 + float64(i)/10)})
 	}
 	assert.Equal(t, len(record.Crashes), 1)
+	record.add(Crash{Endpoint: 7, Began: at(6), Ended: at(6.5)})
+	record.add(Crash{Endpoint: 7, Began: at(0), Ended: at(1)})
+	assert.Equal(t, len(record.Crashes), 3)
+	assert.Assert(t, !record.Held.IsZero())
 }
 
 // TestAnswer checks that a success ends what came before it, and that late word of that has no
