--- a/internal/cmd/devcmd.go
+++ b/internal/cmd/devcmd.go
@@ -166,6 +166,10 @@
 
 Let a server start again, cold for 20 s:
   go run ./cmd/ryeford standin fault %[2]s '{"server":"model-1","state":"ready","cold_ms":20000,"born":1700000000000}'
-`, s.Callers, emulated.Admin, emulator.DemoCommand(s.Callers.AddrPort, devKey))
+
+Let a body end each server that runs it, and send it until it is held (503):
+  go run ./cmd/ryeford standin fault %[2]s '{"crash_body":"boom"}'
+  for i in 1 2 3 4 5; do curl -s -o /dev/null -w '%%{http_code}\n' http://%[1]s/chat/1 -H 'Host: dev.example' -H "Ryeford-Request-Id: boom-$i" -H 'Authorization: Bearer %[4]s' -d boom; sleep 2; done
+`, s.Callers, emulated.Admin, emulator.DemoCommand(s.Callers.AddrPort, devKey), devKey)
 	return err
 }
--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -16,7 +16,7 @@
 //   - proxy_test.go, byterate_test.go, peerlinks_test.go: the links that faults impair;
 //   - stalls_test.go: by how much bounds in time are extended, and why;
 //   - crowd_test.go: TestSoakCrowd, one run with many processes;
-//   - hangup_test.go, largeconfiguration_test.go, laterequest_test.go,
+//   - crashingrequests_test.go, hangup_test.go, largeconfiguration_test.go, laterequest_test.go,
 //     peerlinkscheck_test.go, superseded_test.go, regress_test.go: single cases.
 //
 // The kept seeds and the single cases, as CI runs them:
--- a/standin/appserver/serve.go
+++ b/standin/appserver/serve.go
@@ -41,8 +41,8 @@
 		return
 	}
 	defer s.end()
-	if s.crashes(body) {
-		s.Crash()
+	if crash := s.crashOf(body); crash != nil {
+		crash()
 		panic(http.ErrAbortHandler)
 	}
 	s.respond(w, r, fault)
