--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -46,7 +46,7 @@
 	return &crashes{log: logger, metrics: metrics, checks: make(map[ryeford.EndpointID]*crashCheck)}
 }
 
-// Crashed reports whether an endpoint that has just broken off an attempt has ended. It waits
+// crashed reports whether an endpoint that has just broken off an attempt has ended. It waits
 // until that is known.
 func (c *crashes) crashed(to *roster.Entry) bool {
 	check, first := c.check(clock.Now(), to.ID)
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -33,8 +33,8 @@
 	mayHaveRun bool  // at any endpoint
 	last       error // how the last attempt ended
 
-	began time.Time              // the last attempt
-	print quarantine.Fingerprint // zero before it is needed
+	began    time.Time              // the last attempt
+	identity quarantine.Fingerprint // zero before it is needed: see fingerprint
 }
 
 // A stoppingError says that a request was given up since the gateway is about to close
--- a/gateway/exchange_test.go
+++ b/gateway/exchange_test.go
@@ -71,7 +71,7 @@
 		refusals:      newRefusals(),
 		occupancy:     occupancy.New(),
 		overloads:     newOverloads(),
-		quarantine:    newQuarantined(balancer, logger, metrics),
+		quarantine:    newQuarantineState(balancer, logger, metrics),
 		log:           logger,
 		metrics:       metrics,
 	}
--- a/gateway/fleetload_test.go
+++ b/gateway/fleetload_test.go
@@ -127,7 +127,7 @@
 		r.gossip = &gossip{
 			self: s.Peers.AddrPort, started: 1, table: r.peers, configuration: newConfiguration(configurationOptions{}),
 			endpoints: newEndpointList(s, nil), roster: r.roster, prefixes: r.prefixes, loads: r.loads,
-			quarantine: newQuarantined(r.balancer, log.NewNopLogger(), telemetry.NewSet()), log: log.NewNopLogger(), metrics: telemetry.NewSet(),
+			quarantine: newQuarantineState(r.balancer, log.NewNopLogger(), telemetry.NewSet()), log: log.NewNopLogger(), metrics: telemetry.NewSet(),
 		}
 		f.routers = append(f.routers, r)
 		f.byAddress[s.Peers.AddrPort] = r
--- a/gateway/forwarder.go
+++ b/gateway/forwarder.go
@@ -28,7 +28,7 @@
 	refusals      *recent[giveup.Recent]
 	occupancy     *occupancy.Table
 	overloads     *overloads
-	quarantine    *quarantined
+	quarantine    *quarantineState
 	log           log.Logger
 	metrics       *telemetry.Set
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -66,7 +66,7 @@
 	*balancer  // what is known of the endpoints
 	pool       *endpoint.Pool
 	revision   *revision // the newest of the store
-	quarantine *quarantined
+	quarantine *quarantineState
 }
 
 // New returns a Gateway.
@@ -95,7 +95,7 @@
 // The parts of a Gateway are added in the order in which they use each other.
 
 func (g *Gateway) addQuarantine() {
-	g.quarantine = newQuarantined(g.balancer, g.log, g.metrics)
+	g.quarantine = newQuarantineState(g.balancer, g.log, g.metrics)
 	g.quarantine.keepAt(g.platform.HeldRequests, g.settings.Peers.IsValid())
 }
 
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -39,7 +39,7 @@
 	roster        *roster.Roster
 	prefixes      *prefixcache.Index
 	loads         *loads.Table
-	quarantine    *quarantined
+	quarantine    *quarantineState
 	log           log.Logger
 	metrics       *telemetry.Set
 
--- a/gateway/gossip_test.go
+++ b/gateway/gossip_test.go
@@ -38,7 +38,7 @@
 		roster:        r,
 		prefixes:      prefixcache.New(),
 		loads:         loads.New(),
-		quarantine:    newQuarantined(nil, log.NewNopLogger(), telemetry.NewSet()),
+		quarantine:    newQuarantineState(nil, log.NewNopLogger(), telemetry.NewSet()),
 		log:           log.NewNopLogger(),
 		metrics:       telemetry.NewSet(),
 	}
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -18,9 +18,9 @@
 // trialShift is how long one router is the one that may try held requests again. Not measured.
 const trialShift = 10 * time.Second
 
-// A quarantined holds requests that end what runs them, by package quarantine, with what this
+// A quarantineState holds requests that end what runs them, by package quarantine, with what this
 // router and its peers have seen. It is safe for concurrent use.
-type quarantined struct {
+type quarantineState struct {
 	table    *quarantine.Table
 	kept     *heldRequests
 	crashes  *crashes
@@ -29,10 +29,10 @@
 	metrics  *telemetry.Set
 }
 
-// newQuarantined returns a quarantined that knows nothing yet and keeps nothing on the platform.
-func newQuarantined(b *balancer, logger log.Logger, metrics *telemetry.Set) *quarantined {
+// newQuarantineState returns a quarantineState that knows nothing yet and keeps nothing on the platform.
+func newQuarantineState(b *balancer, logger log.Logger, metrics *telemetry.Set) *quarantineState {
 	table := quarantine.New()
-	return &quarantined{
+	return &quarantineState{
 		table:    table,
 		kept:     &heldRequests{table: table, log: logger, metrics: metrics, changes: make(map[quarantine.Fingerprint]*quarantine.Record)},
 		crashes:  newCrashes(logger, metrics),
@@ -43,17 +43,17 @@
 }
 
 // keepAt has what is held kept on the platform, by a router that may have peers.
-func (h *quarantined) keepAt(source ryeford.QuarantineStore, gossips bool) {
+func (h *quarantineState) keepAt(source ryeford.QuarantineStore, gossips bool) {
 	h.kept.source, h.kept.peers, h.kept.gossips = source, h.balancer.peers, gossips
 }
 
 // outgoing returns the records that go out with the next message to peers.
-func (h *quarantined) outgoing(now time.Time) []peers.Quarantined {
+func (h *quarantineState) outgoing(now time.Time) []peers.Quarantined {
 	return peers.QuarantinedOf(now, h.table.Outgoing(now, peers.MaxQuarantined))
 }
 
 // merge adds what a peer's message says.
-func (h *quarantined) merge(now time.Time, message *peers.Message) {
+func (h *quarantineState) merge(now time.Time, message *peers.Message) {
 	if message.HeldRead {
 		h.kept.read.Store(true)
 	}
@@ -63,14 +63,14 @@
 }
 
 // logHeld logs that requests are held from now on, and who has said so.
-func (h *quarantined) logHeld(record *quarantine.Record, from string) {
+func (h *quarantineState) logHeld(record *quarantine.Record, from string) {
 	h.metrics.Count("ryeford_quarantined_total", "")
 	_ = h.log.Log("decision", "quarantine", "fingerprint", record.Fingerprint, "crashes", len(record.Crashes), "from", from)
 }
 
 // mayTry reports whether this router is the one that may try held requests again now: by turns,
 // each for trialShift of the store's clock.
-func (h *quarantined) mayTry(now time.Time) bool {
+func (h *quarantineState) mayTry(now time.Time) bool {
 	clock, known := h.balancer.clock.Latest(now)
 	if !known || h.balancer.start.joining(now) {
 		return false
@@ -89,7 +89,7 @@
 }
 
 // note notes an attempt that an endpoint has broken off, if the endpoint has ended.
-func (h *quarantined) note(to *roster.Entry, lost *lostAttempt) {
+func (h *quarantineState) note(to *roster.Entry, lost *lostAttempt) {
 	if !h.crashes.crashed(to) {
 		return
 	}
@@ -111,10 +111,10 @@
 // fingerprint returns what the request has in common with others that are the same but for their
 // IDs. It is worked out when it is first needed: most requests never need it.
 func (x *exchange) fingerprint() quarantine.Fingerprint {
-	if x.print == (quarantine.Fingerprint{}) {
-		x.print = quarantine.FingerprintOf(x.request.accountID(), x.incoming.RequestURI, x.request.body)
+	if x.identity == (quarantine.Fingerprint{}) {
+		x.identity = quarantine.FingerprintOf(x.request.accountID(), x.incoming.RequestURI, x.request.body)
 	}
-	return x.print
+	return x.identity
 }
 
 // suspected reports whether requests like this one may have ended endpoints.
