docs: figures that had no run, and what the runs showed; why a request is held, at the check

Change: comments and pages only. Idle machine, six runs: a reading of clock.Now 74 to 107 ns (above 100 in two), time.Now 59 to 64, a comparison 553 to 651 ns.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -88,6 +88,7 @@
 	if err := admit.CheckSend(x.sending(now, true)); err != nil {
 		return err
 	}
+	// Sent on as its callers repeat it, such a request ended 19 engines, with all their streams.
 	if verdict := x.checkQuarantine(now); verdict.Held {
 		return giveup.Quarantined(verdict.Left)
 	}
--- a/gateway/quarantine/doc.go
+++ b/gateway/quarantine/doc.go
@@ -3,8 +3,9 @@
 //
 // Rule: a request that is the same as earlier ones but for its ID (a Fingerprint) is held once
 // crashesToHold endpoints have ended, one after the other, while they ran such a request, or manyCrashes
-// of which only fewCrashes followed each other, and none was answered since. The attempts must follow each other: an attempt counts only if it began after the
-// endpoint of the one before had ended. A single success of such a request, at any router, ends it.
+// of which only fewCrashes followed each other, and none was answered since. An attempt follows
+// another one if it began after the endpoint of that one had ended. A single success of such a
+// request, at any router, ends it.
 //
 // Why: an engine that crashes takes all its streams with it, and is away for seconds; a request that is
 // sent again and again as its callers repeat it takes engine after engine. What runs beside it on
@@ -16,6 +17,6 @@
 // it was held, and once more after a longer time, since an engine may have been mended. What callers
 // are told is when that is.
 //
-// Routers tell each other of ends, of successes and of what is held; each counts for itself. The package
-// does no I/O and reads no clock.
+// Routers send each other ends, successes and what is held; each counts for itself. The package does
+// no I/O and reads no clock.
 package quarantine
--- a/internal/clock/now.go
+++ b/internal/clock/now.go
@@ -28,7 +28,7 @@
 	apartBound    = 5 * time.Millisecond
 	minSuspension = 5 * time.Millisecond
 	// checkInterval is how often the kernel's clocks are compared at the least while Now is called.
-	// Three readings take 0.4 us (BenchmarkMeasure).
+	// Three readings take 0.57 us (BenchmarkMeasure, idle machine).
 	checkInterval = 100 * time.Millisecond
 	// measureTries is how often they are read until nothing has come in between, and exactReading
 	// how long a reading takes at most in which nothing has. Not measured.
