test: a stand-in of the store that goes on from a copy

The platform's store may come back from a copy some seconds old: what it had acknowledged since is gone, versions are given out again, a read since one that it doesn't have gets 410, and Store-Era rises by one in all its answers. The stand-in plays that; nothing else changes.

--- /dev/null
+++ b/standin/rowstore/restore_test.go
@@ -0,0 +1,43 @@
+package rowstore
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ryeford/ryeford/platform/wire"
+)
+
+// TestRestore checks that a store which is back from a copy lacks what was written since, gives its
+// versions out again, answers a read since a version that it doesn't have with 410, and tells the
+// next era with each answer, also with those of an earlier read that it held.
+func TestRestore(t *testing.T) {
+	store := New()
+	store.Put("t", "a", []byte("1"))
+	made := store.Copy()
+	lost := store.Put("t", "b", []byte("2"))
+	assert.Equal(t, get(store, wire.PathRows+"?table=t").Header().Get(wire.HeaderEra), "1")
+
+	store.Restore(made)
+	whole := get(store, wire.PathRows+"?table=t")
+	assert.Equal(t, whole.Header().Get(wire.HeaderEra), "2")
+	rows, version := store.read("c", "t", "")
+	assert.Equal(t, len(rows), 1)
+	assert.Equal(t, version, lost-1)
+	since := fmt.Sprintf("%s?table=t&waitMs=0&sinceRev=%d", wire.PathChanges, lost)
+	gone := get(store, since)
+	assert.Equal(t, gone.Code, http.StatusGone)
+	assert.Equal(t, gone.Header().Get(wire.HeaderEra), "2")
+
+	assert.Equal(t, store.Put("t", "c", []byte("3")), lost, "the version is given out again")
+	assert.Equal(t, get(store, since).Code, http.StatusOK, "from then on nobody can tell by the version")
+}
+
+func get(store *Store, target string) *httptest.ResponseRecorder {
+	recorder := httptest.NewRecorder()
+	store.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, target, http.NoBody))
+	return recorder
+}
--- a/standin/rowstore/serve.go
+++ b/standin/rowstore/serve.go
@@ -20,6 +20,7 @@
 	if fault.serve(w, r) {
 		return
 	}
+	s.writeEra(w.Header())
 	switch r.URL.Path {
 	case wire.PathRows:
 		s.serveRows(w, r)
@@ -84,6 +85,7 @@
 		if fault.serve(w, r) {
 			return
 		}
+		s.writeEra(w.Header())
 		if !known {
 			w.WriteHeader(http.StatusGone)
 			return
--- a/standin/rowstore/store.go
+++ b/standin/rowstore/store.go
@@ -29,6 +29,10 @@
 	oldest  int64         // changes up to this version are forgotten
 	changed chan struct{} // closed at the next change
 	fault   Fault
+	// era counts from 1 how often the store was restored from a copy; hidesEra leaves it out of
+	// the answers.
+	era      int64
+	hidesEra bool
 	// staleRows and staleVersion are as they were when the fault or the lag was set.
 	staleRows    map[rowName]wire.Row
 	staleVersion int64
@@ -48,6 +52,7 @@
 		clock:   storeClock{since: time.Now(), rate: 1},
 		rows:    make(map[rowName]wire.Row),
 		changed: make(chan struct{}),
+		era:     1,
 	}
 }
 
@@ -146,7 +151,7 @@
 // changesSince returns a table's changes after a version, and whether they are all
 // still known. s.mu is held.
 func (s *Store) changesSince(table string, version int64) ([]wire.Row, bool) {
-	if version < s.oldest {
+	if version < s.oldest || version > s.version {
 		return nil, false
 	}
 	var rows []wire.Row
