--- a/gateway/endpointlist.go
+++ b/gateway/endpointlist.go
@@ -140,6 +140,7 @@
 // applySource takes an answer of the source to a read that was sent at a time, of what has changed
 // since a revision, and reports whether it holds any change.
 func (l *endpointList) applySource(update *ryeford.EndpointUpdate, since int64, sent time.Time) bool {
+	l.revision.enter(update.Era, update.Revision)
 	l.revision.raise(update.Revision)
 	l.logMalformed(update)
 	changes := replica.FromSource(update, since)
--- a/gateway/revision.go
+++ b/gateway/revision.go
@@ -14,6 +14,30 @@
 	newest   int64
 	answered time.Time // when the store answered last; zero if never
 	failing  bool      // the last call of the store failed
+	era      int64     // the newest of the store's, zero if it tells none
+	known    bool      // the store has answered: era is set
+	// restored, unless it is nil, is called when the store is back from a copy.
+	restored func(r restore)
+}
+
+// A restore is that the store is back from a copy of an earlier state.
+type restore struct {
+	// before and after are the store's eras.
+	before, after int64
+	// newest is the newest revision of the era before that was known, and answered the one of the
+	// first answer after it.
+	newest, answered int64
+}
+
+// enter takes the era of an answer, and the revision of the answer.
+func (r *revision) enter(era, answered int64) {
+	r.mu.Lock()
+	known, change := r.known, restore{before: r.era, after: era, newest: r.newest, answered: answered}
+	r.era, r.known = max(r.era, era), true
+	r.mu.Unlock()
+	if known && change.after > change.before && r.restored != nil {
+		r.restored(change)
+	}
 }
 
 func (r *revision) get() int64 {
--- a/source.go
+++ b/source.go
@@ -41,6 +41,8 @@
 	// Revision is the newest of the source. It rises with every change there, also of
 	// other things than the configuration.
 	Revision int64
+	// Era rises each time the source is back from a copy of an earlier state; zero if it tells none.
+	Era int64
 	// Evacuations are those in force, whether or not the configuration is Unchanged.
 	Evacuations Evacuations
 	// Clock is the source's monotonic clock when it answered, which was no later than
@@ -79,6 +81,8 @@
 	Malformed []MalformedEntry
 	// Revision is the newest of the source, and what the next call asks from.
 	Revision int64
+	// Era is as in a ConfigurationUpdate.
+	Era int64
 	// Changed is the revision of the newest change of what Present and Removed name, or zero
 	// if the source does not tell.
 	Changed int64
