test: endpoints that leave after the store was restored are sent requests

The incident, with a gateway and the stand-in of the store: a copy some revisions old, an outage, the announcement of an endpoint at one of the revisions that the copy lacks. Behind what was known: every read is taken for stale; ahead of it: the change is never asked for. The same for a revoked key, which is served on.

--- a/gateway/restoredstore_test.go
+++ b/gateway/restoredstore_test.go
@@ -1,6 +1,95 @@
 package gateway_test
 
-import "testing"
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ryeford/ryeford/platform/wire"
+	"github.com/ryeford/ryeford/standin/rowstore"
+)
+
+// TestRestoredStore: requests reached endpoints that had announced, seconds before, that they leave. Each
+// time the store had been away for two seconds and had come back from a copy, with a lower revision than
+// the routers knew:
+//
+//	decision=endpoints applied=false from=source since=0 revision=33 known=37 gap=false
+//	decision=configuration revision=33 known=37 version=55 heard=55 applied=false why="stale answer"
+//
+// The endpoint announced at one of the revisions in between, and no router ever logged that it drains.
+func TestRestoredStore(t *testing.T) {
+	for name, test := range map[string]struct {
+		lost    int // revisions that the store loses
+		written int // revisions that it has given out again by its first answer
+	}{
+		"behind what was known": {lost: 40, written: 0},
+		"ahead of it":           {lost: 2, written: 4},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := startedFixture(t, nil)
+			f.restoreStore(test.lost, func() {
+				f.drainEndpoint("plain", "p1")
+				f.writeElsewhere(test.written)
+			})
+			f.awaitNothingSent("/open/a", "p1")
+			f.awaitStatus(200, "GET", "/safe/a")
+		})
+	}
+}
+
+// TestRestoredRevocation: the same for a key that is revoked after the store is back, which was served
+// on until the revisions had passed what was known.
+func TestRestoredRevocation(t *testing.T) {
+	f := startedFixture(t, nil)
+	assert.Equal(t, f.call("GET", "/safe/a").status, 200)
+	f.restoreStore(40, func() { f.putConfiguration(keyRevoked()) })
+	f.awaitStatus(401, "GET", "/safe/a")
+}
+
+// restoreStore has the gateway read so many revisions, and then the store be away and come back from a
+// copy without them. meanwhile runs before the store answers again.
+func (f *fixture) restoreStore(lost int, meanwhile func()) {
+	f.t.Helper()
+	made := f.store.Copy()
+	f.writeElsewhere(lost - 1)
+	newest, err := f.store.PutJSON(wire.TableEndpoints, "elsewhere", wire.Endpoint{
+		Service: "elsewhere", Address: "127.0.0.1:1", FailureDomain: "a", Slots: 1, State: wire.StateReady,
+	})
+	assert.NilError(f.t, err)
+	f.awaitLog(fmt.Sprintf("from=source revision=%d ", newest))
+	f.store.SetFault(rowstore.Fault{Reset: true})
+	f.awaitLog("dependency=endpoints")
+	f.store.Restore(made)
+	meanwhile()
+	f.store.SetFault(rowstore.Fault{})
+}
+
+// writeElsewhere makes changes of a table that the gateway doesn't read.
+func (f *fixture) writeElsewhere(changes int) {
+	for range changes {
+		f.store.Put("elsewhere", "row", nil)
+	}
+}
+
+// drainEndpoint writes that an endpoint leaves.
+func (f *fixture) drainEndpoint(service, id string) {
+	f.t.Helper()
+	f.putEndpoint(service, id, f.addresses[id], wire.StateDraining)
+}
+
+// awaitNothingSent waits until none of a number of requests reaches an endpoint.
+func (f *fixture) awaitNothingSent(path, id string) {
+	f.t.Helper()
+	const requests = 16
+	f.await("requests that don't reach "+id, func() bool {
+		before := len(f.endpoints[id].Received())
+		for range requests {
+			assert.Equal(f.t, f.do(f.request("GET", path, "", "")).status, 200)
+		}
+		return len(f.endpoints[id].Received()) == before
+	})
+}
 
 // TestRestoreLogged checks that the log and a metric tell that the store is back from a copy.
 func TestRestoreLogged(t *testing.T) {
