fix: states of the store are ordered by its era, then its versions

Cause: the store had come back from a copy some seconds old, in which its versions begin again below those that routers knew. All that orders what comes from the store went by the bare number: below the known number every answer was stale, the whole list too; above it routers asked for changes since a number that named another state, and never read what had been written at the numbers in between. The configuration's comparison could hold by chance.

Ruled out: suspects after an outage (none was doubted), late words from router to router (no line of any router shows the change).

A read of changes, or a comparison, whose answer is of another era than the number asked from counts as lost history. A list of a later era begins a copy anew, and peers read it whole from the router that has it, also if it was read whole. An answer that was not applied confirms nothing.

Why it holds: within an era the store's numbers rise, and between eras no number is compared; TestModelRestored walks the interleavings of two restores, behind and ahead of what was known.

Gossip: 2 bytes more each for the list and the evacuations (TestEvacuationsInMessage asked for 8 and 20 bytes at most; it is 10 and 22 as the era, and a key of two bytes, are new there). Keys 19 and 20 of a message are not used any more: routers of the release before would misread eras.

--- a/evacuation.go
+++ b/evacuation.go
@@ -5,12 +5,12 @@
 type Evacuation struct {
 	FailureDomain string
 	// State tells the orders for one failure domain apart.
-	State int64
+	State Revision
 }
 
 // Evacuations are all such orders as of a revision of the operators' source.
 type Evacuations struct {
-	Revision int64
+	Revision Revision
 	// Orders are sorted by failure domain.
 	Orders []Evacuation
 }
--- a/gateway/configuration.go
+++ b/gateway/configuration.go
@@ -217,7 +217,6 @@
 // reports whether the answer counts. known is the newest that was known when the read was
 // sent.
 func (c *configuration) apply(update *ryeford.ConfigurationUpdate, known freshness.Seen, sent time.Time) bool {
-	c.revision.enter(update.Era, update.Revision)
 	read := freshness.Seen{Revision: update.Revision, Version: c.versionIn(update)}
 	if !freshness.Confirms(read, known) {
 		c.newer.contradict(clock.Now())
--- a/gateway/configuration_test.go
+++ b/gateway/configuration_test.go
@@ -22,7 +22,7 @@
 type configurationStandIn struct {
 	began    time.Time
 	version  int64 // zero: there is none yet
-	revision int64
+	revision ryeford.Revision
 	err      error
 	reads    []time.Duration // when it was read, since began
 	size     int             // of the configuration, in bytes
--- a/gateway/endpointlist.go
+++ b/gateway/endpointlist.go
@@ -82,7 +82,7 @@
 func (l *endpointList) run(ctx context.Context) error {
 	watch.Run(ctx, l.source, watch.Options{
 		Turn:     l.turn,
-		Known:    func() int64 { return l.copy.Range().To },
+		Known:    func() ryeford.Revision { return l.copy.Range().To },
 		Settle:   l.settle,
 		MinPause: minFeedPause,
 		MaxPause: func() time.Duration { return replica.MaxPause(maxFeedPause, l.peers.Alive(clock.Now())) },
@@ -139,8 +139,7 @@
 
 // applySource takes an answer of the source to a read that was sent at a time, of what has changed
 // since a revision, and reports whether it holds any change.
-func (l *endpointList) applySource(update *ryeford.EndpointUpdate, since int64, sent time.Time) bool {
-	l.revision.enter(update.Era, update.Revision)
+func (l *endpointList) applySource(update *ryeford.EndpointUpdate, since ryeford.Revision, sent time.Time) bool {
 	l.revision.raise(update.Revision)
 	l.logMalformed(update)
 	changes := replica.FromSource(update, since)
@@ -153,7 +152,9 @@
 	}
 	l.endOutage(clock.Now())
 	l.mu.Unlock()
-	l.apply(&changes, "source")
+	if !l.apply(&changes, "source") {
+		return false
+	}
 	// Renewed only now: what peers are told is confirmed must have been applied.
 	l.lease.RenewRead(sent, update.Begun, update.Clock)
 	return len(update.Present)+len(update.Removed) > 0
--- a/gateway/evacuation/table_test.go
+++ b/gateway/evacuation/table_test.go
@@ -9,7 +9,7 @@
 )
 
 // at returns evacuations of some failure domains, ordered at revisions, as read at another one.
-func at(revision int64, orders ...ryeford.Evacuation) ryeford.Evacuations {
+func at(revision ryeford.Revision, orders ...ryeford.Evacuation) ryeford.Evacuations {
 	return ryeford.Evacuations{Revision: revision, Orders: orders}
 }
 
--- a/gateway/freshness/confirm.go
+++ b/gateway/freshness/confirm.go
@@ -1,6 +1,10 @@
 package freshness
 
-import "time"
+import (
+	"time"
+
+	"github.com/ryeford/ryeford"
+)
 
 // What confirms the configuration in force.
 //
@@ -24,8 +28,8 @@
 
 // Seen is what is known of the source's configuration.
 type Seen struct {
-	Revision int64 // of the source
-	Version  int64 // of the configuration
+	Revision ryeford.Revision // of the source
+	Version  int64            // of the configuration
 }
 
 // Confirms reports whether an own read confirms what it says, given the newest that was
--- a/gateway/peerhandler.go
+++ b/gateway/peerhandler.go
@@ -9,6 +9,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-kit/log"
 
+	"github.com/ryeford/ryeford"
 	"github.com/ryeford/ryeford/internal/httpserver"
 )
 
@@ -44,7 +45,7 @@
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
-		answer := h.endpoints.answer(since)
+		answer := h.endpoints.answer(ryeford.Revision(since))
 		if answer == nil {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
--- a/gateway/peerlist.go
+++ b/gateway/peerlist.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/ryeford/ryeford"
 	"github.com/ryeford/ryeford/gateway/peers"
 	"github.com/ryeford/ryeford/gateway/replica"
 	"github.com/ryeford/ryeford/internal/clock"
@@ -29,7 +30,7 @@
 	if !known || !at.Known() {
 		return nil
 	}
-	return &peers.List{From: at.From, To: at.To, Whole: !l.whole.IsZero(), ConfirmedAt: confirmed}
+	return peers.ListOf(at.From, at.To, !l.whole.IsZero(), confirmed)
 }
 
 // hear takes what a peer has told of its copy.
@@ -37,11 +38,16 @@
 	if list == nil {
 		return
 	}
-	theirs := replica.Range{From: list.From, To: list.To}
+	from, to, ok := list.Revisions()
+	if !ok {
+		return
+	}
+	theirs := replica.Range{From: from, To: to}
 	switch l.copy.Meet(theirs) {
 	case replica.Newer:
-		// A copy that was read whole may only seem to be newer.
-		if !list.Whole || !l.copy.Range().Known() {
+		// A copy that was read whole may only seem to be newer, unless it is of a later era.
+		known := l.copy.Range()
+		if !list.Whole || !known.Known() || theirs.To.Era() > known.To.Era() {
 			l.readSoon(peerCopy{peer: peer, at: theirs})
 		}
 	case replica.Same:
@@ -116,7 +122,7 @@
 
 // answer returns what a peer lacks that has the list up to a revision, or nil if there is nothing
 // to tell.
-func (l *endpointList) answer(since int64) *listAnswer {
+func (l *endpointList) answer(since ryeford.Revision) *listAnswer {
 	// The confirmation is read before the changes, which then are as new as it says or newer.
 	confirmed, known := l.lease.Confirmed()
 	latest, bounded := l.clock.Latest(clock.Now())
--- a/gateway/peerreader.go
+++ b/gateway/peerreader.go
@@ -43,8 +43,8 @@
 
 // endpoints returns what a peer's copy of the list of endpoints has that one lacks which has it up
 // to a revision. The error is an *UnavailableError.
-func (r *peerReader) endpoints(ctx context.Context, peer netip.AddrPort, since int64) (*listAnswer, error) {
-	target := "http://" + peer.String() + peerEndpointsPath + "?" + peerSince + "=" + strconv.FormatInt(since, 10)
+func (r *peerReader) endpoints(ctx context.Context, peer netip.AddrPort, since ryeford.Revision) (*listAnswer, error) {
+	target := "http://" + peer.String() + peerEndpointsPath + "?" + peerSince + "=" + strconv.FormatInt(int64(since), 10)
 	var answer listAnswer
 	return &answer, r.read(ctx, target, &answer)
 }
--- a/gateway/peers/evacuations.go
+++ b/gateway/peers/evacuations.go
@@ -7,22 +7,30 @@
 	if known.Revision == 0 {
 		return nil
 	}
-	result := &Evacuations{Revision: known.Revision}
+	result := &Evacuations{Era: known.Revision.Era(), Number: known.Revision.Number()}
 	for _, order := range known.Orders {
-		result.Orders = append(result.Orders, Evacuation{FailureDomain: order.FailureDomain, State: order.State})
+		result.Orders = append(result.Orders, Evacuation{FailureDomain: order.FailureDomain, Number: order.State.Number()})
 	}
 	return result
 }
 
-// Read returns the evacuations that a message holds; e may be nil.
+// Read returns the evacuations that a message holds, or none, of revision zero, if it names no
+// revision; e may be nil.
 func (e *Evacuations) Read() ryeford.Evacuations {
-	var result ryeford.Evacuations
 	if e == nil {
-		return result
+		return ryeford.Evacuations{}
 	}
-	result.Revision = e.Revision
+	revision, err := ryeford.NewRevision(e.Era, e.Number)
+	if err != nil {
+		return ryeford.Evacuations{}
+	}
+	result := ryeford.Evacuations{Revision: revision}
 	for i := range e.Orders {
-		result.Orders = append(result.Orders, ryeford.Evacuation{FailureDomain: e.Orders[i].FailureDomain, State: e.Orders[i].State})
+		state, err := ryeford.NewRevision(e.Era, e.Orders[i].Number)
+		if err != nil {
+			return ryeford.Evacuations{}
+		}
+		result.Orders = append(result.Orders, ryeford.Evacuation{FailureDomain: e.Orders[i].FailureDomain, State: state})
 	}
 	return result
 }
--- a/gateway/peers/evacuations_test.go
+++ b/gateway/peers/evacuations_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
@@ -9,6 +10,15 @@
 	"github.com/ryeford/ryeford"
 )
 
+// at returns the revision of a number in an era.
+func at(era, number int64) ryeford.Revision {
+	revision, err := ryeford.NewRevision(era, number)
+	if err != nil {
+		panic(err)
+	}
+	return revision
+}
+
 // TestEvacuationsInMessage checks that evacuations come back from a message as they were sent, and
 // how many bytes they take.
 func TestEvacuationsInMessage(t *testing.T) {
@@ -20,8 +30,9 @@
 		bytes int // at most
 	}{
 		{"not read", ryeford.Evacuations{}, 0},
-		{"none", ryeford.Evacuations{Revision: 70_000}, 8},
-		{"one", ryeford.Evacuations{Revision: 70_000, Orders: []ryeford.Evacuation{{FailureDomain: "zg-b", State: 69_000}}}, 20},
+		{"none", ryeford.Evacuations{Revision: at(0, 70_000)}, 10},
+		{"one", ryeford.Evacuations{Revision: at(0, 70_000), Orders: []ryeford.Evacuation{{FailureDomain: "zg-b", State: at(0, 69_000)}}}, 22},
+		{"in a later era", ryeford.Evacuations{Revision: at(3, 70_000), Orders: []ryeford.Evacuation{{FailureDomain: "zg-b", State: at(3, 69_000)}}}, 22},
 	} {
 		content, err := cbor.Marshal(&Message{Evacuations: EvacuationsOf(test.known)})
 		assert.NilError(t, err)
@@ -32,3 +43,33 @@
 		assert.Assert(t, len(content)-len(without) <= test.bytes, test.name)
 	}
 }
+
+// TestListInMessage checks that a message tells the era of the sender's copy, in how many bytes, and that
+// one whose numbers make no revision tells nothing.
+func TestListInMessage(t *testing.T) {
+	without, err := cbor.Marshal(&Message{})
+	assert.NilError(t, err)
+	content, err := cbor.Marshal(&Message{List: ListOf(at(3, 70_000), at(3, 70_001), true, 90*time.Second)})
+	assert.NilError(t, err)
+	assert.Assert(t, len(content)-len(without) <= 23, "%d bytes", len(content)-len(without))
+	var got Message
+	assert.NilError(t, cbor.Unmarshal(content, &got))
+	from, to, ok := got.List.Revisions()
+	assert.Assert(t, ok)
+	assert.Equal(t, from, at(3, 70_000))
+	assert.Equal(t, to, at(3, 70_001))
+	_, _, ok = (&List{Era: 1, To: -1}).Revisions()
+	assert.Assert(t, !ok)
+	damaged := Evacuations{Era: -1, Number: 7}
+	assert.Equal(t, damaged.Read().Revision, ryeford.Revision(0))
+}
+
+// TestListOfOlderRelease checks that what routers of an older release say of the list and of evacuations,
+// by numbers without an era, is left aside.
+func TestListOfOlderRelease(t *testing.T) {
+	content, err := cbor.Marshal(map[int]any{19: []any{7, 9, false, 90}, 20: []any{9, []any{}}})
+	assert.NilError(t, err)
+	var got Message
+	assert.NilError(t, cbor.Unmarshal(content, &got))
+	assert.Assert(t, got.List == nil && got.Evacuations == nil)
+}
--- a/gateway/peers/message.go
+++ b/gateway/peers/message.go
@@ -40,8 +40,9 @@
 	Reports Reports `cbor:"17,keyasint,omitempty"`
 	// Version is that of the configuration in force at the sender, or zero.
 	//
-	// Keys 4 and 8 to 10 belonged to fields that were removed. They must not be used for
-	// other fields: routers of an older release would misread them.
+	// Keys 4, 8 to 10, 19 and 20 belonged to fields that were removed. They must not be used for
+	// other fields: routers of an older release would misread them. Those of 19 and 20 held
+	// numbers of the source without its era.
 	Version int64 `cbor:"7,keyasint"`
 	// ConfirmedAt is what the steady clock of the configuration's source showed when
 	// Version was last known to be the newest.
@@ -49,9 +50,9 @@
 	// Confirmed is false if the sender has no confirmation: ConfirmedAt is not set.
 	Confirmed bool `cbor:"12,keyasint"`
 	// List is what the sender has of the list of endpoints; nil if it says nothing of it.
-	List *List `cbor:"19,keyasint,omitempty"`
+	List *List `cbor:"23,keyasint,omitempty"`
 	// Evacuations are what the sender knows of them; nil if it says nothing of them.
-	Evacuations *Evacuations `cbor:"20,keyasint,omitempty"`
+	Evacuations *Evacuations `cbor:"24,keyasint,omitempty"`
 	// Quarantined are records of requests that end what runs them: those that changed lately at
 	// the sender, and others by turns.
 	Quarantined []Quarantined `cbor:"21,keyasint,omitempty"`
@@ -82,8 +83,9 @@
 // A List says how new a router's copy of the list of endpoints is.
 type List struct {
 	_ struct{} `cbor:",toarray"`
-	// From and To are the revisions of the source at which the list is as the copy has it.
-	From, To int64
+	// From and To are the numbers of the source's revisions, within its Era, at which the list is as
+	// the copy has it.
+	Era, From, To int64
 	// Whole says that the copy was read whole and its newest change may be of any revision up to
 	// From.
 	Whole bool
@@ -94,16 +96,16 @@
 
 // Evacuations are the evacuations of failure domains as of a revision of their source.
 type Evacuations struct {
-	_        struct{} `cbor:",toarray"`
-	Revision int64
-	Orders   []Evacuation
+	_           struct{} `cbor:",toarray"`
+	Era, Number int64    // of the revision
+	Orders      []Evacuation
 }
 
 // An Evacuation is the evacuation of one failure domain.
 type Evacuation struct {
 	_             struct{} `cbor:",toarray"`
 	FailureDomain string
-	State         int64 // as in a ryeford.Evacuation
+	Number        int64 // of the State of a ryeford.Evacuation, in the era of the Evacuations
 }
 
 // A Total is how many requests a router has under way at all endpoints of a service.
--- a/gateway/replica/model_test.go
+++ b/gateway/replica/model_test.go
@@ -23,12 +23,26 @@
 	modelFlight  = 2 // messages under way at once
 )
 
-// modelLog are the revisions of the source, and what the list has as of each: two changes lie among
-// revisions of something else.
-var modelLog = []string{1: "ab", 2: "ab", 3: "a", 4: "a", 5: "ac"}
+// modelLogs are, by the source's era, its revisions and what the list has as of each: two changes lie
+// among revisions of something else. The second era goes on from a copy of the first one at the
+// revision modelCopied, and the third from a copy of the second.
+var modelLogs = [][]string{
+	{1: "ab", 2: "ab", 3: "a", 4: "a", 5: "ac"},
+	{1: "ab", 2: "ab", 3: "ab", 4: "b", 5: "bd"},
+	{1: "ab", 2: "ab", 3: "b", 4: "b", 5: "be"},
+}
+
+// modelCopied is the number of the last revision that the store still has after a restore.
+const modelCopied = 2
 
-// modelChanged are the revisions of modelLog that are changes of the list.
-var modelChanged = []int64{1, 3, 5}
+// modelRevision returns the revision of a number in an era.
+func modelRevision(era, number int64) ryeford.Revision {
+	revision, err := ryeford.NewRevision(era, number)
+	if err != nil {
+		panic(err)
+	}
+	return revision
+}
 
 // A modelMessage is under way to a router: the range of a peer's copy, or changes.
 type modelMessage struct {
@@ -40,7 +54,8 @@
 
 // A modelState is the state of the whole fleet.
 type modelState struct {
-	revision int64 // of the source
+	revision ryeford.Revision // of the source
+	lastEra  int64            // the source is not restored any more
 	routers  [modelRouters]*Replica
 	flight   []modelMessage
 }
@@ -50,7 +65,7 @@
 }
 
 func (s *modelState) clone() *modelState {
-	next := &modelState{revision: s.revision, flight: slices.Clone(s.flight)}
+	next := &modelState{revision: s.revision, lastEra: s.lastEra, flight: slices.Clone(s.flight)}
 	for i, r := range s.routers {
 		next.routers[i] = r.clone()
 	}
@@ -71,29 +86,29 @@
 }
 
 // modelList returns what the list has as of a revision.
-func modelList(revision int64) []ryeford.EndpointID {
+func modelList(revision ryeford.Revision) []ryeford.EndpointID {
 	var ids []ryeford.EndpointID
-	for _, id := range modelLog[revision] {
+	for _, id := range modelLogs[revision.Era()][revision.Number()] {
 		ids = append(ids, ryeford.EndpointID(id))
 	}
 	return ids
 }
 
-// read returns what the source answers a router now: the whole if its history is lost, or since is
-// zero.
-func (s *modelState) read(since int64, lost bool) *Changes {
+// read returns what the source answers a router now: the whole if its history is lost, since is
+// zero or of another era.
+func (s *modelState) read(since ryeford.Revision, lost bool) *Changes {
 	update := &ryeford.EndpointUpdate{Revision: s.revision}
-	if since == 0 || lost {
+	if since == 0 || lost || since.Era() != s.revision.Era() {
 		update.Snapshot, update.Present = true, endpoints(modelList(s.revision)...)
 		c := FromSource(update, 0)
 		return &c
 	}
-	for _, revision := range modelChanged {
-		if revision <= since || revision > s.revision {
+	for revision := since + 1; revision <= s.revision; revision++ {
+		before, after := modelList(revision-1), modelList(revision)
+		if slices.Equal(before, after) {
 			continue
 		}
 		update.Changed = revision
-		before, after := modelList(revision-1), modelList(revision)
 		for _, id := range after {
 			if !slices.Contains(before, id) {
 				update.Present = append(update.Present, ryeford.Endpoint{ID: id})
@@ -117,9 +132,12 @@
 		change(n)
 		states = append(states, n)
 	}
-	if s.revision < int64(len(modelLog)-1) {
+	if s.revision.Number() < int64(len(modelLogs[s.revision.Era()])-1) {
 		step(func(n *modelState) { n.revision++ })
 	}
+	if s.revision.Number() >= modelCopied && s.revision.Era() < s.lastEra {
+		step(func(n *modelState) { n.revision = modelRevision(s.revision.Era()+1, modelCopied) })
+	}
 	for i := range s.routers {
 		if s.routers[i].at.Known() {
 			step(func(n *modelState) { n.routers[i] = New() })
@@ -173,17 +191,32 @@
 	}
 }
 
-// TestModel walks all interleavings, and checks that each copy is what the list was at each
-// revision of its range, and that none goes back in a router's life.
-func TestModel(t *testing.T) {
-	first := &modelState{revision: 1}
-	for i := range first.routers {
-		first.routers[i] = New()
+// checkConverges fails if a router that reads the source now, or a peer that has, is not as new as
+// the source after it.
+func (s *modelState) checkConverges(t *testing.T) {
+	reader := s.clone()
+	for i, r := range reader.routers {
+		if r.Apply(reader.read(r.at.To, false)) != Applied || r.at.To != s.revision {
+			t.Fatalf("%d reads the source in vain: %s", i, s.key())
+		}
+		follower := s.clone()
+		for j, f := range follower.routers {
+			c := r.Since(f.at.To)
+			if f.Apply(&c) != Applied || !slices.Equal(f.listed(), modelList(s.revision)) {
+				t.Fatalf("%d reads in vain from %d, which has read the source: %s", j, i, s.key())
+			}
+		}
 	}
-	seen := map[string]bool{first.key(): true}
-	states := []*modelState{first}
+}
+
+// walk walks all interleavings from a state on, and checks that each copy is what the list was at each
+// revision of its range, that none goes back in a router's life, and that a read of the source or of a
+// router that has read it brings any copy up to date.
+func (s *modelState) walk(t *testing.T, maxStates int) {
+	seen := map[string]bool{s.key(): true}
+	states := []*modelState{s}
 	steps := 0
-	for ; len(seen) < maxModelStates; steps++ {
+	for ; len(seen) < maxStates; steps++ {
 		var following []*modelState
 		for _, s := range states {
 			for _, n := range s.next() {
@@ -193,6 +226,7 @@
 				}
 				seen[key] = true
 				n.check(t)
+				n.checkConverges(t)
 				for i, r := range n.routers {
 					assert.Assert(t, r.at.To >= s.routers[i].at.To || !r.at.Known(), "went back")
 				}
@@ -204,9 +238,38 @@
 	t.Logf("%d states, all of %d steps", len(seen), steps)
 }
 
-// maxModelStates bounds the memory and time of TestModel: no further steps are walked once there are
-// so many states.
-const maxModelStates = 20_000
+// TestModel walks the interleavings of a fleet that starts.
+func TestModel(t *testing.T) {
+	first := &modelState{revision: 1}
+	for i := range first.routers {
+		first.routers[i] = New()
+	}
+	first.walk(t, maxModelStates)
+}
+
+// TestModelRestored walks those of a fleet whose source is restored from a copy, once and again: with
+// routers that know more than the copy has, as much, or nothing, and reads and messages of the earlier
+// era that come late.
+func TestModelRestored(t *testing.T) {
+	for _, number := range []int64{modelCopied, 3, 5} {
+		first := &modelState{revision: modelRevision(0, number), lastEra: 2}
+		for i := range first.routers {
+			first.routers[i] = New()
+		}
+		for i, known := range []int64{number, modelCopied} { // the last one was not read yet
+			whole := &modelState{revision: modelRevision(0, known)}
+			first.routers[i].Apply(whole.read(0, false))
+		}
+		first.walk(t, maxRestoredStates)
+	}
+}
+
+// These bound the memory and time of the tests: no further steps are walked once there are so many
+// states.
+const (
+	maxModelStates    = 20_000
+	maxRestoredStates = 10_000 // from each first state
+)
 
 // TestAge plays fleets whose routers take turns at reading, with messages that are lost or late and
 // routers that stand still: no router that runs has an endpoint on its list for longer than the
--- a/gateway/replica/replica.go
+++ b/gateway/replica/replica.go
@@ -2,7 +2,7 @@
 // and with the copies of its peers, and decides when the source is read, and by which router.
 //
 // It owns what the list says, as of a range of the source's revisions. It relies on the source
-// for revisions that rise with each change, and on the caller for carrying messages, which may
+// for revisions that rise with each change and each restore, and on the caller for carrying messages, which may
 // be lost, come late or twice. It does no I/O. What a router believes of the endpoints is
 // package roster's. The rule of who reads is in turns.go.
 package replica
@@ -20,7 +20,7 @@
 // A Range is the revisions of the source, From to To, at which the list is as a copy has it: the
 // newest change that the copy holds is of From, and there is none up to To.
 type Range struct {
-	From, To int64
+	From, To ryeford.Revision
 }
 
 // Known reports whether r is the Range of a copy that was read.
@@ -31,7 +31,7 @@
 	// Snapshot says that Present is the whole list. Otherwise Present and Removed are what
 	// has changed after Since; Removed are names.
 	Snapshot bool
-	Since    int64
+	Since    ryeford.Revision
 	Present  []ryeford.Endpoint
 	Removed  []ryeford.EndpointID
 	// Range is that of a copy that has them.
@@ -43,7 +43,7 @@
 //
 // A whole list tells not when what it lacks was removed: the newest change may be of any
 // revision up to its own.
-func FromSource(update *ryeford.EndpointUpdate, since int64) Changes {
+func FromSource(update *ryeford.EndpointUpdate, since ryeford.Revision) Changes {
 	c := Changes{
 		Snapshot: update.Snapshot, Since: since, Present: update.Present, Removed: update.Removed,
 		Range: Range{From: update.Revision, To: update.Revision},
@@ -74,20 +74,20 @@
 type Replica struct {
 	mu      sync.Mutex
 	at      Range
-	entries map[ryeford.EndpointID]entry // by name: of an endpoint's lives the list has one
-	removed map[ryeford.EndpointID]int64 // by name: the revision up to which each has left
-	horizon int64                        // removals up to this revision are forgotten
+	entries map[ryeford.EndpointID]entry            // by name: of an endpoint's lives the list has one
+	removed map[ryeford.EndpointID]ryeford.Revision // by name: the revision up to which each has left
+	horizon ryeford.Revision                        // removals up to this revision are forgotten
 }
 
 // An entry is an endpoint on the list.
 type entry struct {
 	endpoint ryeford.Endpoint
-	changed  int64 // no later than this revision
+	changed  ryeford.Revision // no later than this revision
 }
 
 // New returns a Replica that was not read yet.
 func New() *Replica {
-	return &Replica{entries: make(map[ryeford.EndpointID]entry), removed: make(map[ryeford.EndpointID]int64)}
+	return &Replica{entries: make(map[ryeford.EndpointID]entry), removed: make(map[ryeford.EndpointID]ryeford.Revision)}
 }
 
 // Range returns the range of r.
@@ -147,8 +147,11 @@
 		}
 	}
 	switch {
-	case !r.at.Known():
+	case !r.at.Known() || c.Range.To.Era() > r.at.To.Era():
+		// What a copy of an earlier era lacks can't be told by revisions: a peer that has one is
+		// sent the whole list.
 		r.at, r.horizon = c.Range, c.Range.From
+		clear(r.removed)
 	case differs:
 		r.at = c.Range
 	default:
@@ -156,13 +159,13 @@
 	}
 }
 
-func (r *Replica) put(endpoint ryeford.Endpoint, changed int64) {
+func (r *Replica) put(endpoint ryeford.Endpoint, changed ryeford.Revision) {
 	name := endpoint.ID.Name()
 	r.entries[name] = entry{endpoint: endpoint, changed: changed}
 	delete(r.removed, name)
 }
 
-func (r *Replica) remove(name ryeford.EndpointID, changed int64) {
+func (r *Replica) remove(name ryeford.EndpointID, changed ryeford.Revision) {
 	delete(r.entries, name)
 	if len(r.removed) >= maxRemoved {
 		clear(r.removed)
@@ -172,7 +175,7 @@
 }
 
 // Since returns what has changed after a revision: the whole list if r can't tell.
-func (r *Replica) Since(revision int64) Changes {
+func (r *Replica) Since(revision ryeford.Revision) Changes {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	c := Changes{Snapshot: revision < r.horizon, Since: revision, Range: r.at}
--- a/gateway/replica/replica_test.go
+++ b/gateway/replica/replica_test.go
@@ -78,7 +78,7 @@
 		assert.Equal(t, r.Apply(&c), Applied)
 	}
 	for _, test := range []struct {
-		since    int64
+		since    ryeford.Revision
 		snapshot bool
 		present  int
 		removed  int
@@ -100,7 +100,7 @@
 // them the whole list.
 func TestRemovedForgotten(t *testing.T) {
 	r := whole(t)
-	for revision := int64(11); revision <= 11+maxRemoved; revision++ {
+	for revision := ryeford.Revision(11); revision <= 11+maxRemoved; revision++ {
 		c := FromSource(&ryeford.EndpointUpdate{Removed: []ryeford.EndpointID{ryeford.EndpointID(string(rune(revision)))}, Revision: revision}, revision-1)
 		assert.Equal(t, r.Apply(&c), Applied)
 	}
--- a/gateway/restore.go
+++ b/gateway/restore.go
@@ -3,5 +3,5 @@
 // logRestore logs and counts that the store is back from a copy.
 func (g *Gateway) logRestore(r restore) {
 	g.metrics.Count("ryeford_store_restores_total", "")
-	_ = g.log.Log("decision", "store_restored", "era_before", r.before, "era", r.after, "newest", r.newest, "revision", r.answered)
+	_ = g.log.Log("decision", "store_restored", "before", r.before, "after", r.after)
 }
--- a/gateway/restoredstore_test.go
+++ b/gateway/restoredstore_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -18,6 +20,10 @@
 //	decision=configuration revision=33 known=37 version=55 heard=55 applied=false why="stale answer"
 //
 // The endpoint announced at one of the revisions in between, and no router ever logged that it drains.
+// Routers ordered what they read by the store's numbers alone. Below 37 each answer was taken for old, the
+// whole list too; from 37 on they asked for changes since a number that named another state now, so that
+// the announcement at 34 or 35 was never read. With the store's era as a part of each revision, the
+// first answer after the restore is newer than all before it, and no number of an earlier era is asked from.
 func TestRestoredStore(t *testing.T) {
 	for name, test := range map[string]struct {
 		lost    int // revisions that the store loses
@@ -57,7 +63,7 @@
 		Service: "elsewhere", Address: "127.0.0.1:1", FailureDomain: "a", Slots: 1, State: wire.StateReady,
 	})
 	assert.NilError(f.t, err)
-	f.awaitLog(fmt.Sprintf("from=source revision=%d ", newest))
+	f.awaitLog(fmt.Sprintf("from=source revision=1.%d ", newest))
 	f.store.SetFault(rowstore.Fault{Reset: true})
 	f.awaitLog("dependency=endpoints")
 	f.store.Restore(made)
@@ -95,5 +101,19 @@
 func TestRestoreLogged(t *testing.T) {
 	f := startedFixture(t, nil)
 	f.store.Restore(f.store.Copy())
-	f.awaitLog("decision=store_restored era_before=1 era=2")
+	f.awaitLog("decision=store_restored before=1.6 after=2.6")
+}
+
+// TestRestoredPeers checks that routers which live on a peer's word learn from it what the store that is
+// back from a copy says, though one that read the list whole may only seem to be newer within an era.
+func TestRestoredPeers(t *testing.T) {
+	gateways := newPeers(t, 3, time.Hour, nil)
+	reader := gateways[0]
+	for _, cut := range gateways[1:] {
+		cut.cutOffStore()
+	}
+	reader.restoreStore(40, func() { reader.drainEndpoint("plain", "p1") })
+	for _, f := range gateways {
+		f.await("p1 draining", func() bool { return strings.Contains(f.log.String(), "draining=p1") })
+	}
 }
--- a/gateway/revision.go
+++ b/gateway/revision.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/ryeford/ryeford"
 	"github.com/ryeford/ryeford/internal/clock"
 )
 
@@ -11,36 +12,20 @@
 // tables: they share one counter. It is safe for concurrent use.
 type revision struct {
 	mu       sync.Mutex
-	newest   int64
+	newest   ryeford.Revision
 	answered time.Time // when the store answered last; zero if never
 	failing  bool      // the last call of the store failed
-	era      int64     // the newest of the store's, zero if it tells none
-	known    bool      // the store has answered: era is set
 	// restored, unless it is nil, is called when the store is back from a copy.
 	restored func(r restore)
 }
 
 // A restore is that the store is back from a copy of an earlier state.
 type restore struct {
-	// before and after are the store's eras.
-	before, after int64
-	// newest is the newest revision of the era before that was known, and answered the one of the
-	// first answer after it.
-	newest, answered int64
+	before ryeford.Revision // the newest that was known of an earlier era
+	after  ryeford.Revision // of the first answer of the new one
 }
 
-// enter takes the era of an answer, and the revision of the answer.
-func (r *revision) enter(era, answered int64) {
-	r.mu.Lock()
-	known, change := r.known, restore{before: r.era, after: era, newest: r.newest, answered: answered}
-	r.era, r.known = max(r.era, era), true
-	r.mu.Unlock()
-	if known && change.after > change.before && r.restored != nil {
-		r.restored(change)
-	}
-}
-
-func (r *revision) get() int64 {
+func (r *revision) get() ryeford.Revision {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.newest
@@ -59,10 +44,14 @@
 
 // raise takes the revision of an answer. An older one than the newest changes
 // nothing.
-func (r *revision) raise(answered int64) {
+func (r *revision) raise(answered ryeford.Revision) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
+	change := restore{before: r.newest, after: answered}
 	r.newest, r.answered, r.failing = max(r.newest, answered), clock.Now(), false
+	r.mu.Unlock()
+	if change.before > 0 && change.after.Era() > change.before.Era() && r.restored != nil {
+		r.restored(change)
+	}
 }
 
 // fail takes that a call of the store has failed.
--- a/gateway/roster/restarted_test.go
+++ b/gateway/roster/restarted_test.go
@@ -17,7 +17,7 @@
 	r.Apply(start, &ryeford.EndpointUpdate{Snapshot: true, Revision: 1, Present: []ryeford.Endpoint{first, ready("b")}}, never)
 	for i, next := range []ryeford.Endpoint{second, stepped} {
 		before := []ryeford.Endpoint{first, second}[i].ID
-		change := r.Apply(start, &ryeford.EndpointUpdate{Revision: int64(2 + i), Present: []ryeford.Endpoint{next}}, never)
+		change := r.Apply(start, &ryeford.EndpointUpdate{Revision: ryeford.Revision(2 + i), Present: []ryeford.Endpoint{next}}, never)
 		assert.DeepEqual(t, change.Dropped, []ryeford.EndpointID{before})
 		assert.DeepEqual(t, change.Added, []ryeford.EndpointID{next.ID})
 		assert.DeepEqual(t, change.Restarted, []ryeford.EndpointID{next.ID})
--- a/gateway/roster/roster.go
+++ b/gateway/roster/roster.go
@@ -49,7 +49,7 @@
 	draining  map[string][]*Entry                       // by service, sorted by ID: the others
 	accepting map[string]int                            // by service: how many accept requests
 	known     bool
-	revision  int64
+	revision  ryeford.Revision
 
 	evacuated map[string]bool      // failure domains
 	returned  map[string]time.Time // when failure domains were last taken back
--- a/gateway/troubledstore_test.go
+++ b/gateway/troubledstore_test.go
@@ -43,13 +43,13 @@
 	current tables
 	stale   tables // as of when the trouble began
 	trouble trouble
-	oldest  int64         // changes up to this revision are forgotten
-	changed chan struct{} // closed at the next change
+	oldest  ryeford.Revision // changes up to this revision are forgotten
+	changed chan struct{}    // closed at the next change
 }
 
 // tables are the contents of a troubledStore as of a revision.
 type tables struct {
-	revision  int64
+	revision  ryeford.Revision
 	version   int64 // of the configuration
 	endpoints []ryeford.Endpoint
 	changes   []ryeford.EndpointUpdate // one endpoint each
@@ -135,7 +135,7 @@
 }
 
 // read returns what a read sees now, and what wakes a held one.
-func (s *troubledStore) read() (tables, trouble, int64, <-chan struct{}) {
+func (s *troubledStore) read() (tables, trouble, ryeford.Revision, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch s.trouble {
@@ -207,7 +207,7 @@
 }
 
 // EndpointsSince implements ryeford.EndpointSource.
-func (s *troubledStore) EndpointsSince(ctx context.Context, revision int64, wait time.Duration) (ryeford.EndpointUpdate, error) {
+func (s *troubledStore) EndpointsSince(ctx context.Context, revision ryeford.Revision, wait time.Duration) (ryeford.EndpointUpdate, error) {
 	over := time.After(wait)
 	limit := time.Now().Add(wait + s.timeout)
 	for {
@@ -234,7 +234,7 @@
 }
 
 // since returns the changes after a revision, the last one of each endpoint.
-func (t *tables) since(revision int64) ryeford.EndpointUpdate {
+func (t *tables) since(revision ryeford.Revision) ryeford.EndpointUpdate {
 	update := ryeford.EndpointUpdate{Revision: t.revision}
 	seen := make(map[ryeford.EndpointID]bool)
 	for i := len(t.changes) - 1; i >= 0 && t.changes[i].Revision > revision; i-- {
--- a/gateway/watch/next.go
+++ b/gateway/watch/next.go
@@ -33,7 +33,7 @@
 
 // judge returns the verdict on an answer: its revision, or its error, given the
 // newest revision that is known. The returned revision is the one to go on from.
-func judge(known, answered int64, err error) (verdict, int64) {
+func judge(known, answered ryeford.Revision, err error) (verdict, ryeford.Revision) {
 	var lost *ryeford.HistoryLostError
 	switch {
 	case errors.As(err, &lost):
@@ -48,10 +48,10 @@
 
 // A poll is one read of a source: of the whole, or of what has changed.
 type poll struct {
-	whole    bool  // read the whole; else, ask for changes since revision
-	lost     bool  // the source no longer has the changes since what is known
-	revision int64 // the newest that is known
-	failures int   // in a row, before this poll
+	whole    bool             // read the whole; else, ask for changes since revision
+	lost     bool             // the source no longer has the changes since what is known
+	revision ryeford.Revision // the newest that is known
+	failures int              // in a row, before this poll
 	// hold is how long the source may wait for a change before it answers, unless it failed
 	// before.
 	hold time.Duration
@@ -77,7 +77,7 @@
 }
 
 // after returns the poll that follows p and the verdict on its answer.
-func (p poll) after(v verdict, revision int64) poll {
+func (p poll) after(v verdict, revision ryeford.Revision) poll {
 	next := poll{whole: p.whole, lost: p.lost, revision: revision}
 	switch v {
 	case current:
--- a/gateway/watch/next_test.go
+++ b/gateway/watch/next_test.go
@@ -21,7 +21,7 @@
 	last := poll{revision: 7, failures: 2, hold: time.Second}
 	for _, test := range []struct {
 		name     string
-		answered int64
+		answered ryeford.Revision
 		err      error
 		changed  bool
 		verdict  verdict
--- a/gateway/watch/watch.go
+++ b/gateway/watch/watch.go
@@ -21,7 +21,7 @@
 	Turn func(now time.Time) (in, hold time.Duration)
 	// Known returns the newest revision that is known, also from elsewhere than the source,
 	// or zero if none is: then the whole is read.
-	Known func() int64
+	Known func() ryeford.Revision
 	// Settle is the pause after an answer that holds a change, so that changes in
 	// a row come in one answer.
 	Settle time.Duration
@@ -41,7 +41,7 @@
 
 // Run follows a source until ctx ends. apply takes an answer, the revision since which it was
 // asked for and when, and reports whether it holds any change; it and what outage calls are called from one goroutine.
-func Run(ctx context.Context, source ryeford.EndpointSource, options Options, apply func(update *ryeford.EndpointUpdate, since int64, sent time.Time) bool, outage *Outage) {
+func Run(ctx context.Context, source ryeford.EndpointSource, options Options, apply func(update *ryeford.EndpointUpdate, since ryeford.Revision, sent time.Time) bool, outage *Outage) {
 	next := poll{whole: true}
 	for ctx.Err() == nil {
 		in, hold := options.Turn(clock.Now())
@@ -50,8 +50,8 @@
 			continue
 		}
 		next.hold = hold
-		if known := options.Known(); known > 0 && !next.lost {
-			next.whole, next.revision = false, known
+		if known := options.Known(); known > 0 {
+			next.whole, next.revision = next.lost, known
 		}
 		options.Sent(next.whole)
 		sent := clock.Now()
--- a/gateway/watch/watch_test.go
+++ b/gateway/watch/watch_test.go
@@ -17,7 +17,7 @@
 
 // A step is how the source answers one poll.
 type step struct {
-	revision int64
+	revision ryeford.Revision
 	err      error
 	takes    time.Duration
 }
@@ -25,16 +25,16 @@
 // A receivedPoll is one poll as the source got it.
 type receivedPoll struct {
 	whole bool
-	since int64
+	since ryeford.Revision
 	wait  time.Duration
 }
 
 // A recording is what a watch did.
 type recording struct {
 	polls    []receivedPoll
-	times    []time.Duration // of the polls, since the watch began
-	applied  []int64         // revisions
-	lost     int             // calls of the handler
+	times    []time.Duration    // of the polls, since the watch began
+	applied  []ryeford.Revision // revisions
+	lost     int                // calls of the handler
 	regained []ryeford.Downtime
 	began    time.Time
 }
@@ -48,7 +48,7 @@
 }
 
 // EndpointsSince implements ryeford.EndpointSource.
-func (answer sourceStandIn) EndpointsSince(_ context.Context, since int64, wait time.Duration) (ryeford.EndpointUpdate, error) {
+func (answer sourceStandIn) EndpointsSince(_ context.Context, since ryeford.Revision, wait time.Duration) (ryeford.EndpointUpdate, error) {
 	return answer(receivedPoll{since: since, wait: wait})
 }
 
@@ -71,14 +71,14 @@
 			time.Sleep(now.takes)
 			return ryeford.EndpointUpdate{Revision: now.revision}, now.err
 		}
-		known := int64(0)
+		known := ryeford.Revision(0)
 		options := Options{
 			Turn:     func(time.Time) (in, hold time.Duration) { return 0, time.Second },
-			Known:    func() int64 { return known },
+			Known:    func() ryeford.Revision { return known },
 			MinPause: 10 * time.Millisecond, MaxPause: longest, Settle: settle,
 			Sent: func(bool) {}, Failed: func(time.Time) {},
 		}
-		apply := func(update *ryeford.EndpointUpdate, _ int64, _ time.Time) bool {
+		apply := func(update *ryeford.EndpointUpdate, _ ryeford.Revision, _ time.Time) bool {
 			known = update.Revision
 			r.applied = append(r.applied, update.Revision)
 			return len(r.applied) > 1 && r.applied[len(r.applied)-2] < update.Revision
@@ -94,7 +94,7 @@
 // TestFollow checks that a watch reads the whole once and then the changes.
 func TestFollow(t *testing.T) {
 	r := play(t, step{revision: 3, takes: time.Millisecond}, step{revision: 3, takes: time.Second}, step{revision: 7})
-	assert.DeepEqual(t, r.applied, []int64{3, 3, 7})
+	assert.DeepEqual(t, r.applied, []ryeford.Revision{3, 3, 7})
 	assert.Equal(t, r.polls[0], receivedPoll{whole: true})
 	assert.Equal(t, r.polls[1], receivedPoll{since: 3, wait: time.Second})
 	assert.Equal(t, r.polls[3], receivedPoll{since: 7, wait: time.Second})
@@ -104,7 +104,7 @@
 // answer with a change, and not after one without.
 func TestSettle(t *testing.T) {
 	r := play(t, step{revision: 1}, step{revision: 2}, step{revision: 2}, step{revision: 5})
-	assert.DeepEqual(t, r.applied, []int64{1, 2, 2, 5})
+	assert.DeepEqual(t, r.applied, []ryeford.Revision{1, 2, 2, 5})
 	assert.DeepEqual(t, r.times, []time.Duration{0, 0, settle, settle, 2 * settle})
 }
 
@@ -112,14 +112,14 @@
 // nothing.
 func TestStale(t *testing.T) {
 	r := play(t, step{revision: 9}, step{revision: 4}, step{revision: 9})
-	assert.DeepEqual(t, r.applied, []int64{9, 9})
+	assert.DeepEqual(t, r.applied, []ryeford.Revision{9, 9})
 }
 
 // TestHistoryLost checks that the whole is read again once the source no longer has the
 // changes.
 func TestHistoryLost(t *testing.T) {
 	r := play(t, step{revision: 9}, step{err: &ryeford.HistoryLostError{}}, step{revision: 12})
-	assert.DeepEqual(t, r.applied, []int64{9, 12})
+	assert.DeepEqual(t, r.applied, []ryeford.Revision{9, 12})
 	assert.Equal(t, r.polls[2], receivedPoll{whole: true})
 	assert.Equal(t, r.lost, 0)
 }
@@ -129,7 +129,7 @@
 func TestOutage(t *testing.T) {
 	out := step{err: errors.New("out")}
 	r := play(t, step{revision: 2}, out, out, out, step{revision: 2})
-	assert.DeepEqual(t, r.applied, []int64{2, 2})
+	assert.DeepEqual(t, r.applied, []ryeford.Revision{2, 2})
 	assert.Equal(t, r.lost, 1)
 	assert.Equal(t, len(r.regained), 1)
 	assert.Equal(t, r.polls[1].wait, time.Second)
--- a/source.go
+++ b/source.go
@@ -8,7 +8,7 @@
 
 // A ConfigurationState tells the configurations of a source apart: while it is the same,
 // the configuration is. Zero stands for no configuration.
-type ConfigurationState int64
+type ConfigurationState Revision
 
 // A KnownConfiguration is what the caller of a ConfigurationSource knows of the
 // configuration. Its zero value is that of a caller which knows none.
@@ -40,9 +40,7 @@
 	Ignored []IgnoredValue
 	// Revision is the newest of the source. It rises with every change there, also of
 	// other things than the configuration.
-	Revision int64
-	// Era rises each time the source is back from a copy of an earlier state; zero if it tells none.
-	Era int64
+	Revision Revision
 	// Evacuations are those in force, whether or not the configuration is Unchanged.
 	Evacuations Evacuations
 	// Clock is the source's monotonic clock when it answered, which was no later than
@@ -80,12 +78,10 @@
 	// Malformed are entries that name no endpoint to use; what they named before has left.
 	Malformed []MalformedEntry
 	// Revision is the newest of the source, and what the next call asks from.
-	Revision int64
-	// Era is as in a ConfigurationUpdate.
-	Era int64
+	Revision Revision
 	// Changed is the revision of the newest change of what Present and Removed name, or zero
 	// if the source does not tell.
-	Changed int64
+	Changed Revision
 	// Clock is the source's monotonic clock when it answered, which was no later than
 	// Begun, when its answer began to come.
 	Clock time.Duration
@@ -106,8 +102,8 @@
 	Endpoints(ctx context.Context) (EndpointUpdate, error)
 	// EndpointsSince returns as soon as something has changed since a revision, or,
 	// without a change, once wait is over. If the source no longer keeps the changes
-	// since then, the error is a *HistoryLostError.
-	EndpointsSince(ctx context.Context, revision int64, wait time.Duration) (EndpointUpdate, error)
+	// since then, or is in another era, the error is a *HistoryLostError.
+	EndpointsSince(ctx context.Context, revision Revision, wait time.Duration) (EndpointUpdate, error)
 }
 
 // A Downtime is a time in which a source did not answer, and which is over.
@@ -133,8 +129,8 @@
 	Register(ctx context.Context, vm VMID, address netip.AddrPort, enough int) ([]netip.AddrPort, error)
 }
 
-// A HistoryLostError says that a source no longer keeps the changes since a revision:
-// the whole is to be read again, and may be of any revision.
+// A HistoryLostError says that a source doesn't have the changes since a revision: the whole is to
+// be read again.
 type HistoryLostError struct{}
 
 func (e *HistoryLostError) Error() string { return "history lost: read the whole again" }
