test: a restored store makes routers forget which endpoints leave

Looking for the incident's cause elsewhere: what a router has read of an endpoint's leaving is undone by a copy that was made before, in which the endpoint is ready, until the endpoint writes again.

--- a/gateway/restoredstore_test.go
+++ b/gateway/restoredstore_test.go
@@ -53,6 +53,41 @@
 	f.awaitStatus(401, "GET", "/safe/a")
 }
 
+// TestRestoredLeaving: an endpoint whose leaving the router had read is sent requests again once the store
+// is back from a copy that was made before, in which the endpoint is ready.
+func TestRestoredLeaving(t *testing.T) {
+	for name, leave := range map[string]func(f *fixture){
+		"it had announced it": func(f *fixture) {
+			f.drainEndpoint("plain", "p1")
+			f.awaitLog("draining=p1")
+		},
+		"its entry had gone": func(f *fixture) {
+			f.store.Remove(wire.TableEndpoints, "p1")
+			f.awaitLog("departed=p1")
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := startedFixture(t, nil)
+			made := f.store.Copy()
+			leave(f)
+			f.awaitNothingSent("/open/a", "p1")
+			f.store.Restore(made)
+			f.addEndpoint("plain", "p3", 0)
+			f.awaitLog("added=p3")
+			before := len(f.endpoints["p1"].Received())
+			for range 32 {
+				assert.Equal(t, f.do(f.request("GET", "/open/a", "", "")).status, 200)
+			}
+			assert.Equal(t, len(f.endpoints["p1"].Received()), before)
+			// An endpoint that still lives after some heartbeats, and says it is ready, is taken back.
+			f.await("requests to p1", func() bool {
+				f.call("GET", "/safe/a")
+				return len(f.endpoints["p1"].Received()) > before
+			})
+		})
+	}
+}
+
 // restoreStore has the gateway read so many revisions, and then the store be away and come back from a
 // copy without them. meanwhile runs before the store answers again.
 func (f *fixture) restoreStore(lost int, meanwhile func()) {
