fix: endpoints that are known to leave stay without requests when the store is restored

The roster went by the newest state of the list alone, and the newest state after a restore is an older word of the endpoint.

Change: what a life of an endpoint has announced, with its sequence, or that its entry went, is remembered for a minute. For 5 s after a restore it counts against an entry that says ready, unless that is of another life or of a later sequence. Peers are told in gossip (keys 25, 26), for routers that start and know only the copy. The endpoint's seq is read from the entry; heartbeats alone are no change of a copy of the list.

Ruled out: ordering by the rows' versions (the copy's are of the era before, and those that were written before the first answer can't be told from them).

Why it holds: within 5 s each endpoint that lives has written again, and the entries of the others have lapsed. Whom it rejects needlessly: an endpoint that was off the list within the last minute, lives and is back with the copy, for up to 5 s.

--- a/endpoint.go
+++ b/endpoint.go
@@ -54,6 +54,24 @@
 	State EndpointState
 	// Cold is for how much longer it bears only few requests, as of when it said so.
 	Cold time.Duration
+	// Sequence rises with each heartbeat of this life. It may be older than the rest of the entry's word.
+	Sequence int64
+}
+
+// SaysSame reports whether two entries say the same, heartbeats apart.
+func (e *Endpoint) SaysSame(other *Endpoint) bool {
+	same := *other
+	same.Sequence = e.Sequence
+	return *e == same
+}
+
+// A WithheldEndpoint is sent no requests though the list has it as ready: it is known to leave, and the
+// list's source has come back from an older copy.
+type WithheldEndpoint struct {
+	ID EndpointID
+	// Sequence is that of its announcement, unless its entry was Gone.
+	Sequence int64
+	Gone     bool
 }
 
 // An EndpointLoad is the load that an endpoint reports with a response, in requests.
--- a/gateway/endpointlist.go
+++ b/gateway/endpointlist.go
@@ -234,12 +234,12 @@
 		// troubled says that an outage has just ended, and doubted names the endpoints
 		// that have become suspect: the log keeps its old keys.
 		_ = l.log.Log("decision", "endpoints", "from", from, "revision", changes.Range.To, "whole", changes.Snapshot, "troubled", now.Before(l.suspectUntil),
-			"added", join(change.Added), "draining", join(change.Drained), "dropped", join(change.Dropped), "doubted", join(change.Suspected), "departed", join(change.Departed), "restarted", join(change.Restarted), "known", l.roster.Len())
+			"added", join(change.Added), "draining", join(change.Drained), "dropped", join(change.Dropped), "doubted", join(change.Suspected), "departed", join(change.Departed), "restarted", join(change.Restarted), "withheld", join(change.Withheld), "known", l.roster.Len())
 		for _, id := range change.Dropped {
 			l.forget(id)
 		}
 	}
-	if len(change.Suspected)+len(change.Departed) > 0 {
+	if len(change.Suspected)+len(change.Departed)+len(change.Withheld) > 0 {
 		l.sweepSoon()
 	}
 	return true
@@ -275,10 +275,14 @@
 		}
 		now := clock.Now()
 		l.pool.CloseExpired(now)
-		for _, id := range l.roster.Expire(now) {
+		expired, released := l.roster.Expire(now)
+		for _, id := range expired {
 			_ = l.log.Log("decision", "endpoints", "expired", id)
 			l.forget(id)
 		}
+		if len(released) > 0 {
+			_ = l.log.Log("decision", "endpoints", "released", join(released))
+		}
 		timer.Reset(l.roster.UntilExpiry(now, sweepInterval))
 	}
 }
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -170,6 +170,7 @@
 	if first {
 		g.welcome(message.Sender)
 	}
+	g.endpoints.withhold(message)
 	g.endpoints.hear(message.Sender, message.List)
 	g.configuration.evacuations.learn(message.Evacuations.Read(), message.Sender.String())
 	if message.Confirmed {
@@ -262,7 +263,7 @@
 	// effect in between was not yet the newest then, which is harmless, while an older one no
 	// longer was.
 	confirmedAt, confirmed := g.configuration.lease.Confirmed()
-	return &peers.Message{
+	message := &peers.Message{
 		ConfirmedAt: confirmedAt,
 		Confirmed:   confirmed,
 		Version:     g.configuration.version(),
@@ -276,6 +277,8 @@
 		List:        g.endpoints.digest(),
 		Reports:     g.loads.Reports(now, peers.MaxBriefReports, 0),
 	}
+	message.SetWithheld(g.roster.Withheld(now, peers.MaxWithheld))
+	return message
 }
 
 // message returns the message of a sequence number, with all prompts that were not
--- a/gateway/peerlist.go
+++ b/gateway/peerlist.go
@@ -58,6 +58,17 @@
 	}
 }
 
+// withhold takes what a peer says of endpoints that leave though the list has them as ready.
+func (l *endpointList) withhold(message *peers.Message) {
+	endpoints, left := message.ReadWithheld()
+	learnt := l.roster.Withhold(clock.Now(), endpoints, left)
+	if len(learnt) == 0 {
+		return
+	}
+	_ = l.log.Log("decision", "endpoints", "from", message.Sender, "withheld", join(learnt))
+	l.sweepSoon()
+}
+
 // setWhole sets when the copy was read whole, or that its newest change is known.
 func (l *endpointList) setWhole(at time.Time) {
 	l.mu.Lock()
--- a/gateway/peers/message.go
+++ b/gateway/peers/message.go
@@ -59,6 +59,10 @@
 	// HeldRead says that the sender, or a peer of it, has read the held requests that the platform
 	// keeps, and passes them on.
 	HeldRead bool `cbor:"22,keyasint,omitempty"`
+	// Withheld are endpoints that are sent nothing though the list has them as ready, for
+	// WithheldFor from the sending on.
+	Withheld    []Withheld `cbor:"25,keyasint,omitempty"`
+	WithheldFor Age        `cbor:"26,keyasint,omitempty"`
 	// Prompts were sent to endpoints since the last message.
 	Prompts []Prompt `cbor:"6,keyasint,omitempty"`
 }
@@ -108,6 +112,14 @@
 	Number        int64 // of the State of a ryeford.Evacuation, in the era of the Evacuations
 }
 
+// A Withheld is as a ryeford.WithheldEndpoint.
+type Withheld struct {
+	_        struct{} `cbor:",toarray"`
+	ID       ryeford.EndpointID
+	Sequence int64
+	Gone     bool
+}
+
 // A Total is how many requests a router has under way at all endpoints of a service.
 type Total struct {
 	_        struct{} `cbor:",toarray"`
--- /dev/null
+++ b/gateway/peers/withheld.go
@@ -0,0 +1,29 @@
+package peers
+
+import (
+	"time"
+
+	"github.com/ryeford/ryeford"
+)
+
+// MaxWithheld is how many withheld endpoints a message holds.
+const MaxWithheld = 32
+
+// SetWithheld sets the endpoints that are withheld, and for how long.
+func (m *Message) SetWithheld(endpoints []ryeford.WithheldEndpoint, left time.Duration) {
+	for _, e := range endpoints {
+		m.Withheld = append(m.Withheld, Withheld{ID: e.ID, Sequence: e.Sequence, Gone: e.Gone})
+	}
+	if len(endpoints) > 0 {
+		m.WithheldFor = AgeOf(left)
+	}
+}
+
+// ReadWithheld returns the endpoints that the message says are withheld, and for how long.
+func (m *Message) ReadWithheld() ([]ryeford.WithheldEndpoint, time.Duration) {
+	var endpoints []ryeford.WithheldEndpoint
+	for _, w := range m.Withheld {
+		endpoints = append(endpoints, ryeford.WithheldEndpoint{ID: w.ID, Sequence: w.Sequence, Gone: w.Gone})
+	}
+	return endpoints, m.WithheldFor.Duration()
+}
--- a/gateway/replica/replica.go
+++ b/gateway/replica/replica.go
@@ -135,7 +135,7 @@
 	for _, endpoint := range c.Present {
 		name := endpoint.ID.Name()
 		present[name] = true
-		if old, known := r.entries[name]; !known || old.endpoint != endpoint {
+		if old, known := r.entries[name]; !known || !old.endpoint.SaysSame(&endpoint) {
 			r.put(endpoint, c.Range.From)
 			differs = true
 		}
--- a/gateway/restoredstore_test.go
+++ b/gateway/restoredstore_test.go
@@ -8,7 +8,9 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/ryeford/ryeford/internal/freeport"
 	"github.com/ryeford/ryeford/platform/wire"
+	"github.com/ryeford/ryeford/settings"
 	"github.com/ryeford/ryeford/standin/rowstore"
 )
 
@@ -54,7 +56,8 @@
 }
 
 // TestRestoredLeaving: an endpoint whose leaving the router had read is sent requests again once the store
-// is back from a copy that was made before, in which the endpoint is ready.
+// is back from a copy that was made before, in which the endpoint is ready: 11 of 32. The roster went by the
+// newest state of the list alone, and had no memory of what an endpoint had said in an earlier one.
 func TestRestoredLeaving(t *testing.T) {
 	for name, leave := range map[string]func(f *fixture){
 		"it had announced it": func(f *fixture) {
@@ -88,6 +91,28 @@
 	}
 }
 
+// TestRestoredLeavingAtStart: a router that starts while the store has only the copy knows no better; its
+// peers tell it.
+func TestRestoredLeavingAtStart(t *testing.T) {
+	gateways := newPeers(t, 2, time.Hour, nil)
+	seed := gateways[0]
+	made := seed.store.Copy()
+	seed.drainEndpoint("plain", "p1")
+	seed.awaitLog("draining=p1")
+	seed.store.Restore(made)
+	started := newFixtureAt(t, seed.store, nil, func(s *settings.Gateway) {
+		s.VM = "router-new"
+		s.Peers.AddrPort = freeport.Next()
+		s.Seeds = []settings.Address{{AddrPort: seed.peers}}
+	})
+	started.awaitLog("withheld=p1")
+	before := len(seed.endpoints["p1"].Received())
+	for range 32 {
+		assert.Equal(t, started.do(started.request("GET", "/open/a", "", "")).status, 200)
+	}
+	assert.Equal(t, len(seed.endpoints["p1"].Received()), before)
+}
+
 // restoreStore has the gateway read so many revisions, and then the store be away and come back from a
 // copy without them. meanwhile runs before the store answers again.
 func (f *fixture) restoreStore(lost int, meanwhile func()) {
--- a/gateway/roster/roster.go
+++ b/gateway/roster/roster.go
@@ -36,6 +36,8 @@
 	// ColdUntil is until when the endpoint is cold by its own word, counted from when this router
 	// learnt of it.
 	ColdUntil time.Time
+	// withheld says that the list has the endpoint as ready, and the router knows better.
+	withheld bool
 	// expires is when an endpoint that is off the list is forgotten.
 	expires time.Time
 }
@@ -53,6 +55,10 @@
 
 	evacuated map[string]bool      // failure domains
 	returned  map[string]time.Time // when failure domains were last taken back
+
+	left map[ryeford.EndpointID]departure // lives that leave or are gone
+	// withholdUntil is until when these are believed against the list.
+	withholdUntil time.Time
 }
 
 // New returns an empty Roster.
@@ -62,19 +68,22 @@
 		lives:     make(map[ryeford.EndpointID]ryeford.EndpointID),
 		evacuated: make(map[string]bool),
 		returned:  make(map[string]time.Time),
+		left:      make(map[ryeford.EndpointID]departure),
 	}
 }
 
 // A Change is what an update did, as the IDs whose status has changed.
 type Change struct {
 	Added, Drained, Dropped, Suspected, Departed []ryeford.EndpointID
+	// Withheld are those that the list has as ready, and that are sent nothing.
+	Withheld []ryeford.EndpointID
 	// Restarted are the endpoints of which another life is known now; the earlier one is Dropped.
 	Restarted []ryeford.EndpointID
 }
 
 // Empty reports whether nothing has changed.
 func (c *Change) Empty() bool {
-	return len(c.Added)+len(c.Drained)+len(c.Dropped)+len(c.Suspected)+len(c.Departed) == 0
+	return len(c.Added)+len(c.Drained)+len(c.Dropped)+len(c.Suspected)+len(c.Departed)+len(c.Withheld) == 0
 }
 
 // Apply applies an update, unless it is older than the last one. Until suspectUntil
@@ -86,6 +95,9 @@
 	if update.Revision < r.revision {
 		return change
 	}
+	if r.known && update.Revision.Era() > r.revision.Era() {
+		r.restored(now)
+	}
 	r.revision = update.Revision
 	present := make(map[ryeford.EndpointID]bool, len(update.Present))
 	for _, endpoint := range update.Present {
@@ -109,7 +121,11 @@
 
 // put enters an endpoint that the list names.
 func (r *Roster) put(now time.Time, endpoint ryeford.Endpoint, change *Change) {
-	r.endLife(endpoint.ID, change)
+	withheld := r.withholds(now, &endpoint)
+	if life, known := r.lives[endpoint.ID.Name()]; withheld && known && life != endpoint.ID {
+		return // the copy has an earlier life, and lacks the one that is known
+	}
+	r.endLife(now, endpoint.ID, change)
 	old := r.entries[endpoint.ID]
 	entry := &Entry{Endpoint: endpoint, Status: listedStatus(endpoint.State), Hash: route.NameHash(string(endpoint.ID)),
 		Evacuated: r.evacuated[endpoint.FailureDomain], Returned: r.returned[endpoint.FailureDomain]}
@@ -119,7 +135,13 @@
 	case r.known:
 		entry.FirstSeen = now
 	}
-	if old != nil && old.Endpoint == endpoint {
+	if withheld {
+		entry.Status, entry.withheld = StatusDraining, true
+		change.Withheld = append(change.Withheld, endpoint.ID)
+	} else if entry.Status == StatusDraining {
+		r.noteDraining(now, &endpoint)
+	}
+	if old != nil && old.Endpoint.SaysSame(&endpoint) {
 		entry.ColdUntil = old.ColdUntil // the same word again
 	} else if endpoint.Cold > 0 {
 		entry.ColdUntil = now.Add(endpoint.Cold)
@@ -135,10 +157,11 @@
 
 // endLife forgets another life of an endpoint of which the list names a life from now on: nothing is
 // left of it, and it may be later or earlier by the clock of the endpoint's VM.
-func (r *Roster) endLife(id ryeford.EndpointID, change *Change) {
+func (r *Roster) endLife(now time.Time, id ryeford.EndpointID, change *Change) {
 	name := id.Name()
 	if other, known := r.lives[name]; known && other != id {
 		delete(r.entries, other)
+		r.noteGone(now, other)
 		change.Dropped = append(change.Dropped, other)
 		change.Restarted = append(change.Restarted, id)
 	}
@@ -161,6 +184,9 @@
 	}
 	expires := suspectUntil
 	status := droppedStatus(entry.Status, now.Before(suspectUntil))
+	if status != StatusSuspect {
+		r.noteGone(now, id)
+	}
 	switch status {
 	case StatusSuspect:
 		change.Suspected = append(change.Suspected, id)
@@ -178,22 +204,25 @@
 	r.entries[id] = &kept
 }
 
-// Expire forgets the endpoints that have been off the list for their time, and
-// returns them.
-func (r *Roster) Expire(now time.Time) []ryeford.EndpointID {
+// Expire forgets the endpoints that have been off the list for their time, and takes those back that
+// were withheld for theirs. It returns both.
+func (r *Roster) Expire(now time.Time) (expired, released []ryeford.EndpointID) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var expired []ryeford.EndpointID
 	for id, entry := range r.entries {
 		if entry.Status.expires() && now.After(entry.expires) {
+			if entry.Status == StatusSuspect {
+				r.noteGone(now, id)
+			}
 			r.forget(id)
 			expired = append(expired, id)
 		}
 	}
-	if expired != nil {
+	released = r.release(now)
+	if expired != nil || released != nil {
 		r.index()
 	}
-	return expired
+	return expired, released
 }
 
 // UntilExpiry returns how long it is until Expire has an endpoint to forget, but most at
@@ -205,6 +234,9 @@
 		if entry.Status.expires() {
 			most = min(most, entry.expires.Sub(now)+1) // Expire wants the time to be over
 		}
+		if entry.withheld {
+			most = min(most, r.withholdUntil.Sub(now))
+		}
 	}
 	return most
 }
--- a/gateway/roster/roster_test.go
+++ b/gateway/roster/roster_test.go
@@ -36,6 +36,12 @@
 	return names
 }
 
+// expired returns the endpoints that are forgotten at a time.
+func expired(r *Roster, at time.Time) []ryeford.EndpointID {
+	ids, _ := r.Expire(at)
+	return ids
+}
+
 // TestChanges checks that endpoints join, drain and leave as updates say.
 func TestChanges(t *testing.T) {
 	r := New()
@@ -66,8 +72,8 @@
 	// One of them is back on a later list, which does not drop the other.
 	r.Apply(start, &ryeford.EndpointUpdate{Snapshot: true, Revision: 6, Present: []ryeford.Endpoint{ready("b")}}, never)
 	assert.Equal(t, serving(r), "ab")
-	assert.Equal(t, len(r.Expire(start.Add(time.Second))), 0)
-	assert.DeepEqual(t, r.Expire(start.Add(time.Second+1)), []ryeford.EndpointID{"a"})
+	assert.Equal(t, len(expired(r, start.Add(time.Second))), 0)
+	assert.DeepEqual(t, expired(r, start.Add(time.Second+1)), []ryeford.EndpointID{"a"})
 	assert.Equal(t, serving(r), "b")
 }
 
@@ -89,8 +95,8 @@
 	assert.Assert(t, change.Empty())
 	assert.Equal(t, r.UntilExpiry(start, time.Second), time.Second)
 	assert.Equal(t, r.UntilExpiry(start.Add(time.Second), time.Second), departedTTL-time.Second+1)
-	assert.Equal(t, len(r.Expire(start.Add(departedTTL))), 0)
-	assert.DeepEqual(t, r.Expire(start.Add(departedTTL+1)), []ryeford.EndpointID{"a"})
+	assert.Equal(t, len(expired(r, start.Add(departedTTL))), 0)
+	assert.DeepEqual(t, expired(r, start.Add(departedTTL+1)), []ryeford.EndpointID{"a"})
 	assert.Equal(t, len(r.Draining("s")), 0)
 }
 
@@ -108,7 +114,7 @@
 	assert.DeepEqual(t, change.Departed, []ryeford.EndpointID{"d"})
 	assert.Equal(t, serving(r), "abc")
 	assert.Equal(t, r.UntilExpiry(until, time.Minute), time.Duration(1))
-	assert.Equal(t, len(r.Expire(until.Add(1))), 2)
+	assert.Equal(t, len(expired(r, until.Add(1))), 2)
 	assert.Equal(t, serving(r), "b")
 }
 
--- /dev/null
+++ b/gateway/roster/withheld.go
@@ -0,0 +1,160 @@
+package roster
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/ryeford/ryeford"
+)
+
+// What a router knows of endpoints that leave, when the source comes back from a copy.
+//
+// Rule: an endpoint that this router, or a peer, knows to leave or to be gone is sent nothing though
+// the copy has it as ready, until withholdTime after the router learnt of the restore, unless what
+// the copy has was written in another life of the endpoint, or after its announcement.
+//
+// Why: the copy was made before the endpoint announced that it leaves, or before its entry went. An
+// endpoint that lives writes again with its next heartbeat, and the entry of one that doesn't lapses:
+// from then on the list is right by itself, and nothing stays out for good.
+
+const (
+	// withholdTime is for three heartbeats of 1.2 s, after which the entry of an endpoint that has ended
+	// is gone, and for reading that.
+	withholdTime = 5 * time.Second
+	// leftTTL is how long it is remembered that an endpoint has left: copies are some seconds old.
+	leftTTL = time.Minute
+	// maxLeft bounds the memory for endpoints that have left.
+	maxLeft = 4096
+)
+
+// A departure is that a life of an endpoint leaves or is gone.
+type departure struct {
+	at time.Time // when the router learnt of it
+	// sequence is that of the announcement, unless the entry is gone.
+	sequence int64
+	gone     bool
+}
+
+// overrules reports whether an endpoint leaves though a copy of the list has it as ready.
+func (d *departure) overrules(endpoint *ryeford.Endpoint) bool {
+	return d.gone || endpoint.Sequence <= d.sequence
+}
+
+// noteDraining remembers that an endpoint has announced that it leaves.
+func (r *Roster) noteDraining(now time.Time, endpoint *ryeford.Endpoint) {
+	r.noteDeparture(endpoint.ID, departure{at: now, sequence: endpoint.Sequence})
+}
+
+// noteGone remembers that the entry of an endpoint is gone.
+func (r *Roster) noteGone(now time.Time, id ryeford.EndpointID) {
+	r.noteDeparture(id, departure{at: now, gone: true})
+}
+
+func (r *Roster) noteDeparture(id ryeford.EndpointID, d departure) {
+	if len(r.left) >= maxLeft {
+		r.forgetLeft(d.at)
+	}
+	if len(r.left) >= maxLeft {
+		clear(r.left)
+	}
+	r.left[id] = d
+}
+
+// forgetLeft forgets the endpoints that left long ago.
+func (r *Roster) forgetLeft(now time.Time) {
+	for id, d := range r.left {
+		if now.Sub(d.at) > leftTTL {
+			delete(r.left, id)
+		}
+	}
+}
+
+// withholds reports whether an endpoint that the list has as ready is sent nothing. What is known of
+// its leaving is forgotten otherwise: its own word is newer.
+func (r *Roster) withholds(now time.Time, endpoint *ryeford.Endpoint) bool {
+	d, known := r.left[endpoint.ID]
+	if !known || endpoint.State != ryeford.EndpointReady {
+		return false
+	}
+	if now.Before(r.withholdUntil) && d.overrules(endpoint) {
+		return true
+	}
+	delete(r.left, endpoint.ID)
+	return false
+}
+
+// restored takes that the source is back from a copy.
+func (r *Roster) restored(now time.Time) {
+	r.withholdUntil = now.Add(withholdTime)
+	r.forgetLeft(now)
+}
+
+// Withheld returns the endpoints that are sent nothing though the list has them as ready, at most some,
+// and for how long.
+func (r *Roster) Withheld(now time.Time, most int) (withheld []ryeford.WithheldEndpoint, left time.Duration) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	left = r.withholdUntil.Sub(now)
+	if left <= 0 {
+		return nil, 0
+	}
+	for id, entry := range r.entries {
+		if entry.withheld {
+			d := r.left[id]
+			withheld = append(withheld, ryeford.WithheldEndpoint{ID: id, Sequence: d.sequence, Gone: d.gone})
+		}
+	}
+	slices.SortFunc(withheld, func(a, b ryeford.WithheldEndpoint) int { return cmp.Compare(a.ID, b.ID) })
+	return withheld[:min(len(withheld), most)], left
+}
+
+// Withhold takes from a peer which endpoints are sent nothing, and for how long, and returns those of
+// which this router didn't know it.
+func (r *Roster) Withhold(now time.Time, withheld []ryeford.WithheldEndpoint, left time.Duration) []ryeford.EndpointID {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(withheld) == 0 || left <= 0 {
+		return nil
+	}
+	until := now.Add(min(left, withholdTime))
+	if until.After(r.withholdUntil) {
+		r.withholdUntil = until
+	}
+	var learnt []ryeford.EndpointID
+	for _, w := range withheld {
+		if _, known := r.left[w.ID]; known {
+			continue
+		}
+		r.noteDeparture(w.ID, departure{at: now, sequence: w.Sequence, gone: w.Gone})
+		entry := r.entries[w.ID]
+		if entry == nil || !entry.Status.accepts() || !r.withholds(now, &entry.Endpoint) {
+			continue
+		}
+		changed := *entry // callers may hold the old one
+		changed.Status, changed.withheld = StatusDraining, true
+		r.entries[w.ID] = &changed
+		learnt = append(learnt, w.ID)
+	}
+	r.index()
+	return learnt
+}
+
+// release takes the endpoints back that were withheld, once that is over, and returns them.
+func (r *Roster) release(now time.Time) []ryeford.EndpointID {
+	if now.Before(r.withholdUntil) {
+		return nil
+	}
+	var released []ryeford.EndpointID
+	for id, entry := range r.entries {
+		if !entry.withheld {
+			continue
+		}
+		changed := *entry // callers may hold the old one
+		changed.Status, changed.withheld = listedStatus(entry.State), false
+		r.entries[id] = &changed
+		delete(r.left, id)
+		released = append(released, id)
+	}
+	return released
+}
--- /dev/null
+++ b/gateway/roster/withheld_test.go
@@ -0,0 +1,128 @@
+package roster
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ryeford/ryeford"
+)
+
+// revisionOf returns the revision of a number in an era.
+func revisionOf(era, number int64) ryeford.Revision {
+	revision, err := ryeford.NewRevision(era, number)
+	if err != nil {
+		panic(err)
+	}
+	return revision
+}
+
+// snapshot returns a whole list.
+func snapshot(revision ryeford.Revision, endpoints ...ryeford.Endpoint) *ryeford.EndpointUpdate {
+	return &ryeford.EndpointUpdate{Snapshot: true, Revision: revision, Present: endpoints}
+}
+
+// of returns an endpoint with a sequence.
+func of(e ryeford.Endpoint, sequence int64) ryeford.Endpoint {
+	e.Sequence = sequence
+	return e
+}
+
+// TestWithheld checks what a router that knows endpoints to leave or to be gone sends them once the
+// source is back from a copy: nothing where the copy is older than that, and else what the list says;
+// and that it ends with the time, with the endpoint's own word, and for endpoints that left long ago.
+func TestWithheld(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		known   *ryeford.EndpointUpdate // after a and b were ready
+		after   time.Duration           // from that to the restore
+		copy    []ryeford.Endpoint      // what the source has then
+		serving string                  // right after the restore
+		later   string                  // once the time is over
+	}{
+		{"leaving, in an older copy", &ryeford.EndpointUpdate{Revision: revisionOf(1, 3), Present: []ryeford.Endpoint{of(draining("a"), 9)}},
+			time.Second, []ryeford.Endpoint{of(ready("a"), 8), ready("b")}, "b", "ab"},
+		{"leaving, and ready by its later word", &ryeford.EndpointUpdate{Revision: revisionOf(1, 3), Present: []ryeford.Endpoint{of(draining("a"), 9)}},
+			time.Second, []ryeford.Endpoint{of(ready("a"), 10), ready("b")}, "ab", "ab"},
+		{"leaving, and the copy says it too", &ryeford.EndpointUpdate{Revision: revisionOf(1, 3), Present: []ryeford.Endpoint{of(draining("a"), 9)}},
+			time.Second, []ryeford.Endpoint{of(draining("a"), 9), ready("b")}, "b", "b"},
+		{"gone", &ryeford.EndpointUpdate{Revision: revisionOf(1, 3), Removed: []ryeford.EndpointID{"a"}},
+			time.Second, []ryeford.Endpoint{of(ready("a"), 50), ready("b")}, "b", "ab"},
+		{"gone long ago", &ryeford.EndpointUpdate{Revision: revisionOf(1, 3), Removed: []ryeford.EndpointID{"a"}},
+			leftTTL + time.Second, []ryeford.Endpoint{of(ready("a"), 50), ready("b")}, "ab", "ab"},
+		{"never left", &ryeford.EndpointUpdate{Revision: revisionOf(1, 3)},
+			time.Second, []ryeford.Endpoint{of(ready("a"), 1), ready("b")}, "ab", "ab"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r := New()
+			r.Apply(start, snapshot(revisionOf(1, 2), of(ready("a"), 5), ready("b")), never)
+			r.Apply(start, test.known, never)
+			r.Expire(start.Add(2 * departedTTL))
+			restored := start.Add(test.after)
+			r.Apply(restored, snapshot(revisionOf(2, 2), test.copy...), never)
+			assert.Equal(t, serving(r), test.serving)
+			expired, released := r.Expire(restored.Add(withholdTime))
+			assert.Equal(t, len(expired), 0)
+			assert.Equal(t, len(released), len(test.later)-len(test.serving))
+			assert.Equal(t, serving(r), test.later)
+		})
+	}
+}
+
+// TestWithheldLife checks that a copy that has an earlier life of an endpoint doesn't end the life that is
+// known, and that another life of one that was known to leave is sent requests.
+func TestWithheldLife(t *testing.T) {
+	earlier, later := ready(string(ryeford.NewEndpointID("a", 1))), ready(string(ryeford.NewEndpointID("a", 2)))
+	r := New()
+	r.Apply(start, snapshot(revisionOf(1, 1), earlier), never)
+	r.Apply(start, &ryeford.EndpointUpdate{Revision: revisionOf(1, 2), Present: []ryeford.Endpoint{later}}, never)
+	until := start.Add(2 * time.Second)
+	change := r.Apply(start, snapshot(revisionOf(2, 1), earlier), until)
+	assert.DeepEqual(t, change.Suspected, []ryeford.EndpointID{later.ID})
+	assert.Assert(t, r.Accepts(later.ID) && !r.Accepts(earlier.ID))
+
+	third := ready(string(ryeford.NewEndpointID("a", 3)))
+	r.Apply(start, &ryeford.EndpointUpdate{Revision: revisionOf(2, 2), Present: []ryeford.Endpoint{third}}, until)
+	assert.Equal(t, serving(r), string(third.ID))
+}
+
+// TestWithhold checks that a router that knows the copy alone learns from a peer what leaves, and for how
+// long, and passes it on; that what it knows itself stands; and that a peer can't withhold for longer than a
+// restore does.
+func TestWithhold(t *testing.T) {
+	knowing, started := New(), New()
+	knowing.Apply(start, snapshot(revisionOf(1, 2), of(ready("a"), 5), ready("b")), never)
+	knowing.Apply(start, &ryeford.EndpointUpdate{Revision: revisionOf(1, 3), Present: []ryeford.Endpoint{of(draining("a"), 9)}}, never)
+	copied := snapshot(revisionOf(2, 2), of(ready("a"), 8), ready("b"))
+	knowing.Apply(start, copied, never)
+	started.Apply(start, copied, never)
+	assert.Equal(t, serving(started), "ab")
+
+	now := start.Add(time.Second)
+	withheld, left := knowing.Withheld(now, 8)
+	assert.DeepEqual(t, withheld, []ryeford.WithheldEndpoint{{ID: "a", Sequence: 9}})
+	assert.Equal(t, left, withholdTime-time.Second)
+	assert.DeepEqual(t, started.Withhold(now, withheld, left), []ryeford.EndpointID{"a"})
+	assert.Equal(t, len(started.Withhold(now, withheld, left)), 0, "it is known")
+	assert.Equal(t, serving(started), "b")
+	passed, _ := started.Withheld(now, 8)
+	assert.DeepEqual(t, passed, withheld)
+	started.Expire(now.Add(left))
+	assert.Equal(t, serving(started), "ab")
+
+	started.Withhold(now, []ryeford.WithheldEndpoint{{ID: "b", Gone: true}}, time.Hour)
+	assert.Equal(t, serving(started), "a")
+	started.Expire(now.Add(withholdTime))
+	assert.Equal(t, serving(started), "ab")
+}
+
+// TestLeftBound checks that what is remembered of endpoints that have left is bounded.
+func TestLeftBound(t *testing.T) {
+	r := New()
+	for i := range 3 * maxLeft {
+		r.noteGone(start.Add(time.Duration(i)*time.Millisecond), ryeford.EndpointID(fmt.Sprint(i)))
+		assert.Assert(t, len(r.left) <= maxLeft)
+	}
+}
