test: a restored store's list drops endpoints that live

A store that comes back from a copy at once lacks endpoints that started since, until their next heartbeat. They count as departed, as if they had left, since no outage was long enough for their entries to lapse.

--- a/gateway/endpointlist_test.go
+++ b/gateway/endpointlist_test.go
@@ -264,6 +264,30 @@
 	}
 }
 
+// TestEndpointListRestored checks until when endpoints are sent requests that the store, back from a
+// copy at once, lacks: an endpoint that lives writes again within two seconds, though the store was away
+// for too short a time for any entry to lapse.
+func TestEndpointListRestored(t *testing.T) {
+	for _, again := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newEndpointListFixture(t)
+			f.at(outageBegins)
+			made := f.store.copied()
+			f.store.put("d", ryeford.EndpointReady)
+			f.at(outageEnds)
+			assert.Equal(t, f.accepting(), "abcd")
+			f.store.restore(made)
+			f.at(outageEnds + backWithin)
+			assert.Equal(t, f.accepting(), "abcd", "the copy lacks it, and it may live")
+			if again {
+				f.store.put("d", ryeford.EndpointReady)
+			}
+			f.at(outageEnds + believed + time.Second)
+			assert.Equal(t, f.accepting() == "abcd", again)
+		})
+	}
+}
+
 // TestPeersEndGap checks that a router whose readers failed, while it could have read the source
 // itself, does not take what has left the list meanwhile for suspect.
 func TestPeersEndGap(t *testing.T) {
--- a/gateway/troubledstore_test.go
+++ b/gateway/troubledstore_test.go
@@ -128,6 +128,26 @@
 	s.wake()
 }
 
+// copied returns what the store holds now.
+func (s *troubledStore) copied() tables {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.current
+}
+
+// restore makes the store go on from a copy, in the next era.
+func (s *troubledStore) restore(from tables) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	revision, err := ryeford.NewRevision(s.current.revision.Era()+1, from.revision.Number())
+	if err != nil {
+		panic(err)
+	}
+	s.current = tables{revision: revision, version: from.version, endpoints: from.endpoints}
+	s.oldest = revision
+	s.wake()
+}
+
 // wake wakes the calls that are held. s.mu is held.
 func (s *troubledStore) wake() {
 	close(s.changed)
