fix: endpoints that a restored store lacks are suspect, not departed

What callers would see: fewer endpoints for a second or so after each restore, and refusals where those that started last carry a service.

Cause: an endpoint that is missing counts as departed unless an outage was long enough for its entry to lapse. A copy lacks all endpoints that are younger than it, however short the store was away.

Change: the first changes of a later era begin the same two seconds (RestoredUntil). The end of the store's absence is bounded by this router's last failed read, or by the last confirmation of the era before, so that the two seconds end before the router is held to its bounds again.

Before and after: TestEndpointListRestored abc, now abcd until 2 s later, and after that only if d has written again.

--- a/gateway/endpointlist.go
+++ b/gateway/endpointlist.go
@@ -150,7 +150,7 @@
 	case !changes.Empty() || sent.Sub(l.whole) > replica.JoinTime:
 		l.whole = time.Time{}
 	}
-	l.endOutage(clock.Now())
+	l.endOutage(clock.Now(), update.Revision.Era())
 	l.mu.Unlock()
 	if !l.apply(&changes, "source") {
 		return false
@@ -186,24 +186,40 @@
 }
 
 // endOutage is called before the lease is renewed, and before the changes that came with that are
-// applied. If that ends an outage, endpoints that are missing from now on are suspect for a time:
-// nothing confirmed the list for long, and this router's own read failed in between. Without that
-// the source may have answered others all the time. l.mu is held.
-func (l *endpointList) endOutage(now time.Time) {
+// applied, which are of an era. If that ends an outage, endpoints that are missing from now on are
+// suspect for a time: nothing confirmed the list for long, and this router's own read failed in
+// between. Without that the source may have answered others all the time. They are suspect, too, if
+// the source is back from a copy. l.mu is held.
+func (l *endpointList) endOutage(now time.Time, era int64) {
 	age, known := l.lease.Age(now)
-	began := now.Add(-age)
-	if !known || !l.limits.Outage(age) || l.failed.Before(began) {
+	if !known {
 		return
 	}
-	l.suspectUntil = roster.SuspectUntil(&ryeford.Downtime{Began: began, LastFailed: l.failed, Ended: now}, l.contact)
+	downtime := ryeford.Downtime{Began: now.Add(-age), LastFailed: l.failed, Ended: now}
+	ownReadFailed := !l.failed.Before(downtime.Began)
+	switch {
+	case l.restoredIn(era):
+		if !ownReadFailed {
+			downtime.LastFailed = downtime.Began // the source was in the era before
+		}
+		l.suspectUntil = roster.RestoredUntil(&downtime, l.contact)
+	case l.limits.Outage(age) && ownReadFailed:
+		l.suspectUntil = roster.SuspectUntil(&downtime, l.contact)
+	}
+}
+
+// restoredIn reports whether an era is later than that of the copy.
+func (l *endpointList) restoredIn(era int64) bool {
+	at := l.copy.Range()
+	return at.Known() && era > at.To.Era()
 }
 
 // renewFromPeer renews the lease by a peer's confirmation, if that is newer, after changes were
-// applied.
-func (l *endpointList) renewFromPeer(confirmed time.Duration, apply func() bool) {
+// applied that are of an era.
+func (l *endpointList) renewFromPeer(confirmed time.Duration, era int64, apply func() bool) {
 	l.mu.Lock()
-	if own, known := l.lease.Confirmed(); !known || confirmed > own {
-		l.endOutage(clock.Now())
+	if own, known := l.lease.Confirmed(); !known || confirmed > own || l.restoredIn(era) {
+		l.endOutage(clock.Now(), era)
 	}
 	l.mu.Unlock()
 	if apply() {
--- a/gateway/endpointlist_test.go
+++ b/gateway/endpointlist_test.go
@@ -266,7 +266,8 @@
 
 // TestEndpointListRestored checks until when endpoints are sent requests that the store, back from a
 // copy at once, lacks: an endpoint that lives writes again within two seconds, though the store was away
-// for too short a time for any entry to lapse.
+// for too short a time for any entry to lapse. It was departed, like one that has left, as only the length
+// of an outage made an endpoint suspect.
 func TestEndpointListRestored(t *testing.T) {
 	for _, again := range []bool{false, true} {
 		synctest.Test(t, func(t *testing.T) {
--- a/gateway/peerlist.go
+++ b/gateway/peerlist.go
@@ -54,7 +54,7 @@
 		if !list.Whole {
 			l.setWhole(time.Time{})
 		}
-		l.renewFromPeer(list.ConfirmedAt, func() bool { return true })
+		l.renewFromPeer(list.ConfirmedAt, to.Era(), func() bool { return true })
 	}
 }
 
@@ -107,7 +107,7 @@
 		return
 	}
 	l.clock.Observe(sent, answer.Latest)
-	l.renewFromPeer(answer.ConfirmedAt, func() bool {
+	l.renewFromPeer(answer.ConfirmedAt, answer.Changes.Range.To.Era(), func() bool {
 		if !l.apply(&answer.Changes, peer.String()) {
 			return false
 		}
--- a/gateway/roster/status.go
+++ b/gateway/roster/status.go
@@ -40,6 +40,12 @@
 	if downtime.Length() < minLapse {
 		return time.Time{}
 	}
+	return RestoredUntil(downtime, contact)
+}
+
+// RestoredUntil is SuspectUntil for a source that is back from a copy: however short the downtime
+// was, the copy lacks the endpoints that are younger, until they write again.
+func RestoredUntil(downtime *ryeford.Downtime, contact time.Duration) time.Time {
 	until := downtime.Ended.Add(suspectTime)
 	if held := downtime.LastFailed.Add(contact - suspectMargin); held.Before(until) {
 		return held
