fix: peers renew leases after the store's clock has started anew

What callers would see: 503 stale_configuration, for as long as the store's clock shows less than it did before the restore, at each router that lives on its peers' word.

Cause: a confirmation counts only if it is later, by the store's clock, than the last one; a clock that starts anew with a restored store shows less for as long as it ran before.

Change: a last confirmation that the clock can't have shown yet is one of the clock before, and nothing is compared with it.

Why it holds: what the clock may show now is bounded from above, so that a confirmation of this clock is never taken for one of the other; one of the clock before is later than anything this one can have shown, and is left aside as before.

Before and after: TestRestartedClock failed, and holds now.

--- a/gateway/freshness/lease.go
+++ b/gateway/freshness/lease.go
@@ -74,7 +74,8 @@
 	latest, ok := l.clock.Latest(now)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !ok || confirmed > latest || confirmed <= l.confirmed {
+	restarted := l.confirmed > latest // the clock has started anew: what it showed before says nothing
+	if !ok || confirmed > latest || confirmed <= l.confirmed && !restarted {
 		return false
 	}
 	l.confirmed, l.known = confirmed, true
--- a/gateway/freshness/sourceclock_test.go
+++ b/gateway/freshness/sourceclock_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -98,3 +99,23 @@
 	latest, _ = c.Latest(start.Add(3 * time.Second))
 	assert.Equal(t, latest, time.Hour)
 }
+
+// TestRestartedClock checks that a lease is renewed by peers after the source's clock has started anew: a
+// process that lives on its peers' word would lose its lease with the last confirmation of the old clock.
+func TestRestartedClock(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clock := &SourceClock{}
+		l := NewLease(time.Now(), 2*time.Second, clock)
+		clock.Observe(time.Now(), time.Hour)
+		assert.Assert(t, l.RenewFromPeer(time.Now(), time.Hour))
+		time.Sleep(time.Second)
+
+		clock.Observe(time.Now(), 100*time.Millisecond) // it has started anew
+		assert.Assert(t, l.RenewFromPeer(time.Now(), 50*time.Millisecond))
+		assert.Equal(t, l.Left(time.Now()).Round(time.Millisecond), 1950*time.Millisecond)
+		assert.Assert(t, !l.RenewFromPeer(time.Now(), time.Hour), "a confirmation by the clock before")
+		assert.Assert(t, !l.RenewFromPeer(time.Now(), 40*time.Millisecond), "an older one")
+		time.Sleep(time.Second)
+		assert.Assert(t, l.RenewFromPeer(time.Now(), time.Second))
+	})
+}
