test: a restored store makes routers forget an evacuation

As for endpoints that leave: the copy lacks the order, and routers send requests to the evacuated failure domain until the operators write it again.

--- a/gateway/evacuations_test.go
+++ b/gateway/evacuations_test.go
@@ -68,6 +68,27 @@
 	}
 }
 
+// TestRestoredEvacuation: endpoints of an evacuated failure domain are sent requests once the store is back
+// from a copy that was made before the order, until the operators have written it again.
+func TestRestoredEvacuation(t *testing.T) {
+	f := startedFixture(t, nil)
+	made := f.store.Copy()
+	f.evacuate("a")
+	f.awaitLog("began=a")
+	before := f.received()
+	f.store.Restore(made)
+	f.awaitLog("decision=store_restored")
+	f.addEndpoint("plain", "p3", 0)
+	f.awaitLog("added=p3")
+	for range 16 {
+		assert.Equal(t, f.call("GET", "/safe/a").status, 503)
+	}
+	assert.Equal(t, f.received(), before)
+	// Operators who don't write it again have withdrawn it.
+	f.awaitStatus(200, "GET", "/safe/a")
+	f.awaitLog("ended=a")
+}
+
 // TestPeersEvacuation checks that a router that can't reach the store learns of an evacuation, and
 // of its end, from its peers; that one that starts meanwhile does; and that none serves on.
 func TestPeersEvacuation(t *testing.T) {
