fix: an evacuation stays in force when the store is restored without it

What callers would see: requests to endpoints of a failure domain that the operators have evacuated, until they write the order again.

Cause: what was read at the newest revision counts alone, and after a restore that is the copy's, which was made before the order.

Change: an order that was in force, and that the first reads of a later era lack, is kept for 5 s, or until the store has been seen to have it; then the store says when it ends. Peers are told what was read, so that none keeps another's kept order for longer.

Why it holds: operators write again what they have ordered; an order that the store doesn't have 5 s after the restore is one that they have withdrawn. Needlessly rejected: a domain whose evacuation was withdrawn while the store was away, for 5 s.

--- a/gateway/evacuation/table_test.go
+++ b/gateway/evacuation/table_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/ryeford/ryeford"
 )
 
+// start is when the tests begin.
+var start = time.Unix(1000, 0)
+
 // at returns evacuations of some failure domains, ordered at revisions, as read at another one.
 func at(revision ryeford.Revision, orders ...ryeford.Evacuation) ryeford.Evacuations {
 	return ryeford.Evacuations{Revision: revision, Orders: orders}
@@ -34,7 +38,48 @@
 		{"nothing read", at(0), false, at(10, a9, b7)},
 		{"withdrawn", at(11, b7), true, at(11, b7)},
 	} {
-		assert.Equal(t, table.Learn(test.read), test.changed, test.name)
+		inForce, changed := table.Learn(start, test.read)
+		assert.Equal(t, changed, test.changed, test.name)
 		assert.DeepEqual(t, table.Known(), test.known)
+		assert.Equal(t, len(inForce.Orders), len(test.known.Orders))
+	}
+}
+
+// TestLearnRestored checks what is in force after the source is back from a copy: an order that the copy
+// lacks for a time, or until it was read again and is withdrawn; one that only the copy has; and that
+// peers are told what was read.
+func TestLearnRestored(t *testing.T) {
+	era2 := func(number int64) ryeford.Revision {
+		revision, err := ryeford.NewRevision(2, number)
+		assert.NilError(t, err)
+		return revision
+	}
+	a, b, c := ryeford.Evacuation{FailureDomain: "a", State: 4}, ryeford.Evacuation{FailureDomain: "b", State: 7}, ryeford.Evacuation{FailureDomain: "c", State: 2}
+	again := ryeford.Evacuation{FailureDomain: "a", State: era2(4)}
+	var table Table
+	for _, test := range []struct {
+		name    string
+		after   time.Duration
+		read    ryeford.Evacuations
+		inForce string
+	}{
+		{"before the restore", 0, at(9, a, b), "ab"},
+		{"the copy", 0, at(era2(3), c), "abc"},
+		{"late word of the era before", time.Second, at(10, a), "abc"},
+		{"written again", time.Second, at(era2(4), again, c), "abc"},
+		{"and withdrawn", 2 * time.Second, at(era2(5), c), "bc"},
+		{"nothing new", keepTime - 1, at(era2(5), c), "bc"},
+		{"not written again in time", keepTime, at(era2(5), c), "c"},
+		{"later", 2 * keepTime, at(era2(6), c), "c"},
+	} {
+		inForce, _ := table.Learn(start.Add(test.after), test.read)
+		domains := ""
+		for _, order := range inForce.Orders {
+			domains += order.FailureDomain
+		}
+		assert.Equal(t, domains, test.inForce, test.name)
+		if test.read.Revision.Era() == 2 {
+			assert.DeepEqual(t, table.Known(), test.read)
+		}
 	}
 }
--- a/gateway/evacuations.go
+++ b/gateway/evacuations.go
@@ -34,15 +34,17 @@
 func (e *evacuations) learn(read ryeford.Evacuations, from string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if !e.table.Learn(read) {
+	now := clock.Now()
+	inForce, changed := e.table.Learn(now, read)
+	if !changed {
 		return
 	}
-	began, ended := e.roster.SetEvacuated(clock.Now(), read)
+	began, ended := e.roster.SetEvacuated(now, inForce)
 	for _, domain := range began {
 		e.metrics.Count("ryeford_evacuations_total", domain)
 	}
 	_ = e.log.Log("decision", "evacuation", "from", from, "revision", read.Revision, "began", strings.Join(began, ","), "ended", strings.Join(ended, ","))
 }
 
-// known returns the evacuations that are in force.
+// known returns the evacuations as they were read.
 func (e *evacuations) known() ryeford.Evacuations { return e.table.Known() }
--- a/gateway/evacuations_test.go
+++ b/gateway/evacuations_test.go
@@ -69,7 +69,8 @@
 }
 
 // TestRestoredEvacuation: endpoints of an evacuated failure domain are sent requests once the store is back
-// from a copy that was made before the order, until the operators have written it again.
+// from a copy that was made before the order, until the operators have written it again. What was read at
+// the newest revision counted alone, and the copy's is the newest.
 func TestRestoredEvacuation(t *testing.T) {
 	f := startedFixture(t, nil)
 	made := f.store.Copy()
--- a/gateway/peerconfiguration.go
+++ b/gateway/peerconfiguration.go
@@ -19,7 +19,7 @@
 	// be the newest, and Latest the most that it may show now.
 	ConfirmedAt time.Duration
 	Latest      time.Duration
-	// Evacuations are those in force, as of ConfirmedAt or later.
+	// Evacuations are those that were read, as of ConfirmedAt or later.
 	Evacuations ryeford.Evacuations
 }
 
