test: what routers have written is lost with a restore of the store

The copy lacks held requests and routers' entries that are younger than it, and nobody writes them again: routers that start when none runs know neither.

--- a/gateway/restoredstore_test.go
+++ b/gateway/restoredstore_test.go
@@ -113,6 +113,36 @@
 	assert.Equal(t, len(seed.endpoints["p1"].Received()), before)
 }
 
+// TestRestoredOwnRows: what a router has written to the store, its own entry and the requests that it holds,
+// is gone with a restore, so that routers that start when none runs know neither. The router that wrote
+// it writes it again.
+func TestRestoredOwnRows(t *testing.T) {
+	f := newFixture(t, baseConfiguration(), func(s *settings.Gateway) { s.Peers.AddrPort = freeport.Next() })
+	for i := range 8 {
+		f.addEndpoint("model", fmt.Sprintf("m%d", i), 5)
+	}
+	f.awaitReady(true)
+	f.awaitEndpoints(8)
+	made := f.store.Copy()
+	f.holdCrashing()
+	f.awaitRows("its entry", tableRouters, 1)
+	f.store.Restore(made)
+	f.awaitRows("the held request", tableQuarantine, 1)
+	f.awaitRows("its entry", tableRouters, 1)
+}
+
+// The tables of the project's own.
+const (
+	tableRouters    = "ryeford-routers"
+	tableQuarantine = "ryeford-quarantine"
+)
+
+// awaitRows waits until a table of the store has so many rows.
+func (f *fixture) awaitRows(what, table string, rows int) {
+	f.t.Helper()
+	f.await(what, func() bool { return f.store.Rows(table) == rows })
+}
+
 // restoreStore has the gateway read so many revisions, and then the store be away and come back from a
 // copy without them. meanwhile runs before the store answers again.
 func (f *fixture) restoreStore(lost int, meanwhile func()) {
--- a/standin/rowstore/store.go
+++ b/standin/rowstore/store.go
@@ -75,6 +75,19 @@
 	return s.change(&wire.Transaction{Remove: []wire.Row{{Table: table, Key: key}}})
 }
 
+// Rows returns how many rows a table has.
+func (s *Store) Rows(table string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for name := range s.rows {
+		if name.table == table {
+			n++
+		}
+	}
+	return n
+}
+
 // ForgetHistory forgets all changes up to now: waiting for changes since an older
 // version is answered with 410.
 func (s *Store) ForgetHistory() {
