fix: routers write again what a restored store has lost of theirs

What callers would see: a request that ends what runs it is sent to three more endpoints, if all routers start anew after a restore that has lost the held request; routers that start alone find no peers.

Cause: a change was written once, and nothing looked again at what the store had acknowledged.

Change: each router remembers for a minute what it has written (held and released requests, its entry) and writes it again when the era rises, as the store's answers or a peer's copy of the list tell.

Ruled out: writing all that a router knows (each of 390 routers would), and reading the tables to see what is missing (a call each, though mostly nothing is).

Why it holds: a copy is some seconds old; what was written before it is in it. Calls of a fleet that has run for longer than a minute: none.

Before and after: TestRestoredOwnRows failed, now the rows are back.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -82,7 +82,7 @@
 		drain:       newDrain(s.Bounds.Grace, logger),
 		initialSync: newInitialSync(s.Routing.StartPatience),
 	}
-	g.revision.restored = g.logRestore
+	g.revision.restored = g.storeRestored
 	g.addQuarantine()
 	g.addConfiguration()
 	g.addEndpoints()
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -43,6 +44,11 @@
 	log           log.Logger
 	metrics       *telemetry.Set
 
+	// registered is when this router registered in the platform's list of routers, nil if it didn't.
+	// looked says that it has looked there.
+	registered atomic.Pointer[time.Time]
+	looked     atomic.Bool
+
 	// newcomers are peers whose process has just sent its first message.
 	newcomers chan netip.AddrPort
 
@@ -104,18 +110,18 @@
 // others to the table of peers, whenever that is due.
 func (g *gossip) lookUp(ctx context.Context) error {
 	clock.Sleep(ctx, replica.StartDelay(peers.RegisterSpread, rand.Float64()))
-	began, registered, tried := clock.Now(), time.Time{}, false
+	began := clock.Now()
 	ticker := time.NewTicker(peers.LookupInterval)
 	defer ticker.Stop()
 	for {
-		if g.lookupDue(clock.Now(), began, registered) {
+		if g.lookupDue(clock.Now(), began) {
 			g.metrics.Count("ryeford_store_calls_total", causeRouters)
-			addresses, err := g.routers.Register(ctx, g.vm, g.self, peers.EnoughEntries(tried))
-			tried = true
+			addresses, err := g.routers.Register(ctx, g.vm, g.self, peers.EnoughEntries(g.looked.Swap(true)))
 			_ = g.log.Log("decision", "look_up_peers", "found", len(addresses), "err", err)
 			if err == nil {
-				registered = clock.Now()
-				g.table.Add(registered, addresses)
+				now := clock.Now()
+				g.registered.Store(&now)
+				g.table.Add(now, addresses)
 			}
 		}
 		select {
@@ -126,8 +132,23 @@
 	}
 }
 
+// registerAgain makes this router register anew, if it did lately, and reports whether it does. As at a
+// start it leaves its entry out if enough others are there.
+func (g *gossip) registerAgain() bool {
+	registered := g.registered.Load()
+	if registered == nil || clock.Since(*registered) > maxCopyAge {
+		return false
+	}
+	g.looked.Store(false)
+	return g.registered.CompareAndSwap(registered, nil)
+}
+
 // lookupDue reports whether this router, which runs since it began, is to register.
-func (g *gossip) lookupDue(now, began, registered time.Time) bool {
+func (g *gossip) lookupDue(now, began time.Time) bool {
+	var registered time.Time
+	if at := g.registered.Load(); at != nil {
+		registered = *at
+	}
 	confirmed, _ := g.endpoints.lease.Confirmed()
 	rank, _ := g.table.Rank(now, peers.LookupShift(confirmed))
 	lookup := peers.Lookup{
--- a/gateway/heldrequests.go
+++ b/gateway/heldrequests.go
@@ -43,6 +43,22 @@
 	read    atomic.Bool // by this router, or by a peer which passes them on
 	mu      sync.Mutex
 	changes map[quarantine.Fingerprint]*quarantine.Record // to be written; nil: to be removed
+	written map[quarantine.Fingerprint]writtenChange      // by this router, lately
+}
+
+// A writtenChange is a change that the platform has accepted.
+type writtenChange struct {
+	at     time.Time
+	record *quarantine.Record // nil: removed
+}
+
+// newHeldRequests returns heldRequests that are kept nowhere yet.
+func newHeldRequests(table *quarantine.Table, logger log.Logger, metrics *telemetry.Set) *heldRequests {
+	return &heldRequests{
+		table: table, log: logger, metrics: metrics,
+		changes: make(map[quarantine.Fingerprint]*quarantine.Record),
+		written: make(map[quarantine.Fingerprint]writtenChange),
+	}
 }
 
 // keep has a held request written.
@@ -115,8 +131,42 @@
 		_ = h.log.Log("decision", "quarantine_written", "fingerprint", fingerprint, "held", record != nil, "err", err)
 		if err != nil {
 			h.retry(fingerprint, record)
+			continue
+		}
+		h.noteWritten(fingerprint, record)
+	}
+}
+
+// noteWritten remembers a change that was written, and forgets those that any copy of the store has.
+func (h *heldRequests) noteWritten(fingerprint quarantine.Fingerprint, record *quarantine.Record) {
+	now := clock.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for f, change := range h.written {
+		if now.Sub(change.at) > maxCopyAge {
+			delete(h.written, f)
+		}
+	}
+	if len(h.written) < maxHeldChanges {
+		h.written[fingerprint] = writtenChange{at: now, record: record}
+	}
+}
+
+// writeAgain has written again what this router wrote lately, unless a later change waits, and returns
+// how many changes that is.
+func (h *heldRequests) writeAgain() int {
+	now := clock.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	again := 0
+	for fingerprint, change := range h.written {
+		if _, newer := h.changes[fingerprint]; newer || now.Sub(change.at) > maxCopyAge {
+			continue
 		}
+		h.changes[fingerprint] = change.record
+		again++
 	}
+	return again
 }
 
 // write writes one change.
--- a/gateway/peerlist.go
+++ b/gateway/peerlist.go
@@ -106,6 +106,7 @@
 		_ = l.log.Log("decision", "endpoints_from_peer", "peer", peer, "applied", false, "err", err)
 		return
 	}
+	l.revision.enter(answer.Changes.Range.To)
 	l.clock.Observe(sent, answer.Latest)
 	l.renewFromPeer(answer.ConfirmedAt, answer.Changes.Range.To.Era(), func() bool {
 		if !l.apply(&answer.Changes, peer.String()) {
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -34,7 +34,7 @@
 	table := quarantine.New()
 	return &quarantineState{
 		table:    table,
-		kept:     &heldRequests{table: table, log: logger, metrics: metrics, changes: make(map[quarantine.Fingerprint]*quarantine.Record)},
+		kept:     newHeldRequests(table, logger, metrics),
 		crashes:  newCrashes(logger, metrics),
 		balancer: b,
 		log:      logger,
--- a/gateway/restoredstore_test.go
+++ b/gateway/restoredstore_test.go
@@ -114,16 +114,20 @@
 }
 
 // TestRestoredOwnRows: what a router has written to the store, its own entry and the requests that it holds,
-// is gone with a restore, so that routers that start when none runs know neither. The router that wrote
-// it writes it again.
+// is gone with a restore, so that routers that start when none runs know neither. Each change was written
+// once, and what the store had acknowledged was never looked at again. The router that wrote it writes it
+// again.
 func TestRestoredOwnRows(t *testing.T) {
-	f := newFixture(t, baseConfiguration(), func(s *settings.Gateway) { s.Peers.AddrPort = freeport.Next() })
+	store := rowstore.New()
+	_, err := store.PutJSON(wire.TableOperators, wire.KeyConfig, baseConfiguration())
+	assert.NilError(t, err)
+	made := store.Copy()
+	f := newFixtureAt(t, store, nil, func(s *settings.Gateway) { s.Peers.AddrPort = freeport.Next() })
 	for i := range 8 {
 		f.addEndpoint("model", fmt.Sprintf("m%d", i), 5)
 	}
 	f.awaitReady(true)
 	f.awaitEndpoints(8)
-	made := f.store.Copy()
 	f.holdCrashing()
 	f.awaitRows("its entry", tableRouters, 1)
 	f.store.Restore(made)
@@ -191,7 +195,7 @@
 func TestRestoreLogged(t *testing.T) {
 	f := startedFixture(t, nil)
 	f.store.Restore(f.store.Copy())
-	f.awaitLog("decision=store_restored before=1.6 after=2.6")
+	f.awaitLog("decision=store_restored before=1.6 after=2.6 held_written_again=0")
 }
 
 // TestRestoredPeers checks that routers which live on a peer's word learn from it what the store that is
--- a/gateway/revision.go
+++ b/gateway/revision.go
@@ -15,6 +15,8 @@
 	newest   ryeford.Revision
 	answered time.Time // when the store answered last; zero if never
 	failing  bool      // the last call of the store failed
+	era      int64     // the newest that is known, also from peers
+	entered  bool      // era is known
 	// restored, unless it is nil, is called when the store is back from a copy.
 	restored func(r restore)
 }
@@ -45,11 +47,21 @@
 // raise takes the revision of an answer. An older one than the newest changes
 // nothing.
 func (r *revision) raise(answered ryeford.Revision) {
+	r.enter(answered)
 	r.mu.Lock()
-	change := restore{before: r.newest, after: answered}
+	defer r.mu.Unlock()
 	r.newest, r.answered, r.failing = max(r.newest, answered), clock.Now(), false
+}
+
+// enter takes a revision of the store that it, or a peer, has told of. If that is the first of a later
+// era, the store has been restored.
+func (r *revision) enter(told ryeford.Revision) {
+	r.mu.Lock()
+	change := restore{before: r.newest, after: told}
+	restored := r.entered && told.Era() > r.era
+	r.era, r.entered = max(r.era, told.Era()), true
 	r.mu.Unlock()
-	if change.before > 0 && change.after.Era() > change.before.Era() && r.restored != nil {
+	if restored && r.restored != nil {
 		r.restored(change)
 	}
 }
