fix: an endpoint that is back by its own word after a restore is not withheld

Cause: of an endpoint whose entry had gone no sequence is known, so that each entry within the time counted as the copy's.

Change: the row's version, with the era, goes with the entry. Only what the list had when the router learnt of the restore may be older than what is known.

Before and after: TestWithheldOwnWord failed ("b", not "ab") and holds.

--- a/endpoint.go
+++ b/endpoint.go
@@ -54,14 +54,16 @@
 	State EndpointState
 	// Cold is for how much longer it bears only few requests, as of when it said so.
 	Cold time.Duration
-	// Sequence rises with each heartbeat of this life. It may be older than the rest of the entry's word.
-	Sequence int64
+	// Sequence rises with each heartbeat of this life, and Written is the revision at which the entry was
+	// written. Both may be of an earlier entry that says the same.
+	Sequence int64    `cbor:"q,omitempty"`
+	Written  Revision `cbor:"w,omitempty"`
 }
 
-// SaysSame reports whether two entries say the same, heartbeats apart.
+// SaysSame reports whether two entries say the same, whenever they were written.
 func (e *Endpoint) SaysSame(other *Endpoint) bool {
 	same := *other
-	same.Sequence = e.Sequence
+	same.Sequence, same.Written = e.Sequence, e.Written
 	return *e == same
 }
 
--- a/gateway/roster/roster.go
+++ b/gateway/roster/roster.go
@@ -57,8 +57,10 @@
 	returned  map[string]time.Time // when failure domains were last taken back
 
 	left map[ryeford.EndpointID]departure // lives that leave or are gone
-	// withholdUntil is until when these are believed against the list.
+	// withholdUntil is until when these are believed against what the list had at the revision
+	// restoredAt.
 	withholdUntil time.Time
+	restoredAt    ryeford.Revision
 }
 
 // New returns an empty Roster.
@@ -96,7 +98,7 @@
 		return change
 	}
 	if r.known && update.Revision.Era() > r.revision.Era() {
-		r.restored(now)
+		r.restored(now, update.Revision)
 	}
 	r.revision = update.Revision
 	present := make(map[ryeford.EndpointID]bool, len(update.Present))
--- a/gateway/roster/withheld.go
+++ b/gateway/roster/withheld.go
@@ -12,7 +12,8 @@
 //
 // Rule: an endpoint that this router, or a peer, knows to leave or to be gone is sent nothing though
 // the copy has it as ready, until withholdTime after the router learnt of the restore, unless what
-// the copy has was written in another life of the endpoint, or after its announcement.
+// the list has was written in another life of the endpoint, after its announcement, or after the
+// router learnt of the restore.
 //
 // Why: the copy was made before the endpoint announced that it leaves, or before its entry went. An
 // endpoint that lives writes again with its next heartbeat, and the entry of one that doesn't lapses:
@@ -77,16 +78,18 @@
 	if !known || endpoint.State != ryeford.EndpointReady {
 		return false
 	}
-	if now.Before(r.withholdUntil) && d.overrules(endpoint) {
+	inCopy := endpoint.Written <= r.restoredAt
+	if inCopy && now.Before(r.withholdUntil) && d.overrules(endpoint) {
 		return true
 	}
 	delete(r.left, endpoint.ID)
 	return false
 }
 
-// restored takes that the source is back from a copy.
-func (r *Roster) restored(now time.Time) {
-	r.withholdUntil = now.Add(withholdTime)
+// restored takes that the source is back from a copy, and was at a revision when this router learnt
+// of it.
+func (r *Roster) restored(now time.Time, at ryeford.Revision) {
+	r.withholdUntil, r.restoredAt = now.Add(withholdTime), at
 	r.forgetLeft(now)
 }
 
@@ -119,7 +122,7 @@
 	}
 	until := now.Add(min(left, withholdTime))
 	if until.After(r.withholdUntil) {
-		r.withholdUntil = until
+		r.withholdUntil, r.restoredAt = until, max(r.restoredAt, r.revision)
 	}
 	var learnt []ryeford.EndpointID
 	for _, w := range withheld {
--- a/gateway/roster/withheld_test.go
+++ b/gateway/roster/withheld_test.go
@@ -71,6 +71,28 @@
 	}
 }
 
+// TestWithheldOwnWord checks that an endpoint that was gone, and is back by its own word after a restore, is
+// sent requests: only what the copy has may be older than what is known.
+func TestWithheldOwnWord(t *testing.T) {
+	r := New()
+	r.Apply(start, snapshot(revisionOf(1, 2), ready("a"), ready("b")), never)
+	r.Apply(start, &ryeford.EndpointUpdate{Revision: revisionOf(1, 3), Removed: []ryeford.EndpointID{"a"}}, never)
+	copied := ready("a")
+	copied.Written = revisionOf(2, 1)
+	r.Apply(start, snapshot(revisionOf(2, 2), copied, ready("b")), never)
+	assert.Equal(t, serving(r), "b")
+	again := ready("a")
+	again.Written = revisionOf(2, 3)
+	r.Apply(start, &ryeford.EndpointUpdate{Revision: revisionOf(2, 3), Present: []ryeford.Endpoint{again}}, never)
+	assert.Equal(t, serving(r), "ab")
+
+	r.Apply(start, &ryeford.EndpointUpdate{Revision: revisionOf(2, 4), Removed: []ryeford.EndpointID{"b"}}, never)
+	back := ready("b")
+	back.Written = revisionOf(2, 5)
+	r.Apply(start, &ryeford.EndpointUpdate{Revision: revisionOf(2, 5), Present: []ryeford.Endpoint{back}}, never)
+	assert.Equal(t, serving(r), "ab", "it went and came back after the restore")
+}
+
 // TestWithheldLife checks that a copy that has an earlier life of an endpoint doesn't end the life that is
 // known, and that another life of one that was known to leave is sent requests.
 func TestWithheldLife(t *testing.T) {
