test: the soak restores the store from copies

A strike of its own stream, beside the others: the store is away for up to 1 s and back from a copy of up to 2 s before that, its clock going on or starting anew; what operators and servers had written since is written again within 1 s.

A new check, withheld: a restore excuses nobody who sends to a server that had drained or left the list for longer than bounds.drain before it; of the other checks a restore excuses what an outage does.

--- a/internal/cmd/devcmd.go
+++ b/internal/cmd/devcmd.go
@@ -167,6 +167,12 @@
 Let a server start again, cold for 20 s:
   go run ./cmd/ryeford standin fault %[2]s '{"server":"model-1","state":"ready","cold_ms":20000,"born":1700000000000}'
 
+Let the store come back from a copy that lacks an evacuation, and the operators order it again:
+  go run ./cmd/ryeford standin fault %[2]s '{"keep_copy":true}'
+  go run ./cmd/ryeford standin fault %[2]s '{"evacuate":"domain-1"}'
+  go run ./cmd/ryeford standin fault %[2]s '{"restore":true}'
+  go run ./cmd/ryeford standin fault %[2]s '{"write_again":true}'
+
 Let a body end each server that runs it, and send it until it is held (503):
   go run ./cmd/ryeford standin fault %[2]s '{"crash_body":"boom"}'
   for i in 1 2 3 4 5; do curl -s -o /dev/null -w '%%{http_code}\n' http://%[1]s/chat/1 -H 'Host: dev.example' -H "Ryeford-Request-Id: boom-$i" -H 'Authorization: Bearer %[4]s' -d boom; sleep 2; done
--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -26,6 +26,7 @@
 	{"stop", "a request that ran is cut off only beside a fault that may cut it", checkStop},
 	{"refused", "a gateway that stops takes connections until the load balancer can know", checkRefused},
 	{"departed", "a gateway in touch serves by no server that has drained or left the list for longer than departTime", checkDeparted},
+	{"withheld", "the same beside a restore of the store, for a server that had done so for longer than drainTime", checkWithheld},
 }
 
 // evidence is what checks are given besides a call.
@@ -39,6 +40,8 @@
 	states  []listState
 	bounds  bounds
 	stalls  *stallRecorder
+	// restores are those outages in which the store was restored.
+	restores []cut
 }
 
 // mayBeCut reports whether a fault could cut a call off although its request ran.
@@ -127,11 +130,11 @@
 		runs:    runs,
 		changes: in.changes,
 		cuts:    in.cuts,
-		outages: in.outages,
-		stops:   in.stops,
-		states:  in.states,
-		bounds:  in.plan.bounds,
-		stalls:  &in.fleet.stalls,
+		outages: in.outages, restores: in.restores,
+		stops:  in.stops,
+		states: in.states,
+		bounds: in.plan.bounds,
+		stalls: &in.fleet.stalls,
 	}
 }
 
--- a/internal/soak/injector_test.go
+++ b/internal/soak/injector_test.go
@@ -22,12 +22,15 @@
 	// clockSteps counts the steps of the store's clock.
 	clockSteps atomic.Int64
 
+	restoring sync.Mutex // held while the store is restored
+
 	listing sync.Mutex // held while a server's state is changed
 
 	mu       sync.Mutex
 	changes  []change
 	cuts     []cut
 	outages  []cut // times out of touch
+	restores []cut // those in which the store was restored
 	stops    []stop
 	states   []listState // of the servers
 	timeline []string
@@ -82,6 +85,9 @@
 	in.group.Go(func() {
 		in.strike(rand.New(rand.NewPCG(seed, lifeStream)), lifeFaults, maxBetweenLifeFaults)
 	})
+	in.group.Go(func() {
+		in.strike(rand.New(rand.NewPCG(seed, restoreStream)), restoreFaults, maxBetweenRestores)
+	})
 	in.strike(random, in.plan.faults(random), maxBetweenFaults)
 	in.group.Wait()
 }
--- a/internal/soak/serieschecks_test.go
+++ b/internal/soak/serieschecks_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 )
 
@@ -19,6 +20,7 @@
 	{"regress", "a process that has served by a version serves by no older one later", checkRegress},
 	{"refused", "as in basicChecks", checkRefused},
 	{"departed", "as in basicChecks", checkDeparted},
+	{"withheld", "as in basicChecks", checkWithheld},
 	{"denied", "no route or key that all versions have is answered with 401, 403 or 404", checkDenied},
 }
 
@@ -54,8 +56,14 @@
 
 // inTouch reports whether a call's gateway was in touch: from bounds.contact before the
 // call to its end, nothing disturbed it.
-func (e *evidence) inTouch(c *call) bool {
+func (e *evidence) inTouch(c *call) bool { return e.inTouchBeside(c, nil) }
+
+// inTouchBeside reports the same, as if some of the outages had not been.
+func (e *evidence) inTouchBeside(c *call, left []cut) bool {
 	for _, outage := range e.outages {
+		if slices.Contains(left, outage) {
+			continue
+		}
 		if outage.strikes(c.gateway) && c.ended.After(outage.from) && c.sent.Before(outage.until.Add(e.bounds.contact)) {
 			return false
 		}
--- a/standin/emulator/emulator.go
+++ b/standin/emulator/emulator.go
@@ -14,6 +14,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -33,6 +34,12 @@
 	servers  []*appserver.Server
 	// date is the Date header of all answers; nil stands for the time of day.
 	date atomic.Pointer[string]
+	// sequence counts what the endpoints have written.
+	sequence atomic.Int64
+
+	mu     sync.Mutex
+	kept   *rowstore.Copy // the last one
+	newest *rowstore.Copy // what the store had when it was restored, until that is written again
 }
 
 // New returns an Emulator with the operators' first configuration, in the platform's
@@ -114,6 +121,7 @@
 		State:         change.State,
 		ColdMs:        change.ColdMs,
 		Born:          change.Born,
+		Sequence:      e.sequence.Add(1),
 	})
 	return err
 }
@@ -134,6 +142,11 @@
 	// Date is the Date header of all answers, of the store and the endpoints, from now on;
 	// empty stands for the time of day.
 	Date *string `json:"date"`
+	// KeepCopy keeps a copy of the store. Restore makes the store go on from the last one, and
+	// WriteAgain has operators and endpoints write what that has lost of theirs.
+	KeepCopy   bool `json:"keep_copy"`
+	Restore    bool `json:"restore"`
+	WriteAgain bool `json:"write_again"`
 	// Lagging says whether reads of the store are answered as of this change now and then
 	// (rowstore.Store.SetLagging).
 	Lagging *bool `json:"lagging"`
@@ -180,6 +193,7 @@
 		e.store.SetFault(*change.Store)
 	}
 	e.applyClock(change)
+	e.applyRestore(change)
 	if change.Lagging != nil {
 		e.store.SetLagging(*change.Lagging)
 	}
@@ -217,6 +231,23 @@
 	return nil
 }
 
+// applyRestore keeps a copy of the store, restores it from that, and has written again what it lost.
+func (e *Emulator) applyRestore(change *Change) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if change.KeepCopy {
+		e.kept = e.store.Copy()
+	}
+	if change.Restore && e.kept != nil {
+		e.newest = e.store.Copy()
+		e.store.Restore(e.kept)
+	}
+	if change.WriteAgain && e.newest != nil {
+		e.store.WriteAgain(e.newest, wire.TableOperators, wire.TableEndpoints)
+		e.newest = nil
+	}
+}
+
 // applyClock changes what the answers say of the time.
 func (e *Emulator) applyClock(change *Change) {
 	e.store.StepClock(change.ClockStep)
--- a/standin/rowstore/restore.go
+++ b/standin/rowstore/restore.go
@@ -1,6 +1,7 @@
 package rowstore
 
 import (
+	"bytes"
 	"maps"
 	"net/http"
 	"slices"
@@ -31,12 +32,43 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.rows, s.changes = maps.Clone(c.rows), slices.Clone(c.changes)
-	s.version, s.oldest = c.version, c.oldest
+	s.version, s.oldest, s.restored = c.version, c.oldest, c.version
 	s.era++
 	s.keepStale()
 	s.wake()
 }
 
+// WriteAgain writes what a copy has in some tables and the store lacks or has otherwise, as those do
+// whose acknowledged writes a restore has lost, and removes what the copy lacks; but for rows that were
+// written after the restore.
+func (s *Store) WriteAgain(newest *Copy, tables ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	lost := func(name rowName, now wire.Row) bool {
+		return slices.Contains(tables, name.table) && now.Version <= s.restored
+	}
+	for name, now := range s.rows {
+		if _, there := newest.rows[name]; !there && lost(name, now) {
+			now.Removed = true
+			s.apply(now)
+		}
+	}
+	for name, row := range newest.rows {
+		now := s.rows[name]
+		if lost(name, now) && !s.removedSince(name) && !bytes.Equal(now.Value, row.Value) {
+			s.apply(row)
+		}
+	}
+	s.wake()
+}
+
+// removedSince reports whether a row was removed since the last restore. s.mu is held.
+func (s *Store) removedSince(name rowName) bool {
+	return slices.ContainsFunc(s.changes, func(row wire.Row) bool {
+		return row.Removed && row.Version > s.restored && rowName{table: row.Table, key: row.Key} == name
+	})
+}
+
 // HideEra makes the store leave its era out of its answers from now on.
 func (s *Store) HideEra() {
 	s.mu.Lock()
--- a/standin/rowstore/restore_test.go
+++ b/standin/rowstore/restore_test.go
@@ -36,6 +36,32 @@
 	assert.Equal(t, get(store, since).Code, http.StatusOK, "from then on nobody can tell by the version")
 }
 
+// TestWriteAgain checks that what a restore has lost of some tables is written again, and that what was
+// written since stands.
+func TestWriteAgain(t *testing.T) {
+	store := New()
+	for _, key := range []string{"changed", "removed", "both"} {
+		store.Put("t", key, []byte("old"))
+	}
+	made := store.Copy()
+	for _, key := range []string{"changed", "new", "both"} {
+		store.Put("t", key, []byte("lost"))
+	}
+	store.Remove("t", "removed")
+	store.Put("other", "a", []byte("lost"))
+	newest := store.Copy()
+	store.Restore(made)
+	store.Put("t", "both", []byte("later"))
+	store.WriteAgain(newest, "t")
+	values := make(map[string]string)
+	rows, _ := store.read("c", "t", "")
+	for _, row := range rows {
+		values[row.Key] = string(row.Value)
+	}
+	assert.DeepEqual(t, values, map[string]string{"changed": "lost", "new": "lost", "both": "later"})
+	assert.Equal(t, store.Rows("other"), 0)
+}
+
 func get(store *Store, target string) *httptest.ResponseRecorder {
 	recorder := httptest.NewRecorder()
 	store.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, target, http.NoBody))
--- a/standin/rowstore/store.go
+++ b/standin/rowstore/store.go
@@ -33,6 +33,7 @@
 	// the answers.
 	era      int64
 	hidesEra bool
+	restored int64 // the version from which the store went on after its last restore
 	// staleRows and staleVersion are as they were when the fault or the lag was set.
 	staleRows    map[rowName]wire.Row
 	staleVersion int64
