--- a/gateway/contact_test.go
+++ b/gateway/contact_test.go
@@ -83,14 +83,24 @@
 		f.store.put("a", ryeford.EndpointReady)
 		synctest.Wait()
 	}
+	made := f.store.copied()
 	f.store.set(trouble)
 	time.Sleep(length / 2)
+	f.change()
+	time.Sleep(length / 2)
+	if trouble == restored {
+		f.store.restore(made)
+		f.change() // what the restore has lost is written again at once
+	}
+	f.store.set(noTrouble)
+}
+
+// change changes all.
+func (f *contactFixture) change() {
 	f.store.configure(3)
 	f.store.put("d", ryeford.EndpointReady)
 	f.store.put("b", ryeford.EndpointDraining)
 	f.store.remove("c")
-	time.Sleep(length / 2)
-	f.store.set(noTrouble)
 }
 
 // configured reports whether the new configuration is in force and may be relied on.
@@ -159,6 +169,8 @@
 		{"slow, but answering", slow, 600 * time.Millisecond, 0, waits.refresh, waits.pollWait},
 		{"too slow", slow, 5 * time.Second, 0, waits.lostRead + waits.readPause, waits.lostPoll + minFeedPause},
 		{"stale", stale, 0, 0, waits.refresh, waits.pollWait + minFeedPause},
+		{"restored", restored, 0, 0, waits.refresh, max(waits.settle, maxFeedPause)},
+		{"restored, a large configuration", restored, 0, largeTransfer, waits.refresh + largeTransfer, max(waits.settle, maxFeedPause)},
 		{"compacted", compacted, 0, 0, waits.refresh, waits.settle},
 		{"silent, a large configuration", silent, 0, largeTransfer, waits.lostRead + waits.readPause + largeTransfer, waits.lostPoll + minFeedPause},
 		{"stale, a large configuration", stale, 0, largeTransfer, max(waits.refresh, largeTransfer+waits.nextRead) + largeTransfer, waits.pollWait + minFeedPause},
--- a/gateway/troubledstore_test.go
+++ b/gateway/troubledstore_test.go
@@ -25,6 +25,8 @@
 	stale
 	// compacted withholds changes and then has lost its history.
 	compacted
+	// restored ends each call at once, and the store is then back from a copy of its beginning.
+	restored
 )
 
 // A troubledStore is a store whose calls fail as platform.Store's do: a call that gets
@@ -174,7 +176,7 @@
 	case silent:
 		clock.Sleep(ctx, time.Until(limit))
 		return failure
-	case resetting:
+	case resetting, restored:
 		return failure
 	case slow:
 		left := time.Until(limit)
