--- a/agentfleet/admission/admission.go
+++ b/agentfleet/admission/admission.go
@@ -15,11 +15,10 @@
 
 const (
 	// priorityReserve is the part of the bound that each step below the highest
-	// priority leaves free for higher ones. No unit; not measured.
+	// priority leaves free for higher ones. No unit.
 	priorityReserve = 0.01
 	// shareReserve is the part of the bound that only accounts within their share
-	// may fill, however small the bound is. No unit; set by surge.txtar (docs/design.md,
-	// Shares).
+	// may fill, however small the bound is. No unit.
 	shareReserve = 0.1
 )
 
--- a/agentfleet/admission/retryafter.go
+++ b/agentfleet/admission/retryafter.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// The times of retryAfter. None is measured.
+// The times of retryAfter.
 const (
 	// spacingWindow scales the weight of a gap between two completions in their
 	// average spacing: a gap of this length or more replaces the average.
