--- a/agentfleet/agent/admit.go
+++ b/agentfleet/agent/admit.go
@@ -96,8 +96,7 @@
 	}
 }
 
-// maxQueued is how many dispatches may wait at one engine. The runs that set
-// warm_wait had it; other values were not measured.
+// maxQueued is how many dispatches may wait at one engine.
 const maxQueued = 8
 
 // A queue holds the dispatches that wait for an engine's load to fall, those of
--- a/agentfleet/agent/agent.go
+++ b/agentfleet/agent/agent.go
@@ -35,8 +35,8 @@
 	"github.com/ryeford/ryeford/settings"
 )
 
-// sweepInterval is how often attempts that need not be remembered are dropped. Not
-// measured: it bounds memory only.
+// sweepInterval is how often attempts that need not be remembered are dropped:
+// it bounds memory only.
 const sweepInterval = time.Second
 
 // An Agent runs the attempts of one endpoint VM.
@@ -194,10 +194,9 @@
 
 const (
 	// drainCheck is how often a leaving agent looks whether its runs have ended.
-	// Not measured.
 	drainCheck = 20 * time.Millisecond
 	// drainGrace is how long a drained agent still answers: dispatches that are
-	// under way are refused, and so proved not to have run. Not measured.
+	// under way are refused, and so proved not to have run.
 	drainGrace = time.Second
 )
 
--- a/agentfleet/agent/chatmemory.go
+++ b/agentfleet/agent/chatmemory.go
@@ -77,9 +77,9 @@
 
 const (
 	// overflowTTL is how long a chat is redirected to the engine that served it
-	// last. Not measured.
+	// last.
 	overflowTTL = 30 * time.Minute
-	// maxOverflows bounds the records of one engine. Not measured;
+	// maxOverflows bounds the records of one engine;
 	// BenchmarkChatMemory shows what a record costs.
 	maxOverflows = 100_000
 )
--- a/agentfleet/agent/execute.go
+++ b/agentfleet/agent/execute.go
@@ -14,8 +14,7 @@
 	"github.com/ryeford/ryeford/settings"
 )
 
-// cancelTimeout bounds the call that cancels a failed run at its engine. Not
-// measured.
+// cancelTimeout bounds the call that cancels a failed run at its engine.
 const cancelTimeout = 2 * time.Second
 
 // execute runs an admitted attempt to its end: the answer is whole, or ends with a
@@ -143,7 +142,7 @@
 }
 
 // maxResumes is how often an engine whose stream broke or stalled is asked for the
-// rest of the same run. Not measured.
+// rest of the same run.
 const maxResumes = 2
 
 // stallLimit returns how long an engine may send nothing new before its stream is
--- a/agentfleet/agent/export.go
+++ b/agentfleet/agent/export.go
@@ -11,7 +11,7 @@
 	"github.com/ryeford/ryeford/agentfleet/wire"
 )
 
-// The bounds of the export. None is measured.
+// The bounds of the export.
 const (
 	exportTimeout     = 20 * time.Second // of the whole export
 	exportDialTimeout = 2 * time.Second  // of one connection
--- a/agentfleet/agent/meanload.go
+++ b/agentfleet/agent/meanload.go
@@ -46,8 +46,8 @@
 	return lowerMean(d.PoolMean, now.Sub(d.Sent), sum/count)
 }
 
-// offsetWindow is for how long the least offset of a router's clock counts, at least. Not
-// measured: many dispatches come in it, and a clock that was set is believed soon.
+// offsetWindow is for how long the least offset of a router's clock counts, at least:
+// many dispatches come in it, and a clock that was set is believed soon.
 const offsetWindow = 30 * time.Second
 
 // A clockOffsets estimates when routers sent their dispatches, by the agent's clock. The
--- a/agentfleet/agent/plan.go
+++ b/agentfleet/agent/plan.go
@@ -12,11 +12,10 @@
 )
 
 const (
-	// planCheckInterval is how often engines are compared with the plan. Not
-	// measured.
+	// planCheckInterval is how often engines are compared with the plan.
 	planCheckInterval = 500 * time.Millisecond
 	// orderTimeout is how long an engine may take to load what it was ordered,
-	// before the order is given again. Not measured.
+	// before the order is given again.
 	orderTimeout = time.Minute
 )
 
