--- a/agentfleet/answer/assembler.go
+++ b/agentfleet/answer/assembler.go
@@ -10,7 +10,7 @@
 
 // maxPending is how many chunks ahead of the next one an Assembler keeps. It bounds
 // memory; a chunk further ahead is dropped, and the answer stalls there until it is
-// sent again. Not measured.
+// sent again.
 const maxPending = 1024
 
 // Dropped counts the chunks that an Assembler neither passed on nor kept.
