--- a/agentfleet/claim/batcher.go
+++ b/agentfleet/claim/batcher.go
@@ -10,22 +10,22 @@
 )
 
 const (
-	// batchWait is how long a batch is open for further writes. Not measured. It is added
+	// batchWait is how long a batch is open for further writes. It is added
 	// to each claim; at 2.3 claims/s a router's batches hold one row (docs/CAPACITY.md,
 	// "The platform's table").
 	batchWait = 4 * time.Millisecond
 
-	// batchSize is the largest number of writes in a batch. Not measured.
+	// batchSize is the largest number of writes in a batch.
 	batchSize = 64
 
-	// batchTimeout bounds a batch with all its transactions. Not measured.
+	// batchTimeout bounds a batch with all its transactions.
 	batchTimeout = 3 * time.Second
 
 	// batchQueue is how many writes may wait for a batch; beyond, callers wait to queue
-	// theirs. Not measured.
+	// theirs.
 	batchQueue = 4096
 
-	// maxBatches is how many batches are under way at once. Not measured.
+	// maxBatches is how many batches are under way at once.
 	maxBatches = 4
 )
 
--- a/agentfleet/claim/claim.go
+++ b/agentfleet/claim/claim.go
@@ -20,8 +20,8 @@
 
 const prefix = "claim/" // of the rows' keys
 
-// maxWrites is how often a claim is written until it is known who holds the key. Not
-// measured: a second write is needed only if a lost one did not take effect, or the row
+// maxWrites is how often a claim is written until it is known who holds the key: a
+// second write is needed only if a lost one did not take effect, or the row
 // was removed in between.
 const maxWrites = 4
 
