--- a/agentfleet/decision/log.go
+++ b/agentfleet/decision/log.go
@@ -19,7 +19,7 @@
 	"github.com/ryeford/ryeford"
 )
 
-// keptLines is how many lines on requests a Log keeps. Not measured.
+// keptLines is how many lines on requests a Log keeps.
 const keptLines = 20_000
 
 // A Log logs decisions and keeps the last ones on requests. Its methods may be
