refactor: comments of agentfleet/engine tell no constant's tuning

A comment gives a constant's unit and, where a reader would wonder, its reason; whether it was measured, and how it was tuned, stands in docs/decisions*.md and docs/design.md (3 lines here). No behaviour changes.

--- a/agentfleet/engine/client.go
+++ b/agentfleet/engine/client.go
@@ -30,11 +30,11 @@
 )
 
 const (
-	// controlTimeout bounds a call that is not a completion. Not measured.
+	// controlTimeout bounds a call that is not a completion.
 	controlTimeout = 3 * time.Second
 	// maxControlBody bounds the body of its response, in bytes. A longer one is cut
 	// off: JSON is then malformed, and a KV cache is too large for a message of
-	// package wire anyway. Not measured.
+	// package wire anyway.
 	maxControlBody = 64 << 20
 )
 
--- a/agentfleet/engine/service.go
+++ b/agentfleet/engine/service.go
@@ -10,7 +10,7 @@
 	"github.com/ryeford/ryeford"
 )
 
-// serviceChunkSize is the largest number of bytes of a body in one chunk. Not measured.
+// serviceChunkSize is the largest number of bytes of a body in one chunk.
 const serviceChunkSize = 16 << 10
 
 // A ServiceClient is a ryeford.Service. Its errors are *Error.
