refactor: comments of agentfleet/load tell no constant's tuning

A comment gives a constant's unit and, where a reader would wonder, its reason; whether it was measured, and how it was tuned, stands in docs/decisions*.md and docs/design.md (1 lines here). No behaviour changes.

--- a/agentfleet/load/probes.go
+++ b/agentfleet/load/probes.go
@@ -2,7 +2,7 @@
 
 const (
 	// enoughSamples is from how many samples on the estimate is trusted alone. Without
-	// unit. Other values were not measured.
+	// unit.
 	enoughSamples = 8
 
 	// saturatedProbes is after how many probes in a row, none of which admitted the
