refactor: comments of agentfleet/placement tell no constant's tuning

A comment gives a constant's unit and, where a reader would wonder, its reason; whether it was measured, and how it was tuned, stands in docs/decisions*.md and docs/design.md (2 lines here). No behaviour changes.

--- a/agentfleet/placement/choose.go
+++ b/agentfleet/placement/choose.go
@@ -60,11 +60,11 @@
 
 const (
 	// spareFactor is how many times its part of the engines a pool gets, so that a surge
-	// of its account finds room. Not measured.
+	// of its account finds room.
 	spareFactor = 2
 
 	// minPoolEngines is the smallest number of engines for a pool, so that one may be
-	// lost. Not measured.
+	// lost.
 	minPoolEngines = 2
 )
 
