--- a/agentfleet/router/agentlist.go
+++ b/agentfleet/router/agentlist.go
@@ -80,15 +80,15 @@
 }
 
 const (
-	// dialTimeout bounds one attempt to connect to an agent. Not measured.
+	// dialTimeout bounds one attempt to connect to an agent.
 	dialTimeout = 3 * time.Second
 
-	// minRedial and maxRedial bound the time before the next attempt. Not measured.
+	// minRedial and maxRedial bound the time before the next attempt.
 	minRedial = 50 * time.Millisecond
 	maxRedial = 2 * time.Second
 
 	// stableAfter is how long a connection must have held for its loss not to count as
-	// flapping. Not measured.
+	// flapping.
 	stableAfter = 10 * time.Second
 )
 
--- a/agentfleet/router/callers.go
+++ b/agentfleet/router/callers.go
@@ -34,7 +34,7 @@
 )
 
 // unavailableRetryAfter is when a caller is to come back to a router that has no
-// configuration yet, or has no engine for the request. Not measured.
+// configuration yet, or has no engine for the request.
 const unavailableRetryAfter = time.Second
 
 // serve answers one request of a caller or of the load balancer.
--- a/agentfleet/router/claimed.go
+++ b/agentfleet/router/claimed.go
@@ -22,15 +22,14 @@
 // outcome unknown.
 
 const (
-	// releaseTimeout bounds the release of a claim. Not measured: it is above the few
+	// releaseTimeout bounds the release of a claim: it is above the few
 	// milliseconds of a write, and no caller waits for it.
 	releaseTimeout = 2 * time.Second
 
 	// storeRetryAfter is when a caller is to come back whose key could not be claimed.
-	// Not measured.
 	storeRetryAfter = 2 * time.Second
 
-	// peekInterval is the time between two looks at another request's run. Not measured.
+	// peekInterval is the time between two looks at another request's run.
 	peekInterval = 50 * time.Millisecond
 )
 
--- a/agentfleet/router/dispatch.go
+++ b/agentfleet/router/dispatch.go
@@ -30,8 +30,8 @@
 	return next
 }
 
-// suspectedFor is how long a VM that left a dispatch unanswered is tried last. Not
-// measured: the time is a multiple of a dispatch's (2.25 s with its grace), so that a
+// suspectedFor is how long a VM that left a dispatch unanswered is tried last:
+// the time is a multiple of a dispatch's (2.25 s with its grace), so that a
 // frozen VM costs few requests that wait; freeze.txtar passes with it.
 const suspectedFor = 5 * time.Second
 
@@ -77,14 +77,13 @@
 
 const (
 	// dispatchGrace is how long after a dispatch's expiry its reply is waited for: an
-	// agent that admits in the last moment needs the way back. Not measured.
+	// agent that admits in the last moment needs the way back.
 	dispatchGrace = 250 * time.Millisecond
 
 	// maxWaitingDispatches is how many of a request's first dispatches may wait at a
 	// full engine: the one to the chat's home, and the one to the engine that the home
 	// points to. No other engine has the chat's prefix, for which the wait is made.
-	// Without unit. Reuse of prefixes 0.70 to 0.73 without the wait, 0.84 to 0.87 with it;
-	// other numbers were not measured.
+	// Without unit.
 	maxWaitingDispatches = 2
 )
 
--- a/agentfleet/router/exchange.go
+++ b/agentfleet/router/exchange.go
@@ -174,7 +174,7 @@
 }
 
 // forgetAfter is how long an agent must remember an attempt without a claim, which is
-// asked about for rejoinTime at most. Not measured: above the dispatch time and
+// asked about for rejoinTime at most: above the dispatch time and
 // rejoinTime together.
 const forgetAfter = 30 * time.Second
 
--- a/agentfleet/router/failure.go
+++ b/agentfleet/router/failure.go
@@ -144,10 +144,10 @@
 }
 
 const (
-	// readTimeout bounds how long a client may take to send a request. Not measured.
+	// readTimeout bounds how long a client may take to send a request.
 	readTimeout = 30 * time.Second
 
-	// idleTimeout is how long a connection without a request is kept. Not measured.
+	// idleTimeout is how long a connection without a request is kept.
 	idleTimeout = 2 * time.Minute
 )
 
--- a/agentfleet/router/loads.go
+++ b/agentfleet/router/loads.go
@@ -9,12 +9,11 @@
 )
 
 const (
-	// meanWindow is how old a load may be that counts in a mean. Shorter ones gained
-	// nothing (60 to 250 ms); longer ones were not measured.
+	// meanWindow is how old a load may be that counts in a mean.
 	meanWindow = time.Second
 
 	// skewWindow is how old a load may be that counts in the skew that is shown to
-	// operators. Not measured: no decision rests on it.
+	// operators: no decision rests on it.
 	skewWindow = 10 * time.Second
 )
 
--- a/agentfleet/router/operators.go
+++ b/agentfleet/router/operators.go
@@ -29,7 +29,7 @@
 
 const stopSuffix = "/stop"
 
-// operatorTimeout bounds one request of an operator. Not measured: it leaves room for
+// operatorTimeout bounds one request of an operator: it leaves room for
 // the calls of the platform that a publish repeats.
 const operatorTimeout = 10 * time.Second
 
@@ -158,10 +158,10 @@
 }
 
 const (
-	// queryTimeout bounds one agent's answer to an operator's query. Not measured.
+	// queryTimeout bounds one agent's answer to an operator's query.
 	queryTimeout = time.Second
 
-	// maxQueries is how many agents are asked at once. Not measured: it bounds the
+	// maxQueries is how many agents are asked at once: it bounds the
 	// streams that one operator's query opens.
 	maxQueries = 32
 )
--- a/agentfleet/router/parse.go
+++ b/agentfleet/router/parse.go
@@ -13,7 +13,7 @@
 	"github.com/ryeford/ryeford/agentfleet/claim"
 )
 
-// Bounds on what a caller may send. Not measured: well above real use, and low enough
+// Bounds on what a caller may send: well above real use, and low enough
 // that one request costs a router little.
 const (
 	maxIDLength = 128       // bytes of a chat's or a key's name
--- a/agentfleet/router/readiness.go
+++ b/agentfleet/router/readiness.go
@@ -9,8 +9,8 @@
 	"github.com/ryeford/ryeford/internal/clock"
 )
 
-// drainCheck is the time between two looks at whether all requests have ended. Not
-// measured: short against the stop of a process.
+// drainCheck is the time between two looks at whether all requests have ended: short
+// against the stop of a process.
 const drainCheck = 20 * time.Millisecond
 
 // A readiness is what decides whether callers are to come here, and may go.
@@ -63,10 +63,10 @@
 const (
 	// syncQuorum is how many agents must have answered a fresh router that can't read
 	// the table, before it takes the highest of their revisions for the accepted one.
-	// Not measured: one agent may have missed a change, three hardly the same.
+	// One agent may have missed a change, three hardly the same.
 	syncQuorum = 3
 
-	// syncInterval is the time between two such attempts. Not measured.
+	// syncInterval is the time between two such attempts.
 	syncInterval = 500 * time.Millisecond
 )
 
--- a/agentfleet/router/recover.go
+++ b/agentfleet/router/recover.go
@@ -21,7 +21,7 @@
 // already has. Everything else ends with an unknown outcome.
 
 // maxRejoins is how often an answer is read on at the same agent after its connection
-// was lost. Not measured.
+// was lost.
 const maxRejoins = 3
 
 // A lostStream is what is known of an answer that broke off.
@@ -104,10 +104,9 @@
 
 const (
 	// rejoinTime is how long an agent is asked about an attempt whose stream was lost.
-	// Not measured.
 	rejoinTime = 5 * time.Second
 
-	// rejoinInterval is the time between two such joins. Not measured: short against a
+	// rejoinInterval is the time between two such joins: short against a
 	// caller's wait, long against a connection's round trip.
 	rejoinInterval = 25 * time.Millisecond
 )
--- a/agentfleet/router/retry.go
+++ b/agentfleet/router/retry.go
@@ -24,9 +24,7 @@
 
 // maxRounds is how many rounds of dispatches a request has: one over all candidates, and
 // one more to the first of them, which admits against the mean that the saturated fleet's
-// loads have raised. Without unit. 0.38 to 0.50 of the requests were refused
-// without it and the raise, 0.01 to 0.03 with them (load-bound.txtar). A third
-// round was not measured.
+// loads have raised. Without unit.
 const maxRounds = 2
 
 // A nextStep is what follows a failed dispatch, and what it costs the account.
