--- a/agentfleet/tableservice/client.go
+++ b/agentfleet/tableservice/client.go
@@ -24,15 +24,15 @@
 )
 
 const (
-	// maxAnswer bounds an answer, in bytes. Not measured.
+	// maxAnswer bounds an answer, in bytes.
 	maxAnswer = 64 << 20
 
-	// callTimeout bounds how long a call makes no progress (package transfer). Not
-	// measured: well above the some hundred milliseconds that a slow store takes, below
+	// callTimeout bounds how long a call makes no progress (package transfer):
+	// well above the some hundred milliseconds that a slow store takes, below
 	// what a caller waits.
 	callTimeout = 2 * time.Second
 
-	// maxIdle is how many connections are kept for later calls. Not measured.
+	// maxIdle is how many connections are kept for later calls.
 	maxIdle = 16
 )
 
