refactor: comments of agentfleet/transport tell no constant's tuning

A comment gives a constant's unit and, where a reader would wonder, its reason; whether it was measured, and how it was tuned, stands in docs/decisions*.md and docs/design.md (4 lines here). No behaviour changes.

--- a/agentfleet/transport/conn.go
+++ b/agentfleet/transport/conn.go
@@ -209,7 +209,7 @@
 func (e *Error) Unwrap() error { return e.Err }
 
 // controlBurst is for how many seconds of its rate a process may send control traffic
-// at once. Not measured.
+// at once.
 const controlBurst = 4
 
 // A ControlLimiter bounds and counts the control traffic that a process sends: gossip. Its
--- a/agentfleet/transport/dialer.go
+++ b/agentfleet/transport/dialer.go
@@ -82,7 +82,7 @@
 // protocol is the name of the protocol in the TLS handshake.
 const protocol = "ryeford/1"
 
-// The bounds of a connection. None is measured.
+// The bounds of a connection.
 const (
 	handshakeTimeout = 3 * time.Second
 	maxStreams       = 1 << 16   // that a peer may have open at once
--- a/agentfleet/transport/identity.go
+++ b/agentfleet/transport/identity.go
@@ -20,11 +20,11 @@
 	// common name.
 	serverName = "ryeford"
 
-	// How long certificates are valid. Not measured.
+	// How long certificates are valid.
 	authorityYears  = 10
 	certificateDays = 365
 	// clockSkewAllowed is by how much a VM's clock may lag that of the process that
-	// makes a certificate. Not measured.
+	// makes a certificate.
 	clockSkewAllowed = time.Hour
 )
 
