refactor: comments of agentfleet/wire tell no constant's tuning

A comment gives a constant's unit and, where a reader would wonder, its reason; whether it was measured, and how it was tuned, stands in docs/decisions*.md and docs/design.md (2 lines here). No behaviour changes.

--- a/agentfleet/wire/framing.go
+++ b/agentfleet/wire/framing.go
@@ -10,12 +10,12 @@
 
 const (
 	// maxMessageSize bounds one encoded message, in bytes. It has to hold a prompt
-	// and a chat's KV cache. Not measured.
+	// and a chat's KV cache.
 	maxMessageSize = 8 << 20
 	// lengthSize is the size of the length before a message, in bytes.
 	lengthSize = 4
 
-	// The bounds of a message's structure. Not measured.
+	// The bounds of a message's structure.
 	maxNestedLevels  = 16
 	maxArrayElements = 1 << 20
 )
