--- a/caller/client.go
+++ b/caller/client.go
@@ -19,7 +19,7 @@
 )
 
 // maxIdlePerRouter is how many idle connections are kept to each router, so that a
-// replay's turns don't wait for new ones. Not measured.
+// replay's turns don't wait for new ones.
 const maxIdlePerRouter = 256
 
 // A Client calls routers.
