--- a/gateway/callerconn.go
+++ b/gateway/callerconn.go
@@ -20,7 +20,6 @@
 	// deadline arrives here.
 	placeholderMargin = time.Hour
 	// defaultIdle and defaultHeader are the limits until the operators set others.
-	// Not measured.
 	defaultIdle   = 15 * time.Second
 	defaultHeader = 10 * time.Second
 )
--- a/gateway/configuration.go
+++ b/gateway/configuration.go
@@ -258,8 +258,7 @@
 	return update.Configuration.Version
 }
 
-// maxIgnoredLogged is how many values of one configuration that can't be used are logged. Not
-// measured.
+// maxIgnoredLogged is how many values of one configuration that can't be used are logged.
 const maxIgnoredLogged = 8
 
 // putInForce puts the configuration of an update in force, unless a later one is. sent is
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -17,11 +17,11 @@
 const (
 	// crashChecks is how often it is tried at most whether an endpoint that has broken an attempt
 	// off accepts connections, and crashCheckPause the time between two tries: a process that ends
-	// closes its connections before its port. Not measured.
+	// closes its connections before its port.
 	crashChecks     = 3
 	crashCheckPause = 50 * time.Millisecond
 	// crashMemory is for how long the outcome counts for further attempts that the endpoint breaks
-	// off: those of one moment. Not measured.
+	// off: those of one moment.
 	crashMemory = 500 * time.Millisecond
 )
 
--- a/gateway/durations.go
+++ b/gateway/durations.go
@@ -9,12 +9,11 @@
 
 const (
 	// slowestDecay is the part of a route's slowest duration that is left after each
-	// further response, so that one slow request is forgotten. Without unit. Not
-	// measured.
+	// further response, so that one slow request is forgotten. Without unit.
 	slowestDecay = 0.995
 	// defaultSlowest is the duration assumed for a route without any response yet, and
 	// defaultSlowestStream that of a route of streams, as a part of the route's timeout.
-	// Neither is measured.
+	//
 	defaultSlowest       = time.Second
 	defaultSlowestStream = 0.4
 )
--- a/gateway/endpointlist.go
+++ b/gateway/endpointlist.go
@@ -22,12 +22,12 @@
 const (
 	// minFeedPause is the pause after a first failure of the list's source, before
 	// jitter; it doubles with each failure in a row up to maxFeedPause, or more in a large
-	// fleet. Pauses of 120 ms made no difference beyond noise.
+	// fleet.
 	minFeedPause = 60 * time.Millisecond
 	// maxFeedPause bounds the pause after a failure. At 0.5 s the return of a source was
 	// noticed late.
 	maxFeedPause = 400 * time.Millisecond
-	// sweepInterval is how often idle connections are looked through. Not measured.
+	// sweepInterval is how often idle connections are looked through.
 	sweepInterval = 500 * time.Millisecond
 )
 
@@ -160,8 +160,7 @@
 	return len(update.Present)+len(update.Removed) > 0
 }
 
-// maxMalformed is how many malformed entries are remembered, so that each is logged once. Not
-// measured; bounds memory.
+// maxMalformed is how many malformed entries are remembered, so that each is logged once.
 const maxMalformed = 1024
 
 // logMalformed logs and counts entries that name no endpoint to use, each once for as long as it is
--- a/gateway/eventstream.go
+++ b/gateway/eventstream.go
@@ -13,7 +13,7 @@
 	"github.com/ryeford/ryeford/gateway/endpoint"
 )
 
-// maxEvent is the greatest size of an event of a stream, in bytes. Not measured.
+// maxEvent is the greatest size of an event of a stream, in bytes.
 const maxEvent = 1 << 20
 
 // isEventStream reports whether a response is a stream of events.
--- a/gateway/fastest.go
+++ b/gateway/fastest.go
@@ -3,7 +3,7 @@
 import "time"
 
 // fastestWindow is how long a response counts at least: an endpoint that was slow, cold
-// for example, is soon tried again with requests that have less time. Not measured.
+// for example, is soon tried again with requests that have less time.
 const fastestWindow = 5 * time.Second
 
 // newFastest returns, for each service, the least time from the sending of a request to
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -171,8 +171,7 @@
 	}
 }
 
-// maxNewcomers is how many peers that have just started wait for a message at the most. Not
-// measured.
+// maxNewcomers is how many peers that have just started wait for a message at the most.
 const maxNewcomers = 128
 
 // seedAddresses returns the addresses at which other gateways exchange gossip that the settings
--- a/gateway/heldrequests.go
+++ b/gateway/heldrequests.go
@@ -19,11 +19,11 @@
 
 const (
 	// heldReadSpread is within what time a router that starts reads the held requests from the
-	// platform, unless a peer has read them: few of a fleet that starts together do. Not measured.
+	// platform, unless a peer has read them: few of a fleet that starts together do.
 	heldReadSpread = time.Second
-	// heldInterval is how often a router looks whether it has to read or write them. Not measured.
+	// heldInterval is how often a router looks whether it has to read or write them.
 	heldInterval = 2 * time.Second
-	// maxHeldChanges bounds the changes that wait to be written. Not measured.
+	// maxHeldChanges bounds the changes that wait to be written.
 	maxHeldChanges = 256
 	// causeHeld is for which the store's calls are counted.
 	causeHeld = "quarantine"
--- a/gateway/overloads.go
+++ b/gateway/overloads.go
@@ -6,7 +6,7 @@
 )
 
 // overloadGap is how long no request of a service is refused for load before its overload
-// is over. Not measured.
+// is over.
 const overloadGap = time.Second
 
 // overloads remembers, for each service, since when its requests have been refused for load.
--- a/gateway/peerreader.go
+++ b/gateway/peerreader.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	// peerReadTimeout is for how long nothing of a peer's answer may come. Not measured; a
-	// round trip between failure domains takes 3 ms on the users' sites.
+	// peerReadTimeout is for how long nothing of a peer's answer may come: a round trip
+	// between failure domains takes some milliseconds.
 	peerReadTimeout = 500 * time.Millisecond
 	// maxPeerAnswer bounds the memory that a peer's answer takes, in bytes: as that of
 	// the store.
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -15,7 +15,7 @@
 	"github.com/ryeford/ryeford/route"
 )
 
-// trialShift is how long one router is the one that may try held requests again. Not measured.
+// trialShift is how long one router is the one that may try held requests again.
 const trialShift = 10 * time.Second
 
 // A quarantineState holds requests that end what runs them, by package quarantine, with what this
--- a/gateway/refusals.go
+++ b/gateway/refusals.go
@@ -6,7 +6,7 @@
 	"github.com/ryeford/ryeford/gateway/giveup"
 )
 
-// refusalsWindow is how long a refusal or an answer counts at least. Not measured.
+// refusalsWindow is how long a refusal or an answer counts at least.
 const refusalsWindow = 500 * time.Millisecond
 
 // newRefusals returns the refusals and answers of admitted requests for each service, by
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -19,10 +19,10 @@
 
 const (
 	// maxWholeBody is the greatest size, in bytes, of a response that is read whole
-	// before it is passed on. Not measured.
+	// before it is passed on.
 	maxWholeBody = 8 << 20
 	// writeMargin is how long after the request's deadline the caller may still read the
-	// response. Not measured.
+	// response.
 	writeMargin = 300 * time.Millisecond
 )
 
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -11,8 +11,7 @@
 	"github.com/ryeford/ryeford/route"
 )
 
-// defaultTimeout bounds a request if neither the caller nor the route does. Not
-// measured.
+// defaultTimeout bounds a request if neither the caller nor the route does.
 const defaultTimeout = 30 * time.Second
 
 // A request is one caller's request. What is read and looked up before it is admitted
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -12,7 +12,7 @@
 	"github.com/go-kit/log"
 )
 
-// maxHeaderBytes is how large a request's header may be. Not measured.
+// maxHeaderBytes is how large a request's header may be.
 const maxHeaderBytes = 64 << 10
 
 // A server is one HTTP server of the gateway. It speaks HTTP/1.1 only, as callers do.
--- a/gateway/suspended.go
+++ b/gateway/suspended.go
@@ -11,7 +11,7 @@
 )
 
 // suspensionInterval is how often it is looked whether the machine was suspended, for the log and the
-// metrics: what is decided goes by clock.Now, which notices by itself. Not measured.
+// metrics: what is decided goes by clock.Now, which notices by itself.
 const suspensionInterval = time.Second
 
 // logSuspensions logs and counts for how long the machine was suspended, until ctx ends.
