--- a/gateway/admit/admit.go
+++ b/gateway/admit/admit.go
@@ -118,7 +118,7 @@
 
 // startWaitShare is the part of a caller's remaining time for which its request may
 // wait for a router that has just started: the rest is for a return, to this router or
-// another. Not measured.
+// another.
 const startWaitShare = 0.5
 
 // StartWait returns how long a request may wait for the first configuration and the
--- a/gateway/admit/body.go
+++ b/gateway/admit/body.go
@@ -10,20 +10,19 @@
 )
 
 const (
-	// maxBodyTimeout is how long a caller may take to send its body. Not measured.
+	// maxBodyTimeout is how long a caller may take to send its body.
 	maxBodyTimeout = 15 * time.Second
 	// defaultMaxBody bounds a body, in bytes, until a configuration that says more is
-	// known. Not measured.
+	// known.
 	defaultMaxBody = 4 << 20
 	// bodyBytesPerMegabyte is how many bytes of callers' bodies are kept at once for
 	// each megabyte of the process's memory: a quarter of it. Bodies
-	// are kept whole, since an attempt may have to be repeated. Not measured.
+	// are kept whole, since an attempt may have to be repeated.
 	bodyBytesPerMegabyte = 1 << 18
 )
 
 // UnreadBodyTimeout is how long the rest of a refused request's body is awaited, so that its
 // connection can be used again: what is on the way already comes in a few milliseconds.
-// Not measured.
 const UnreadBodyTimeout = 10 * time.Millisecond
 
 // BodyMemory returns how many bytes of callers' bodies are kept at once by a process
