refactor: comments of gateway/choice tell no constant's tuning

A comment gives a constant's unit and, where a reader would wonder, its reason; whether it was measured, and how it was tuned, stands in docs/decisions*.md and docs/design.md (6 lines here). No behaviour changes.

--- a/gateway/choice/choice.go
+++ b/gateway/choice/choice.go
@@ -11,9 +11,7 @@
 
 // capOffset is how many requests an endpoint may have beyond CapFactor times the
 // mean. It keeps endpoints from being full while the mean is near zero. The platform's
-// bound is 3; a router learns of the others' requests late, so it stays one below. The
-// value is part of each row of docs/design.md from "full at 2 x mean + 2" on; 1 made
-// no clear difference ("One constant at a time").
+// bound is 3; a router learns of the others' requests late, so it stays one below.
 const capOffset = 2.0
 
 // deviations is how many standard deviations of an estimate are added to it before it is
--- a/gateway/choice/load.go
+++ b/gateway/choice/load.go
@@ -2,7 +2,6 @@
 
 // domainPenalty is how many requests of load an endpoint in another failure domain
 // costs: below 1, so that the own domain only wins between nearly equal endpoints.
-// 0 and 2 made no clear difference.
 const domainPenalty = 0.6
 
 // ByLoad chooses the least loaded endpoint; one in another failure domain counts as
--- a/gateway/choice/spread.go
+++ b/gateway/choice/spread.go
@@ -24,8 +24,7 @@
 const (
 	// spreadFill is the part of the room that the requests of one prompt may take.
 	spreadFill = 0.5
-	// overflowMore is how many open endpoints are taken in beside one for each that is full. Not
-	// measured.
+	// overflowMore is how many open endpoints are taken in beside one for each that is full.
 	overflowMore = 2
 	// maxOrdered bounds the work: how many endpoints of the order are looked at.
 	maxOrdered = 256
