--- a/gateway/occupancy/occupancy.go
+++ b/gateway/occupancy/occupancy.go
@@ -34,15 +34,13 @@
 	// 0.61 at 1.5, 0.54 without the rule.
 	fullAt = 1.0
 	// halfLife is the time after which a report weighs half: long enough for several reports
-	// at a router of a large fleet, which gets some 24 a second in an overload. 80 and 400 ms
-	// made no difference beyond that between seeds.
+	// at a router of a large fleet, which gets some 24 a second in an overload.
 	halfLife = 200 * time.Millisecond
-	// minReports is the weight of reports from which they stand for all endpoints. Not
-	// measured.
+	// minReports is the weight of reports from which they stand for all endpoints.
 	minReports = 2.0
 	// maxOccupancy is what one report counts for at most, in requests for each slot: an endpoint
-	// that reports nonsense must not close its service. Not measured; an engine of 48 slots
-	// and a queue of 144 has 4 when its queue is full.
+	// that reports nonsense must not close its service. An engine of 48 slots and a
+	// queue of 144 has 4 when its queue is full.
 	maxOccupancy = 4.0
 )
 
