--- a/gateway/outlier/limits.go
+++ b/gateway/outlier/limits.go
@@ -31,8 +31,7 @@
 	negligible = 0.01
 )
 
-// Ejections that one event causes by itself, whatever the record says. Not
-// measured.
+// Ejections that one event causes by itself, whatever the record says.
 const (
 	// UnreachableEjection is how long an endpoint that accepts no connection is
 	// ejected: it may just be starting again.
