refactor: comments of gateway/prefixcache tell no constant's tuning

A comment gives a constant's unit and, where a reader would wonder, its reason; whether it was measured, and how it was tuned, stands in docs/decisions*.md and docs/design.md (5 lines here). No behaviour changes.

--- a/gateway/prefixcache/index.go
+++ b/gateway/prefixcache/index.go
@@ -17,17 +17,14 @@
 	"github.com/ryeford/ryeford"
 )
 
-// The limits of the gateway's index. Not measured when they were set: they date from
-// 2a0751d, whose runs measured the index as a whole (docs/design.md, "who is known
-// to hold the parts is the source").
+// The limits of the gateway's index.
 const (
 	// maxParts is how many parts of prompts are indexed. It bounds memory.
 	maxParts = 4096
 	// maxHolders is how many endpoints are kept for each part, the latest first.
 	maxHolders = 4
 	// holderTTL is the time after which an endpoint is no longer believed to hold
-	// what it was sent. 10 s made no clear difference (docs/design.md, "One constant at
-	// a time").
+	// what it was sent.
 	holderTTL = time.Minute
 )
 
