refactor: comments of gateway/quarantine tell no constant's tuning

A comment gives a constant's unit and, where a reader would wonder, its reason; whether it was measured, and how it was tuned, stands in docs/decisions*.md and docs/design.md (11 lines here). No behaviour changes.

--- a/gateway/quarantine/record.go
+++ b/gateway/quarantine/record.go
@@ -10,27 +10,25 @@
 	// 156 bystanders would have been held on a day on which 35 endpoints ended; with three, none.
 	crashesToHold = 3
 	// manyCrashes is how many must have ended if only fewCrashes followed each other: a request that comes
-	// several times at once ends as many endpoints at once. Not measured.
+	// several times at once ends as many endpoints at once.
 	manyCrashes = 5
 	fewCrashes  = 2
-	// MaxCrashes is how many ends a Record keeps at most: some overlap, and don't count each. Not
-	// measured.
+	// MaxCrashes is how many ends a Record keeps at most: some overlap, and don't count each.
 	MaxCrashes = 8
 	// trialAfter is how long after it was held a request is tried again, and trialFactor how many
 	// times longer after each trial that has not ended well. An engine that is mended is rolled out in
-	// minutes at the least; each trial of one that is not costs an engine and its streams. Not
-	// measured.
+	// minutes at the least; each trial of one that is not costs an engine and its streams.
 	trialAfter  = 10 * time.Minute
 	trialFactor = 6
 	// maxTrials is how often a request is tried again in all: together with an attempt that is under way
-	// as it is held, at most three endpoints end after that. Not measured.
+	// as it is held, at most three endpoints end after that.
 	maxTrials = 2
 	// suspectTTL is for how long ends count that have not led to a hold, and holdTTL for how long
-	// a request is held that did not come again. Not measured.
+	// a request is held that did not come again.
 	suspectTTL = time.Hour
 	holdTTL    = 24 * time.Hour
 	// answeredTTL is for how long a success is remembered, so that late word of earlier ends has no
-	// effect. Not measured.
+	// effect.
 	answeredTTL = time.Minute
 )
 
--- a/gateway/quarantine/table.go
+++ b/gateway/quarantine/table.go
@@ -10,12 +10,11 @@
 
 const (
 	// maxRecords bounds the records, of which one takes some 500 bytes (TestTableMemory).
-	// Not measured.
 	maxRecords = 2048
 	// sendings is in how many messages of a router a record goes out after each change: with eight
-	// peers a message, all of 390 have it after three routers' messages. Not measured.
+	// peers a message, all of 390 have it after three routers' messages.
 	sendings = 4
-	// trialLength is for how long a trial counts as under way: no other one begins. Not measured.
+	// trialLength is for how long a trial counts as under way: no other one begins.
 	trialLength = time.Minute
 )
 
