--- a/gateway/replica/replica.go
+++ b/gateway/replica/replica.go
@@ -14,7 +14,7 @@
 )
 
 // maxRemoved is how many endpoints that have left the list are remembered, so that peers can be
-// told of them. A peer that lacks more is sent the whole list. Not measured.
+// told of them. A peer that lacks more is sent the whole list.
 const maxRemoved = 4096
 
 // A Range is the revisions of the source, From to To, at which the list is as a copy has it: the
--- a/gateway/replica/turns.go
+++ b/gateway/replica/turns.go
@@ -30,7 +30,7 @@
 	maxSlack  = 700 * time.Millisecond
 	// secondPart is the part of the slack after which the second router reads.
 	secondPart = 0.45
-	// minHold is the least time for which the source holds a read. Not measured.
+	// minHold is the least time for which the source holds a read.
 	minHold = 100 * time.Millisecond
 	// pauseForEach is the pause after a failure for each router that is alive: together they make
 	// 50 calls a second in an outage.
