--- a/gateway/shutdown/shutdown.go
+++ b/gateway/shutdown/shutdown.go
@@ -19,19 +19,18 @@
 
 const (
 	// minProbes is how many readiness probes in a row must fail before the balancer
-	// sends no new connections. Set by: the platform's PROTOCOL page.
+	// sends no new connections.
 	minProbes = 2
-	// NoticeMargin is how long the balancer may take to act after Noticed. Not
-	// measured.
+	// NoticeMargin is how long the balancer may take to act after Noticed.
 	NoticeMargin = 400 * time.Millisecond
 	// maxNoticeWait bounds the wait for the probes, which come once a second: the
-	// balancer may be out of reach. Not measured.
+	// balancer may be out of reach.
 	maxNoticeWait = 3 * time.Second
 	// quietTime is how long no new connection must have come before the listener is
-	// closed. No other value was measured.
+	// closed.
 	quietTime = 500 * time.Millisecond
 	// closeMargin is how long before the end of its grace period a process closes
-	// what is still open. Not measured.
+	// what is still open.
 	closeMargin = 700 * time.Millisecond
 	// finishFactor is the multiple of the time of a route's slowest requests that
 	// must be left for one more. Set with quietTime.
@@ -39,13 +38,12 @@
 	// estimateSpan is for how long after the order requests are taken by an estimate.
 	// The platform's RULES page accepts that requests sent within 3 s of the order are
 	// broken off at the end; the rest is for the way of the signal and of the request.
-	// Not measured.
 	estimateSpan = 2500 * time.Millisecond
 	// EndMargin is how long before the process closes what is open a request must end,
-	// for its last bytes: as long as they may take after its deadline. Not measured.
+	// for its last bytes: as long as they may take after its deadline.
 	EndMargin = 300 * time.Millisecond
 	// CheckInterval is how often a stopping process looks whether it may go on to
-	// the next step. Not measured.
+	// the next step.
 	CheckInterval = 50 * time.Millisecond
 )
 
