--- a/gateway/slowstart/slowstart.go
+++ b/gateway/slowstart/slowstart.go
@@ -31,7 +31,7 @@
 	// validity it keeps each second's requests below the rate.
 	rateShare = 0.75
 	// minTurn and maxTurn bound the length of a turn, whatever the rate is: a turn of no length would
-	// divide by zero in every choice, and one of years exceeds a time.Duration. Not measured.
+	// divide by zero in every choice, and one of years exceeds a time.Duration.
 	minTurn = time.Microsecond
 	maxTurn = time.Hour
 )
