--- a/gateway/watch/watch.go
+++ b/gateway/watch/watch.go
@@ -36,7 +36,7 @@
 }
 
 // maxSleep is how long a watch waits at the most before it asks anew whether a poll is due: what
-// is known from elsewhere may make it due sooner. Not measured.
+// is known from elsewhere may make it due sooner.
 const maxSleep = 50 * time.Millisecond
 
 // Run follows a source until ctx ends. apply takes an answer, the revision since which it was
