--- a/internal/boundedlog/writer.go
+++ b/internal/boundedlog/writer.go
@@ -12,7 +12,7 @@
 	"time"
 )
 
-// flushEvery is how long lines wait so that many are written at once. Not measured.
+// flushEvery is how long lines wait so that many are written at once.
 const flushEvery = 100 * time.Millisecond
 
 // A Writer queues lines for another writer. It may be used from any goroutine.
