--- a/internal/cmd/devcmd.go
+++ b/internal/cmd/devcmd.go
@@ -29,7 +29,7 @@
 	devModel   = "lira"
 )
 
-// devPoll is how often a dev fleet is tried until it serves. Not measured.
+// devPoll is how often a dev fleet is tried until it serves.
 const devPoll = 50 * time.Millisecond
 
 // newDevCommand returns the command that runs a small fleet in one process: the one
--- a/internal/cmd/explaincmd.go
+++ b/internal/cmd/explaincmd.go
@@ -70,10 +70,10 @@
 
 // contextBefore is how long before a request's first line its router's changes of
 // state are printed too: about twice as long as a configuration may be relied on at
-// the sites' bounds. Not measured.
+// the sites' bounds.
 const contextBefore = 10 * time.Second
 
-// maxLogLine is the longest line of a log that is read, in bytes. Not measured.
+// maxLogLine is the longest line of a log that is read, in bytes.
 const maxLogLine = 1 << 20
 
 // stateChanges are the decisions and messages by which a router's state changes.
--- a/internal/cmd/gatewaycmd.go
+++ b/internal/cmd/gatewaycmd.go
@@ -19,15 +19,13 @@
 
 const (
 	// memoryShare is the part of the process's memory that the heap may take before
-	// it is collected more often: the rest is for stacks, sockets and the log. Not
-	// measured.
+	// it is collected more often: the rest is for stacks, sockets and the log.
 	memoryShare = 0.6
 	// collectAt is the growth of the heap, in percent, at which it is collected.
-	// Not measured.
 	collectAt = 50
 	megabyte  = 1 << 20
 	// logQueue is how many bytes of log may wait to be written; lines beyond are
-	// dropped and counted. Not measured.
+	// dropped and counted.
 	logQueue = 256 << 10
 )
 
--- a/internal/cmd/templatecmd.go
+++ b/internal/cmd/templatecmd.go
@@ -83,7 +83,6 @@
 }
 
 // inForceInterval is how often template publish --wait reads the routers' status.
-// Not measured.
 const inForceInterval = 100 * time.Millisecond
 
 func newTemplatePublishCommand() *cli.Command {
