--- a/internal/eventstream/eventstream.go
+++ b/internal/eventstream/eventstream.go
@@ -70,7 +70,7 @@
 	return b.Read(p)
 }
 
-// MaxLine is the longest line of a stream that a Reader reads, in bytes. Not measured.
+// MaxLine is the longest line of a stream that a Reader reads, in bytes.
 const MaxLine = 1 << 20
 
 // A Reader reads the events of a response. Fields of an event other than its ID and
