--- a/internal/freeport/freeport.go
+++ b/internal/freeport/freeport.go
@@ -19,17 +19,15 @@
 )
 
 // Ports are picked below those that the kernel gives to outgoing connections (32,768 and
-// above, as Linux is set), so that none is taken between the pick and its use: one of 50
-// runs of the soak failed for that (seed 571411406).
+// above, as Linux is set), so that none is taken between the pick and its use.
 const (
 	firstPort = 20_000
 	portCount = 6_000
-	// reservationOffset is how far above a picked port the port lies that reserves it:
-	// a run of CI beside other test processes failed when two had picked the same one
-	// (docs/findings.md).
+	// reservationOffset is how far above a picked port the port lies that reserves it
+	// among test processes that run side by side.
 	reservationOffset = portCount
-	// processStep lets processes that run side by side search from different ports. Not
-	// measured; a prime, so that processes with close ids meet late.
+	// processStep lets processes that run side by side search from different ports. It is a
+	// prime, so that processes with close ids meet late.
 	processStep = 97
 )
 
