--- a/internal/transfer/transfer.go
+++ b/internal/transfer/transfer.go
@@ -26,7 +26,6 @@
 
 // minProgress is how many bytes must be transferred in an interval, but for the one in
 // which the response is awaited. It is 1 % of what a link of 10 Mbit/s carries in 0.7 s.
-// Set by: runs with 1 and 64 KiB (docs/decisions.md).
 const minProgress = 8 << 10
 
 // maxRead is how many bytes are read at once, so that progress is noted as it comes: a body
