refactor: comments of operator tell no constant's tuning

A comment gives a constant's unit and, where a reader would wonder, its reason; whether it was measured, and how it was tuned, stands in docs/decisions*.md and docs/design.md (2 lines here). No behaviour changes.

--- a/operator/client.go
+++ b/operator/client.go
@@ -22,9 +22,9 @@
 
 const (
 	// callTimeout is how long a router may take to answer: longer than a publish
-	// takes whose writes are repeated while the table is busy. Not measured.
+	// takes whose writes are repeated while the table is busy.
 	callTimeout = 15 * time.Second
-	// maxAnswer is the largest answer, in bytes. Not measured.
+	// maxAnswer is the largest answer, in bytes.
 	maxAnswer = 64 << 20
 )
 
