--- a/replay/balancer.go
+++ b/replay/balancer.go
@@ -10,7 +10,7 @@
 	"github.com/ryeford/ryeford/internal/clock"
 )
 
-// Readiness probes, about as often as a load balancer sends them. Not measured.
+// Readiness probes, about as often as a load balancer sends them.
 const (
 	probeInterval = 100 * time.Millisecond
 	probeTimeout  = time.Second
--- a/replay/replay.go
+++ b/replay/replay.go
@@ -26,10 +26,10 @@
 
 const (
 	// retryPause is the pause before a turn is sent again whose failure gives no
-	// Retry-After. Not measured.
+	// Retry-After.
 	retryPause = 50 * time.Millisecond
 	// resumesPerRouter times the routers is how often a broken answer is resumed:
-	// a router may be lost, and the next one too. Not measured.
+	// a router may be lost, and the next one too.
 	resumesPerRouter = 2
 )
 
--- a/replay/runs.go
+++ b/replay/runs.go
@@ -10,7 +10,7 @@
 
 // skewFloor is the mean load, in requests, from which the skew counts: below it,
 // one request more or less is a large part of the mean. It equals the default of the
-// agents' floor, up to which they take requests however low the mean. Not measured.
+// agents' floor, up to which they take requests however low the mean.
 const skewFloor = 4
 
 // A chatOutcome counts the turns of a chat.
