--- a/retry/policy.go
+++ b/retry/policy.go
@@ -10,12 +10,11 @@
 	// maxUnsent is how many attempts of one request may end before anything was
 	// sent. They cost the endpoints nothing, so they count neither against the
 	// route's MaxAttempts nor against the budget; the bound only keeps a request
-	// from walking through a whole failure domain that can't be reached. Not
-	// measured.
+	// from walking through a whole failure domain that can't be reached.
 	maxUnsent = 4
 	// perTryTimeoutFactor is the multiple of a route's latency goal that an
 	// attempt may go without the first event of a stream, or the whole of any
-	// other response, while another attempt is allowed. Not measured.
+	// other response, while another attempt is allowed.
 	perTryTimeoutFactor = 1.5
 )
 
--- a/retry/spread.go
+++ b/retry/spread.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// defaultSpread stands for a base of zero or less. Not measured.
+// defaultSpread stands for a base of zero or less.
 const defaultSpread = time.Second
 
 // Spread returns a time between base and twice base, so that callers refused
--- a/retry/window.go
+++ b/retry/window.go
@@ -7,13 +7,13 @@
 
 const (
 	// windowSlices is how many slices a Window's span is divided into. A request or a
-	// retry counts for up to one slice longer than the span. Not measured.
+	// retry counts for up to one slice longer than the span.
 	windowSlices = 20
 	// reserveShare is the part of the fleet's bound that is used. The rest covers
-	// that routers count over slightly different spans. Without unit. Not measured.
+	// that routers count over slightly different spans. Without unit.
 	reserveShare = 0.9
 	// unseenRouters is how many live routers there are for each one that is assumed
-	// beside them, because it has just started and is not yet known. Not measured.
+	// beside them, because it has just started and is not yet known.
 	unseenRouters = 4
 )
 
