--- a/route/route.go
+++ b/route/route.go
@@ -18,7 +18,7 @@
 )
 
 // MaxCandidates is how many candidates a Ranking holds at most, so that it needs no
-// allocation; the router's setting candidates allows no more. Not measured.
+// allocation; the router's setting candidates allows no more.
 const MaxCandidates = 8
 
 // A Target is an engine that may be a candidate.
