refactor: comments of standin tell no constant's tuning

A comment gives a constant's unit and, where a reader would wonder, its reason; whether it was measured, and how it was tuned, stands in docs/decisions*.md and docs/design.md (2 lines here). No behaviour changes.

--- a/standin/engine.go
+++ b/standin/engine.go
@@ -16,7 +16,7 @@
 )
 
 // What an engine is like unless its settings say otherwise. The figures set the scale
-// of trials; they were not measured on a real engine.
+// of trials.
 const (
 	defaultStep       = 5200 * time.Microsecond // for one token of an answer
 	defaultSlots      = 16                      // requests that run at once
--- a/standin/http.go
+++ b/standin/http.go
@@ -21,7 +21,7 @@
 )
 
 // maxRequestBody bounds a request's body, in bytes. It has room for the largest
-// object that the fleet writes, a plan; not measured.
+// object that the fleet writes, a plan.
 const maxRequestBody = 64 << 20
 
 // listenAndServe serves a stand-in until ctx ends.
