--- a/standin/slowlink/slowlink.go
+++ b/standin/slowlink/slowlink.go
@@ -17,8 +17,7 @@
 	// chunk is how many bytes are passed on at once: ten packets.
 	chunk = 14 << 10
 	// maxLate is how late a chunk may be passed on, because the process did not run, without
-	// the link bearing less for it. Measured: at a load average of 170 on 12 cores, a link
-	// without it bore 0.8 of its rate.
+	// the link bearing less for it.
 	maxLate = 100 * time.Millisecond
 )
 
