refactor: comments of trace tell no constant's tuning

A comment gives a constant's unit and, where a reader would wonder, its reason; whether it was measured, and how it was tuned, stands in docs/decisions*.md and docs/design.md (3 lines here). No behaviour changes.

--- a/trace/make.go
+++ b/trace/make.go
@@ -52,10 +52,10 @@
 }
 
 // rushSeconds is the mean time from an event's begin to a turn of its rush, which
-// is exponentially distributed. Not measured.
+// is exponentially distributed.
 const rushSeconds = 3
 
-// sharedTokens are the tokens that all chats of an account begin with. Not measured.
+// sharedTokens are the tokens that all chats of an account begin with.
 const sharedTokens = 20
 
 // seedMix makes the second half of the generator's seed differ from the first: the
--- a/trace/trace.go
+++ b/trace/trace.go
@@ -29,7 +29,7 @@
 	KindOutcome Kind = "outcome"      // what the whole replay is to reach
 )
 
-// maxLine is the longest line of a trace, in bytes. Not measured.
+// maxLine is the longest line of a trace, in bytes.
 const maxLine = 1 << 20
 
 // An Entry is one line of a trace. Entries are in the order of their times;
