fix: a configuration older than the one in force confirms nothing

What callers would see: nothing at once. A router that has no peers kept renewing its lease by reads that show an older version than the one in force, as a restored store does until the operators have written again; a key revoked in between, which the copy lacks, would have been served for as long.

Cause: what a read has to be as new as was what peers had told, not what this router has itself.

Change: it has to be as new as both. Such an answer is stale, and the lease ends as in an outage.

Before and after: TestRestoredOlderConfiguration: no read of the copy counted as stale; each does now. TestNewConfiguration waited for the log line of such a read, which is another one now; what it asserts stands.

--- a/gateway/configuration.go
+++ b/gateway/configuration.go
@@ -172,7 +172,9 @@
 
 // read reads the configuration once and reports whether it was answered.
 func (c *configuration) read(ctx context.Context) bool {
-	known := freshness.Seen{Revision: c.revision.get(), Version: c.newer.heard()}
+	// A source that has an older version than the one in force was restored: what else it has lost
+	// isn't known, so that it confirms nothing.
+	known := freshness.Seen{Revision: c.revision.get(), Version: max(c.newer.heard(), c.version())}
 	if c.newer.heard() > c.version() && c.readFromPeer(ctx) {
 		return true
 	}
--- a/gateway/freshness/confirm.go
+++ b/gateway/freshness/confirm.go
@@ -9,7 +9,7 @@
 // What confirms the configuration in force.
 //
 // Rule: an own read does, unless its revision is older than the newest one that was
-// known when it was sent, or its version than one that a peer had told of by then. What
+// known when it was sent, or its version than the one in force or one that a peer had told of by then. What
 // peers told is forgotten if the source contradicts it newsTTL after they last did. A
 // peer's confirmation does if it is of the very version in force here; if the peer has a
 // newer version, or there is none here, the router reads by itself at once; if it has an
--- a/gateway/restoredstore_test.go
+++ b/gateway/restoredstore_test.go
@@ -147,6 +147,25 @@
 	f.await(what, func() bool { return f.store.Rows(table) == rows })
 }
 
+// TestRestoredOlderConfiguration checks that a configuration which the copy has and which is older than
+// the one in force is not put in force, and that the next one is, though the store has given its revision
+// out before: a key that was revoked stays so.
+func TestRestoredOlderConfiguration(t *testing.T) {
+	f := startedFixture(t, nil)
+	made := f.store.Copy()
+	f.putConfiguration(keyRevoked())
+	f.awaitStatus(401, "GET", "/safe/a")
+	f.store.Restore(made)
+	f.awaitLog("decision=store_restored")
+	f.await("reads of the copy", func() bool { return strings.Count(f.log.String(), "stale answer") > 16 })
+	assert.Equal(t, f.call("GET", "/safe/a").status, 401)
+	next := keyRevoked()
+	next.Version = 3
+	f.putConfiguration(next)
+	f.awaitLog("decision=configuration version=3 ")
+	assert.Equal(t, f.call("GET", "/safe/a").status, 401)
+}
+
 // restoreStore has the gateway read so many revisions, and then the store be away and come back from a
 // copy without them. meanwhile runs before the store answers again.
 func (f *fixture) restoreStore(lost int, meanwhile func()) {
--- a/gateway/store_test.go
+++ b/gateway/store_test.go
@@ -42,7 +42,7 @@
 	f.putConfiguration(keyRevoked())
 	f.awaitStatus(401, "GET", "/safe/a")
 	f.putConfiguration(baseConfiguration())
-	f.awaitLog("version=1 revision=1.8")
+	f.awaitLog("version=1 heard=2 applied=false")
 	assert.Equal(t, f.call("GET", "/safe/a").status, 401)
 }
 
