--- a/gateway/restoredstore_test.go
+++ b/gateway/restoredstore_test.go
@@ -113,6 +113,29 @@
 	assert.Equal(t, len(seed.endpoints["p1"].Received()), before)
 }
 
+// TestRestoredCalls checks that a fleet whose store is restored reads the whole list a few times, not once
+// for each router: the others read it from a peer.
+func TestRestoredCalls(t *testing.T) {
+	gateways := newPeers(t, 8, time.Hour, func(_ int, s *settings.Gateway) {
+		s.Routing.EndpointsWait, s.Routing.EndpointsSettle, s.Routing.LeaseRefresh = 0, 0, 0
+	})
+	store := gateways[0].store
+	made := store.Copy()
+	gateways[0].addEndpoint("plain", "p3", 0)
+	for _, f := range gateways {
+		f.awaitLog("added=p3")
+	}
+	store.Restore(made)
+	gateways[0].drainEndpoint("plain", "p1")
+	reads := 0
+	for _, f := range gateways {
+		f.awaitLog("draining=p1")
+		reads += strings.Count(f.log.String(), "from=source revision=2.")
+	}
+	t.Logf("%d of %d routers have read the list of the new era from the store", reads, len(gateways))
+	assert.Assert(t, reads > 0 && reads <= len(gateways)/2)
+}
+
 // TestRestoredOwnRows: what a router has written to the store, its own entry and the requests that it holds,
 // is gone with a restore, so that routers that start when none runs know neither. Each change was written
 // once, and what the store had acknowledged was never looked at again. The router that wrote it writes it
