feat: a setting switches the quarantine off

An operator who sees callers rejected by it had no way out but another release. With routing.quarantine set to false a router neither counts nor holds requests that end what runs them, passes nothing of it on, and takes nothing from peers or the store; the default is true. Weighed: reading what is held and ignoring it (a router would pass on what it doesn't use), and a lift of single requests by hand, which needs a way for operators to reach routers on the platform: still open.

TestQuarantineOff: an endpoint ends by a request that the other router of the fleet holds, and the router with the setting off logs nothing of a quarantine.

--- a/gateway/crashingrequest_test.go
+++ b/gateway/crashingrequest_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -73,6 +74,26 @@
 	assert.Equal(t, f.do(f.request("POST", "/stream/a", "key-3", crashBody)).status, 200)
 }
 
+// TestQuarantineOff checks that a fleet whose operators have switched the quarantine off holds nothing:
+// neither what it sees itself, nor what a router with the setting on has told it, nor what the platform
+// keeps.
+func TestQuarantineOff(t *testing.T) {
+	gateways := newPeers(t, 2, time.Hour, func(i int, s *settings.Gateway) { s.Routing.Quarantine = i == 0 })
+	on, off := gateways[0], gateways[1]
+	for i := range 10 {
+		on.addEndpoint("model", fmt.Sprintf("m%d", i), 5)
+	}
+	on.awaitEndpoints(12)
+	off.awaitEndpoints(12)
+	on.holdCrashing()
+	assert.Equal(t, on.do(on.request("POST", "/stream/a", "key-1", crashBody)).status, 503)
+	off.await("an endpoint that ends by a request which the other router holds", func() bool {
+		off.do(off.request("POST", "/stream/a", "key-1", crashBody))
+		return on.endedEndpoints() > 3
+	})
+	assert.Assert(t, !strings.Contains(off.log.String(), "decision=quarantine"))
+}
+
 // setCrashBody sets the body that ends all endpoints; empty for none.
 func (f *fixture) setCrashBody(body string) {
 	for _, server := range f.endpoints {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -97,6 +97,10 @@
 
 func (g *Gateway) addQuarantine() {
 	g.quarantine = newQuarantineState(g.balancer, g.log, g.metrics)
+	if !g.settings.Routing.Quarantine {
+		g.quarantine.off = true
+		return
+	}
 	g.quarantine.keepAt(g.platform.HeldRequests, g.settings.Peers.IsValid())
 }
 
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -21,6 +21,8 @@
 // A quarantineState holds requests that end what runs them, by package quarantine, with what this
 // router and its peers have seen. It is safe for concurrent use.
 type quarantineState struct {
+	// off says that nothing is held: the operators' setting.
+	off      bool
 	table    *quarantine.Table
 	kept     *heldRequests
 	crashes  *crashes
@@ -49,11 +51,17 @@
 
 // outgoing returns the records that go out with the next message to peers.
 func (h *quarantineState) outgoing(now time.Time) []peers.Quarantined {
+	if h.off {
+		return nil
+	}
 	return peers.QuarantinedOf(now, h.table.Outgoing(now, peers.MaxQuarantined))
 }
 
 // merge adds what a peer's message says.
 func (h *quarantineState) merge(now time.Time, message *peers.Message) {
+	if h.off {
+		return
+	}
 	if message.HeldRead {
 		h.kept.read.Store(true)
 	}
@@ -90,7 +98,7 @@
 
 // note notes an attempt that an endpoint has broken off, if the endpoint has ended.
 func (h *quarantineState) note(to *roster.Entry, lost *lostAttempt) {
-	if !h.crashes.crashed(to) {
+	if h.off || !h.crashes.crashed(to) {
 		return
 	}
 	now := clock.Now()
@@ -119,6 +127,9 @@
 
 // suspected reports whether requests like this one may have ended endpoints.
 func (x *exchange) suspected() bool {
+	if x.forwarder.quarantine.off {
+		return false
+	}
 	filter := quarantine.FilterOf(x.request.accountID(), x.incoming.RequestURI, len(x.request.body))
 	return x.forwarder.quarantine.table.Suspects(filter)
 }
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -104,6 +104,10 @@
 	// cold endpoint bears, are divided. If there are more and they don't exchange gossip, the
 	// fleet exceeds both.
 	Routers int `yaml:"routers" unit:"routers" validate:"min=1,max=10000"`
+	// Quarantine says that requests which end what runs them are held once three endpoints have
+	// ended. If it is false they are sent on like any other, and endpoints end as often as their
+	// callers send them.
+	Quarantine bool `yaml:"quarantine"`
 }
 
 // DefaultGateway returns a Gateway with the defaults of what may be left out.
@@ -127,6 +131,7 @@
 			StartPatience: 500 * time.Millisecond,
 			StartSpread:   40 * time.Millisecond,
 			Routers:       10,
+			Quarantine:    true,
 		},
 	}
 }
