--- a/gateway/fleetlist_test.go
+++ b/gateway/fleetlist_test.go
@@ -10,14 +10,31 @@
 	"github.com/ryeford/ryeford"
 )
 
+// fleetLists are fleets of routers, and in what time word of a change of the list of endpoints must reach
+// all. Fleets that are told all loads send fewer messages, so that middle ones are the slowest.
+var fleetLists = []struct {
+	routers int
+	bound   time.Duration
+}{{4, 600 * time.Millisecond}, {26, time.Second}, {103, time.Second}, {390, 1500 * time.Millisecond}}
+
 // TestFleetList plays a change of the list of endpoints that one router of a simulated fleet reads:
 // how long it takes until each of the others has heard of it, and has read it from the peer that it
-// heard of it from. Fleets that are told all loads send fewer messages, so that middle ones are the slowest.
+// heard of it from.
 func TestFleetList(t *testing.T) {
-	for _, test := range []struct {
-		routers int
-		bound   time.Duration
-	}{{4, 600 * time.Millisecond}, {26, time.Second}, {103, time.Second}, {390, 1500 * time.Millisecond}} {
+	playFleetList(t, &ryeford.EndpointUpdate{Present: []ryeford.Endpoint{{ID: "new"}}, Revision: 9, Changed: 9})
+}
+
+// TestFleetRestored plays the same for the whole list of a store that is back from a copy, with a lower
+// number in a later era.
+func TestFleetRestored(t *testing.T) {
+	revision, err := ryeford.NewRevision(1, 2)
+	assert.NilError(t, err)
+	playFleetList(t, &ryeford.EndpointUpdate{Snapshot: true, Present: []ryeford.Endpoint{{ID: "new"}}, Revision: revision})
+}
+
+func playFleetList(t *testing.T, update *ryeford.EndpointUpdate) {
+	t.Helper()
+	for _, test := range fleetLists {
 		f := newSimulatedFleet(test.routers, 0, 1)
 		f.events = keepGossip(f)
 		for _, r := range f.routers {
@@ -27,9 +44,10 @@
 		var half, all time.Duration
 		changed := f.began.Add(simulatedWarmUp)
 		f.at(changed, func(now time.Time) {
-			first := f.routers[0].gossip.endpoints
-			first.applySource(&ryeford.EndpointUpdate{Present: []ryeford.Endpoint{{ID: "new"}}, Revision: 9, Changed: 9, Begun: time.Now()}, 5, time.Now())
-			f.followList(now, changed, &half, &all)
+			first, read := f.routers[0].gossip.endpoints, *update
+			read.Begun = time.Now()
+			first.applySource(&read, 5, time.Now())
+			f.followList(now, changed, update.Revision, &half, &all)
 		})
 		f.run(simulatedWarmUp + test.bound + 100*time.Millisecond)
 		t.Logf("%3d routers: half know after %s, all after %s", test.routers, half, all)
@@ -50,8 +68,9 @@
 	return gossip
 }
 
-// followList lets each router read what it has heard that a peer has, until all have it.
-func (f *simulatedFleet) followList(now, changed time.Time, half, all *time.Duration) {
+// followList lets each router read what it has heard that a peer has, until all have the list of a
+// revision.
+func (f *simulatedFleet) followList(now, changed time.Time, revision ryeford.Revision, half, all *time.Duration) {
 	const step = 5 * time.Millisecond // about what a read from a peer takes
 	know := 0
 	for _, r := range f.routers {
@@ -62,7 +81,7 @@
 			list.apply(&changes, c.peer.String())
 		default:
 		}
-		if list.copy.Range().From == 9 {
+		if list.copy.Range().From == revision {
 			know++
 		}
 	}
@@ -73,5 +92,5 @@
 		*all = now.Sub(changed)
 		return
 	}
-	f.at(now.Add(step), func(now time.Time) { f.followList(now, changed, half, all) })
+	f.at(now.Add(step), func(now time.Time) { f.followList(now, changed, revision, half, all) })
 }
