fix: routers of the release before and of this one confirm no configuration to each other

What callers would see: while a fleet is upgraded, requests to an evacuated failure domain, from routers of one release that live on the word of the other.

Cause: since messages tell the era, evacuations have another key, and the confirmation of the configuration, which vouches for them, had the old one: it was taken without them.

Change: the confirmation has a key of its own time, 27. While both run, each kind reads the store by itself.

Ruled out: the old form while the store tells no era (two forms in one message, and the hole opens with the first era); sending era and number as one number under the old key (a router of the release before would take it for newer than all that it reads itself, for good).

Before and after: TestOlderRelease failed by Confirmed, and holds.

--- a/gateway/peers/evacuations_test.go
+++ b/gateway/peers/evacuations_test.go
@@ -64,12 +64,24 @@
 	assert.Equal(t, damaged.Read().Revision, ryeford.Revision(0))
 }
 
-// TestListOfOlderRelease checks that what routers of an older release say of the list and of evacuations,
-// by numbers without an era, is left aside.
-func TestListOfOlderRelease(t *testing.T) {
-	content, err := cbor.Marshal(map[int]any{19: []any{7, 9, false, 90}, 20: []any{9, []any{}}})
+// TestOlderRelease checks that routers of this and of an older release, which tells no era, confirm nothing
+// to each other: neither the list, nor evacuations, nor the configuration, whose confirmation vouches for
+// the evacuations that come with it.
+func TestOlderRelease(t *testing.T) {
+	const confirmed, list, evacuations = 12, 19, 20
+	content, err := cbor.Marshal(map[int]any{7: 3, 11: 90, confirmed: true, list: []any{7, 9, false, 90}, evacuations: []any{9, []any{}}})
 	assert.NilError(t, err)
 	var got Message
 	assert.NilError(t, cbor.Unmarshal(content, &got))
-	assert.Assert(t, got.List == nil && got.Evacuations == nil)
+	assert.Assert(t, got.List == nil && got.Evacuations == nil && !got.Confirmed)
+	assert.Equal(t, got.Version, int64(3))
+
+	content, err = cbor.Marshal(&Message{Confirmed: true, List: &List{To: 9}, Evacuations: &Evacuations{Number: 9}})
+	assert.NilError(t, err)
+	older := make(map[int]any)
+	assert.NilError(t, cbor.Unmarshal(content, &older))
+	for _, key := range []int{confirmed, list, evacuations} {
+		_, set := older[key]
+		assert.Assert(t, !set, "key %d", key)
+	}
 }
--- a/gateway/peers/message.go
+++ b/gateway/peers/message.go
@@ -40,15 +40,16 @@
 	Reports Reports `cbor:"17,keyasint,omitempty"`
 	// Version is that of the configuration in force at the sender, or zero.
 	//
-	// Keys 4, 8 to 10, 19 and 20 belonged to fields that were removed. They must not be used for
-	// other fields: routers of an older release would misread them. Those of 19 and 20 held
-	// numbers of the source without its era.
+	// Keys 4, 8 to 10, 12, 19 and 20 belonged to fields that were removed. They must not be used for
+	// other fields: routers of an older release would misread them. 19 and 20 held numbers of the
+	// source without its era, and 12 confirmed a configuration together with them: a router of either
+	// release that took the confirmation without the evacuations would serve by orders that are over.
 	Version int64 `cbor:"7,keyasint"`
 	// ConfirmedAt is what the steady clock of the configuration's source showed when
 	// Version was last known to be the newest.
 	ConfirmedAt time.Duration `cbor:"11,keyasint"`
 	// Confirmed is false if the sender has no confirmation: ConfirmedAt is not set.
-	Confirmed bool `cbor:"12,keyasint"`
+	Confirmed bool `cbor:"27,keyasint"`
 	// List is what the sender has of the list of endpoints; nil if it says nothing of it.
 	List *List `cbor:"23,keyasint,omitempty"`
 	// Evacuations are what the sender knows of them; nil if it says nothing of them.
