--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -8,7 +8,7 @@
 //   - plan_test.go: how the runs of these two differ;
 //   - seeds_test.go: the seeds that are run each time, and why each was kept;
 //   - faults_test.go, seriesfaults_test.go, extrafaults_test.go, lifefaults_test.go,
-//     restorefaults_test.go: the faults, and when they
+//     restorefaults_test.go, evacuationfaults_test.go: the faults, and when they
 //     strike;
 //   - checks_test.go, serieschecks_test.go, departed_test.go, refused_test.go,
 //     regress_test.go: what must hold of each call;
--- a/internal/soak/serieschecks_test.go
+++ b/internal/soak/serieschecks_test.go
@@ -21,6 +21,7 @@
 	{"refused", "as in basicChecks", checkRefused},
 	{"departed", "as in basicChecks", checkDeparted},
 	{"withheld", "as in basicChecks", checkWithheld},
+	{"evacuated", "as in basicChecks", checkEvacuated},
 	{"denied", "no route or key that all versions have is answered with 401, 403 or 404", checkDenied},
 }
 
