--- a/gateway/quarantine/record.go
+++ b/gateway/quarantine/record.go
@@ -48,7 +48,7 @@
 	Answered time.Time
 	// Held is since when they are held; zero if they are not.
 	Held time.Time
-	// Trials is how often one was tried again since, and Tried when that began last.
+	// Trials counts the trials since then, and Tried is when the last one began.
 	Trials int
 	Tried  time.Time
 }
--- a/retry/policy.go
+++ b/retry/policy.go
@@ -99,7 +99,7 @@
 	Again bool
 	// Budgeted says that this takes one retry of the service's budget.
 	Budgeted bool
-	// AllowTried says that if all endpoints were tried already, they may be tried again.
+	// AllowTried says that if all endpoints have had an attempt, they may have another.
 	// An endpoint that answered at all is better than none: when the last
 	// endpoint of a service answered 500 once, 38 idempotent requests ended as 502. One
 	// that refused or was lost is not asked again at once.
--- a/source.go
+++ b/source.go
@@ -142,7 +142,7 @@
 	Account     uint32   // a hash of the client account's ID
 	// Held is for how long they have been held.
 	Held time.Duration
-	// Trials is how often one was tried again, and Tried how long ago that was last.
+	// Trials counts the trials since then, and Tried is how long ago the last one began.
 	Trials int
 	Tried  time.Duration
 }
