--- a/gateway/evacuation/table_test.go
+++ b/gateway/evacuation/table_test.go
@@ -47,7 +47,7 @@
 
 // TestLearnRestored checks what is in force after the source is back from a copy: an order that the copy
 // lacks for a time, or until it was read again and is withdrawn; one that only the copy has; and that
-// peers are told what was read.
+// peers are sent what was read.
 func TestLearnRestored(t *testing.T) {
 	era2 := func(number int64) ryeford.Revision {
 		revision, err := ryeford.NewRevision(2, number)
--- a/gateway/freshness/sourceclock_test.go
+++ b/gateway/freshness/sourceclock_test.go
@@ -101,7 +101,7 @@
 }
 
 // TestRestartedClock checks that a lease is renewed by peers after the source's clock has started anew: a
-// process that lives on its peers' word would lose its lease with the last confirmation of the old clock.
+// process that only hears its peers would lose its lease with the last confirmation of the old clock.
 func TestRestartedClock(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		clock := &SourceClock{}
--- a/gateway/peers/evacuations_test.go
+++ b/gateway/peers/evacuations_test.go
@@ -64,7 +64,7 @@
 	assert.Equal(t, damaged.Read().Revision, ryeford.Revision(0))
 }
 
-// TestOlderRelease checks that routers of this and of an older release, which tells no era, confirm nothing
+// TestOlderRelease checks that routers of this and of an older release, which sends no era, confirm nothing
 // to each other: neither the list, nor evacuations, nor the configuration, whose confirmation vouches for
 // the evacuations that come with it.
 func TestOlderRelease(t *testing.T) {
--- a/gateway/replica/replica.go
+++ b/gateway/replica/replica.go
@@ -148,8 +148,8 @@
 	}
 	switch {
 	case !r.at.Known() || c.Range.To.Era() > r.at.To.Era():
-		// What a copy of an earlier era lacks can't be told by revisions: a peer that has one is
-		// sent the whole list.
+		// Revisions don't show what a copy of an earlier era lacks: a peer that has one is sent the
+		// whole list.
 		r.at, r.horizon = c.Range, c.Range.From
 		clear(r.removed)
 	case differs:
--- a/gateway/restoredstore_test.go
+++ b/gateway/restoredstore_test.go
@@ -92,7 +92,7 @@
 }
 
 // TestRestoredLeavingAtStart: a router that starts while the store has only the copy knows no better; its
-// peers tell it.
+// peers send it what leaves.
 func TestRestoredLeavingAtStart(t *testing.T) {
 	gateways := newPeers(t, 2, time.Hour, nil)
 	seed := gateways[0]
@@ -233,14 +233,14 @@
 	})
 }
 
-// TestRestoreLogged checks that the log and a metric tell that the store is back from a copy.
+// TestRestoreLogged checks that the log shows that the store is back from a copy.
 func TestRestoreLogged(t *testing.T) {
 	f := startedFixture(t, nil)
 	f.store.Restore(f.store.Copy())
 	f.awaitLog("decision=store_restored before=1.6 after=2.6 held_written_again=0")
 }
 
-// TestRestoredPeers checks that routers which live on a peer's word learn from it what the store that is
+// TestRestoredPeers checks that routers which only reach a peer learn from it what the store that is
 // back from a copy says, though one that read the list whole may only seem to be newer within an era.
 func TestRestoredPeers(t *testing.T) {
 	gateways := newPeers(t, 3, time.Hour, nil)
--- a/gateway/revision.go
+++ b/gateway/revision.go
@@ -53,7 +53,7 @@
 	r.newest, r.answered, r.failing = max(r.newest, answered), clock.Now(), false
 }
 
-// enter takes a revision of the store that it, or a peer, has told of. If that is the first of a later
+// enter takes a revision of the store that it, or a peer, has reported. If that is the first of a later
 // era, the store has been restored.
 func (r *revision) enter(told ryeford.Revision) {
 	r.mu.Lock()
--- a/gateway/roster/withheld.go
+++ b/gateway/roster/withheld.go
@@ -72,7 +72,7 @@
 }
 
 // withholds reports whether an endpoint that the list has as ready is sent nothing. What is known of
-// its leaving is forgotten otherwise: its own word is newer.
+// its leaving is forgotten otherwise: its own entry is newer.
 func (r *Roster) withholds(now time.Time, endpoint *ryeford.Endpoint) bool {
 	d, known := r.left[endpoint.ID]
 	if !known || endpoint.State != ryeford.EndpointReady {
--- a/revision.go
+++ b/revision.go
@@ -15,7 +15,7 @@
 	maxEra     = 1<<(63-numberBits) - 1
 )
 
-// NewRevision returns the Revision of a change's number within an era. A source that tells no era has
+// NewRevision returns the Revision of a change's number within an era. A source without eras has
 // the era zero. The error is a *RevisionError.
 func NewRevision(era, number int64) (Revision, error) {
 	if era < 0 || era > maxEra || number < 0 || number > maxNumber {
--- a/standin/rowstore/restore.go
+++ b/standin/rowstore/restore.go
@@ -76,7 +76,7 @@
 	s.hidesEra = true
 }
 
-// writeEra sets the header that tells the store's era.
+// writeEra sets the header with the store's era.
 func (s *Store) writeEra(header http.Header) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/standin/rowstore/restore_test.go
+++ b/standin/rowstore/restore_test.go
@@ -12,7 +12,7 @@
 )
 
 // TestRestore checks that a store which is back from a copy lacks what was written since, gives its
-// versions out again, answers a read since a version that it doesn't have with 410, and tells the
+// versions out again, answers a read since a version that it doesn't have with 410, and sends the
 // next era with each answer, also with those of an earlier read that it held.
 func TestRestore(t *testing.T) {
 	store := New()
