test: the soak's keys and configurations count from when a restored store has them for good

Traced in the first that failed: version 11 was accepted at 5.86 s, while the store was silent (4.42 to 6.41 s, by two other faults), the store was away from 7.49, back at 7.90 from a copy of 4.18 s, and what it had lost was written again at 8.77. gateway-0, whose link bears a tenth, had not read it. The checks counted from 5.86.

--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -198,11 +198,12 @@
 		return ""
 	}
 	for i, change := range seen.changes {
-		if change.SecondKey || !c.sent.After(change.accepted.Add(seen.bounds.revoke)) {
+		kept := seen.keptSince(change.accepted, seen.bounds.configuration)
+		if change.SecondKey || !c.sent.After(kept.Add(seen.bounds.revoke)) {
 			continue
 		}
 		if i+1 == len(seen.changes) || c.ended.Before(seen.changes[i+1].sent) {
-			return fmt.Sprintf("ran %s after version %d revoked its key", c.sent.Sub(change.accepted), change.Version)
+			return fmt.Sprintf("ran %s after version %d revoked its key", c.sent.Sub(kept), change.Version)
 		}
 	}
 	return ""
--- a/internal/soak/departed_test.go
+++ b/internal/soak/departed_test.go
@@ -22,7 +22,7 @@
 		if away.server != c.server || away.state == stateReady {
 			continue
 		}
-		since := seen.keptSince(away.accepted)
+		since := seen.keptSince(away.accepted, departTime)
 		late := c.sent.Sub(since) - departTime - seen.stalls.between(since, c.sent)
 		if late > 0 && !seen.isBack(i, c.ended) {
 			return fmt.Sprintf("answered by %s, which was %s for %s when it was sent", c.server, away.state, c.sent.Sub(since))
--- a/internal/soak/evacuationfaults_test.go
+++ b/internal/soak/evacuationfaults_test.go
@@ -50,7 +50,7 @@
 		return ""
 	}
 	for _, one := range seen.evacuations {
-		since := seen.keptSince(one.accepted)
+		since := seen.keptSince(one.accepted, evacuateTime)
 		late := c.sent.Sub(since) - evacuateTime - seen.stalls.between(since, c.sent)
 		if late > 0 && c.ended.Before(one.withdrawn) {
 			return fmt.Sprintf("answered by %s, whose failure domain had been evacuated for %s when it was sent", c.server, c.sent.Sub(since))
--- a/internal/soak/restorefaults_test.go
+++ b/internal/soak/restorefaults_test.go
@@ -39,6 +39,7 @@
 	in.post(`{"store":{"reset":true}}`)
 	pause(random, maxAway)
 	in.post(`{"restore":true}`)
+	one.back = time.Now()
 	if random.IntN(2) == 0 {
 		in.storeClockStep(random, 0)
 	}
@@ -52,10 +53,10 @@
 	in.outages = append(in.outages, one.outage())
 }
 
-// A restored is a restore of the store: when the copy was made, from when the store was away, and when
-// what was lost had been written again.
+// A restored is a restore of the store: when the copy was made, from when the store was away, when it was
+// back, and when what was lost had been written again.
 type restored struct {
-	copied, away, until time.Time
+	copied, away, back, until time.Time
 }
 
 // outage returns the time in which the store is disrupted.
@@ -72,7 +73,7 @@
 		if away.server != c.server || away.state == stateReady || c.sent.Before(away.accepted) {
 			continue
 		}
-		since := seen.keptSince(away.accepted)
+		since := seen.keptSince(away.accepted, drainTime)
 		late := c.sent.Sub(since) - drainTime - seen.stalls.between(since, c.sent)
 		if late > 0 && !seen.isBack(i, c.ended) {
 			return fmt.Sprintf("answered by %s, which was %s for %s when it was sent, though the store was restored", c.server, away.state, c.sent.Sub(since))
@@ -90,11 +91,12 @@
 	return e.inTouchBeside(c, outages)
 }
 
-// keptSince returns since when the store has kept what it accepted at a time: what a restore has lost, before all
-// gateways can have read it, counts from when it was written again.
-func (e *evidence) keptSince(at time.Time) time.Time {
+// keptSince returns since when the store has kept what it accepted at a time: what a restore has lost, and
+// all gateways need not have read within a bound before the store was away, counts from when it was
+// written again.
+func (e *evidence) keptSince(at time.Time, bound time.Duration) time.Time {
 	for _, r := range e.restores {
-		if at.After(r.copied) && at.Before(r.until) && r.away.Sub(at) < drainTime {
+		if at.After(r.copied) && at.Before(r.back) && r.away.Sub(at) < bound {
 			at = r.until
 		}
 	}
--- a/internal/soak/serieschecks_test.go
+++ b/internal/soak/serieschecks_test.go
@@ -169,8 +169,9 @@
 func (e *evidence) versions(c *call) (oldest, newest int) {
 	for i := range e.changes {
 		one := &e.changes[i]
-		bound := e.bounds.configuration + e.stalls.between(one.accepted, c.sent)
-		if i == 0 || c.sent.After(one.accepted.Add(bound)) {
+		kept := e.keptSince(one.accepted, e.bounds.configuration)
+		bound := e.bounds.configuration + e.stalls.between(kept, c.sent)
+		if i == 0 || c.sent.After(kept.Add(bound)) {
 			oldest = one.Version
 		}
 		if one.sent.Before(c.ended) {
