fix: peers' word of withheld endpoints opens their time once in an era, and never extends it

What callers would see: after a restore of the store, an endpoint that had been off the list, lives, and is back with the copy may get no requests for longer than the stated 5 s, without a bound: a message that was on its way for long opened the time anew, and routers that pass the word to each other added its transit each time. A router that heard it before its first list forgot it, and sent to the endpoint until it heard it again.

Cause: the time was the latest that any peer gave, and what counted as the copy moved on with it.

Change: a restore that the router sees itself sets the time; a peer's word sets it only where none was set in the era, and before the first list counts against that list.

Why it holds: in each era a router has one such time of at most 5 s, whatever messages come and when.

Before and after: TestWithholdOnce failed ("extended": 5 s left, 4 are right) and holds.

--- a/gateway/roster/roster.go
+++ b/gateway/roster/roster.go
@@ -61,6 +61,7 @@
 	// restoredAt.
 	withholdUntil time.Time
 	restoredAt    ryeford.Revision
+	withholdEra   int64 // in which it was set
 }
 
 // New returns an empty Roster.
@@ -97,7 +98,11 @@
 	if update.Revision < r.revision {
 		return change
 	}
-	if r.known && update.Revision.Era() > r.revision.Era() {
+	switch {
+	case !r.known:
+		// What peers have withheld before this first list counts against it.
+		r.restoredAt, r.withholdEra = update.Revision, update.Revision.Era()
+	case update.Revision.Era() > r.revision.Era():
 		r.restored(now, update.Revision)
 	}
 	r.revision = update.Revision
--- a/gateway/roster/withheld.go
+++ b/gateway/roster/withheld.go
@@ -89,10 +89,21 @@
 // restored takes that the source is back from a copy, and was at a revision when this router learnt
 // of it.
 func (r *Roster) restored(now time.Time, at ryeford.Revision) {
-	r.withholdUntil, r.restoredAt = now.Add(withholdTime), at
+	r.withholdUntil, r.restoredAt, r.withholdEra = now.Add(withholdTime), at, at.Era()
 	r.forgetLeft(now)
 }
 
+// believesPeers reports whether what peers withhold counts now, for as long as they say. It does for a time
+// that is opened once in an era: messages that are late, and pass each other, would extend it without end.
+func (r *Roster) believesPeers(now time.Time, left time.Duration) bool {
+	first := r.withholdUntil.IsZero() || r.known && r.revision.Era() > r.withholdEra
+	if first {
+		r.withholdUntil = now.Add(min(left, withholdTime))
+		r.restoredAt, r.withholdEra = r.revision, r.revision.Era()
+	}
+	return now.Before(r.withholdUntil)
+}
+
 // Withheld returns the endpoints that are sent nothing though the list has them as ready, at most some,
 // and for how long.
 func (r *Roster) Withheld(now time.Time, most int) (withheld []ryeford.WithheldEndpoint, left time.Duration) {
@@ -117,13 +128,9 @@
 func (r *Roster) Withhold(now time.Time, withheld []ryeford.WithheldEndpoint, left time.Duration) []ryeford.EndpointID {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if len(withheld) == 0 || left <= 0 {
+	if len(withheld) == 0 || left <= 0 || !r.believesPeers(now, left) {
 		return nil
 	}
-	until := now.Add(min(left, withholdTime))
-	if until.After(r.withholdUntil) {
-		r.withholdUntil, r.restoredAt = until, max(r.restoredAt, r.revision)
-	}
 	var learnt []ryeford.EndpointID
 	for _, w := range withheld {
 		if _, known := r.left[w.ID]; known {
--- a/gateway/roster/withheld_test.go
+++ b/gateway/roster/withheld_test.go
@@ -140,6 +140,33 @@
 	assert.Equal(t, serving(started), "ab")
 }
 
+// TestWithholdOnce checks that peers, whose messages may be late and pass each other, neither extend the time
+// nor open it anew: an endpoint that lives would stay out for as long as they go round. A router that
+// hears of it before it has a list keeps it for that.
+func TestWithholdOnce(t *testing.T) {
+	r := New()
+	r.Apply(start, snapshot(revisionOf(1, 2), ready("a"), ready("b")), never)
+	r.Apply(start, &ryeford.EndpointUpdate{Revision: revisionOf(1, 3), Removed: []ryeford.EndpointID{"a"}}, never)
+	r.Apply(start, snapshot(revisionOf(2, 2), ready("a"), ready("b")), never)
+	withheld, left := r.Withheld(start, 8)
+	late := start.Add(time.Second)
+	r.Withhold(late, withheld, left)
+	_, left = r.Withheld(late, 8)
+	assert.Equal(t, left, withholdTime-time.Second, "extended")
+	over := start.Add(withholdTime)
+	r.Expire(over)
+	assert.Equal(t, serving(r), "ab")
+	r.Withhold(over, withheld, withholdTime)
+	assert.Equal(t, serving(r), "ab", "opened anew")
+
+	started := New()
+	started.Withhold(start, withheld, withholdTime)
+	started.Apply(start, snapshot(revisionOf(2, 2), ready("a"), ready("b")), never)
+	assert.Equal(t, serving(started), "b", "heard before the first list")
+	started.Expire(over)
+	assert.Equal(t, serving(started), "ab")
+}
+
 // TestLeftBound checks that what is remembered of endpoints that have left is bounded.
 func TestLeftBound(t *testing.T) {
 	r := New()
