feat: what endpoints say in their answers is decoded and logged: that they leave, that they ask for rest

Cause: an answer's log line has its status alone. No decision goes by it yet. Ruled out: to read the headers in package gateway, which would spell the platform's names a second time.

--- a/endpoint.go
+++ b/endpoint.go
@@ -76,6 +76,17 @@
 	Gone     bool
 }
 
+// An EndpointReport is what an endpoint says of itself with a response.
+type EndpointReport struct {
+	// Load is nil if the endpoint doesn't report it.
+	Load *EndpointLoad
+	// Leaving says that this life of the endpoint ends soon, and is to be sent no more requests.
+	Leaving bool
+	// Rest is for how long, from the response on, the endpoint wants no requests of this router; zero if
+	// it doesn't ask for that.
+	Rest time.Duration
+}
+
 // An EndpointLoad is the load that an endpoint reports with a response, in requests.
 type EndpointLoad struct {
 	Running int
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -51,8 +51,9 @@
 		return x.endUnanswered(ctx, attemptCtx, to, err)
 	}
 	defer response.Close()
-	f.loads.Report(clock.Now(), to.ID, response.Meta.Load)
-	f.occupancy.Report(clock.Now(), x.request.service, to.Slots, response.Meta.Load)
+	x.recordReport(to, &response.Meta.Report)
+	f.loads.Report(clock.Now(), to.ID, response.Meta.Report.Load)
+	f.occupancy.Report(clock.Now(), x.request.service, to.Slots, response.Meta.Report.Load)
 	if response.Meta.NotRun {
 		return x.endRefused(to, response)
 	}
@@ -187,7 +188,7 @@
 	if to.Slots <= 0 {
 		return false
 	}
-	if load := response.Meta.Load; load != nil {
+	if load := response.Meta.Report.Load; load != nil {
 		return load.Running+load.Waiting >= to.Slots
 	}
 	return x.forwarder.load(clock.Now(), to) >= float64(to.Slots)
--- a/protocol.go
+++ b/protocol.go
@@ -54,8 +54,8 @@
 	NotRun bool
 	// Signed reports whether the response bears the endpoint's signature.
 	Signed bool
-	// Load is nil if the endpoint does not report it.
-	Load *EndpointLoad
+	// Report is what the endpoint says of itself.
+	Report EndpointReport
 	// Encoded reports whether the body has a content encoding, and thus is not the
 	// endpoint's own.
 	Encoded bool
