--- a/standin/appserver/serve.go
+++ b/standin/appserver/serve.go
@@ -34,9 +34,16 @@
 		s.begin(id)
 	}
 	w.Header().Set(wire.HeaderLoad, fmt.Sprintf("%d,0,%d", s.working, ReportedSlots))
+	if s.leaving {
+		w.Header().Set(wire.HeaderLeaving, "1")
+	}
+	rest := s.rest
 	s.mu.Unlock()
 	if fault == FaultShed {
 		w.Header().Set(wire.HeaderNotRun, "1")
+		if rest != "" {
+			w.Header().Set(wire.HeaderRetryAfter, rest)
+		}
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/standin/appserver/server.go
+++ b/standin/appserver/server.go
@@ -32,6 +32,8 @@
 	// crashBody, unless it is empty, is a body that ends the endpoint.
 	crashBody string
 	crash     func()
+	leaving   bool   // answers say so
+	rest      string // the Retry-After of what FaultShed refuses; none if it is empty
 }
 
 // Runs returns how often each request has run here, by its ID.
@@ -97,6 +99,20 @@
 	s.fault, s.faults = fault, n
 }
 
+// SetLeaving sets whether answers say that the endpoint leaves.
+func (s *Server) SetLeaving(leaving bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = leaving
+}
+
+// SetRest sets the Retry-After of the requests that FaultShed refuses: none if it is empty.
+func (s *Server) SetRest(retryAfter string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rest = retryAfter
+}
+
 // SetCrashBody sets the body that ends the endpoint as it begins to run a request with it; none if
 // it is empty.
 func (s *Server) SetCrashBody(body string) {
