fix: an endpoint that says in an answer that it leaves is sent nothing more

Callers saw: their requests were sent to an endpoint 10 s after its own answer had said that it leaves, and it might not have lived to answer them. Cause: routers knew of leaving by the store's list alone, and read nothing that an endpoint says of itself with its answers but its load. While the store was away the list went on saying ready; after its return the entry had lapsed, and the endpoint was even suspect, which accepts requests. Ruled out: that the routers had known and forgotten (no line says so), that the requests had waited since before the answer (under 0.1 s). The memory is bounded for lives that are off the list.

--- /dev/null
+++ b/gateway/roster/leaving.go
@@ -0,0 +1,71 @@
+package roster
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/ryeford/ryeford"
+)
+
+// What an endpoint says of its leaving with its own responses.
+//
+// Rule: an endpoint that has said with a response that it leaves accepts no requests for the rest of that
+// life, whatever a list, a restored source or a peer says of it, and however long that takes.
+//
+// Why: the response is the endpoint's own word, and may come long before the list has it, or instead of
+// that. A list that has it as ready, of any sequence, is the older word: nothing takes back that an
+// endpoint leaves.
+
+const (
+	// maxLeaving bounds the memory for endpoints that have said so, as far as they are off the list.
+	maxLeaving = 4096
+	// leavingForgotten is how many of them are forgotten at once, so that it is seldom.
+	leavingForgotten = maxLeaving / 4
+)
+
+// Leave takes that an endpoint has said with a response that it leaves, and reports whether that is new.
+func (r *Roster) Leave(now time.Time, id ryeford.EndpointID) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, known := r.leaving[id]; known {
+		return false
+	}
+	r.leaving[id] = now
+	if len(r.leaving) > maxLeaving {
+		r.forgetLeaving()
+	}
+	entry := r.entries[id]
+	if entry == nil || !entry.Status.accepts() {
+		return true
+	}
+	changed := *entry // callers may hold the old one
+	changed.Status, changed.withheld = StatusDraining, false
+	r.entries[id] = &changed
+	r.index()
+	return true
+}
+
+// forgetLeaving forgets that some endpoints leave which are off the list: those that have said so first.
+func (r *Roster) forgetLeaving() {
+	var unlisted []ryeford.EndpointID
+	for id := range r.leaving {
+		if r.entries[id] == nil {
+			unlisted = append(unlisted, id)
+		}
+	}
+	slices.SortFunc(unlisted, func(a, b ryeford.EndpointID) int {
+		return cmp.Or(r.leaving[a].Compare(r.leaving[b]), cmp.Compare(a, b))
+	})
+	for _, id := range unlisted[:min(len(unlisted), leavingForgotten)] {
+		delete(r.leaving, id)
+	}
+}
+
+// statusOf returns the status of an endpoint that the list names.
+func (r *Roster) statusOf(endpoint *ryeford.Endpoint) Status {
+	if _, leaving := r.leaving[endpoint.ID]; leaving {
+		return StatusDraining
+	}
+	return listedStatus(endpoint.State)
+}
--- /dev/null
+++ b/gateway/roster/leaving_test.go
@@ -0,0 +1,99 @@
+package roster
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ryeford/ryeford"
+)
+
+// TestLeave checks what becomes of an endpoint that has said with a response that it leaves: it accepts no
+// requests for the rest of that life, whatever comes after it, and another life of it does at once.
+func TestLeave(t *testing.T) {
+	first, second := string(ryeford.NewEndpointID("a", 1000)), string(ryeford.NewEndpointID("a", 2000))
+	for _, test := range []struct {
+		name  string
+		then  func(r *Roster)
+		later time.Duration
+		want  string
+	}{
+		{"nothing", func(*Roster) {}, 0, "b"},
+		{"a day passes", func(*Roster) {}, 24 * time.Hour, "b"},
+		{"its entry says ready, written earlier", func(r *Roster) {
+			r.Apply(start, &ryeford.EndpointUpdate{Revision: revisionOf(1, 3), Present: []ryeford.Endpoint{of(ready(first), 4)}}, never)
+		}, 0, "b"},
+		{"its entry says ready, written later", func(r *Roster) {
+			r.Apply(start, &ryeford.EndpointUpdate{Revision: revisionOf(1, 3), Present: []ryeford.Endpoint{of(ready(first), 9)}}, never)
+		}, 0, "b"},
+		{"the whole list is read", func(r *Roster) {
+			r.Apply(start, snapshot(revisionOf(1, 3), of(ready(first), 9), ready("b")), never)
+		}, 0, "b"},
+		{"the source is restored", func(r *Roster) {
+			r.Apply(start, snapshot(revisionOf(2, 1), of(ready(first), 9), ready("b")), never)
+		}, 2 * withholdTime, "b"},
+		{"its entry says that it leaves, and the source is restored", func(r *Roster) {
+			r.Apply(start, &ryeford.EndpointUpdate{Revision: revisionOf(1, 3), Present: []ryeford.Endpoint{of(draining(first), 6)}}, never)
+			r.Apply(start, snapshot(revisionOf(2, 1), of(ready(first), 5), ready("b")), never)
+		}, 2 * withholdTime, "b"},
+		{"a peer withholds others", func(r *Roster) {
+			r.Withhold(start, []ryeford.WithheldEndpoint{{ID: "c", Gone: true}}, time.Second)
+		}, 2 * withholdTime, "b"},
+		{"a peer withholds it for a time", func(r *Roster) {
+			r.Withhold(start, []ryeford.WithheldEndpoint{{ID: ryeford.EndpointID(first), Gone: true}}, time.Second)
+		}, 2 * withholdTime, "b"},
+		{"its entry lapses in an outage, and comes back", func(r *Roster) {
+			r.Apply(start, &ryeford.EndpointUpdate{Revision: revisionOf(1, 3), Removed: []ryeford.EndpointID{"a"}}, start.Add(time.Second))
+			r.Apply(start, &ryeford.EndpointUpdate{Revision: revisionOf(1, 4), Present: []ryeford.Endpoint{of(ready(first), 12)}}, never)
+		}, 0, "b"},
+		{"its failure domain is evacuated, and taken back", func(r *Roster) {
+			r.SetEvacuated(start, ryeford.Evacuations{Revision: 2, Orders: []ryeford.Evacuation{{FailureDomain: "", State: 2}}})
+			r.SetEvacuated(start, ryeford.Evacuations{Revision: 4})
+		}, 0, "b"},
+		{"it starts again", func(r *Roster) {
+			r.Apply(start, &ryeford.EndpointUpdate{Revision: revisionOf(1, 3), Present: []ryeford.Endpoint{ready(second)}}, never)
+		}, 0, second + "b"},
+		{"it starts again, and a restored source has the life before", func(r *Roster) {
+			r.Apply(start, &ryeford.EndpointUpdate{Revision: revisionOf(1, 3), Present: []ryeford.Endpoint{ready(second)}}, never)
+			r.Apply(start, snapshot(revisionOf(2, 1), of(ready(first), 5), ready("b")), never)
+		}, 2 * withholdTime, "b"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r := New()
+			r.Apply(start, snapshot(revisionOf(1, 2), of(ready(first), 5), ready("b")), never)
+			assert.Assert(t, r.Leave(start, ryeford.EndpointID(first)))
+			assert.Assert(t, !r.Leave(start, ryeford.EndpointID(first)), "it is said once")
+			assert.Equal(t, serving(r), "b")
+			test.then(r)
+			r.Expire(start.Add(test.later))
+			assert.Equal(t, serving(r), test.want)
+		})
+	}
+}
+
+// TestLeaveUnlisted checks that the word of an endpoint which is not on the list yet binds once it is.
+func TestLeaveUnlisted(t *testing.T) {
+	r := New()
+	r.Leave(start, "a")
+	r.Apply(start, snapshot(1, ready("a"), ready("b")), never)
+	assert.Equal(t, serving(r), "b")
+}
+
+// TestLeaveBound checks that the memory for endpoints that leave is bounded, and that those are forgotten
+// first which are off the list and have said so first.
+func TestLeaveBound(t *testing.T) {
+	r := New()
+	r.Apply(start, snapshot(1, ready("a"), ready("b")), never)
+	r.Leave(start, "a")
+	for i := range 2 * maxLeaving {
+		r.Leave(start.Add(time.Duration(i)*time.Second), ryeford.EndpointID(fmt.Sprintf("gone-%d", i)))
+	}
+	assert.Assert(t, len(r.leaving) <= maxLeaving, "%d", len(r.leaving))
+	r.Apply(start, snapshot(2, ready("a"), ready("b")), never)
+	assert.Equal(t, serving(r), "b")
+	_, first := r.leaving["gone-0"]
+	_, last := r.leaving[ryeford.EndpointID(fmt.Sprintf("gone-%d", 2*maxLeaving-1))]
+	assert.Assert(t, !first && last)
+}
--- a/gateway/roster/roster.go
+++ b/gateway/roster/roster.go
@@ -57,6 +57,8 @@
 	returned  map[string]time.Time // when failure domains were last taken back
 
 	left map[ryeford.EndpointID]departure // lives that leave or are gone
+	// leaving holds the lives that have said with a response that they leave, and when.
+	leaving map[ryeford.EndpointID]time.Time
 	// withholdUntil is until when these are believed against what the list had at the revision
 	// restoredAt.
 	withholdUntil time.Time
@@ -72,6 +74,7 @@
 		evacuated: make(map[string]bool),
 		returned:  make(map[string]time.Time),
 		left:      make(map[ryeford.EndpointID]departure),
+		leaving:   make(map[ryeford.EndpointID]time.Time),
 	}
 }
 
@@ -134,7 +137,7 @@
 	}
 	r.endLife(now, endpoint.ID, change)
 	old := r.entries[endpoint.ID]
-	entry := &Entry{Endpoint: endpoint, Status: listedStatus(endpoint.State), Hash: route.NameHash(string(endpoint.ID)),
+	entry := &Entry{Endpoint: endpoint, Status: r.statusOf(&endpoint), Hash: route.NameHash(string(endpoint.ID)),
 		Evacuated: r.evacuated[endpoint.FailureDomain], Returned: r.returned[endpoint.FailureDomain]}
 	switch {
 	case old != nil:
@@ -145,7 +148,7 @@
 	if withheld {
 		entry.Status, entry.withheld = StatusDraining, true
 		change.Withheld = append(change.Withheld, endpoint.ID)
-	} else if entry.Status == StatusDraining {
+	} else if endpoint.State == ryeford.EndpointDraining {
 		r.noteDraining(now, &endpoint)
 	}
 	if old != nil && old.Endpoint.SaysSame(&endpoint) {
--- a/gateway/roster/withheld.go
+++ b/gateway/roster/withheld.go
@@ -161,7 +161,7 @@
 			continue
 		}
 		changed := *entry // callers may hold the old one
-		changed.Status, changed.withheld = listedStatus(entry.State), false
+		changed.Status, changed.withheld = r.statusOf(&entry.Endpoint), false
 		r.entries[id] = &changed
 		delete(r.left, id)
 		released = append(released, id)
--- a/internal/cmd/explainlog_test.go
+++ b/internal/cmd/explainlog_test.go
@@ -19,6 +19,7 @@
 func TestExplainLogs(t *testing.T) {
 	const a = `  0.1 prefix ts=2026-01-01T00:00:10Z role=gateway vm=a decision=configuration version=3
 ts=2026-01-01T00:00:18Z vm=a decision=store_restored before=1.37 after=2.33
+ts=2026-01-01T00:00:18.5Z vm=a decision=endpoint_report request=r0 endpoint=e7 leaves=true
 ts=2026-01-01T00:00:19Z vm=a msg="dependency lost" dependency=configuration
 ts=2026-01-01T00:00:20Z vm=a decision=send request=r1 endpoint=e1
 ts=2026-01-01T00:00:20.5Z vm=a decision=send request=r2 endpoint=e1
@@ -36,7 +37,7 @@
 	assert.NilError(t, os.WriteFile(files[1], []byte(b), 0o600))
 	var out bytes.Buffer
 	assert.NilError(t, explainLogs(&out, "r1", files))
-	want := []string{"version=3", "store_restored", "dependency lost", "endpoint=e0", "endpoint=e1", "give_up"}
+	want := []string{"version=3", "store_restored", "endpoint=e7", "dependency lost", "endpoint=e0", "endpoint=e1", "give_up"}
 	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
 	assert.Equal(t, len(lines), len(want), out.String())
 	for i, text := range want {
