--- a/gateway/fleetload_test.go
+++ b/gateway/fleetload_test.go
@@ -89,6 +89,7 @@
 	sent, above int     // requests since the onset, and those to engines above the bound
 	spilt       int     // of those sent, the ones that did not go to the first engine by affinity
 	errors      errorSums
+	sheds       *sheds // nil if none
 }
 
 // errorSums are the errors of the routers' estimates of the engines' loads.
@@ -197,7 +198,15 @@
 		prompt, takes = 0, simulatedTimes[2].takes
 	}
 	parts := []ryeford.PromptPart{{ID: 1 << 40, Tokens: 300}, {ID: 1<<41 + prompt, Tokens: 2000}}
-	chosen := r.choose(now, &endpointQuery{service: "s", shared: parts, affinity: route.KeyHash(parts[1].ID)})
+	query := &endpointQuery{service: "s", shared: parts, affinity: route.KeyHash(parts[1].ID), tried: make(map[ryeford.EndpointID]bool)}
+	chosen := r.choose(now, query)
+	for chosen.to != nil && f.sheds.take(f, now, r, chosen.to.ID) {
+		query.tried[chosen.to.ID] = true
+		chosen = r.choose(now, query)
+	}
+	if chosen.to == nil {
+		return
+	}
 	to, home := chosen.to, chosen.choice.Reason == choice.ReasonHome
 	if onset {
 		f.sent++
