feat: routers pass on which endpoints have said that they leave

Hypothesis: while the store is away each router learns of an endpoint's leaving by a request of its own that reaches it; passed on, the word spares those of all other routers, some of which would be cut off with the endpoint. A router learns of a life once, so that the word ends. TestPeersLeaving plays it with two gateways and the store cut off.

--- /dev/null
+++ b/gateway/fleetleaving_test.go
@@ -0,0 +1,70 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ryeford/ryeford"
+)
+
+// leavings is a third of the engines of a simulated fleet that say with their responses that they leave, while
+// no list does.
+type leavings struct {
+	began time.Time
+	ids   map[ryeford.EndpointID]bool
+	late  int           // requests that came over half a second after the engines had begun to say so
+	last  time.Duration // when the last one came, after that
+}
+
+// leave makes a third of the engines say from the onset on that they leave.
+func (f *simulatedFleet) leave() *leavings {
+	l := &leavings{began: f.began.Add(simulatedWarmUp), ids: make(map[ryeford.EndpointID]bool)}
+	for i, id := range f.ids {
+		if i%3 == 0 {
+			l.ids[id] = true
+		}
+	}
+	f.leavings = l
+	return l
+}
+
+// take counts a request at an engine, whose response says that it leaves.
+func (l *leavings) take(f *simulatedFleet, now time.Time, r *simulatedRouter, id ryeford.EndpointID) {
+	if l == nil || !l.ids[id] || now.Before(l.began) {
+		return
+	}
+	l.last = now.Sub(l.began)
+	if l.last > 500*time.Millisecond {
+		l.late++
+	}
+	f.at(now.Add(simulatedFirst), func(now time.Time) { r.roster.Leave(now, id) })
+}
+
+// TestFleetLeaving plays a third of the engines leaving while the store is away, on fleets of several sizes: how
+// many requests still reach them half a second after they have begun to say so, when the last one comes, and
+// what the word of it costs.
+func TestFleetLeaving(t *testing.T) {
+	t.Parallel()
+	for _, test := range []struct {
+		routers int
+		late    float64 // bound: of the requests
+	}{{4, 0.02}, {27, 0.04}, {103, 0.04}, {390, 0.2}} {
+		routers := test.routers
+		f := newSimulatedFleet(routers, 0, 1)
+		l := f.leave()
+		length := simulatedWarmUp + 2500*time.Millisecond
+		if routers > 200 {
+			length -= time.Second // it takes the longest by far
+		}
+		f.run(length)
+		sent := 0
+		for _, r := range f.routers {
+			sent += r.sent
+		}
+		t.Logf("%3d routers: %d of %d requests late at %d engines that leave, the last after %s, %.0f bytes a second and router",
+			routers, l.late, f.sent, len(l.ids), l.last, float64(sent)/length.Seconds()/float64(routers))
+		assert.Check(t, float64(l.late) < test.late*float64(f.sent))
+	}
+}
--- a/gateway/fleetload_test.go
+++ b/gateway/fleetload_test.go
@@ -89,7 +89,8 @@
 	sent, above int     // requests since the onset, and those to engines above the bound
 	spilt       int     // of those sent, the ones that did not go to the first engine by affinity
 	errors      errorSums
-	sheds       *sheds // nil if none
+	sheds       *sheds    // nil if none
+	leavings    *leavings // nil if none
 }
 
 // errorSums are the errors of the routers' estimates of the engines' loads.
@@ -130,6 +131,7 @@
 			endpoints: newEndpointList(s, nil), roster: r.roster, prefixes: r.prefixes, loads: r.loads,
 			quarantine: newQuarantineState(r.balancer, log.NewNopLogger(), telemetry.NewSet()), log: log.NewNopLogger(), metrics: telemetry.NewSet(),
 		}
+		r.gossip.endpoints.roster = r.roster
 		f.routers = append(f.routers, r)
 		f.byAddress[s.Peers.AddrPort] = r
 	}
@@ -217,6 +219,7 @@
 			f.above++
 		}
 	}
+	f.leavings.take(f, now, r, to.ID)
 	f.truth[to.ID]++
 	f.underWay++
 	r.loads.Begin(to.ID, "s")
--- a/gateway/fleetrest_test.go
+++ b/gateway/fleetrest_test.go
@@ -102,6 +102,7 @@
 // many are refused, and how the engines get their share back, is printed. A first request as a trial after
 // each rest, and rests that are longer by a drawn quarter, were played against that: see the page of decisions.
 func TestFleetRests(t *testing.T) {
+	t.Parallel()
 	for _, routers := range []int{4, 27, 103, 390} {
 		f := newSimulatedFleet(routers, 0, 1)
 		s := f.shed(simulatedSheds, simulatedRest)
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -192,6 +192,7 @@
 		g.welcome(message.Sender)
 	}
 	g.endpoints.withhold(message)
+	g.endpoints.leave(now, message)
 	g.endpoints.hear(message.Sender, message.List)
 	g.configuration.evacuations.learn(message.Evacuations.Read(), message.Sender.String())
 	if message.Confirmed {
@@ -299,6 +300,7 @@
 		Reports:     g.loads.Reports(now, peers.MaxBriefReports, 0),
 	}
 	message.SetWithheld(g.roster.Withheld(now, peers.MaxWithheld))
+	message.Leaving = g.roster.LatelyLeaving(now, peers.MaxLeaving)
 	return message
 }
 
--- a/gateway/leavingreport_test.go
+++ b/gateway/leavingreport_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -117,3 +118,26 @@
 		return len(p1.Received()) > received
 	})
 }
+
+// TestPeersLeaving checks that a router sends nothing to an endpoint that has said to a peer that it leaves,
+// while the store is away.
+func TestPeersLeaving(t *testing.T) {
+	gateways := newPeers(t, 2, time.Hour, nil)
+	heard, told := gateways[0], gateways[1]
+	p3 := heard.addEndpoint("plain", "p3", 0)
+	heard.awaitLog("added=p3")
+	told.awaitLog("added=p3")
+	for _, f := range gateways {
+		f.cutOffStore()
+	}
+	p3.SetLeaving(true)
+	heard.await("an answer that says so", func() bool { return heard.call("GET", "/open/a").header.Get("Server-Leaving") == "1" })
+	told.awaitLog("leaving=p3")
+	received := len(p3.Received())
+	for range 12 {
+		for _, f := range gateways {
+			assert.Equal(t, f.call("GET", "/open/a").status, 200)
+		}
+	}
+	assert.Equal(t, len(p3.Received()), received)
+}
--- a/gateway/peerlist.go
+++ b/gateway/peerlist.go
@@ -69,6 +69,19 @@
 	l.sweepSoon()
 }
 
+// leave takes which endpoints have said to a peer, or to one of its peers, that they leave.
+func (l *endpointList) leave(now time.Time, message *peers.Message) {
+	var learnt []ryeford.EndpointID
+	for _, id := range message.Leaving[:min(len(message.Leaving), peers.MaxLeaving)] {
+		if l.roster.Leave(now, id) {
+			learnt = append(learnt, id)
+		}
+	}
+	if len(learnt) > 0 {
+		_ = l.log.Log("decision", "endpoints", "from", message.Sender, "leaving", join(learnt))
+	}
+}
+
 // setWhole sets when the copy was read whole, or that its newest change is known.
 func (l *endpointList) setWhole(at time.Time) {
 	l.mu.Lock()
--- a/gateway/peers/message.go
+++ b/gateway/peers/message.go
@@ -64,6 +64,9 @@
 	// WithheldFor from the sending on.
 	Withheld    []Withheld `cbor:"25,keyasint,omitempty"`
 	WithheldFor Age        `cbor:"26,keyasint,omitempty"`
+	// Leaving are lives of endpoints that have said with a response that they leave, of which the sender
+	// learnt lately, from them or from a peer.
+	Leaving []ryeford.EndpointID `cbor:"28,keyasint,omitempty"`
 	// Prompts were sent to endpoints since the last message.
 	Prompts []Prompt `cbor:"6,keyasint,omitempty"`
 }
--- a/gateway/roster/leaving.go
+++ b/gateway/roster/leaving.go
@@ -22,16 +22,20 @@
 	maxLeaving = 4096
 	// leavingForgotten is how many of them are forgotten at once, so that it is seldom.
 	leavingForgotten = maxLeaving / 4
+	// leavingPassed is for how long peers are told of an endpoint from when this router learnt of it: each
+	// router learns of a life once, so that the word ends.
+	leavingPassed = 3 * time.Second
 )
 
-// Leave takes that an endpoint has said with a response that it leaves, and reports whether that is new.
+// Leave takes that an endpoint has said with a response, to this router or to a peer, that it leaves, and
+// reports whether that is new.
 func (r *Roster) Leave(now time.Time, id ryeford.EndpointID) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if _, known := r.leaving[id]; known {
 		return false
 	}
-	r.leaving[id] = now
+	r.leaving[id], r.learntLeaving = now, now
 	if len(r.leaving) > maxLeaving {
 		r.forgetLeaving()
 	}
@@ -46,6 +50,26 @@
 	return true
 }
 
+// LatelyLeaving returns the endpoints of which this router learnt a short time ago that they leave, the latest
+// first, at most some.
+func (r *Roster) LatelyLeaving(now time.Time, most int) []ryeford.EndpointID {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	if now.Sub(r.learntLeaving) > leavingPassed {
+		return nil // as almost always
+	}
+	var lately []ryeford.EndpointID
+	for id, at := range r.leaving {
+		if now.Sub(at) <= leavingPassed {
+			lately = append(lately, id)
+		}
+	}
+	slices.SortFunc(lately, func(a, b ryeford.EndpointID) int {
+		return cmp.Or(r.leaving[b].Compare(r.leaving[a]), cmp.Compare(a, b))
+	})
+	return lately[:min(len(lately), most)]
+}
+
 // forgetLeaving forgets that some endpoints leave which are off the list: those that have said so first.
 func (r *Roster) forgetLeaving() {
 	var unlisted []ryeford.EndpointID
--- a/gateway/roster/leaving_test.go
+++ b/gateway/roster/leaving_test.go
@@ -97,3 +97,20 @@
 	_, last := r.leaving[ryeford.EndpointID(fmt.Sprintf("gone-%d", 2*maxLeaving-1))]
 	assert.Assert(t, !first && last)
 }
+
+// TestLatelyLeaving checks which endpoints peers are told of: those of which this router learnt a short time
+// ago, the latest first, each once.
+func TestLatelyLeaving(t *testing.T) {
+	r := New()
+	r.Apply(start, snapshot(1, ready("a"), ready("b")), never)
+	assert.Equal(t, len(r.LatelyLeaving(start, 2)), 0)
+	for i, id := range []ryeford.EndpointID{"a", "b", "c"} {
+		r.Leave(start.Add(time.Duration(i)*time.Second), id)
+	}
+	assert.DeepEqual(t, r.LatelyLeaving(start.Add(2*time.Second), 2), []ryeford.EndpointID{"c", "b"})
+	assert.DeepEqual(t, r.LatelyLeaving(start.Add(leavingPassed), 8), []ryeford.EndpointID{"c", "b", "a"})
+	r.Leave(start.Add(leavingPassed), "a") // a peer's late word
+	assert.DeepEqual(t, r.LatelyLeaving(start.Add(leavingPassed+1), 8), []ryeford.EndpointID{"c", "b"})
+	assert.Equal(t, len(r.LatelyLeaving(start.Add(time.Hour), 8)), 0)
+	assert.Equal(t, serving(r), "")
+}
--- a/gateway/roster/roster.go
+++ b/gateway/roster/roster.go
@@ -58,7 +58,8 @@
 
 	left map[ryeford.EndpointID]departure // lives that leave or are gone
 	// leaving holds the lives that have said with a response that they leave, and when.
-	leaving map[ryeford.EndpointID]time.Time
+	leaving       map[ryeford.EndpointID]time.Time
+	learntLeaving time.Time // the last of these
 	// withholdUntil is until when these are believed against what the list had at the revision
 	// restoredAt.
 	withholdUntil time.Time
