fix: an agent sends nothing to an engine that has asked for rest

Callers saw: requests that an engine refuses again, and goes on refusing, at one of their account's budget each. Cause: as in the gateway, the time that a refusal asks for was not read. Change: the engine's client reads the time (retry.After, which package platform uses now too: one home); the agent refuses dispatches to the engine until it is over, with what is left of it, and its inventory says so, by which routers leave the engine out. Why it holds: the agent is the only way to its engines, and asks under the lock that admits.

--- a/agentfleet/agent/backend.go
+++ b/agentfleet/agent/backend.go
@@ -22,13 +22,14 @@
 	queue     queue // dispatches that wait for the load to fall
 	lastEvent int64 // the number of the last cache event that was read; used by pollEngines only
 
-	mu       sync.Mutex
-	gate     *admission.Gate
-	pools    []ryeford.Pool
-	alive    bool
-	chats    *chatMemory
-	issued   issuedOrder // used by applyPlan only
-	overflow overflows
+	mu         sync.Mutex
+	gate       *admission.Gate
+	pools      []ryeford.Pool
+	alive      bool
+	chats      *chatMemory
+	issued     issuedOrder // used by applyPlan only
+	overflow   overflows
+	restsUntil time.Time // the engine has asked for rest until then
 }
 
 func newBackend(id ryeford.EngineID, limits admission.Limits, chats int) *backend {
@@ -73,6 +74,9 @@
 	if !b.serves(d) {
 		return admission.Decision{Reason: ryeford.ReasonNotServing, Load: float64(b.gate.Load())}, false
 	}
+	if left := b.restsUntil.Sub(now); left > 0 {
+		return admission.Decision{Reason: ryeford.ReasonResting, Load: float64(b.gate.Load()), RetryAfter: left}, false
+	}
 	decision = b.gate.Admit(now, &admission.Request{
 		Account:  d.Account,
 		Priority: d.Priority,
@@ -129,6 +133,7 @@
 		ID:      b.id,
 		Service: b.serviceName,
 		Load:    float64(b.gate.Load()),
+		Resting: time.Now().Before(b.restsUntil),
 	}
 	if b.alive {
 		s.Pools = b.pools
--- a/agentfleet/agent/execute.go
+++ b/agentfleet/agent/execute.go
@@ -30,9 +30,13 @@
 		failure = a.readAnswer(r, asm, true)
 	}
 	a.logDropped(r, asm.Dropped())
-	if failure != nil {
-		a.fail(r, asm.Next(), failure)
+	if failure == nil {
+		return
+	}
+	if span := engine.RestOf(failure.err); span > 0 {
+		a.rest(r.backend, span)
 	}
+	a.fail(r, asm.Next(), failure)
 }
 
 // open opens the stream of a run's answer, or with resume that of the rest from an offset.
--- a/agentfleet/agent/execute_test.go
+++ b/agentfleet/agent/execute_test.go
@@ -106,6 +106,7 @@
 		metrics:     telemetry.NewSet(),
 		backends:    map[ryeford.EngineID]*backend{b.id: b},
 		attempts:    newAttempts(time.Minute, time.Second),
+		changed:     make(chan struct{}),
 	}
 }
 
--- a/agentfleet/agent/rest_test.go
+++ b/agentfleet/agent/rest_test.go
@@ -20,7 +20,7 @@
 
 // An engine that refuses a completion with 503 may say when it wants the next one. Nothing read that: the
 // agent admitted each dispatch that came, and each was refused again and sent to another engine, for one of its
-// account's budget.
+// account's budget: six of six dispatches reached an engine that had asked for a minute of rest.
 
 // TestEngineAsksForRest checks that an agent sends nothing to an engine that has asked for rest before that is
 // over, refuses what routers dispatch to it, and says when it is over.
--- a/agentfleet/engine/client.go
+++ b/agentfleet/engine/client.go
@@ -27,6 +27,7 @@
 
 	"github.com/ryeford/ryeford"
 	"github.com/ryeford/ryeford/internal/eventstream"
+	"github.com/ryeford/ryeford/retry"
 )
 
 const (
@@ -137,7 +138,7 @@
 	}
 	if response.StatusCode != http.StatusOK {
 		_ = response.Body.Close() // nothing of it is read
-		return nil, statusError(path, response.StatusCode)
+		return nil, statusError(path, response)
 	}
 	return newEventReader(response.Body), nil
 }
@@ -175,7 +176,7 @@
 	}
 	defer func() { _ = response.Body.Close() }() // all that counts of it has been read
 	if response.StatusCode != http.StatusOK {
-		return nil, statusError(path, response.StatusCode)
+		return nil, statusError(path, response)
 	}
 	content, err := io.ReadAll(io.LimitReader(response.Body, maxControlBody))
 	if err != nil {
@@ -238,6 +239,8 @@
 	Op     string // what failed; the path of a call
 	Status int    // the HTTP status, if there was a response
 	Err    error  // nil if the status is the failure
+	// RetryAfter is for how long an engine that is full wants no requests; zero if it doesn't say.
+	RetryAfter time.Duration
 }
 
 func (e *Error) Error() string {
@@ -249,16 +252,27 @@
 
 func (e *Error) Unwrap() error { return e.Err }
 
-func statusError(op string, status int) error {
+func statusError(op string, response *http.Response) error {
+	status := response.StatusCode
 	switch status {
 	case http.StatusNotFound:
 		return &ryeford.NotFoundError{Kind: "engine resource", Name: op}
 	case http.StatusPreconditionFailed:
 		return &ryeford.FenceError{}
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		return &Error{Op: op, Status: status, RetryAfter: retry.After(response.Header)}
 	}
 	return &Error{Op: op, Status: status}
 }
 
+// RestOf returns for how long an engine whose call failed with err wants no requests; zero if it doesn't say.
+func RestOf(err error) time.Duration {
+	if engineErr, ok := errors.AsType[*Error](err); ok {
+		return engineErr.RetryAfter
+	}
+	return 0
+}
+
 // NotRun reports whether err, of the first call of an attempt, proves that the
 // attempt did not run: the connection was not made, or the engine refused it
 // because it is full (429, 503) or does not know the model (404). A connection that
--- a/agentfleet/router/dispatch.go
+++ b/agentfleet/router/dispatch.go
@@ -192,9 +192,9 @@
 	switch refused.Reason {
 	case ryeford.ReasonOverload, ryeford.ReasonShare:
 		x.addProbe(refused.Load)
-		if x.history.retryAfter == 0 || refused.RetryAfter < x.history.retryAfter {
-			x.history.retryAfter = refused.RetryAfter
-		}
+		x.history.returnAfter(refused.RetryAfter)
+	case ryeford.ReasonResting: // its load says nothing of the others'
+		x.history.returnAfter(refused.RetryAfter)
 	case ryeford.ReasonRedirect:
 		target, _ := x.forwarder.fleet.candidate(refused.Engine)
 		x.candidates.queue = redirected(x.candidates.queue, x.stream.candidate, refused.Engine, target)
--- a/agentfleet/router/exchange.go
+++ b/agentfleet/router/exchange.go
@@ -40,6 +40,13 @@
 	warm       bool          // the engine that admitted last had the chat's prefix cached
 }
 
+// returnAfter takes when a refusal says that a return makes sense.
+func (h *history) returnAfter(after time.Duration) {
+	if h.retryAfter == 0 || after < h.retryAfter {
+		h.retryAfter = after
+	}
+}
+
 // start dispatches the request until the first chunk of an answer is there, and logs how
 // that ended.
 func (x *exchange) start(ctx context.Context) error {
--- a/agentfleet/router/fleet.go
+++ b/agentfleet/router/fleet.go
@@ -35,8 +35,8 @@
 	view atomic.Pointer[fleetView]
 }
 
-// A fleetView is a fleet at one moment. It is not changed. Agents that are leaving are in
-// no set of candidates, but are still found by their engines, for answers that are under
+// A fleetView is a fleet at one moment. It is not changed. Agents that are leaving, and engines that
+// rest, are in no set of candidates, but are still found by their engines, for answers that are under
 // way.
 type fleetView struct {
 	agents   map[ryeford.VMID]*agent
@@ -96,7 +96,7 @@
 		a := agents[id]
 		for _, e := range a.inventory.Engines {
 			v.engines[e.ID] = a
-			if a.leaving() {
+			if a.leaving() || e.Resting {
 				continue
 			}
 			target := route.Target{Engine: e.ID, VM: id, Domain: a.inventory.FailureDomain}
--- a/agentfleet/router/fleet_test.go
+++ b/agentfleet/router/fleet_test.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -31,6 +32,13 @@
 			vm.State = ryeford.VMLeaving
 			f.setVM(vm)
 		}, false, true},
+		{"its engine rests", func(f *fleet, a *agent) {
+			resting, inventory := *a, *a.inventory
+			inventory.Engines = slices.Clone(inventory.Engines)
+			inventory.Engines[0].Resting = true
+			resting.inventory = &inventory
+			f.put(&resting)
+		}, false, true},
 		{"connection lost", func(f *fleet, a *agent) { f.remove(a.vm.ID, first) }, false, false},
 		{"an earlier connection lost", func(f *fleet, a *agent) {
 			again := *a
--- a/agentfleet/wire/wire.go
+++ b/agentfleet/wire/wire.go
@@ -138,6 +138,8 @@
 	// Pools are what an engine has loaded; none if it does not answer.
 	Pools []ryeford.Pool `cbor:"3,keyasint,omitempty" json:"pools,omitempty"`
 	Load  float64        `cbor:"4,keyasint" json:"-"` // in requests
+	// Resting says that the engine has asked for rest, and is sent nothing.
+	Resting bool `cbor:"5,keyasint,omitempty" json:"resting,omitempty"`
 }
 
 // An Inventory is the state of an agent. Operators get it in JSON.
--- a/steadyclock_test.go
+++ b/steadyclock_test.go
@@ -54,7 +54,7 @@
 	{"internal/transfer/transfer.go", "time.Now"}:        "the progress of a call is watched by a timer of the runtime's clock",
 	{"internal/transfer/transfer.go", "time.Since"}:      "for the log",
 	{"gateway/endpoint/send.go", "time.Unix"}:            "a deadline that has passed by any clock ends what waits on a connection",
-	{"platform/endpointreport.go", "net/http.ParseTime"}: "the difference of two dates of one response, by the endpoint's clock",
+	{"retry/after.go", "net/http.ParseTime"}: "the difference of two dates of one response, by the endpoint's clock",
 	{"engine.go", timeInTaggedStruct}:                    "of the fleet with agents",
 	{"plan.go", timeInTaggedStruct}:                      "of the fleet with agents",
 	{"template.go", timeInTaggedStruct}:                  "of the fleet with agents",
