--- a/steadyclock_test.go
+++ b/steadyclock_test.go
@@ -44,21 +44,21 @@
 // wallExceptions are the uses of the time of day, and of the runtime's clock, by which the gateway
 // decides nothing that a suspension would change, with the reason.
 var wallExceptions = map[wallUse]string{
-	{"internal/clock/now.go", "(time.Time).UnixNano"}:    "says when the kernel's clocks are compared, which decide",
-	{"internal/clock/now.go", "time.Now"}:                "is what suspensions are added to",
-	{"gateway/callerconn.go", "time.Now"}:                connectionDeadline,
-	{"gateway/callerconn.go", "time.Until"}:              connectionDeadline,
-	{"gateway/handler.go", "time.Now"}:                   connectionDeadline,
-	{"gateway/refuse.go", "time.Now"}:                    connectionDeadline,
-	{"gateway/relay.go", "time.Now"}:                     connectionDeadline,
-	{"internal/transfer/transfer.go", "time.Now"}:        "the progress of a call is watched by a timer of the runtime's clock",
-	{"internal/transfer/transfer.go", "time.Since"}:      "for the log",
-	{"gateway/endpoint/send.go", "time.Unix"}:            "a deadline that has passed by any clock ends what waits on a connection",
-	{"retry/after.go", "net/http.ParseTime"}: "the difference of two dates of one response, by the endpoint's clock",
-	{"engine.go", timeInTaggedStruct}:                    "of the fleet with agents",
-	{"plan.go", timeInTaggedStruct}:                      "of the fleet with agents",
-	{"template.go", timeInTaggedStruct}:                  "of the fleet with agents",
-	{"settings/template.go", timeInTaggedStruct}:         "of the fleet with agents",
+	{"internal/clock/now.go", "(time.Time).UnixNano"}: "says when the kernel's clocks are compared, which decide",
+	{"internal/clock/now.go", "time.Now"}:             "is what suspensions are added to",
+	{"gateway/callerconn.go", "time.Now"}:             connectionDeadline,
+	{"gateway/callerconn.go", "time.Until"}:           connectionDeadline,
+	{"gateway/handler.go", "time.Now"}:                connectionDeadline,
+	{"gateway/refuse.go", "time.Now"}:                 connectionDeadline,
+	{"gateway/relay.go", "time.Now"}:                  connectionDeadline,
+	{"internal/transfer/transfer.go", "time.Now"}:     "the progress of a call is watched by a timer of the runtime's clock",
+	{"internal/transfer/transfer.go", "time.Since"}:   "for the log",
+	{"gateway/endpoint/send.go", "time.Unix"}:         "a deadline that has passed by any clock ends what waits on a connection",
+	{"retry/after.go", "net/http.ParseTime"}:          "the difference of two dates of one response, by the endpoint's clock",
+	{"engine.go", timeInTaggedStruct}:                 "of the fleet with agents",
+	{"plan.go", timeInTaggedStruct}:                   "of the fleet with agents",
+	{"template.go", timeInTaggedStruct}:               "of the fleet with agents",
+	{"settings/template.go", timeInTaggedStruct}:      "of the fleet with agents",
 }
 
 // TestSteadyClock checks that no code of the gateway goes by the time of day, which may
