refactor: one question says why an endpoint may be sent nothing now

What a router knows of an endpoint (the list, evacuations, its own word that it leaves, its rest) was asked for in three places, each in its own way. hindrance is asked for each choice and right before the first byte; evacuated has its own reason there, where it was logged as leaving.

--- a/gateway/admit/admit.go
+++ b/gateway/admit/admit.go
@@ -68,9 +68,8 @@
 // A Sending is what a router knows before an attempt begins, and again right before the
 // first byte of the request is sent to an endpoint, some time after it was admitted.
 type Sending struct {
-	// EndpointServes says that the endpoint still takes requests, and EndpointRests that it wants none of
-	// this router now.
-	EndpointServes, EndpointRests bool
+	// Hindrance is why the endpoint may not be sent the request, empty if it may.
+	Hindrance ryeford.Reason
 	// RouteFound says that the configuration still has a route for the request.
 	RouteFound bool
 	// NeedsKey says that the request was admitted for its key.
@@ -85,10 +84,8 @@
 // *ryeford.NotRunError, which is final unless it is OfEndpoint.
 func CheckSend(s Sending) error {
 	switch {
-	case !s.EndpointServes:
-		return giveup.NotRun(ryeford.ReasonLeaving)
-	case s.EndpointRests:
-		return giveup.NotRun(ryeford.ReasonResting)
+	case s.Hindrance != "":
+		return giveup.NotRun(s.Hindrance)
 	case !s.RouteFound && !s.Reliable:
 		return giveup.NotRun(ryeford.ReasonStaleConfiguration)
 	case !s.RouteFound:
@@ -104,7 +101,7 @@
 // OfEndpoint reports whether a reason of CheckSend is that of one endpoint: another one may serve the
 // request.
 func OfEndpoint(reason ryeford.Reason) bool {
-	return reason == ryeford.ReasonLeaving || reason == ryeford.ReasonResting
+	return reason == ryeford.ReasonLeaving || reason == ryeford.ReasonEvacuated || reason == ryeford.ReasonResting
 }
 
 // keyInDoubt reports whether nothing can be said of a request's key: keys are not served, or
--- a/gateway/admit/admit_test.go
+++ b/gateway/admit/admit_test.go
@@ -75,15 +75,16 @@
 // TestCheckSend checks which changes after admission keep a request from being sent, and
 // that a caller learns at once if the configuration no longer allows its request.
 func TestCheckSend(t *testing.T) {
-	ready := Sending{EndpointServes: true, RouteFound: true, NeedsKey: true, Reliable: true, ServesKeys: true, KeyFound: true}
+	ready := Sending{RouteFound: true, NeedsKey: true, Reliable: true, ServesKeys: true, KeyFound: true}
 	for _, row := range []struct {
 		rule   string
 		change func(*Sending)
 		want   failure
 	}{
 		{"nothing has changed", func(*Sending) {}, failure{}},
-		{"the endpoint is draining or gone", func(s *Sending) { s.EndpointServes = false }, failure{503, "leaving"}},
-		{"the endpoint rests", func(s *Sending) { s.EndpointRests = true }, failure{503, "resting"}},
+		{"the endpoint is draining or gone", func(s *Sending) { s.Hindrance = ryeford.ReasonLeaving }, failure{503, "leaving"}},
+		{"its failure domain is evacuated", func(s *Sending) { s.Hindrance = ryeford.ReasonEvacuated }, failure{503, "evacuated"}},
+		{"the endpoint rests", func(s *Sending) { s.Hindrance = ryeford.ReasonResting }, failure{503, "resting"}},
 		{"the configuration went stale", func(s *Sending) { s.Reliable, s.ServesKeys = false, false }, failure{503, "stale_configuration"}},
 		{"in an outage that the operators allow to bridge", func(s *Sending) { s.Reliable = false }, failure{}},
 		{"the key was revoked, but the configuration may be stale, in an outage", func(s *Sending) { s.KeyFound, s.Reliable = false, false }, failure{503, "stale_configuration"}},
@@ -93,7 +94,7 @@
 		{"the route was removed, but the configuration may be stale", func(s *Sending) { s.RouteFound, s.Reliable, s.ServesKeys = false, false, false }, failure{503, "stale_configuration"}},
 		{"a public route may be removed too", func(s *Sending) { s.RouteFound, s.NeedsKey, s.KeyFound = false, false, false }, failure{404, "route_removed"}},
 		{"a public route needs neither lease nor key", func(s *Sending) { s.NeedsKey, s.Reliable, s.ServesKeys, s.KeyFound = false, false, false, false }, failure{}},
-		{"the endpoint comes first: another may serve", func(s *Sending) { s.EndpointServes, s.Reliable, s.ServesKeys = false, false, false }, failure{503, "leaving"}},
+		{"the endpoint comes first: another may serve", func(s *Sending) { s.Hindrance, s.Reliable, s.ServesKeys = ryeford.ReasonLeaving, false, false }, failure{503, "leaving"}},
 	} {
 		t.Run(row.rule, func(t *testing.T) {
 			sending := ready
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -113,8 +113,7 @@
 func (x *exchange) checkSend(to *roster.Entry) error {
 	f, now := x.forwarder, clock.Now()
 	s := x.sending(now)
-	s.EndpointServes = f.roster.Accepts(to.ID)
-	s.EndpointRests = f.rests.Left(now, to.ID) > 0
+	s.Hindrance = f.hindrance(now, f.roster.Entry(to.ID))
 	return admit.CheckSend(s)
 }
 
@@ -124,12 +123,11 @@
 	current := f.configuration.current()
 	same := current == q.catalog
 	return admit.Sending{
-		EndpointServes: true,
-		RouteFound:     same || findRoute(current, x.incoming) != nil,
-		NeedsKey:       q.keyed(),
-		Reliable:       f.configuration.reliable(now),
-		ServesKeys:     f.configuration.servesKeys(now),
-		KeyFound:       same || current.Account(q.meta.Key) != nil,
+		RouteFound: same || findRoute(current, x.incoming) != nil,
+		NeedsKey:   q.keyed(),
+		Reliable:   f.configuration.reliable(now),
+		ServesKeys: f.configuration.servesKeys(now),
+		KeyFound:   same || current.Account(q.meta.Key) != nil,
 	}
 }
 
--- a/gateway/balancer.go
+++ b/gateway/balancer.go
@@ -175,23 +175,16 @@
 	sample := b.peers.Sample(now, query.service)
 	cold := coldness{balancer: b, now: now, service: query.rule}
 	mean := sample.Mean(cold.countWarm(query.service))
-	candidates := make([]choice.Candidate, 0, len(entries))
+	s := candidateSet{entries: entries, candidates: make([]choice.Candidate, 0, len(entries))}
 	for _, entry := range entries {
 		few, allowed := cold.state(entry)
 		expected := mean
 		if few {
 			expected = 0
 		}
-		rests := b.rests.Left(now, entry.ID) > 0
-		switch {
-		case !entry.Listed():
-		case !allowed:
-			cold.barred.add(entry)
-		case rests:
-			cold.barred.resting++
-		}
+		bars := s.barred.add(b.hindrance(now, entry), allowed)
 		load, deviation := b.estimate(now, entry, sample, expected)
-		candidates = append(candidates, choice.Candidate{
+		s.candidates = append(s.candidates, choice.Candidate{
 			ID:            entry.ID,
 			Domain:        entry.FailureDomain,
 			Hash:          entry.Hash,
@@ -201,11 +194,11 @@
 			Tried:         query.tried[entry.ID],
 			Unhealthy:     !b.detector.Healthy(now, entry.ID),
 			Draining:      !entry.Listed(),
-			Barred:        !allowed || rests,
+			Barred:        bars,
 			MissingTokens: tokens - held[entry.ID],
 		})
 	}
-	return candidateSet{entries: entries, candidates: candidates, barred: cold.barred}
+	return s
 }
 
 // load returns the estimated number of requests at an endpoint.
--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -36,29 +36,12 @@
 	return slowstart.Fleet{Clock: clock, Rank: rank, Routers: max(alive+1, b.minRouters)}
 }
 
-// add counts an endpoint that is barred.
-func (b *barred) add(entry *roster.Entry) {
-	if entry.Evacuated {
-		b.evacuated++
-		return
-	}
-	b.cold++
-}
-
 // A coldness answers, for one choice, whether endpoints may be sent a request though they may be cold.
 type coldness struct {
 	balancer *balancer
 	now      time.Time
 	service  *ryeford.ServiceRule
 	fleet    *slowstart.Fleet // nil before it is needed
-	barred   barred
-}
-
-// A barred counts the candidates of a choice that may be sent nothing now, and would else.
-type barred struct {
-	evacuated int // by the operators' order
-	cold      int // without a turn of this router
-	resting   int // by their own wish
 }
 
 // turn returns this router's turn at an endpoint, whether the endpoint is cold, and whether it has a
--- a/gateway/giveup/giveup_test.go
+++ b/gateway/giveup/giveup_test.go
@@ -87,6 +87,7 @@
 		ryeford.ReasonRouteRemoved:       0,
 		ryeford.ReasonLeaving:            10 * time.Millisecond,
 		ryeford.ReasonResting:            10 * time.Millisecond,
+		ryeford.ReasonEvacuated:          10 * time.Millisecond,
 		ryeford.ReasonOverload:           100 * time.Millisecond,
 		ryeford.ReasonDeadline:           100 * time.Millisecond,
 		ryeford.ReasonCancelled:          100 * time.Millisecond,
--- a/gateway/giveup/retryafter.go
+++ b/gateway/giveup/retryafter.go
@@ -49,7 +49,7 @@
 		return retryNotReady
 	case ryeford.ReasonNoCandidate, ryeford.ReasonUnreachable:
 		return retryNoEndpoint
-	case ryeford.ReasonLeaving, ryeford.ReasonResting:
+	case ryeford.ReasonLeaving, ryeford.ReasonResting, ryeford.ReasonEvacuated:
 		return retryElsewhere
 	case ryeford.ReasonKeyRevoked, ryeford.ReasonRouteRemoved:
 		return 0
--- a/gateway/roster/roster.go
+++ b/gateway/roster/roster.go
@@ -317,9 +317,18 @@
 func (r *Roster) Knows(id ryeford.EndpointID) bool { return r.Entry(id) != nil }
 
 // Accepts reports whether an endpoint accepts new requests.
-func (r *Roster) Accepts(id ryeford.EndpointID) bool {
-	entry := r.Entry(id)
-	return entry != nil && entry.Accepts()
+func (r *Roster) Accepts(id ryeford.EndpointID) bool { return r.Entry(id).Accepts() }
+
+// Hindrance returns why the endpoint accepts no new requests, or nothing: it leaves or is not known, which is
+// what a nil entry stands for, or its failure domain is evacuated.
+func (e *Entry) Hindrance() ryeford.Reason {
+	switch {
+	case e == nil || !e.Listed():
+		return ryeford.ReasonLeaving
+	case e.Evacuated:
+		return ryeford.ReasonEvacuated
+	}
+	return ""
 }
 
 // Listed reports whether the endpoint accepts new requests, or would if its failure domain were not
@@ -327,7 +336,7 @@
 func (e *Entry) Listed() bool { return e.Status.accepts() }
 
 // Accepts reports whether the endpoint accepts new requests.
-func (e *Entry) Accepts() bool { return e.Status.accepts() && !e.Evacuated }
+func (e *Entry) Accepts() bool { return e.Hindrance() == "" }
 
 // Len returns the number of known endpoints, whatever their status.
 func (r *Roster) Len() int {
--- a/reason.go
+++ b/reason.go
@@ -24,6 +24,7 @@
 	ReasonRouteRemoved       Reason = "route_removed"       // the route was removed after the request came
 	ReasonQuarantined        Reason = "quarantined"         // requests that are the same have ended what ran them
 	ReasonResting            Reason = "resting"             // the endpoint has asked for rest
+	ReasonEvacuated          Reason = "evacuated"           // the operators have evacuated the endpoint's failure domain
 )
 
 // The reasons of the fleet with agents.
