test: the soak's servers say in their answers that they leave, and ask for rest

An entry without a start keeps the last one, since an endpoint that has said it leaves is back as another life only. Checks, from what servers and callers saw: announced (nothing is sent on once an answer that says so has been passed on by that life of the gateway, whatever else strikes) and rests (at most two requests after the first half second). Starts up to 4 s before (the longest outage and a read) excuse.

--- a/internal/cmd/devcmd.go
+++ b/internal/cmd/devcmd.go
@@ -167,6 +167,14 @@
 Let a server start again, cold for 20 s:
   go run ./cmd/ryeford standin fault %[2]s '{"server":"model-1","state":"ready","cold_ms":20000,"born":1700000000000}'
 
+Let a server's answers say that it leaves, though its entry doesn't, and start it again:
+  go run ./cmd/ryeford standin fault %[2]s '{"server":"model-1","leaving":true}'
+  go run ./cmd/ryeford standin fault %[2]s '{"server":"model-1","leaving":false,"state":"ready","born":1700000001000}'
+
+Let a server turn requests away and ask for 5 s of rest, and take them again:
+  go run ./cmd/ryeford standin fault %[2]s '{"server":"model-2","fault":"shed","requests":-1,"rest":"5"}'
+  go run ./cmd/ryeford standin fault %[2]s '{"server":"model-2","fault":""}'
+
 Let the store come back from a copy that lacks an evacuation, and the operators order it again:
   go run ./cmd/ryeford standin fault %[2]s '{"keep_copy":true}'
   go run ./cmd/ryeford standin fault %[2]s '{"evacuate":"domain-1"}'
--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -26,6 +26,7 @@
 	ended     time.Time
 	status    int    // 0 if no answer came
 	server    string // that gave the answer; empty if the gateway did
+	leaving   bool   // the answer says that the server leaves
 	body      string
 	closes    bool  // the answer says that the connection is closed
 	err       error // the answer broke off, or none came
@@ -187,6 +188,7 @@
 	defer func() { _ = response.Body.Close() }()
 	one.status, one.closes = response.StatusCode, response.Close
 	one.server = response.Header.Get("Ryeford-Instance-Id")
+	one.leaving = response.Header.Get("Server-Leaving") == "1"
 	body, err := io.ReadAll(response.Body)
 	one.body, one.err = string(body), err
 }
--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -27,6 +27,7 @@
 	{"refused", "a gateway that stops takes connections until the load balancer can know", checkRefused},
 	{"departed", "a gateway in touch serves by no server that has drained or left the list for longer than departTime", checkDeparted},
 	{"withheld", "the same beside a restore of the store, for a server that had done so for longer than drainTime", checkWithheld},
+	{"announced", "a gateway sends nothing more to a server whose answer, passed on by it, has said that it leaves", checkAnnounced},
 	{"evacuated", "no server of a failure domain that was evacuated longer than evacuateTime ago is sent anything, also beside a restore of the store", checkEvacuated},
 }
 
@@ -44,6 +45,7 @@
 	// restores are those outages in which the store was restored.
 	restores    []restored
 	evacuations []evacuated
+	announced   []announcement
 }
 
 // mayBeCut reports whether a fault could cut a call off although its request ran.
@@ -132,7 +134,7 @@
 		runs:    runs,
 		changes: in.changes,
 		cuts:    in.cuts,
-		outages: in.outages, restores: in.restores, evacuations: in.evacuations,
+		outages: in.outages, restores: in.restores, evacuations: in.evacuations, announced: in.announced,
 		stops:  in.stops,
 		states: in.states,
 		bounds: in.plan.bounds,
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/ryeford/ryeford/internal/freeport"
 	"github.com/ryeford/ryeford/standin"
+	"github.com/ryeford/ryeford/standin/appserver"
 )
 
 const (
@@ -166,6 +167,17 @@
 	return runs
 }
 
+// refusals returns the requests that servers have refused with a Retry-After, by server.
+func (f *fleet) refusals() map[string][]appserver.Refusal {
+	f.t.Helper()
+	response, err := http.Get("http://" + f.admin + "/refusals")
+	assert.NilError(f.t, err)
+	defer func() { _ = response.Body.Close() }()
+	var refusals map[string][]appserver.Refusal
+	assert.NilError(f.t, json.NewDecoder(response.Body).Decode(&refusals))
+	return refusals
+}
+
 // allServe reports whether each gateway is ready and serves.
 func (f *fleet) allServe() bool {
 	for i, g := range f.gateways {
--- a/internal/soak/injector_test.go
+++ b/internal/soak/injector_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -24,6 +25,8 @@
 
 	restoring  sync.Mutex // held while the store is restored
 	evacuating sync.Mutex // held while a failure domain is evacuated
+	announcing sync.Mutex // held while a server says that it leaves
+	resting    sync.Mutex // held while servers ask for rest
 
 	listing sync.Mutex // held while a server's state is changed
 
@@ -35,7 +38,8 @@
 	stops    []stop
 	// evacuations are those that are over.
 	evacuations []evacuated
-	states      []listState // of the servers
+	announced   []announcement // those that are over
+	states      []listState    // of the servers
 	timeline    []string
 }
 
@@ -44,6 +48,7 @@
 type listState struct {
 	server, state  string
 	sent, accepted time.Time
+	starts         bool // another life of the server
 }
 
 // A change is one change of the configuration. The first is what the fleet started
@@ -94,6 +99,9 @@
 	in.group.Go(func() {
 		in.strike(rand.New(rand.NewPCG(seed, evacuationStream)), evacuationFaults, maxBetweenEvacuations)
 	})
+	in.group.Go(func() {
+		in.strike(rand.New(rand.NewPCG(seed, reportStream)), reportFaults, maxBetweenReportFaults)
+	})
 	in.strike(random, in.plan.faults(random), maxBetweenFaults)
 	in.group.Wait()
 }
@@ -155,7 +163,7 @@
 func (in *injector) enterAs(server, state, change string) {
 	in.listing.Lock()
 	defer in.listing.Unlock()
-	next := listState{server: server, state: state, sent: time.Now()}
+	next := listState{server: server, state: state, sent: time.Now(), starts: strings.Contains(change, `"born"`)}
 	in.post(change)
 	next.accepted = time.Now()
 	in.mu.Lock()
@@ -192,7 +200,7 @@
 
 // clear ends what may still be wrong after faults of one kind have overlapped.
 func (in *injector) clear() {
-	in.post(`{"store":{},"fault":"","requests":0,"clock_rate":1,"date":"","lagging":false}`)
+	in.post(`{"store":{},"fault":"","requests":0,"clock_rate":1,"date":"","lagging":false,"rest":"","leaving":false}`)
 	for _, id := range servers {
 		in.enter(id, stateReady)
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -125,6 +125,7 @@
 	calls := c.finish()
 	checkCalls(f.t, calls, f.runs(), in)
 	checkStops(f.t, in)
+	checkRests(f.t, calls, f.refusals(), in)
 	assert.Assert(f.t, len(calls) > 0)
 	if f.t.Failed() {
 		f.t.Logf("seed %d: %s", seed, strings.Join(in.timeline, "\n"))
--- a/standin/appserver/serve.go
+++ b/standin/appserver/serve.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/ryeford/ryeford/internal/clock"
 	"github.com/ryeford/ryeford/platform/wire"
@@ -38,6 +39,9 @@
 		w.Header().Set(wire.HeaderLeaving, "1")
 	}
 	rest := s.rest
+	if fault == FaultShed && rest != "" {
+		s.refusals = append(s.refusals, Refusal{Request: id, At: time.Now(), Rest: rest})
+	}
 	s.mu.Unlock()
 	if fault == FaultShed {
 		w.Header().Set(wire.HeaderNotRun, "1")
--- a/standin/appserver/server.go
+++ b/standin/appserver/server.go
@@ -12,6 +12,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"time"
 )
@@ -34,6 +35,22 @@
 	crash     func()
 	leaving   bool   // answers say so
 	rest      string // the Retry-After of what FaultShed refuses; none if it is empty
+	refusals  []Refusal
+}
+
+// A Refusal is a request that was refused with a Retry-After.
+type Refusal struct {
+	Request string    `json:"request"`
+	At      time.Time `json:"at"`
+	// Rest is the Retry-After, in seconds.
+	Rest string `json:"rest"`
+}
+
+// Refusals returns the requests that were refused with a Retry-After, in their order.
+func (s *Server) Refusals() []Refusal {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.refusals)
 }
 
 // Runs returns how often each request has run here, by its ID.
--- a/standin/emulator/emulator.go
+++ b/standin/emulator/emulator.go
@@ -37,7 +37,9 @@
 	// sequence counts what the endpoints have written.
 	sequence atomic.Int64
 
-	mu     sync.Mutex
+	mu sync.Mutex
+	// born is the start of each endpoint, as its row says it last.
+	born   []int64
 	kept   *rowstore.Copy // the last one
 	newest *rowstore.Copy // what the store had when it was restored, until that is written again
 }
@@ -53,6 +55,7 @@
 		server := &s.Servers[i]
 		e.servers = append(e.servers, &appserver.Server{ID: server.ID, Events: server.Events, Step: server.Step})
 	}
+	e.born = make([]int64, len(e.servers))
 	return e
 }
 
@@ -75,6 +78,7 @@
 	admin := http.NewServeMux()
 	admin.HandleFunc("POST /fault", e.serveChange)
 	admin.HandleFunc("GET /runs", e.serveRuns)
+	admin.HandleFunc("GET /refusals", e.serveRefusals)
 	if err := serve(ctx, group, e.settings.Admin.AddrPort, admin); err != nil {
 		return err
 	}
@@ -120,12 +124,22 @@
 		Slots:         appserver.ReportedSlots,
 		State:         change.State,
 		ColdMs:        change.ColdMs,
-		Born:          change.Born,
+		Born:          e.bornOf(i, change),
 		Sequence:      e.sequence.Add(1),
 	})
 	return err
 }
 
+// bornOf returns the start of the i-th endpoint: that of a change, or else the last one.
+func (e *Emulator) bornOf(i int, change *Change) int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if change.Born != 0 {
+		e.born[i] = change.Born
+	}
+	return e.born[i]
+}
+
 // stateGone in a Change removes an endpoint's row.
 const stateGone = "gone"
 
@@ -166,10 +180,14 @@
 	Fault    *appserver.Fault `json:"fault"`
 	Requests int              `json:"requests"`
 	State    string           `json:"state"`
+	// Leaving says whether the endpoint's answers say that it leaves, whatever its row does, and Rest is
+	// the Retry-After of what the fault shed refuses; none if it is empty.
+	Leaving *bool   `json:"leaving"`
+	Rest    *string `json:"rest"`
 	// CrashBody is a body that ends an endpoint which begins to run a request with it; empty for none.
 	// The endpoint is back a second later, as another life.
 	CrashBody *string `json:"crash_body"`
-	// ColdMs and Born are what the row says beside State.
+	// ColdMs and Born are what the row says beside State; without Born it is as before.
 	ColdMs float64 `json:"cold_ms"`
 	Born   int64   `json:"born"`
 }
@@ -219,6 +237,12 @@
 		if change.Fault != nil {
 			server.SetFault(*change.Fault, change.Requests)
 		}
+		if change.Leaving != nil {
+			server.SetLeaving(*change.Leaving)
+		}
+		if change.Rest != nil {
+			server.SetRest(*change.Rest)
+		}
 		if change.CrashBody != nil {
 			server.SetCrashBody(*change.CrashBody)
 		}
@@ -276,6 +300,16 @@
 	_ = json.NewEncoder(w).Encode(total) // fails only if the test has gone
 }
 
+// serveRefusals answers with the requests that were refused with a Retry-After, by endpoint.
+func (e *Emulator) serveRefusals(w http.ResponseWriter, _ *http.Request) {
+	refusals := make(map[string][]appserver.Refusal)
+	for _, server := range e.servers {
+		refusals[server.ID] = server.Refusals()
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(refusals) // fails only if the test has gone
+}
+
 // The demo's host and its services. The settings name their endpoints.
 const (
 	demoHost = "dev.example"
