--- a/gateway/endpointlist.go
+++ b/gateway/endpointlist.go
@@ -162,30 +162,6 @@
 	return len(update.Present)+len(update.Removed) > 0
 }
 
-// maxMalformed is how many malformed entries are remembered, so that each is logged once.
-const maxMalformed = 1024
-
-// logMalformed logs and counts entries that name no endpoint to use, each once for as long as it is
-// like that.
-func (l *endpointList) logMalformed(update *ryeford.EndpointUpdate) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for i := range update.Present {
-		delete(l.malformed, update.Present[i].ID.Name())
-	}
-	for _, entry := range update.Malformed {
-		if l.malformed[entry.Name] {
-			continue
-		}
-		if l.malformed == nil || len(l.malformed) >= maxMalformed {
-			l.malformed = make(map[ryeford.EndpointID]bool)
-		}
-		l.malformed[entry.Name] = true
-		l.metrics.Count("ryeford_malformed_entries_total", "")
-		_ = l.log.Log("decision", "endpoints", "malformed", entry.Name, "err", entry.Err)
-	}
-}
-
 // endOutage is called before the lease is renewed, and before the changes that came with that are
 // applied, which are of an era. If that ends an outage, endpoints that are missing from now on are
 // suspect for a time: nothing confirmed the list for long, and this router's own read failed in
--- /dev/null
+++ b/gateway/gossiplookup.go
@@ -0,0 +1,64 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/ryeford/ryeford/gateway/peers"
+	"github.com/ryeford/ryeford/gateway/replica"
+	"github.com/ryeford/ryeford/internal/clock"
+)
+
+// lookUp registers this router in the platform's list of routers, and adds the
+// others to the table of peers, whenever that is due.
+func (g *gossip) lookUp(ctx context.Context) error {
+	clock.Sleep(ctx, replica.StartDelay(peers.RegisterSpread, rand.Float64()))
+	began := clock.Now()
+	ticker := time.NewTicker(peers.LookupInterval)
+	defer ticker.Stop()
+	for {
+		if g.lookupDue(clock.Now(), began) {
+			g.metrics.Count("ryeford_store_calls_total", causeRouters)
+			addresses, err := g.routers.Register(ctx, g.vm, g.self, peers.EnoughEntries(g.looked.Swap(true)))
+			_ = g.log.Log("decision", "look_up_peers", "found", len(addresses), "err", err)
+			if err == nil {
+				now := clock.Now()
+				g.registered.Store(&now)
+				g.table.Add(now, addresses)
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// registerAgain makes this router register anew, if it did lately, and reports whether it does. As at a
+// start it leaves its entry out if enough others are there.
+func (g *gossip) registerAgain() bool {
+	registered := g.registered.Load()
+	if registered == nil || clock.Since(*registered) > maxCopyAge {
+		return false
+	}
+	g.looked.Store(false)
+	return g.registered.CompareAndSwap(registered, nil)
+}
+
+// lookupDue reports whether this router, which runs since it began, is to register.
+func (g *gossip) lookupDue(now, began time.Time) bool {
+	var registered time.Time
+	if at := g.registered.Load(); at != nil {
+		registered = *at
+	}
+	confirmed, _ := g.endpoints.lease.Confirmed()
+	rank, _ := g.table.Rank(now, peers.LookupShift(confirmed))
+	lookup := peers.Lookup{
+		Running: now.Sub(began), Seeded: len(g.seeds) > 0,
+		Registered: !registered.IsZero(), Since: now.Sub(registered),
+		Heard: g.table.Heard(now), First: rank == 0,
+	}
+	return lookup.Due()
+}
--- a/gateway/roster/roster.go
+++ b/gateway/roster/roster.go
@@ -1,10 +1,11 @@
 // Package roster is the list of endpoints as one router believes it to be: what
-// the platform's list says, and for a short time what the list has dropped.
+// the platform's list says, what endpoints have said of their leaving, and for a short time
+// what the list has dropped.
 //
 // It owns each endpoint's status. It relies on the caller for the updates, in any
-// order (an update older than the last one is ignored), and for calling Expire.
-// It does no I/O. The rule for dropped endpoints and its constants are in
-// status.go.
+// order (an update older than the last one is ignored), for the endpoints' own word, and for
+// calling Expire. It does no I/O. The rules and their constants are in status.go (dropped
+// endpoints), leaving.go and withheld.go.
 package roster
 
 import (
@@ -17,31 +18,6 @@
 	"github.com/ryeford/ryeford/route"
 )
 
-// An Entry is one endpoint of a Roster.
-type Entry struct {
-	// Endpoint is what the list last said of it, its own State included.
-	ryeford.Endpoint
-	// Status is what the router believes of it.
-	Status Status
-	// Hash is the uniform hash of the ID.
-	Hash uint64
-	// FirstSeen is when the router first saw the endpoint on the list. It is zero
-	// if the first list had it: such an endpoint may have served for long.
-	FirstSeen time.Time
-	// Evacuated endpoints accept no requests, whatever their status: the operators have
-	// evacuated their failure domain.
-	Evacuated bool
-	// Returned is when the last evacuation of its failure domain ended, or zero.
-	Returned time.Time
-	// ColdUntil is until when the endpoint is cold by its own word, counted from when this router
-	// learnt of it.
-	ColdUntil time.Time
-	// withheld says that the list has the endpoint as ready, and the router knows better.
-	withheld bool
-	// expires is when an endpoint that is off the list is forgotten.
-	expires time.Time
-}
-
 // A Roster is the list of endpoints.
 type Roster struct {
 	mu        sync.RWMutex
@@ -274,73 +250,3 @@
 		}
 	}
 }
-
-// Known reports whether a list has been read.
-func (r *Roster) Known() bool {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
-	return r.known
-}
-
-// Serving returns the endpoints of a service that accept requests, and those that would if
-// their failure domain were not evacuated. The caller must not change them.
-func (r *Roster) Serving(service string) []*Entry {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
-	return r.serving[service]
-}
-
-// Accepting returns how many endpoints of a service accept requests.
-func (r *Roster) Accepting(service string) int {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
-	return r.accepting[service]
-}
-
-// Draining returns the draining and departed endpoints of a service. The caller
-// must not change them.
-func (r *Roster) Draining(service string) []*Entry {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
-	return r.draining[service]
-}
-
-// Entry returns an endpoint, or nil if it is not known. The caller must not change
-// it.
-func (r *Roster) Entry(id ryeford.EndpointID) *Entry {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
-	return r.entries[id]
-}
-
-// Knows reports whether an endpoint is known, whatever its status.
-func (r *Roster) Knows(id ryeford.EndpointID) bool { return r.Entry(id) != nil }
-
-// Accepts reports whether an endpoint accepts new requests.
-func (r *Roster) Accepts(id ryeford.EndpointID) bool { return r.Entry(id).Accepts() }
-
-// Hindrance returns why the endpoint accepts no new requests, or nothing: it leaves or is not known, which is
-// what a nil entry stands for, or its failure domain is evacuated.
-func (e *Entry) Hindrance() ryeford.Reason {
-	switch {
-	case e == nil || !e.Listed():
-		return ryeford.ReasonLeaving
-	case e.Evacuated:
-		return ryeford.ReasonEvacuated
-	}
-	return ""
-}
-
-// Listed reports whether the endpoint accepts new requests, or would if its failure domain were not
-// evacuated.
-func (e *Entry) Listed() bool { return e.Status.accepts() }
-
-// Accepts reports whether the endpoint accepts new requests.
-func (e *Entry) Accepts() bool { return e.Hindrance() == "" }
-
-// Len returns the number of known endpoints, whatever their status.
-func (r *Roster) Len() int {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
-	return len(r.entries)
-}
