--- a/internal/cmd/devfleet.go
+++ b/internal/cmd/devfleet.go
@@ -143,7 +143,14 @@
 
 See the fleet:
   go run ./cmd/ryeford status --operators %[2]s --operator-key %[5]s
-`, f.router.Callers, f.router.Operators, devKey, devModel, devOperatorKey)
+
+Let an engine turn turns away and ask for 10 s of rest, and take them again:
+  go run ./cmd/ryeford standin fault %[6]s '{"refuse":true,"retry_after_s":10}'
+  go run ./cmd/ryeford standin fault %[6]s '{}'
+
+Let an endpoint VM leave:
+  go run ./cmd/ryeford vm stop --operators %[2]s --operator-key %[5]s %[7]s
+`, f.router.Callers, f.router.Operators, devKey, devModel, devOperatorKey, f.standin.Engines[0].Address, f.agents[0].VM)
 	return err
 }
 
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -119,6 +119,8 @@
 	Disorder bool `json:"disorder"`
 	// Refuse answers 503 to completions.
 	Refuse bool `json:"refuse"`
+	// RetryAfterS is the Retry-After of those answers, in seconds; none if it is zero.
+	RetryAfterS int `json:"retry_after_s"`
 	// DelayMS delays the start of each run, in milliseconds.
 	DelayMS int `json:"delay_ms"`
 }
--- a/standin/enginecompletion.go
+++ b/standin/enginecompletion.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"strconv"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -18,27 +19,31 @@
 		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
 		return
 	}
-	status := e.begin(r)
+	status, retryAfter := e.begin(r)
 	if status != fasthttp.StatusOK {
 		ctx.Error("refused", status)
+		if retryAfter > 0 {
+			ctx.Response.Header.Set("Retry-After", strconv.Itoa(retryAfter))
+		}
 		return
 	}
 	go e.generate(r)
 	e.stream(ctx, r, 0)
 }
 
-// begin records a run, and returns 200 or the status of its refusal.
-func (e *engineServer) begin(r *run) int {
+// begin records a run, and returns 200 or the status of its refusal, with the seconds after which it may come
+// again, if the refusal says so.
+func (e *engineServer) begin(r *run) (status, retryAfter int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.fault.Refuse {
-		return fasthttp.StatusServiceUnavailable
+		return fasthttp.StatusServiceUnavailable, e.fault.RetryAfterS
 	}
 	if !e.serves(r.request.Model) {
-		return fasthttp.StatusNotFound
+		return fasthttp.StatusNotFound, 0
 	}
 	if _, ok := e.runs[r.attempt]; ok {
-		return fasthttp.StatusConflict
+		return fasthttp.StatusConflict, 0
 	}
 	r.affected = e.fault.Times == 0 || e.affected < e.fault.Times
 	if r.affected {
@@ -52,7 +57,7 @@
 		At:       time.Now(),
 		Admitted: r.admitted,
 	})
-	return fasthttp.StatusOK
+	return fasthttp.StatusOK, 0
 }
 
 // stream sends a run's events from an index on.
