--- a/gateway/affinity.go
+++ b/gateway/affinity.go
@@ -9,8 +9,7 @@
 )
 
 // lookedAt is how many endpoints of a prompt's order are looked at, unless the choice needs more: the
-// work that grows with a service's endpoints is a hash of each then. A choice among 3,500 endpoints
-// with 389 peers took 1.4 ms when all were looked at.
+// work that grows with a service's endpoints is a hash of each then.
 const lookedAt = 24
 
 // A firstEndpoints is the first endpoints in a prompt's order, and the mean loads of all.
--- a/gateway/choice/affinity.go
+++ b/gateway/choice/affinity.go
@@ -12,9 +12,7 @@
 	// first, so that requests do not move for a small difference.
 	minGain = 300
 	// lighterAmong is among how many of the endpoints that follow the first a lighter one is
-	// looked for. With one, more than 3 in 100 requests of five seconds went to endpoints above the
-	// operators' bound on 3 of 8 days with a third of the endpoints evacuated, with four and eight on
-	// none; share of the requests' worth on 16 other days 0.9513 with one, 0.9526 with four.
+	// looked for: one alone leaves more requests above the operators' bound.
 	lighterAmong = 4
 )
 
--- a/gateway/choice/choice.go
+++ b/gateway/choice/choice.go
@@ -19,10 +19,7 @@
 const deviations = 0.25
 
 // queueShare is the part of its slots for which an endpoint may have requests waiting while
-// others have room: a short wait costs less than reading the prompt elsewhere. Share of what a
-// day's requests are worth to their callers, less the price of what is read and moved, with 6
-// times the traffic, mean of 3 seeds: 0.558 at 0, 0.600 at 0.125, 0.594 at 0.3, 0.585 without
-// a bound; at 18 engines of 48 slots.
+// others have room: a short wait costs less than reading the prompt elsewhere.
 const queueShare = 0.125
 
 // A Candidate is an endpoint of the request's service as the router sees it now.
--- a/gateway/endpoint/send.go
+++ b/gateway/endpoint/send.go
@@ -82,8 +82,7 @@
 	}
 	response.stop = stop
 	if request.Once {
-		// Kept for longer, those of 30 routers fill an endpoint's limit: 2,077 of 20,045 were
-		// reset.
+		// Kept for longer, those of many routers fill an endpoint's limit, and it resets others.
 		c.maxIdle = min(c.maxIdle, onceIdle)
 	}
 	return response, nil
--- a/gateway/endpointreport.go
+++ b/gateway/endpointreport.go
@@ -11,12 +11,12 @@
 // recordReport takes what an endpoint says of itself with a response.
 func (x *exchange) recordReport(from *roster.Entry, report *ryeford.EndpointReport) {
 	f, q, now := x.forwarder, x.request, clock.Now()
-	// The list may have it later or never: requests reached an endpoint 10 s after its own word.
+	// The list may have it late or never, above all while the store is away.
 	leaves := report.Leaving && f.roster.Leave(now, from.ID)
 	if leaves {
 		f.metrics.Count("ryeford_leaving_endpoints_total", "")
 	}
-	// An endpoint that refuses all looks idle: without its rest it drew the more requests, of which none ran.
+	// An endpoint that refuses all looks idle, and would draw the more requests to refuse.
 	rests := report.Rest > 0 && f.rests.Ask(now, from.ID, report.Rest)
 	if rests {
 		f.metrics.Count("ryeford_rests_total", "")
--- a/gateway/freshness/outage.go
+++ b/gateway/freshness/outage.go
@@ -7,9 +7,7 @@
 // that the configuration in force is superseded.
 //
 // Why: a source that is down accepts no revocation either, so that most outages have nothing
-// that could be missed, while each router that insists refuses all its callers. On a day with
-// the source down for 9 s and later out of reach of three fifths of the routers for 10 s,
-// 0.82 of the requests' worth was served with the insistence, and 0.95 without it.
+// that could be missed, while each router that insists refuses all its callers.
 
 // ServesKeys reports whether requests that need a key are served. bridges says that the
 // operators allow it in an outage; valid that the lease has not ended; newer that a newer
--- a/gateway/freshness/refresh.go
+++ b/gateway/freshness/refresh.go
@@ -31,8 +31,7 @@
 	// minReadPause is the minimum time between two reads of a router.
 	minReadPause = 60 * time.Millisecond
 	// slowReadPause is the pause after a read that failed or that found that the
-	// operators have set no configuration yet. At 60 ms, 393 of 654 reads came before there
-	// was a configuration.
+	// operators have set no configuration yet, which may take seconds.
 	slowReadPause = 400 * time.Millisecond
 )
 
--- a/gateway/giveup/retryafter.go
+++ b/gateway/giveup/retryafter.go
@@ -141,8 +141,7 @@
 //
 // In an overload it begins no sooner than after the time for which the overload has lasted,
 // up to the latest return: an overload that is long already is likely to go on, and callers
-// that come back within it take the places of those who come for the first time. Six times
-// the traffic for 6 s, mean of 3 seeds, share of the requests' worth: 0.67 before, 0.72.
+// that come back within it take the places of those who come for the first time.
 func returnBand(earliest, overloaded time.Duration, caller Caller, recent Recent) Band {
 	last := min(time.Duration(returnShare*float64(caller.Left)), maxReturn)
 	if last <= 0 {
--- a/gateway/occupancy/occupancy.go
+++ b/gateway/occupancy/occupancy.go
@@ -23,15 +23,10 @@
 // late. The reports of a few endpoints stand for all, and the growth of this router's own
 // requests for that of its peers', so that a router needs no word of them: a large fleet
 // exchanges too few messages to know each endpoint's load.
-//
-// At 1.4 times the capacity for 6 s, at 18 engines of 48 slots, 0.67 of the requests are
-// answered within their goal and 0.27 without the rule (TestOverload).
 
 const (
 	// fullAt is the mean number of requests, running and waiting, for each slot at which a
-	// service is full. Share of what a day's requests are worth to their callers, with 6 times
-	// the traffic, mean of 3 seeds: 0.69 at 0.9, 0.72 at 1.0, 0.70 at 1.15, 0.66 at 1.3,
-	// 0.61 at 1.5, 0.54 without the rule.
+	// service is full.
 	fullAt = 1.0
 	// halfLife is the time after which a report weighs half: long enough for several reports
 	// at a router of a large fleet, which gets some 24 a second in an overload.
--- a/gateway/peers/count.go
+++ b/gateway/peers/count.go
@@ -18,8 +18,7 @@
 	// it is kept after it was last seen: twenty rounds of gossip.
 	peerTTL = 3 * time.Second
 	// memberTTL is added to it for each peer that is known: the same bytes a second name each
-	// of them more rarely. Among 390 routers 0.98 of the peers are alive for a router, and
-	// 0.12 without it (TestFleetLoads).
+	// of them more rarely.
 	memberTTL = 50 * time.Millisecond
 	// loadTTL is how long the loads in a peer's message count.
 	loadTTL = time.Second
--- a/gateway/peers/schedule.go
+++ b/gateway/peers/schedule.go
@@ -14,8 +14,7 @@
 // The reasons are in docs/decisions.md, Gossip.
 
 const (
-	// Interval is the time between two rounds of messages. Of the requests of a prompt that is
-	// suddenly hot, at 103 routers, 0.021 went above the bound at 150 ms and 0.016 at 75 ms.
+	// Interval is the time between two rounds of messages.
 	Interval = 75 * time.Millisecond
 	// Fanout is how many peers a message is sent to at most. Set with Interval.
 	Fanout = 8
--- a/internal/freeport/freeport.go
+++ b/internal/freeport/freeport.go
@@ -73,7 +73,7 @@
 // It opens no socket to find that out: a process that is being started holds a copy of all open ones
 // until it runs its own program, so that the address would stay in use after the socket is closed here.
 // The runtime's ForkLock doesn't keep that apart: the kernel lets the starting process go on before it
-// has closed the copies (4 of 20 runs of TestNextBesideStarts failed, idle machine).
+// has closed the copies.
 func isFree(address netip.AddrPort) bool {
 	for _, table := range []string{"tcp", "tcp6", "udp", "udp6"} {
 		if inUse(table, address.Port()) {
--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -211,8 +211,8 @@
 	return ""
 }
 
-// cutMargin is how long before and after a fault a broken call is put down to it. Not
-// measured: some times what a signal or a reset takes to be seen at the other end.
+// cutMargin is how long before and after a fault a broken call is put down to
+// it: some times what a signal or a reset takes to be seen at the other end.
 const cutMargin = time.Second
 
 // checkStop checks that a request that ran was not cut off, unless a fault could do
--- a/internal/soak/departed_test.go
+++ b/internal/soak/departed_test.go
@@ -7,7 +7,7 @@
 
 // departTime is how long a gateway in touch may take to learn that a server takes no more
 // requests. It pauses for 1 s between two reads of the list (gateway/watch); the rest is
-// for the reads. Not measured.
+// for the reads.
 const departTime = 1500 * time.Millisecond
 
 // checkDeparted checks that a call was not answered by a server that takes no requests: by
--- a/internal/soak/serieschecks_test.go
+++ b/internal/soak/serieschecks_test.go
@@ -31,13 +31,13 @@
 	admitTime = 3 * time.Second
 	// lastPart of the grace period is when it may cut them off. Set by: the same page.
 	lastPart = 6
-	// signalMargin is how long a signal may take to be noticed. Not measured.
+	// signalMargin is how long a signal may take to be noticed.
 	signalMargin = 200 * time.Millisecond
 	// crossingTime is how long a request that crosses the close of its connection may
-	// take until its caller notices. Not measured.
+	// take until its caller notices.
 	crossingTime = time.Second
 	// closeSpan is how long a gateway that stops may take to close its idle connections:
-	// net/http looks for them every 500 ms. Not measured.
+	// net/http looks for them every 500 ms.
 	closeSpan = time.Second
 )
 
--- a/internal/soak/stalls_test.go
+++ b/internal/soak/stalls_test.go
@@ -8,7 +8,7 @@
 const (
 	// stallTick is how often a stall is looked for.
 	stallTick = 20 * time.Millisecond
-	// minStall is the time between two ticks from which it counts as a stall. Not measured:
+	// minStall is the time between two ticks from which it counts as a stall:
 	// on an idle machine ticks are late by less than a millisecond.
 	minStall = 50 * time.Millisecond
 )
