fix: a request whose path panics leaves its endpoint healthy

Callers would see: an endpoint that is sent nothing any more by one router, after one panic in that request's path. Cause: net/http recovers the panic and ends the request, and what was counted for it ends in deferred calls, but for the end of the wait for a response, which came after the send. It is deferred now.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -39,9 +39,7 @@
 	f.occupancy.Begin(x.request.service)
 	defer f.occupancy.End(x.request.service)
 	x.began = sent
-	number := f.detector.Start(clock.Now(), to.ID)
-	response, err := x.send(attemptCtx, to, source)
-	f.detector.End(clock.Now(), to.ID, number, err == nil)
+	response, err := x.observedSend(attemptCtx, to, source)
 	if err != nil {
 		if timedOut(attemptCtx) || errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			// The endpoint's open connections may have gone silent, without a reset, and each
@@ -76,6 +74,15 @@
 	return func() { timer.Stop() }
 }
 
+// observedSend sends the request as send does, and has the detector of outliers observe it. Its end is noted
+// after a panic, too: the endpoint would count as silent for good.
+func (x *exchange) observedSend(ctx context.Context, to, source *roster.Entry) (response *endpoint.Response, err error) {
+	detector := x.forwarder.detector
+	number := detector.Start(clock.Now(), to.ID)
+	defer func() { detector.End(clock.Now(), to.ID, number, response != nil) }()
+	return x.send(ctx, to, source)
+}
+
 // send sends the request and waits for the head of the response.
 func (x *exchange) send(ctx context.Context, to, source *roster.Entry) (*endpoint.Response, error) {
 	f, q := x.forwarder, x.request
