--- a/gateway/affinity.go
+++ b/gateway/affinity.go
@@ -19,7 +19,7 @@
 }
 
 // firstByAffinity returns the first endpoints in the order of a query's prompt. All have to be looked
-// at if there are few, or if no peer tells of its requests: the mean load is then what the
+// at if there are few, or if no peer reports its requests: the mean load is then what the
 // endpoints report.
 func (b *balancer) firstByAffinity(now time.Time, query *endpointQuery) firstEndpoints {
 	serving, draining := b.roster.Serving(query.service), b.roster.Draining(query.service)
--- a/gateway/configuration.go
+++ b/gateway/configuration.go
@@ -26,7 +26,7 @@
 	inForce catalog.Current
 	lease   *freshness.Lease
 	newer   newerVersion
-	wake    chan struct{} // holds one entry if a peer has told of a newer version
+	wake    chan struct{} // holds one entry if a peer has reported a newer version
 
 	// Only run uses what follows.
 	peerReader *peerReader
@@ -133,7 +133,7 @@
 	return nil
 }
 
-// pause waits after a read. A long wait ends if a peer tells of a newer configuration.
+// pause waits after a read. A long wait ends if a peer reports a newer configuration.
 func (c *configuration) pause(ctx context.Context, answered bool) {
 	wait, least := freshness.PauseAfterRead(answered, c.current() != nil), freshness.PauseAfterRead(true, true)
 	clock.Sleep(ctx, least)
--- a/gateway/endpointlist.go
+++ b/gateway/endpointlist.go
@@ -157,7 +157,7 @@
 	if !l.apply(&changes, "source") {
 		return false
 	}
-	// Renewed only now: what peers are told is confirmed must have been applied.
+	// Renewed only now: what peers receive as confirmed must have been applied.
 	l.lease.RenewRead(sent, update.Begun, update.Clock)
 	return len(update.Present)+len(update.Removed) > 0
 }
--- a/gateway/freshness/confirm.go
+++ b/gateway/freshness/confirm.go
@@ -9,8 +9,8 @@
 // What confirms the configuration in force.
 //
 // Rule: an own read does, unless its revision is older than the newest one that was
-// known when it was sent, or its version than the one in force or one that a peer had told of by then. What
-// peers told is forgotten if the source contradicts it newsTTL after they last did. A
+// known when it was sent, or its version than the one in force or one that a peer had reported by then. What
+// peers reported is forgotten if the source contradicts it newsTTL after they last did. A
 // peer's confirmation does if it is of the very version in force here; if the peer has a
 // newer version, or there is none here, the router reads by itself at once; if it has an
 // older one, nothing follows.
@@ -22,7 +22,7 @@
 // force somewhere peers tell in each round of gossip, while a message that was damaged comes
 // once.
 
-// newsTTL is how long after peers last told of a version the source is not believed against
+// newsTTL is how long after peers last reported a version the source is not believed against
 // them: some rounds of gossip.
 const newsTTL = time.Second
 
@@ -64,6 +64,6 @@
 	return PeerIgnored
 }
 
-// Forgets reports whether what peers told of is forgotten once the source contradicts it.
+// Forgets reports whether what peers reported is forgotten once the source contradicts it.
 // age is the time since they last did.
 func Forgets(age time.Duration) bool { return age >= newsTTL }
--- a/gateway/freshness/lease.go
+++ b/gateway/freshness/lease.go
@@ -55,7 +55,7 @@
 
 // RenewRead renews the lease by a read of this process: when it was sent, when its
 // answer began to come, and what the source's clock showed in between. How long the rest
-// of the answer took tells nothing of the clock.
+// of the answer took says nothing of the clock.
 func (l *Lease) RenewRead(sent, begun time.Time, clock time.Duration) {
 	l.renew(sent)
 	l.clock.Observe(sent, clock)
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -69,7 +69,7 @@
 
 // addPrompt adds a prompt that was sent to an endpoint to the next message, or as many of
 // its first parts as that has room for. expected says that peers would have sent it there, too:
-// in a fleet in which they hear of a part of the requests only, they need not be told.
+// in a fleet in which they receive word of a part of the requests only, it is left out.
 func (g *gossip) addPrompt(endpoint ryeford.EndpointID, parts []ryeford.PromptPart, expected bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -161,7 +161,7 @@
 func (g *gossip) welcome(peer netip.AddrPort) {
 	select {
 	case g.newcomers <- peer:
-	default: // it hears of the fleet from another peer, or a little later
+	default: // it learns of the fleet from another peer, or a little later
 	}
 }
 
--- a/gateway/loads/estimate.go
+++ b/gateway/loads/estimate.go
@@ -10,9 +10,9 @@
 // Rule: the estimate is this router's own requests, and for those of the others the mean of
 // what is known, each weighed by the inverse of its variance:
 //
-//   - what the peers have told of their requests there, divided by the part of all peers that
-//     have told lately: exact if all have, and the less certain the fewer have
-//   - what the endpoint told last, to any router, on its way back to the mean of the service,
+//   - what the peers have reported of their requests there, divided by the part of all peers that
+//     have reported lately: exact if all have, and the less certain the fewer have
+//   - what the endpoint reported last, to any router, on its way back to the mean of the service,
 //     from which it is further the less of its requests have ended since
 //   - the mean of the service
 //
@@ -38,7 +38,7 @@
 	Peers int     // those of the peers whose loads count
 	Share float64 // the part that these peers are of all peers, at most 1
 	Mean  float64 // all peers' requests at an endpoint of the service, on average
-	// Reports says that the endpoint has told its load: Others requests that weren't this
+	// Reports says that the endpoint has reported its load: Others requests that weren't this
 	// router's, Age ago.
 	Reports bool
 	Others  float64
--- a/gateway/loads/loads.go
+++ b/gateway/loads/loads.go
@@ -1,6 +1,6 @@
 // Package loads estimates how many requests each endpoint has.
 //
-// It owns this router's own requests under way and what endpoints have told of their loads
+// It owns this router's own requests under way and what endpoints have reported of their loads
 // with their responses, to this router or to a peer. It relies on the caller for what the
 // peers report of their own requests, for pairing Begin with End, and for forgetting endpoints
 // that are gone. It does no I/O. The rule is in estimate.go.
@@ -43,9 +43,9 @@
 	service uint32 // as in a peers.Total
 }
 
-// A report is what an endpoint has told of its load.
+// A report is what an endpoint has reported of its load.
 type report struct {
-	at       time.Time // when it told it
+	at       time.Time // when it did
 	requests int       // running and waiting, of all routers
 	others   int       // of these, those that weren't this router's when it learnt of them
 }
@@ -143,7 +143,7 @@
 	return 0
 }
 
-// Report stores the load that an endpoint told this router, if it did: load may be nil.
+// Report stores the load that an endpoint reported to this router, if it did: load may be nil.
 func (t *Table) Report(now time.Time, id ryeford.EndpointID, load *ryeford.EndpointLoad) {
 	if load == nil {
 		return
@@ -154,7 +154,7 @@
 	t.reports[Key(route.NameHash(string(id)))] = report{at: now, requests: requests, others: max(0, requests-t.ownAt(id))}
 }
 
-// Learn takes what peers have heard of the loads of endpoints.
+// Learn takes what peers have received of the loads of endpoints.
 func (t *Table) Learn(now time.Time, reports []peers.Report) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -166,7 +166,7 @@
 	}
 }
 
-// Observe returns what is known of an endpoint here; the caller adds what peers have told of
+// Observe returns what is known of an endpoint here; the caller adds what peers have reported of
 // their own requests. hash is that of the endpoint's ID.
 func (t *Table) Observe(now time.Time, id ryeford.EndpointID, hash uint64) Observation {
 	t.mu.Lock()
--- a/gateway/newerversion.go
+++ b/gateway/newerversion.go
@@ -15,7 +15,7 @@
 	mu      sync.Mutex
 	inForce int64          // here
 	newest  int64          // at a peer
-	told    time.Time      // when a peer last told of newest
+	told    time.Time      // when a peer last reported newest
 	peer    netip.AddrPort // that peer
 	// changed says that the source has another version, whose number has not come yet.
 	changed bool
@@ -61,14 +61,14 @@
 	n.changed, n.late = false, false
 }
 
-// heard returns the newest version that a peer has told of, or zero.
+// heard returns the newest version that a peer has reported, or zero.
 func (n *newerVersion) heard() int64 {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.newest
 }
 
-// teller returns the newest version that a peer has told of, and the peer that told of it
+// teller returns the newest version that a peer has reported, and the peer that did
 // last. It is invalid if there is none.
 func (n *newerVersion) teller() (int64, netip.AddrPort) {
 	n.mu.Lock()
@@ -76,7 +76,7 @@
 	return n.newest, n.peer
 }
 
-// contradict takes that the source does not have the newest version that peers told of.
+// contradict takes that the source does not have the newest version that peers reported.
 func (n *newerVersion) contradict(now time.Time) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/gateway/peerconfiguration.go
+++ b/gateway/peerconfiguration.go
@@ -8,7 +8,7 @@
 	"github.com/ryeford/ryeford/internal/clock"
 )
 
-// A router takes the configuration from a peer that has told of a newer one, and reads the source
+// A router takes the configuration from a peer that has reported a newer one, and reads the source
 // only if that fails: over HTTP, at the address of the peer's gossip, in CBOR. What a peer says of
 // the version is believed as it is when it renews the lease.
 
@@ -23,7 +23,7 @@
 	Evacuations ryeford.Evacuations
 }
 
-// readFromPeer puts the configuration of a peer in force that has told of a newer one, and
+// readFromPeer puts the configuration of a peer in force that has reported a newer one, and
 // reports whether it has.
 func (c *configuration) readFromPeer(ctx context.Context) bool {
 	version, peer := c.newer.teller()
--- a/gateway/peerlist.go
+++ b/gateway/peerlist.go
@@ -11,16 +11,16 @@
 	"github.com/ryeford/ryeford/internal/clock"
 )
 
-// A router that hears of a peer with a newer copy of the list of endpoints reads from it what it
+// A router that learns that a peer has a newer copy of the list of endpoints reads from it what it
 // lacks: over HTTP, at the address of the peer's gossip.
 
-// A peerCopy is a copy of the list that a peer has told of.
+// A peerCopy is a copy of the list that a peer has reported.
 type peerCopy struct {
 	peer netip.AddrPort
 	at   replica.Range
 }
 
-// digest returns what peers are told of the copy, or nil.
+// digest returns what peers receive of the copy, or nil.
 func (l *endpointList) digest() *peers.List {
 	// The confirmation is read before the range, which then is as new as it says or newer.
 	confirmed, known := l.lease.Confirmed()
@@ -33,7 +33,7 @@
 	return peers.ListOf(at.From, at.To, !l.whole.IsZero(), confirmed)
 }
 
-// hear takes what a peer has told of its copy.
+// hear takes what a peer has reported of its copy.
 func (l *endpointList) hear(peer netip.AddrPort, list *peers.List) {
 	if list == nil {
 		return
--- a/gateway/peers/count.go
+++ b/gateway/peers/count.go
@@ -6,7 +6,7 @@
 //
 // Rule: a peer is alive for PeerTTL, and MemberTTL more for each peer that is known, after it
 // last was known to be: by its own message, or by another's that names it, less the age that
-// this tells. Its loads count for LoadTTL after the message that held them.
+// this says. Its loads count for LoadTTL after the message that held them.
 //
 // The reasons are in docs/decisions.md, Count a peer.
 //
--- a/gateway/peers/message.go
+++ b/gateway/peers/message.go
@@ -36,7 +36,7 @@
 	Complete bool   `cbor:"16,keyasint,omitempty"`
 	// Demands are the sender's requests under way by prompt.
 	Demands []Demand `cbor:"18,keyasint,omitempty"`
-	// Reports are what endpoints have told of their loads, to any router.
+	// Reports are what endpoints have reported of their loads, to any router.
 	Reports Reports `cbor:"17,keyasint,omitempty"`
 	// Version is that of the configuration in force at the sender, or zero.
 	//
@@ -138,11 +138,11 @@
 	Requests int
 }
 
-// A Report is the load that an endpoint has told with a response.
+// A Report is the load that an endpoint has reported with a response.
 type Report struct {
 	Endpoint uint32        // the low half of route.NameHash of its ID
 	Requests int           // running and waiting, of all routers
-	Age      time.Duration // since the endpoint told it
+	Age      time.Duration // since the endpoint did
 }
 
 // A Load is how many requests a router has under way at an endpoint.
--- a/gateway/peers/schedule.go
+++ b/gateway/peers/schedule.go
@@ -35,7 +35,7 @@
 
 	// MaxMembers is how many peers a message names.
 	MaxMembers = 8
-	// MaxDemands is of how many prompts a message tells the requests under way.
+	// MaxDemands is of how many prompts a message holds the requests under way.
 	MaxDemands = 16
 	// MaxHighReports is how many reports of endpoints with a high load a message holds.
 	MaxHighReports = 24
@@ -78,7 +78,7 @@
 	First      bool // it is the first in the shift of LookupShift
 }
 
-// Due reports whether it does: while it hears no peer, but not before those that it was given had
+// Due reports whether it does: while it receives nothing of peers, but not before those that it was given had
 // the time to answer; and if its entry is missing or old and it is its turn, so that the
 // platform's list has some of the routers and parts of the fleet that have lost each other
 // find each other there. Without addresses of peers it registers at its start.
--- a/gateway/peers/sums.go
+++ b/gateway/peers/sums.go
@@ -21,7 +21,7 @@
 	totals   map[uint32]int // by service
 	demands  map[uint32]int // by prompt
 	counted  int            // members
-	complete int            // of these, those that told of all endpoints
+	complete int            // of these, those that reported all endpoints
 }
 
 func newSums() sums {
@@ -55,7 +55,7 @@
 type Sample struct {
 	Alive    int // peers
 	Counted  int // of these, those whose loads count
-	Complete int // of these, those that told of all endpoints, also of those that report
+	Complete int // of these, those that reported all endpoints, also of those that report
 	Requests int // that the counted ones have under way at the service
 }
 
