--- a/gateway/peers/message.go
+++ b/gateway/peers/message.go
@@ -13,6 +13,9 @@
 	"github.com/ryeford/ryeford"
 )
 
+// MaxLeaving is how many endpoints that leave a message holds.
+const MaxLeaving = 32
+
 // A Message is what a router sends its peers every Interval.
 type Message struct {
 	Sender netip.AddrPort `cbor:"1,keyasint"`
--- a/gateway/peers/withheld.go
+++ b/gateway/peers/withheld.go
@@ -9,9 +9,6 @@
 // MaxWithheld is how many withheld endpoints a message holds.
 const MaxWithheld = 32
 
-// MaxLeaving is how many endpoints that leave a message holds.
-const MaxLeaving = 32
-
 // SetWithheld sets the endpoints that are withheld, and for how long.
 func (m *Message) SetWithheld(endpoints []ryeford.WithheldEndpoint, left time.Duration) {
 	for _, e := range endpoints {
