fix: an agent sends nothing to a plain service that has asked for rest

Callers saw: a service's 503 passed on, again and again in the time for which it wants no calls, though other instances would have served. Cause: as for engines; the answer of a service is passed on whatever its status is, so that its Retry-After was never looked at. Change: the agent reads it from the answer's head. A service all of whose instances rest stays known to the router: a call gets 503 no_candidate, not 404. Before and after: TestServiceAsksForRest, red before, green.

--- a/agentfleet/agent/execute.go
+++ b/agentfleet/agent/execute.go
@@ -110,6 +110,9 @@
 		return newStreamError(ctx, err, !resume && asm.Next() == 0 && engine.NotRun(err))
 	}
 	defer func() { _ = reader.Close() }() // the answer is whole or failed already
+	if span := engine.RestIn(reader); span > 0 {
+		a.rest(r.backend, span)
+	}
 	for !asm.Finished() {
 		chunk, err := reader.Next()
 		if err != nil {
--- a/agentfleet/agent/rest.go
+++ b/agentfleet/agent/rest.go
@@ -4,7 +4,7 @@
 	"time"
 )
 
-// rest takes that an engine has refused a request and asked for rest. Until that is over its dispatches are
+// rest takes that an engine or a service has refused a request and asked for rest. Until that is over its dispatches are
 // refused, and routers know so from the inventory; an end that is sooner than the last one changes nothing.
 func (a *Agent) rest(b *backend, span time.Duration) {
 	if !b.rest(time.Now().Add(span)) {
--- a/agentfleet/agent/rest_test.go
+++ b/agentfleet/agent/rest_test.go
@@ -60,6 +60,38 @@
 	assert.Equal(t, calls.Load(), int64(1))
 }
 
+// TestServiceAsksForRest checks the same for a plain service, whose refusal is an answer that callers get.
+func TestServiceAsksForRest(t *testing.T) {
+	var calls atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		calls.Add(1)
+		w.Header().Set("Retry-After", "60")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	defer server.Close()
+	b := newBackend("endpoint-1.notes", admission.Limits{Floor: 8, Capacity: 8, ShareFrom: 8}, 10)
+	b.service = engine.NewService(netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")))
+	a := testAgent(b)
+	a.settings.Limits.FirstToken, a.settings.Limits.BetweenTokens = time.Minute, time.Minute
+	dispatch := func(attempt string) (*run, *wire.Refused) {
+		return a.admit(&wire.Dispatch{
+			Attempt: ryeford.AttemptID(attempt), Account: "bank", Engine: b.id, Incarnation: a.incarnation, Share: 1,
+			Call:    &ryeford.Call{Attempt: ryeford.AttemptID(attempt), Method: http.MethodGet, Path: "/"},
+			Expires: time.Now().Add(time.Minute), Forget: time.Now().Add(time.Hour),
+		})
+	}
+	first, refused := dispatch("a0")
+	assert.Assert(t, refused == nil)
+	awaitFinished(t, first)
+	chunks, err := first.log.Read(t.Context(), 0)
+	assert.NilError(t, err)
+	assert.Equal(t, chunks[0].Status, http.StatusServiceUnavailable)
+	_, refused = dispatch("a1")
+	assert.Assert(t, refused != nil)
+	assert.Equal(t, refused.Reason, ryeford.ReasonResting)
+	assert.Equal(t, calls.Load(), int64(1))
+}
+
 // awaitFinished waits until the answer of a run has ended.
 func awaitFinished(t *testing.T, r *run) {
 	t.Helper()
--- a/agentfleet/engine/service.go
+++ b/agentfleet/engine/service.go
@@ -6,8 +6,10 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"time"
 
 	"github.com/ryeford/ryeford"
+	"github.com/ryeford/ryeford/retry"
 )
 
 // serviceChunkSize is the largest number of bytes of a body in one chunk.
@@ -82,6 +84,19 @@
 	return chunk, nil
 }
 
+// RestIn returns for how long a service wants no calls by the answer that is read; zero if it doesn't say.
+func RestIn(reader ryeford.ChunkReader) time.Duration {
+	r, ok := reader.(*bodyReader)
+	if !ok {
+		return 0
+	}
+	switch r.response.StatusCode {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		return retry.After(r.response.Header)
+	}
+	return 0
+}
+
 // Close implements ryeford.ChunkReader.
 func (r *bodyReader) Close() error { return r.response.Body.Close() }
 
--- a/agentfleet/router/fleet.go
+++ b/agentfleet/router/fleet.go
@@ -96,15 +96,18 @@
 		a := agents[id]
 		for _, e := range a.inventory.Engines {
 			v.engines[e.ID] = a
-			if a.leaving() || e.Resting {
+			if a.leaving() {
 				continue
 			}
-			target := route.Target{Engine: e.ID, VM: id, Domain: a.inventory.FailureDomain}
+			var targets []route.Target // none of one that rests, which leaves what it serves known
+			if !e.Resting {
+				targets = []route.Target{{Engine: e.ID, VM: id, Domain: a.inventory.FailureDomain}}
+			}
 			for _, pool := range e.Pools {
-				pools[pool] = append(pools[pool], target)
+				pools[pool] = append(pools[pool], targets...)
 			}
 			if e.Service != "" {
-				services[e.Service] = append(services[e.Service], target)
+				services[e.Service] = append(services[e.Service], targets...)
 			}
 		}
 	}
--- a/agentfleet/router/fleet_test.go
+++ b/agentfleet/router/fleet_test.go
@@ -10,6 +10,7 @@
 	"github.com/ryeford/ryeford"
 	"github.com/ryeford/ryeford/agentfleet/load"
 	"github.com/ryeford/ryeford/agentfleet/transport"
+	"github.com/ryeford/ryeford/agentfleet/wire"
 )
 
 // TestFleet checks which agents' engines are candidates, and which are found at all.
@@ -61,6 +62,20 @@
 	}
 }
 
+// TestRestingService checks that a service all of whose instances rest has none to be sent to, and is still
+// known: a caller is not told that there is no such service.
+func TestRestingService(t *testing.T) {
+	f := newFleet()
+	a := testAgent("endpoint-1", "lira")
+	inventory := *a.inventory
+	inventory.Engines = append(slices.Clone(inventory.Engines), wire.EngineState{ID: "endpoint-1.notes", Service: "notes", Resting: true})
+	a.inventory = &inventory
+	f.put(a)
+	assert.Assert(t, f.service("notes") != nil)
+	assert.Equal(t, f.service("notes").Len(), 0)
+	assert.Assert(t, f.service("another") == nil)
+}
+
 // TestSkew checks the busiest engine's load over its model's mean.
 func TestSkew(t *testing.T) {
 	type sample struct {
