refactor: a rejection looks at endpoints only until one that is available

For how long all endpoints of a service are away was asked twice for each rejected request, each time of all endpoints: with one that is neither ejected nor rests the answer is zero. The result is the same.

--- a/gateway/balancer.go
+++ b/gateway/balancer.go
@@ -155,6 +155,9 @@
 			continue
 		}
 		left := of(entry.ID)
+		if left == 0 {
+			return 0
+		}
 		if first || left < shortest {
 			shortest, first = left, false
 		}
