refactor: which responses ask for rest stands in one place

Outcomes as before: TestReportedRest, FuzzEndpointReport, TestEngineAsksForRest, TestServiceAsksForRest.

--- a/agentfleet/engine/client.go
+++ b/agentfleet/engine/client.go
@@ -239,8 +239,8 @@
 	Op     string // what failed; the path of a call
 	Status int    // the HTTP status, if there was a response
 	Err    error  // nil if the status is the failure
-	// RetryAfter is for how long an engine that is full wants no requests; zero if it doesn't say.
-	RetryAfter time.Duration
+	// Rest is for how long an engine that is full wants no requests; zero if it doesn't say.
+	Rest time.Duration
 }
 
 func (e *Error) Error() string {
@@ -259,16 +259,14 @@
 		return &ryeford.NotFoundError{Kind: "engine resource", Name: op}
 	case http.StatusPreconditionFailed:
 		return &ryeford.FenceError{}
-	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
-		return &Error{Op: op, Status: status, RetryAfter: retry.After(response.Header)}
 	}
-	return &Error{Op: op, Status: status}
+	return &Error{Op: op, Status: status, Rest: retry.Rest(status, response.Header)}
 }
 
 // RestOf returns for how long an engine whose call failed with err wants no requests; zero if it doesn't say.
 func RestOf(err error) time.Duration {
 	if engineErr, ok := errors.AsType[*Error](err); ok {
-		return engineErr.RetryAfter
+		return engineErr.Rest
 	}
 	return 0
 }
--- a/agentfleet/engine/service.go
+++ b/agentfleet/engine/service.go
@@ -90,11 +90,7 @@
 	if !ok {
 		return 0
 	}
-	switch r.response.StatusCode {
-	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
-		return retry.After(r.response.Header)
-	}
-	return 0
+	return retry.Rest(r.response.StatusCode, r.response.Header)
 }
 
 // Close implements ryeford.ChunkReader.
--- a/retry/after.go
+++ b/retry/after.go
@@ -8,13 +8,22 @@
 	"time"
 )
 
-// maxAfter bounds the time that After returns, so that a number which nobody can have meant stays within
+// maxAfter bounds the time that Rest returns, so that a number which nobody can have meant stays within
 // the range of time.Duration.
 const maxAfter = 24 * time.Hour
 
-// After returns for how long the header of a response asks its client to wait (RFC 9110, Retry-After), of
+// Rest returns for how long a response asks its client to send nothing: 503 and 429 do, if they say when to
+// come back.
+func Rest(status int, header http.Header) time.Duration {
+	if status != http.StatusServiceUnavailable && status != http.StatusTooManyRequests {
+		return 0
+	}
+	return after(header)
+}
+
+// after returns for how long the header of a response asks its client to wait (RFC 9110, Retry-After), of
 // several times the longest. What can't be read, and a time that is over, asks for none.
-func After(header http.Header) time.Duration {
+func after(header http.Header) time.Duration {
 	var longest time.Duration
 	for _, text := range header.Values("Retry-After") {
 		longest = max(longest, parseAfter(strings.TrimSpace(text), header.Get("Date")))
