refactor: the soak's checks departed and withheld share one loop

They had become the same but for who counts as in touch; departTime was drainTime by another name. Each asks as before.

--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -25,7 +25,7 @@
 	{"key", "nothing runs whose key was revoked more than bounds.revoke ago", checkKey},
 	{"stop", "a request that ran is cut off only beside a fault that may cut it", checkStop},
 	{"refused", "a gateway that stops takes connections until the load balancer can know", checkRefused},
-	{"departed", "a gateway in touch serves by no server that has drained or left the list for longer than departTime", checkDeparted},
+	{"departed", "a gateway in touch serves by no server that has drained or left the list for longer than drainTime", checkDeparted},
 	{"withheld", "the same beside a restore of the store, for a server that had done so for longer than drainTime", checkWithheld},
 	{"announced", "a gateway sends nothing more to a server whose answer, passed on by it, has said that it leaves", checkAnnounced},
 	{"evacuated", "no server of a failure domain that was evacuated longer than evacuateTime ago is sent anything, also beside a restore of the store", checkEvacuated},
--- a/internal/soak/departed_test.go
+++ b/internal/soak/departed_test.go
@@ -5,26 +5,28 @@
 	"time"
 )
 
-// departTime is how long a gateway in touch may take to learn that a server takes no more
-// requests: bounds.drain. One that hears nothing from its peers, or can't read from them, reads the list by
-// itself a little before that.
-const departTime = drainTime
-
-// checkDeparted checks that a call was not answered by a server that takes no requests: by
-// one that had drained or left the list for longer than departTime when the call was sent,
-// and was not back by its end.
+// checkDeparted checks that a call was not answered by a server that takes no requests.
 func checkDeparted(c *call, seen *evidence) string {
-	if c.server == "" || !seen.inTouch(c) {
+	if !seen.inTouch(c) {
+		return ""
+	}
+	return seen.answeredLate(c)
+}
+
+// answeredLate returns what is wrong with a call that was answered by a server which had drained or left the list
+// for longer than drainTime when the call was sent, and was not back by its end.
+func (e *evidence) answeredLate(c *call) string {
+	if c.server == "" {
 		return ""
 	}
-	for i := range seen.states {
-		away := &seen.states[i]
-		if away.server != c.server || away.state == stateReady {
+	for i := range e.states {
+		away := &e.states[i]
+		if away.server != c.server || away.state == stateReady || c.sent.Before(away.accepted) {
 			continue
 		}
-		since := seen.keptSince(away.accepted, departTime)
-		late := c.sent.Sub(since) - departTime - seen.stalls.between(since, c.sent)
-		if late > 0 && !seen.isBack(i, c.ended) {
+		since := e.keptSince(away.accepted, drainTime)
+		late := c.sent.Sub(since) - drainTime - e.stalls.between(since, c.sent)
+		if late > 0 && !e.isBack(i, c.ended) {
 			return fmt.Sprintf("answered by %s, which was %s for %s when it was sent", c.server, away.state, c.sent.Sub(since))
 		}
 	}
--- a/internal/soak/extrafaults_test.go
+++ b/internal/soak/extrafaults_test.go
@@ -18,7 +18,7 @@
 	{"store clock step", "the store's clock starts anew, 15 s or more before or after", noRequest, noRequest, (*injector).storeClockStep},
 	{"dates", "the store and the servers state another day in their answers, up to 3 s", noRequest, noRequest, (*injector).dates},
 	{"store lags", "every second read of the store shows the state of the fault's beginning, up to 3 s; the configuration changes meanwhile", noRequest, anyRequest, (*injector).storeLags},
-	{"long drain", "a server drains for 2 to 4 s, longer than departTime, and is back", noRequest, noRequest, (*injector).longDrain},
+	{"long drain", "a server drains for 2 to 4 s, longer than drainTime, and is back", noRequest, noRequest, (*injector).longDrain},
 }
 
 const (
--- a/internal/soak/restorefaults_test.go
+++ b/internal/soak/restorefaults_test.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"time"
 )
@@ -65,21 +64,10 @@
 // checkWithheld checks that a restore of the store excuses nobody who sends to a server that had drained
 // or left the list before it: what a gateway has read binds it.
 func checkWithheld(c *call, seen *evidence) string {
-	if c.server == "" || !seen.inTouchBesideRestores(c) {
+	if !seen.inTouchBesideRestores(c) {
 		return ""
 	}
-	for i := range seen.states {
-		away := &seen.states[i]
-		if away.server != c.server || away.state == stateReady || c.sent.Before(away.accepted) {
-			continue
-		}
-		since := seen.keptSince(away.accepted, drainTime)
-		late := c.sent.Sub(since) - drainTime - seen.stalls.between(since, c.sent)
-		if late > 0 && !seen.isBack(i, c.ended) {
-			return fmt.Sprintf("answered by %s, which was %s for %s when it was sent, though the store was restored", c.server, away.state, c.sent.Sub(since))
-		}
-	}
-	return ""
+	return seen.answeredLate(c)
 }
 
 // inTouchBesideRestores reports whether a call's gateway was in touch, as if restores were no outages.
