--- a/agentfleet/agent/rest_test.go
+++ b/agentfleet/agent/rest_test.go
@@ -22,82 +22,75 @@
 // agent admitted each dispatch that came, and each was refused again and sent to another engine, for one of its
 // account's budget: six of six dispatches reached an engine that had asked for a minute of rest.
 
-// TestEngineAsksForRest checks that an agent sends nothing to an engine that has asked for rest before that is
-// over, refuses what routers dispatch to it, and says when it is over.
-func TestEngineAsksForRest(t *testing.T) {
-	var calls atomic.Int64
+// A restTest is an agent before a backend that refuses all and asks for a minute of rest.
+type restTest struct {
+	t       *testing.T
+	agent   *Agent
+	backend *backend
+	address netip.AddrPort // of what the backend calls
+	calls   atomic.Int64   // that have come there
+}
+
+func newRestTest(t *testing.T) *restTest {
+	r := &restTest{t: t, backend: newBackend("endpoint-1.1", admission.Limits{Floor: 8, Capacity: 8, ShareFrom: 8}, 10)}
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		calls.Add(1)
+		r.calls.Add(1)
 		w.Header().Set("Retry-After", "60")
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}))
-	defer server.Close()
-	pool := ryeford.Pool{Model: "lira"}
-	b := newBackend("endpoint-1.1", admission.Limits{Floor: 8, Capacity: 8, ShareFrom: 8}, 10)
-	b.engine = engine.New(netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")))
-	b.setServing(true, []ryeford.Pool{pool})
-	a := testAgent(b)
-	a.settings.Limits.FirstToken, a.settings.Limits.BetweenTokens = time.Minute, time.Minute
-	dispatch := func(attempt string) (*run, *wire.Refused) {
-		return a.admit(&wire.Dispatch{
-			Attempt: ryeford.AttemptID(attempt), Account: "bank", Chat: "c1", Engine: b.id, Incarnation: a.incarnation, Share: 1,
-			Completion: &ryeford.Completion{Attempt: ryeford.AttemptID(attempt), Pool: pool},
-			Expires:    time.Now().Add(time.Minute), Forget: time.Now().Add(time.Hour),
-		})
+	t.Cleanup(server.Close)
+	r.address = netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+	r.agent = testAgent(r.backend)
+	r.agent.settings.Limits.FirstToken, r.agent.settings.Limits.BetweenTokens = time.Minute, time.Minute
+	return r
+}
+
+// dispatch dispatches an attempt at a completion or a call, and waits until its answer has ended, if it is admitted.
+func (r *restTest) dispatch(attempt string, completion *ryeford.Completion, call *ryeford.Call) (*run, *wire.Refused) {
+	admitted, refused := r.agent.admit(&wire.Dispatch{
+		Attempt: ryeford.AttemptID(attempt), Account: "bank", Chat: "c1", Engine: r.backend.id, Incarnation: r.agent.incarnation, Share: 1,
+		Completion: completion, Call: call,
+		Expires: time.Now().Add(time.Minute), Forget: time.Now().Add(time.Hour),
+	})
+	for offset := int64(0); admitted != nil && !admitted.log.Finished(); {
+		chunks, err := admitted.log.Read(r.t.Context(), offset)
+		assert.NilError(r.t, err)
+		offset += int64(len(chunks))
 	}
-	first, refused := dispatch("a0")
-	assert.Assert(t, refused == nil)
-	awaitFinished(t, first)
-	for i := range 5 {
-		r, refused := dispatch(fmt.Sprintf("a%d", i+1))
-		if r != nil {
-			awaitFinished(t, r)
-			continue
+	return admitted, refused
+}
+
+// TestEngineAsksForRest checks that an agent sends nothing to an engine that has asked for rest before that is
+// over, refuses what routers dispatch to it, and says when it is over.
+func TestEngineAsksForRest(t *testing.T) {
+	r := newRestTest(t)
+	pool := ryeford.Pool{Model: "lira"}
+	r.backend.engine = engine.New(r.address)
+	r.backend.setServing(true, []ryeford.Pool{pool})
+	for i := range 6 {
+		attempt := fmt.Sprintf("a%d", i)
+		_, refused := r.dispatch(attempt, &ryeford.Completion{Attempt: ryeford.AttemptID(attempt), Pool: pool}, nil)
+		assert.Equal(t, refused != nil, i > 0)
+		if refused != nil {
+			assert.Equal(t, refused.Reason, ryeford.ReasonResting)
+			assert.Assert(t, refused.RetryAfter > 0 && refused.RetryAfter <= time.Minute, "%s", refused.RetryAfter)
 		}
-		assert.Equal(t, refused.Reason, ryeford.ReasonResting)
-		assert.Assert(t, refused.RetryAfter > 0 && refused.RetryAfter <= time.Minute, "%s", refused.RetryAfter)
 	}
-	assert.Equal(t, calls.Load(), int64(1))
+	assert.Equal(t, r.calls.Load(), int64(1))
 }
 
 // TestServiceAsksForRest checks the same for a plain service, whose refusal is an answer that callers get.
 func TestServiceAsksForRest(t *testing.T) {
-	var calls atomic.Int64
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		calls.Add(1)
-		w.Header().Set("Retry-After", "60")
-		w.WriteHeader(http.StatusServiceUnavailable)
-	}))
-	defer server.Close()
-	b := newBackend("endpoint-1.notes", admission.Limits{Floor: 8, Capacity: 8, ShareFrom: 8}, 10)
-	b.service = engine.NewService(netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")))
-	a := testAgent(b)
-	a.settings.Limits.FirstToken, a.settings.Limits.BetweenTokens = time.Minute, time.Minute
-	dispatch := func(attempt string) (*run, *wire.Refused) {
-		return a.admit(&wire.Dispatch{
-			Attempt: ryeford.AttemptID(attempt), Account: "bank", Engine: b.id, Incarnation: a.incarnation, Share: 1,
-			Call:    &ryeford.Call{Attempt: ryeford.AttemptID(attempt), Method: http.MethodGet, Path: "/"},
-			Expires: time.Now().Add(time.Minute), Forget: time.Now().Add(time.Hour),
-		})
-	}
-	first, refused := dispatch("a0")
+	r := newRestTest(t)
+	r.backend.service = engine.NewService(r.address)
+	call := &ryeford.Call{Attempt: "a0", Method: http.MethodGet, Path: "/"}
+	first, refused := r.dispatch("a0", nil, call)
 	assert.Assert(t, refused == nil)
-	awaitFinished(t, first)
 	chunks, err := first.log.Read(t.Context(), 0)
 	assert.NilError(t, err)
 	assert.Equal(t, chunks[0].Status, http.StatusServiceUnavailable)
-	_, refused = dispatch("a1")
+	_, refused = r.dispatch("a1", nil, call)
 	assert.Assert(t, refused != nil)
 	assert.Equal(t, refused.Reason, ryeford.ReasonResting)
-	assert.Equal(t, calls.Load(), int64(1))
-}
-
-// awaitFinished waits until the answer of a run has ended.
-func awaitFinished(t *testing.T, r *run) {
-	t.Helper()
-	for offset := int64(0); !r.log.Finished(); {
-		chunks, err := r.log.Read(t.Context(), offset)
-		assert.NilError(t, err)
-		offset += int64(len(chunks))
-	}
+	assert.Equal(t, r.calls.Load(), int64(1))
 }
