--- a/gateway/contact_test.go
+++ b/gateway/contact_test.go
@@ -112,7 +112,7 @@
 // may still be suspect.
 func (f *contactFixture) listed() bool {
 	r := f.endpoints.roster
-	return r.Accepts("a") && !r.Accepts("b") && r.Accepts("d")
+	return r.Entry("a").Accepts() && !r.Entry("b").Accepts() && r.Entry("d").Accepts()
 }
 
 // follow looks at the router until it is held to its bounds again, and returns how long
@@ -185,7 +185,7 @@
 						f.play(test.trouble, 10*time.Second+phase, length, phase%(100*time.Millisecond) == 0)
 						c, l := f.follow()
 						configuration, list = max(configuration, c), max(list, l)
-						assert.Assert(t, !f.endpoints.roster.Accepts("c"), "%s in, for %s", phase, length)
+						assert.Assert(t, !f.endpoints.roster.Entry("c").Accepts(), "%s in, for %s", phase, length)
 					})
 				}
 			}
--- a/gateway/endpointlist_test.go
+++ b/gateway/endpointlist_test.go
@@ -191,7 +191,7 @@
 			f.at(f.returned(0) + believed)
 			assert.Equal(f.t, f.accepting(), "abc")
 			f.at(f.returned(0) + believed + time.Millisecond)
-			assert.Assert(f.t, !f.roster.Accepts("b"))
+			assert.Assert(f.t, !f.roster.Entry("b").Accepts())
 			f.at(f.returned(0) + 4*time.Second)
 			assert.Equal(f.t, f.accepting(), "ac")
 		}},
@@ -304,13 +304,13 @@
 		now = time.Now()
 		assert.Assert(t, l.limits.Outage(2*time.Second))
 		l.applySource(&ryeford.EndpointUpdate{Revision: 9, Removed: []ryeford.EndpointID{"b"}, Clock: 2 * time.Second, Begun: now}, 5, now)
-		assert.Assert(t, !l.roster.Accepts("b"))
-		assert.Assert(t, l.roster.Accepts("a"))
+		assert.Assert(t, !l.roster.Entry("b").Accepts())
+		assert.Assert(t, l.roster.Entry("a").Accepts())
 		l.sourceFailed(time.Now().Add(time.Second))
 		time.Sleep(2 * time.Second)
 		now = time.Now()
 		l.applySource(&ryeford.EndpointUpdate{Revision: 12, Removed: []ryeford.EndpointID{"a"}, Clock: 4 * time.Second, Begun: now}, 9, now)
-		assert.Assert(t, l.roster.Accepts("a"), "its own read failed: it may have lapsed")
+		assert.Assert(t, l.roster.Entry("a").Accepts(), "its own read failed: it may have lapsed")
 	})
 }
 
--- a/gateway/roster/evacuated_test.go
+++ b/gateway/roster/evacuated_test.go
@@ -23,7 +23,7 @@
 	assert.Equal(t, len(ended), 0)
 	r.Apply(start, &ryeford.EndpointUpdate{Revision: 3, Present: []ryeford.Endpoint{in("a2", "a")}}, never)
 	for id, accepts := range map[ryeford.EndpointID]bool{"a1": false, "a2": false, "b1": true} {
-		assert.Equal(t, r.Accepts(id), accepts, id)
+		assert.Equal(t, r.Entry(id).Accepts(), accepts, id)
 		assert.Assert(t, r.Knows(id), id)
 	}
 	assert.Equal(t, len(r.Serving("s")), 3) // they count for the mean load
@@ -32,7 +32,7 @@
 	began, ended = r.SetEvacuated(end, ryeford.Evacuations{Revision: 4})
 	assert.Equal(t, len(began), 0)
 	assert.DeepEqual(t, ended, []string{"a"})
-	assert.Assert(t, r.Accepts("a1") && r.Accepts("a2"))
+	assert.Assert(t, r.Entry("a1").Accepts() && r.Entry("a2").Accepts())
 	assert.Equal(t, r.Entry("a1").Returned, end)
 	assert.Assert(t, r.Entry("b1").Returned.IsZero())
 }
--- a/gateway/roster/queries.go
+++ b/gateway/roster/queries.go
@@ -43,9 +43,6 @@
 // Knows reports whether an endpoint is known, whatever its status.
 func (r *Roster) Knows(id ryeford.EndpointID) bool { return r.Entry(id) != nil }
 
-// Accepts reports whether an endpoint accepts new requests.
-func (r *Roster) Accepts(id ryeford.EndpointID) bool { return r.Entry(id).Accepts() }
-
 // Len returns the number of known endpoints, whatever their status.
 func (r *Roster) Len() int {
 	r.mu.RLock()
--- a/gateway/roster/roster_test.go
+++ b/gateway/roster/roster_test.go
@@ -51,7 +51,7 @@
 	r.Apply(start, &ryeford.EndpointUpdate{Revision: 2, Present: []ryeford.Endpoint{draining("a"), ready("c")}}, never)
 	assert.Equal(t, serving(r), "bc")
 	assert.Equal(t, len(r.Draining("s")), 1)
-	assert.Assert(t, !r.Accepts("a") && r.Accepts("c") && !r.Accepts("d"))
+	assert.Assert(t, !r.Entry("a").Accepts() && r.Entry("c").Accepts() && !r.Entry("d").Accepts())
 	assert.Assert(t, r.Serving("s")[0].FirstSeen.IsZero())
 	assert.Equal(t, r.Serving("s")[1].FirstSeen, start)
 	r.Apply(start, &ryeford.EndpointUpdate{Revision: 3, Removed: []ryeford.EndpointID{"a", "b"}}, never)
@@ -87,7 +87,7 @@
 	assert.DeepEqual(t, change.Departed, []ryeford.EndpointID{"a"})
 	assert.DeepEqual(t, change.Dropped, []ryeford.EndpointID{"d"})
 	assert.Equal(t, serving(r), "b")
-	assert.Assert(t, !r.Accepts("a"))
+	assert.Assert(t, !r.Entry("a").Accepts())
 	assert.Equal(t, len(r.Draining("s")), 1)
 	assert.Assert(t, r.Knows("a") && !r.Knows("d"))
 	// A whole list that lacks it too changes nothing.
--- a/gateway/roster/withheld_test.go
+++ b/gateway/roster/withheld_test.go
@@ -103,7 +103,7 @@
 	until := start.Add(2 * time.Second)
 	change := r.Apply(start, snapshot(revisionOf(2, 1), earlier), until)
 	assert.DeepEqual(t, change.Suspected, []ryeford.EndpointID{later.ID})
-	assert.Assert(t, r.Accepts(later.ID) && !r.Accepts(earlier.ID))
+	assert.Assert(t, r.Entry(later.ID).Accepts() && !r.Entry(earlier.ID).Accepts())
 
 	third := ready(string(ryeford.NewEndpointID("a", 3)))
 	r.Apply(start, &ryeford.EndpointUpdate{Revision: revisionOf(2, 2), Present: []ryeford.Endpoint{third}}, until)
