fix: a router that starts learns from its peers which endpoints have said that they leave

Callers would see: a request of each router that starts, at an endpoint that had said it leaves more than 3 s before, while the list still has it as ready. The users' rule excuses a restart; the endpoint's wish stands all the same, and a stream may be cut off with its end. Cause: peers name such endpoints for 3 s after they learnt of it, as each router learns of a life once; a router that starts later was told nothing, and knew the list alone. Why it holds: each peer that gets a first message of a process welcomes it so; what it says binds as any word of a peer. Before and after: TestLeavingAtStart red (the word never came within 20 s), green.

--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -204,7 +204,9 @@
 		case peer := <-g.newcomers:
 			sequence++
 			now := clock.Now()
-			g.sendTo(conn, []netip.AddrPort{peer}, g.message(now, sequence, schedule.Complete(g.table.Alive(now))), schedule)
+			message := g.message(now, sequence, schedule.Complete(g.table.Alive(now)))
+			message.Leaving = g.roster.LeavingSince(time.Time{}, peers.MaxLeaving) // however long ago: it knows the list alone
+			g.sendTo(conn, []netip.AddrPort{peer}, message, schedule)
 		}
 	}
 }
--- a/gateway/leavingreport_test.go
+++ b/gateway/leavingreport_test.go
@@ -7,7 +7,9 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/ryeford/ryeford/internal/freeport"
 	"github.com/ryeford/ryeford/platform/wire"
+	"github.com/ryeford/ryeford/settings"
 	"github.com/ryeford/ryeford/standin/appserver"
 )
 
@@ -141,3 +143,27 @@
 	}
 	assert.Equal(t, len(p3.Received()), received)
 }
+
+// TestLeavingAtStart checks that a router which starts learns from its peers which endpoints have said that they
+// leave, though that was a while ago and the list has them as ready.
+func TestLeavingAtStart(t *testing.T) {
+	gateways := newPeers(t, 2, time.Hour, nil)
+	seed := gateways[0]
+	p3 := seed.addEndpoint("plain", "p3", 0)
+	seed.awaitLog("added=p3")
+	p3.SetLeaving(true)
+	seed.await("an answer that says so", func() bool { return seed.call("GET", "/open/a").header.Get("Server-Leaving") == "1" })
+	gateways[1].awaitLog("leaving=p3")
+	time.Sleep(4 * time.Second) // for longer than routers pass such word on
+	started := newFixtureAt(t, seed.store, nil, func(s *settings.Gateway) {
+		s.VM = "router-new"
+		s.Peers.AddrPort = freeport.Next()
+		s.Seeds = []settings.Address{{AddrPort: seed.peers}}
+	})
+	started.awaitLog("leaving=p3")
+	received := len(p3.Received())
+	for range 20 {
+		assert.Equal(t, started.do(started.request("GET", "/open/a", "", "")).status, 200)
+	}
+	assert.Equal(t, len(p3.Received()), received)
+}
--- a/gateway/roster/leaving.go
+++ b/gateway/roster/leaving.go
@@ -22,7 +22,7 @@
 	maxLeaving = 4096
 	// leavingForgotten is how many of them are forgotten at once, so that it is seldom.
 	leavingForgotten = maxLeaving / 4
-	// leavingPassed is for how long peers are told of an endpoint from when this router learnt of it: each
+	// leavingPassed is for how long all messages name an endpoint from when this router learnt of it: each
 	// router learns of a life once, so that the word ends.
 	leavingPassed = 3 * time.Second
 )
@@ -53,21 +53,27 @@
 // LatelyLeaving returns the endpoints of which this router learnt a short time ago that they leave, the latest
 // first, at most some.
 func (r *Roster) LatelyLeaving(now time.Time, most int) []ryeford.EndpointID {
+	return r.LeavingSince(now.Add(-leavingPassed), most)
+}
+
+// LeavingSince returns the endpoints of which this router has learnt since a time that they leave, the latest
+// first, at most some.
+func (r *Roster) LeavingSince(since time.Time, most int) []ryeford.EndpointID {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	if now.Sub(r.learntLeaving) > leavingPassed {
+	if r.learntLeaving.Before(since) {
 		return nil // as almost always
 	}
-	var lately []ryeford.EndpointID
+	var leaving []ryeford.EndpointID
 	for id, at := range r.leaving {
-		if now.Sub(at) <= leavingPassed {
-			lately = append(lately, id)
+		if !at.Before(since) {
+			leaving = append(leaving, id)
 		}
 	}
-	slices.SortFunc(lately, func(a, b ryeford.EndpointID) int {
+	slices.SortFunc(leaving, func(a, b ryeford.EndpointID) int {
 		return cmp.Or(r.leaving[b].Compare(r.leaving[a]), cmp.Compare(a, b))
 	})
-	return lately[:min(len(lately), most)]
+	return leaving[:min(len(leaving), most)]
 }
 
 // forgetLeaving forgets that some endpoints leave which are off the list: those that have said so first.
--- a/gateway/roster/leaving_test.go
+++ b/gateway/roster/leaving_test.go
@@ -112,5 +112,6 @@
 	r.Leave(start.Add(leavingPassed), "a") // a peer's late word
 	assert.DeepEqual(t, r.LatelyLeaving(start.Add(leavingPassed+1), 8), []ryeford.EndpointID{"c", "b"})
 	assert.Equal(t, len(r.LatelyLeaving(start.Add(time.Hour), 8)), 0)
+	assert.DeepEqual(t, r.LeavingSince(time.Time{}, 8), []ryeford.EndpointID{"c", "b", "a"})
 	assert.Equal(t, serving(r), "")
 }
