--- a/gateway/restsend_test.go
+++ b/gateway/restsend_test.go
@@ -16,21 +16,31 @@
 	"github.com/ryeford/ryeford/standin/appserver"
 )
 
-// TestRestBeforeFirstByte checks that a request which was chosen for an endpoint before that asked for rest
-// is not sent to it, goes to another one at no cost, and counts as no failure of the endpoint.
-func TestRestBeforeFirstByte(t *testing.T) {
-	e := newExchangeTest(t)
-	e.setEndpoints(startEndpoint(t, &appserver.Server{ID: "e1"}, func() {}))
-	x := e.forwarder.newExchange(e.request, httptest.NewRequest("GET", "/keyed/a", nil), httptest.NewRecorder())
-	to := e.forwarder.roster.Entry("e1")
-	x.incoming.Host = "host"
-	assert.NilError(t, x.checkSend(to))
-	e.forwarder.rests.Ask(time.Now(), "e1", time.Minute)
-	err := x.checkSend(to)
-	var notRun *ryeford.NotRunError
-	assert.Assert(t, errors.As(err, &notRun))
-	assert.Equal(t, notRun.Reason, ryeford.ReasonResting)
-	assert.Equal(t, endOf(&endpoint.UnsentError{Err: err}), retry.EndUnsent)
+// TestHindranceBeforeFirstByte checks that a request which was chosen for an endpoint before that asked for rest,
+// said that it leaves, or was evacuated, is not sent to it, goes to another one at no cost, and counts as no
+// failure of the endpoint.
+func TestHindranceBeforeFirstByte(t *testing.T) {
+	evacuated := ryeford.Evacuations{Revision: 2, Orders: []ryeford.Evacuation{{State: 2}}} // of the domain without a name
+	for reason, hinder := range map[ryeford.Reason]func(b *balancer){
+		ryeford.ReasonResting:   func(b *balancer) { b.rests.Ask(time.Now(), "e1", time.Minute) },
+		ryeford.ReasonLeaving:   func(b *balancer) { b.roster.Leave(time.Now(), "e1") },
+		ryeford.ReasonEvacuated: func(b *balancer) { b.roster.SetEvacuated(time.Now(), evacuated) },
+	} {
+		t.Run(string(reason), func(t *testing.T) {
+			e := newExchangeTest(t)
+			e.setEndpoints(startEndpoint(t, &appserver.Server{ID: "e1"}, func() {}))
+			x := e.forwarder.newExchange(e.request, httptest.NewRequest("GET", "/keyed/a", nil), httptest.NewRecorder())
+			x.incoming.Host = "host"
+			to := e.forwarder.roster.Entry("e1")
+			assert.NilError(t, x.checkSend(to))
+			hinder(e.forwarder.balancer)
+			err := x.checkSend(to)
+			var notRun *ryeford.NotRunError
+			assert.Assert(t, errors.As(err, &notRun))
+			assert.Equal(t, notRun.Reason, reason)
+			assert.Equal(t, endOf(&endpoint.UnsentError{Err: err}), retry.EndUnsent)
+		})
+	}
 }
 
 // TestAllRest checks that a request whose service's endpoints all rest is rejected at once, with the end of
