fix: an endpoint whose address belongs to a later one is sent nothing

Cause: endpoints that crash start again under other IDs at their addresses, while their earlier entries stay on the list for three heartbeats (15 s where one is 5 s). Each router sent a request to each earlier entry, was refused with 421, and left the entry out for 5 s by itself; a request that may be sent to one endpoint ended with 503. At 357 routers with 2.2 requests a second each, nobody's experience serves anybody else.

Passing on 421s by gossip loses some requests for each endpoint and would let a garbled response exclude an endpoint everywhere.

Change: of two listed endpoints of a service with one address, the one that started and wrote its entry later replaces the other (roster/replaced.go); an endpoint that its own address denies replaces nothing.

--- a/endpoint.go
+++ b/endpoint.go
@@ -33,6 +33,17 @@
 	return id
 }
 
+// Started returns the start time of the incarnation by the clock of its VM, in Unix milliseconds, and false if the
+// endpoint doesn't report it.
+func (id EndpointID) Started() (milliseconds int64, known bool) {
+	i := strings.LastIndex(string(id), incarnationSeparator)
+	if i < 0 {
+		return 0, false
+	}
+	milliseconds, err := strconv.ParseInt(string(id[i+len(incarnationSeparator):]), 36, 64)
+	return milliseconds, err == nil && milliseconds > 0
+}
+
 // An EndpointState is the state that an endpoint reports in the list of endpoints.
 type EndpointState int
 
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -186,6 +186,9 @@
 	// The body is drained so that the connection can be reused. If that fails, the connection
 	// is closed.
 	_, _ = response.ReadAll(maxBufferedBody)
+	if response.Status == http.StatusMisdirectedRequest {
+		x.forwarder.roster.MarkMisdirected(to.ID)
+	}
 	backoff := response.Meta.Report.RetryAfter > 0
 	rateAttempt(attemptEnd{end: retry.EndRefused, status: response.Status, full: x.isFull(to, response), backoff: backoff}).report(x.forwarder.detector, to.ID)
 	err := giveup.NotRun(ryeford.ReasonOverload)
--- a/gateway/balancer.go
+++ b/gateway/balancer.go
@@ -226,7 +226,7 @@
 	to := entries[chosen.Index]
 	indexed, parts := b.prefixes.LongestPrefix(now, query.shared, func(id ryeford.EndpointID) bool {
 		entry := b.roster.Entry(id)
-		return entry != nil && entry.Service == query.service && id != to.ID && b.detector.Healthy(now, id)
+		return entry != nil && entry.Service == query.service && !entry.Replaced && id != to.ID && b.detector.Healthy(now, id)
 	})
 	joined := !to.FirstSeen.IsZero()
 	if choice.FetchFromAlternate(chosen, parts, len(query.shared), joined) {
--- a/gateway/roster/entry.go
+++ b/gateway/roster/entry.go
@@ -25,6 +25,8 @@
 	// ColdUntil is when the cold period in the endpoint's list entry ends, counted from when this router
 	// received the entry.
 	ColdUntil time.Time
+	// Replaced reports that a later endpoint has the address (replaced.go).
+	Replaced bool
 	// withheld is set if the endpoint is listed as ready but is withheld (withheld.go).
 	withheld bool
 	// expires is when an endpoint that is no longer listed is removed.
@@ -35,7 +37,7 @@
 // them. A nil entry means an unknown endpoint, which counts as leaving.
 func (e *Entry) ExclusionReason() ryeford.Reason {
 	switch {
-	case e == nil || !e.Serving():
+	case e == nil || !e.Serving() || e.Replaced:
 		return ryeford.ReasonLeaving
 	case e.Evacuated:
 		return ryeford.ReasonEvacuated
@@ -44,7 +46,7 @@
 }
 
 // Serving reports whether the endpoint accepts new requests, apart from an evacuation of its failure
-// domain.
+// domain and from a later endpoint at its address.
 func (e *Entry) Serving() bool { return e.Status.accepts() }
 
 // Accepts reports whether the endpoint accepts new requests.
--- a/gateway/roster/roster.go
+++ b/gateway/roster/roster.go
@@ -1,9 +1,11 @@
 // Package roster holds one router's view of the endpoints. It combines the platform's list with what
-// endpoints report about leaving, and keeps endpoints that were removed from the list for a short time.
+// endpoints report about leaving, and keeps endpoints that were removed from the list for a short time. An
+// endpoint whose address belongs to a later one gets no requests.
 //
 // It determines the status of each endpoint. The caller passes in list updates, in any order (an update
 // older than the last one is ignored), and endpoint status reports, and calls Expire. The package does no
-// I/O. The rules and their constants are in status.go (removed endpoints), leaving.go and withheld.go.
+// I/O. The rules and their constants are in status.go (removed endpoints), leaving.go,
+// replaced.go and withheld.go.
 package roster
 
 import (
@@ -34,6 +36,8 @@
 	// leaving holds when each incarnation was recorded as leaving because of its own report.
 	leaving     map[ryeford.EndpointID]time.Time
 	lastLeaving time.Time // the latest time in leaving
+	// misdirected are incarnations whose address has responded as another endpoint.
+	misdirected map[ryeford.EndpointID]bool
 	// withholdUntil is when departures stop overriding entries written up to restoreRevision.
 	withholdUntil   time.Time
 	restoreRevision ryeford.Revision
@@ -49,6 +53,7 @@
 		evacuationEnded: make(map[string]time.Time),
 		departures:      make(map[ryeford.EndpointID]departure),
 		leaving:         make(map[ryeford.EndpointID]time.Time),
+		misdirected:     make(map[ryeford.EndpointID]bool),
 	}
 }
 
@@ -145,6 +150,7 @@
 	name := id.Name()
 	if other, known := r.incarnations[name]; known && other != id {
 		delete(r.entries, other)
+		delete(r.misdirected, other)
 		r.recordGone(now, other)
 		change.Dropped = append(change.Dropped, other)
 		change.Restarted = append(change.Restarted, id)
@@ -154,6 +160,7 @@
 
 func (r *Roster) remove(id ryeford.EndpointID) {
 	delete(r.entries, id)
+	delete(r.misdirected, id)
 	if name := id.Name(); r.incarnations[name] == id {
 		delete(r.incarnations, name)
 	}
@@ -225,10 +232,14 @@
 
 // rebuildIndex rebuilds the lists by service. It leaves lists that were returned earlier unchanged.
 func (r *Roster) rebuildIndex() {
+	r.markReplaced()
 	r.serving = make(map[string][]*Entry)
 	r.draining = make(map[string][]*Entry)
 	r.accepting = make(map[string]int)
 	for _, entry := range r.entries {
+		if entry.Replaced {
+			continue
+		}
 		if entry.Accepts() {
 			r.accepting[entry.Service]++
 		}
