feat: weigh how slow an endpoint says that it is

Cause: an endpoint may add a fourth figure to its load, how long work takes there at the moment.

The load bound counts requests as before.

--- a/endpoint.go
+++ b/endpoint.go
@@ -108,4 +108,7 @@
 type EndpointLoad struct {
 	Running int
 	Waiting int
+	// Slowdown is how long work takes there at the time of the response, as a multiple of the usual
+	// time. Zero means that the endpoint doesn't report it.
+	Slowdown float64
 }
--- a/gateway/balancer.go
+++ b/gateway/balancer.go
@@ -187,13 +187,15 @@
 			expected = 0
 		}
 		excluded := s.excluded.add(b.exclusionReason(now, entry), allowed)
-		load, deviation := b.estimate(now, entry, sample, expected)
+		known := b.observe(now, entry, sample, expected)
+		load, deviation := known.Estimate()
 		s.candidates = append(s.candidates, choice.Candidate{
 			ID:            entry.ID,
 			Domain:        entry.FailureDomain,
 			Hash:          entry.Hash,
 			Load:          load,
 			Deviation:     deviation,
+			Slowdown:      known.Slowdown,
 			Slots:         entry.Slots,
 			Tried:         query.tried[entry.ID],
 			Unhealthy:     !b.detector.Healthy(now, entry.ID),
@@ -208,16 +210,17 @@
 // estimatedLoad returns the estimated number of requests at an endpoint.
 func (b *balancer) estimatedLoad(now time.Time, entry *roster.Entry) float64 {
 	sample := b.peers.Sample(now, entry.Service)
-	requests, _ := b.estimate(now, entry, sample, sample.MeanPerEndpoint(len(b.roster.Serving(entry.Service))))
+	known := b.observe(now, entry, sample, sample.MeanPerEndpoint(len(b.roster.Serving(entry.Service))))
+	requests, _ := known.Estimate()
 	return requests
 }
 
-// estimate returns the estimated number of requests at an endpoint and its standard deviation. sample is what peers
-// report of their requests. mean is the expected number of the peers' requests at the endpoint.
-func (b *balancer) estimate(now time.Time, entry *roster.Entry, sample peers.Sample, mean float64) (requests, deviation float64) {
+// observe returns what is known of the load of an endpoint. sample is what peers report of their requests. mean is the
+// expected number of the peers' requests at the endpoint.
+func (b *balancer) observe(now time.Time, entry *roster.Entry, sample peers.Sample, mean float64) loads.Observation {
 	known := b.loads.Observe(now, entry.ID, entry.Hash)
 	known.PeerRequests, known.PeerShare, known.Mean = b.peers.Requests(now, entry.ID), sample.KnownFraction(known.Reported), mean
-	return known.Estimate()
+	return known
 }
 
 // source returns the endpoint from which the chosen one may fetch missing parts of the prompt,
--- a/gateway/choice/affinity.go
+++ b/gateway/choice/affinity.go
@@ -82,7 +82,7 @@
 		}
 	}
 	for _, i := range next.indices[:next.n] {
-		gain := requestTokens*(candidates[first].Load-candidates[i].Load) - float64(candidates[i].MissingTokens)
+		gain := requestTokens*(candidates[first].effectiveLoad()-candidates[i].effectiveLoad()) - float64(candidates[i].MissingTokens)
 		if gain > most {
 			found, most = i, gain
 		}
--- a/gateway/choice/choice.go
+++ b/gateway/choice/choice.go
@@ -32,6 +32,9 @@
 	Load float64
 	// Deviation is the standard deviation of Load.
 	Deviation float64
+	// Slowdown is how long work takes there at the moment, as a multiple of the usual time. Zero
+	// means the usual time.
+	Slowdown float64
 	// Slots is how many requests the endpoint runs concurrently, 0 if unknown.
 	Slots int
 	// Tried reports that this request was already attempted there.
@@ -57,6 +60,15 @@
 // isFull reports whether the load may exceed bound, given the uncertainty of the estimate.
 func (c *Candidate) isFull(bound float64) bool { return c.Load+capDeviations*c.Deviation > bound }
 
+// effectiveLoad returns the number of requests that would delay a further one as much at the usual
+// speed. The cap applies to Load, which counts requests.
+func (c *Candidate) effectiveLoad() float64 {
+	if c.Slowdown <= 0 {
+		return c.Load
+	}
+	return (c.Load+1)*c.Slowdown - 1
+}
+
 // usable reports whether the candidate is healthy, accepts requests, is not excluded and was not
 // tried.
 func (c *Candidate) usable() bool { return !c.Draining && !c.Excluded && !c.Tried && !c.Unhealthy }
--- a/gateway/choice/load.go
+++ b/gateway/choice/load.go
@@ -46,7 +46,7 @@
 // twice, and another failure domain adds domainPenalty.
 func (l *Limits) cost(c *Candidate) float64 {
 	waiting := max(0, c.Load-float64(c.Slots))
-	cost := c.Load + waiting
+	cost := c.effectiveLoad() + waiting
 	if c.Domain != l.Domain {
 		cost += domainPenalty
 	}
--- a/gateway/choice/spread.go
+++ b/gateway/choice/spread.go
@@ -60,9 +60,9 @@
 	}
 	weight := func(c *Candidate) float64 {
 		if withMissing {
-			return requestTokens*c.Load + float64(c.MissingTokens)
+			return requestTokens*c.effectiveLoad() + float64(c.MissingTokens)
 		}
-		return requestTokens * c.Load
+		return requestTokens * c.effectiveLoad()
 	}
 	a := indices[random%uint64(len(indices))]
 	b := indices[route.KeyHash(random)%uint64(len(indices))]
--- a/gateway/loads/estimate.go
+++ b/gateway/loads/estimate.go
@@ -42,6 +42,8 @@
 	Reported bool
 	Others   float64
 	Age      time.Duration
+	// Slowdown is the expected slowdown of work at the endpoint (slowdown.go); zero if it is not known.
+	Slowdown float64
 }
 
 // Estimate returns the estimated number of requests at the endpoint, and its standard deviation.
--- a/gateway/loads/loads.go
+++ b/gateway/loads/loads.go
@@ -48,6 +48,7 @@
 	at       time.Time // when the endpoint reported
 	requests int       // running and waiting, from all routers
 	others   int       // those that were not this router's when the report was received
+	slowdown slowdown  // as last reported to this router
 }
 
 // New returns a Table without endpoints.
@@ -150,7 +151,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	requests := load.Running + load.Waiting
-	t.reports[Key(route.NameHash(string(id)))] = report{at: now, requests: requests, others: max(0, requests-t.localAt(id))}
+	t.reports[Key(route.NameHash(string(id)))] = report{
+		at: now, requests: requests, others: max(0, requests-t.localAt(id)), slowdown: slowdown{at: now, factor: load.Slowdown},
+	}
 }
 
 // Merge merges endpoint status reports that peers have received. Newer ones replace older ones.
@@ -160,7 +163,7 @@
 	for _, r := range reports {
 		at := now.Add(-r.Age)
 		if r.Age < reportTTL && at.After(t.reports[r.Endpoint].at) {
-			t.reports[r.Endpoint] = report{at: at, requests: r.Requests, others: r.Requests}
+			t.reports[r.Endpoint] = report{at: at, requests: r.Requests, others: r.Requests, slowdown: t.reports[r.Endpoint].slowdown}
 		}
 	}
 }
@@ -173,6 +176,7 @@
 	o := Observation{Local: t.localAt(id)}
 	if r, ok := t.reports[Key(hash)]; ok {
 		o.Reported, o.Others, o.Age = true, float64(r.others), now.Sub(r.at)
+		o.Slowdown = r.slowdown.expected(now)
 	}
 	return o
 }
