feat: one call confirms a large configuration and the evacuations

Cause: a configuration of 64 KB or more is compared by a transaction, and the evacuations were read by a call of their own before: two calls for each confirmation, 2 to 3 confirmations a second whatever the fleet, of all calls at rest the most (trial, calls logged by kind).

Change: the transaction names the rows of the evacuations of all failure domains with endpoints, too, by the versions that are known. If one differs, the evacuations are read by a call of their own.

Checked: TestEvacuationsCompared, TestEvacuationsComparedCalls, and the tests of the comparison as they were.

--- a/gateway/configuration.go
+++ b/gateway/configuration.go
@@ -201,7 +201,10 @@
 
 // fetch asks the source for the configuration, or only for a change to it.
 func (c *configuration) fetch(ctx context.Context) (ryeford.ConfigurationUpdate, error) {
-	known := ryeford.KnownConfiguration{State: c.state, Size: c.size, OnChange: c.sourceChanged}
+	known := ryeford.KnownConfiguration{
+		State: c.state, Size: c.size, OnChange: c.sourceChanged,
+		Evacuations: c.evacuations.lastRead(), FailureDomains: c.evacuations.roster.FailureDomains(),
+	}
 	if freshness.UseComparison(freshness.ReadState{Size: c.size, FailedReads: c.failedReads, Outdated: c.newer.known()}) {
 		return c.source.ConfigurationIfChanged(ctx, known)
 	}
--- a/gateway/roster/queries.go
+++ b/gateway/roster/queries.go
@@ -1,6 +1,11 @@
 package roster
 
-import "github.com/ryeford/ryeford"
+import (
+	"maps"
+	"slices"
+
+	"github.com/ryeford/ryeford"
+)
 
 // Loaded reports whether a list has been read.
 func (r *Roster) Loaded() bool {
@@ -47,3 +52,14 @@
 	defer r.mu.RUnlock()
 	return len(r.entries)
 }
+
+// FailureDomains returns the failure domains with endpoints, sorted.
+func (r *Roster) FailureDomains() []string {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	domains := make(map[string]bool)
+	for _, entry := range r.entries {
+		domains[entry.FailureDomain] = true
+	}
+	return slices.Sorted(maps.Keys(domains))
+}
--- a/internal/cmd/large_bench_test.go
+++ b/internal/cmd/large_bench_test.go
@@ -176,7 +176,7 @@
 	value, err := json.Marshal(largeconf.New(version, routes))
 	assert.NilError(b, err)
 	body, err := json.Marshal(&wire.Transaction{
-		Expected: []wire.Row{}, Put: []wire.Row{{Table: wire.TableOperators, Key: wire.KeyConfig, Value: value}}, Remove: []wire.Row{},
+		Expected: []wire.ExpectedRow{}, Put: []wire.Row{{Table: wire.TableOperators, Key: wire.KeyConfig, Value: value}}, Remove: []wire.Row{},
 	})
 	assert.NilError(b, err)
 	response, err := http.Post(f.store+wire.PathTransaction, "application/json", bytes.NewReader(body))
--- a/standin/rowstore/serve.go
+++ b/standin/rowstore/serve.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/url"
 	"slices"
@@ -109,8 +110,9 @@
 // serveTransaction applies a transaction, or answers 412 with the rows whose version is not the
 // expected one.
 func (s *Store) serveTransaction(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
 	var transaction wire.Transaction
-	if r.Method != http.MethodPost || json.NewDecoder(r.Body).Decode(&transaction) != nil {
+	if r.Method != http.MethodPost || err != nil || json.Unmarshal(body, &transaction) != nil || !versionsStated(body) {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
@@ -122,6 +124,24 @@
 	s.write(w, status, response)
 }
 
+// versionsStated reports whether each expected row of a transaction states a version, which may be zero.
+func versionsStated(body []byte) bool {
+	var transaction struct {
+		Expected []struct {
+			Version *int64 `json:"ver"`
+		} `json:"expectedRev"`
+	}
+	if json.Unmarshal(body, &transaction) != nil {
+		return false
+	}
+	for _, row := range transaction.Expected {
+		if row.Version == nil {
+			return false
+		}
+	}
+	return true
+}
+
 // transact applies a transaction. It returns the status and the response, and the store's fault at
 // that time.
 func (s *Store) transact(transaction *wire.Transaction) (int, *wire.RowsResponse, Fault) {
@@ -142,7 +162,7 @@
 }
 
 // mismatched returns the current rows whose version is not the expected one. s.mu is held.
-func (s *Store) mismatched(expected []wire.Row) []wire.Row {
+func (s *Store) mismatched(expected []wire.ExpectedRow) []wire.Row {
 	var mismatched []wire.Row
 	for _, row := range expected {
 		if current := s.rows[rowName{table: row.Table, key: row.Key}]; current.Version != row.Version {
--- a/standin/rowstore/store_test.go
+++ b/standin/rowstore/store_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -19,14 +20,14 @@
 	version := store.Put("t", "a", []byte("1"))
 	tests := []struct {
 		name       string
-		expected   []wire.Row
+		expected   []wire.ExpectedRow
 		status     int
 		mismatched []wire.Row
 	}{
-		{"an older version", []wire.Row{{Table: "t", Key: "a", Version: version - 1}}, 412, []wire.Row{{Table: "t", Key: "a", Value: []byte("1"), Version: version}}},
-		{"a missing row", []wire.Row{{Table: "t", Key: "b", Version: 5}}, 412, []wire.Row{{}}},
-		{"a row expected to be missing", []wire.Row{{Table: "t", Key: "a"}}, 412, []wire.Row{{Table: "t", Key: "a", Value: []byte("1"), Version: version}}},
-		{"as expected", []wire.Row{{Table: "t", Key: "a", Version: version}, {Table: "t", Key: "b"}}, 200, nil},
+		{"an older version", []wire.ExpectedRow{{Table: "t", Key: "a", Version: version - 1}}, 412, []wire.Row{{Table: "t", Key: "a", Value: []byte("1"), Version: version}}},
+		{"a missing row", []wire.ExpectedRow{{Table: "t", Key: "b", Version: 5}}, 412, []wire.Row{{}}},
+		{"a row expected to be missing", []wire.ExpectedRow{{Table: "t", Key: "a"}}, 412, []wire.Row{{Table: "t", Key: "a", Value: []byte("1"), Version: version}}},
+		{"as expected", []wire.ExpectedRow{{Table: "t", Key: "a", Version: version}, {Table: "t", Key: "b"}}, 200, nil},
 	}
 	for _, test := range tests {
 		status, response := transact(t, store, &wire.Transaction{
@@ -43,6 +44,18 @@
 	}
 }
 
+// TestTransactionWithoutVersion checks that an expected row that states no version is rejected, as by the platform.
+func TestTransactionWithoutVersion(t *testing.T) {
+	for body, want := range map[string]int{
+		`{"expectedRev":[{"table":"t","part":"","key":"a","ver":0}],"put":[],"remove":[]}`: http.StatusOK,
+		`{"expectedRev":[{"table":"t","part":"","key":"a"}],"put":[],"remove":[]}`:         http.StatusBadRequest,
+	} {
+		recorder := httptest.NewRecorder()
+		New().ServeHTTP(recorder, httptest.NewRequest(http.MethodPost, wire.PathTransaction, strings.NewReader(body)))
+		assert.Equal(t, recorder.Code, want, body)
+	}
+}
+
 // transact posts a transaction and returns the response.
 func transact(t *testing.T, store *Store, transaction *wire.Transaction) (int, *wire.RowsResponse) {
 	t.Helper()
