fix: routers read the configuration in turn also where reports take long

Cause: two things that hold only while a fleet is small. The first reader of a new time slot found out that it was the first only when it woke for its read as one of the others, up to 1.6 times the refresh age after the last one; if the second slept as well, all others passed the refresh age. And a report of the first reader takes 0.2 to 0.8 s to reach a router among 357, so that single ones passed it all the time.

Change: the time slot is that of the store's clock, which each router bounds, not that of the newest confirmation, and a router looks at its rank when a slot begins. The others read once a report would have reached all of so many routers, but not after a latest age that follows from the bounds of the configuration (at 2 s nothing changes: TestBoundSums, as it was) and of revoked keys.

--- a/gateway/bounds_test.go
+++ b/gateway/bounds_test.go
@@ -27,7 +27,7 @@
 		if routers == 1 {
 			list = limits.Hold + s.EndpointsSettle() // a held read, or the pause after a change
 		}
-		configuration := freshness.ReadAge(s.ConfigurationRefreshAge(), last, peers) + freshness.PauseAfterRead(true, true)
+		configuration := freshness.ReadAge(s.ConfigurationRefreshAge(), s.ConfigurationLatestAge(), last, peers) + freshness.PauseAfterRead(true, true)
 		lease := freshness.Term(s.Bounds.Revoke)
 		t.Logf("%3d routers: list %s of %s, configuration %s of %s, lease %s of %s", routers,
 			list, s.Bounds.Drain, configuration, s.Bounds.Configuration, lease, s.Bounds.Revoke)
--- a/gateway/configuration.go
+++ b/gateway/configuration.go
@@ -43,6 +43,8 @@
 	term time.Duration
 	// refresh is the age at which a router without peers reads the configuration again.
 	refresh time.Duration
+	// latest is the age at which the last router of a fleet reads it again at the latest.
+	latest time.Duration
 	// serveKeysInOutage allows requests that need a key to be served after the lease has ended while
 	// the source is unavailable.
 	serveKeysInOutage bool
@@ -142,18 +144,22 @@
 	}
 }
 
-// untilNextRead returns the time until this router's next read is due.
+// untilNextRead returns the time until this router's next read is due, or until it has to be computed
+// again because the next time slot begins.
 func (c *configuration) untilNextRead(now time.Time) time.Duration {
 	age, known := c.lease.Age(now)
 	if !known || c.current() == nil {
 		return c.startup.untilStoreRead(now)
 	}
-	confirmed, _ := c.lease.Confirmed()
-	rank, alive := c.peers.Rank(now, freshness.TimeSlot(confirmed))
+	reading, bounded := c.clock.UpperBound(now)
+	if !bounded {
+		reading, _ = c.lease.Confirmed()
+	}
+	rank, alive := c.peers.Rank(now, freshness.TimeSlot(reading))
 	if c.startup.joining(now) {
 		rank = max(rank, replica.FirstFallbackRank)
 	}
-	return freshness.ReadAge(c.refresh, rank, alive) - age
+	return min(freshness.ReadAge(c.refresh, c.latest, rank, alive)-age, freshness.UntilNextSlot(reading))
 }
 
 // awaitNewer waits for up to maxWait until a peer reports a newer configuration, and reports whether
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -109,6 +109,7 @@
 		serveKeysInOutage: !g.settings.Bounds.StrictRevoke,
 		refresh:           g.settings.ConfigurationRefreshAge(),
 		changeTimeout:     g.settings.Bounds.Configuration,
+		latest:            g.settings.ConfigurationLatestAge(),
 		unreachableAfter:  g.settings.StoreUnreachableAfter(),
 		peers:             g.peers,
 		clock:             g.clock,
--- a/settings/derived.go
+++ b/settings/derived.go
@@ -25,6 +25,10 @@
 	// lease bridges an outage of the store.
 	refreshDivisor = 2
 	revokeDivisor  = 5
+	// The last router of a fleet reads the configuration again at the age of bounds.configuration times
+	// latestFraction, at most bounds.revoke times latestRevokeFraction.
+	latestFraction       = 0.8
+	latestRevokeFraction = 0.6
 )
 
 // EndpointsWait returns how long the store holds a long poll for changes of the
@@ -56,3 +60,12 @@
 	derived := min(s.Bounds.Configuration/refreshDivisor, s.Bounds.Revoke/revokeDivisor)
 	return cmp.Or(s.Routing.LeaseRefresh, derived)
 }
+
+// ConfigurationLatestAge returns the age at which the last gateway of a fleet reads the last confirmed
+// configuration again.
+func (s *Gateway) ConfigurationLatestAge() time.Duration {
+	return min(
+		time.Duration(latestFraction*float64(s.Bounds.Configuration)),
+		time.Duration(latestRevokeFraction*float64(s.Bounds.Revoke)),
+	)
+}
