feat: a router that nobody waits for starts from its peers

Cause: each router read the configuration and the list from the store as it started, and again each 0.4 s while there was none.

Change: a router looks up its peers first, within 0.2 s in place of 0.5 s, and reads the store by itself only if it finds nobody, if a request waits for what it lacks, or after a delay of which few routers draw a short one and which grows with the number of peers (replica.Start). One that finds the store without a list pauses as for a configuration.

Ruled out: the same delay for all (docs/size.md, 2): after a power cut callers are back when the routers listen. A request that waits ends the delay.

--- a/gateway/configuration.go
+++ b/gateway/configuration.go
@@ -149,7 +149,7 @@
 func (c *configuration) untilNextRead(now time.Time) time.Duration {
 	age, known := c.lease.Age(now)
 	if !known || c.current() == nil {
-		return c.startup.untilStoreRead(now)
+		return c.startup.untilStoreRead(now, c.peers.Alive(now))
 	}
 	reading, bounded := c.clock.UpperBound(now)
 	if !bounded {
--- a/gateway/endpointlist.go
+++ b/gateway/endpointlist.go
@@ -114,14 +114,14 @@
 // read.
 func (l *endpointList) nextPoll(now time.Time) (untilRead, hold time.Duration) {
 	age, known := l.lease.Age(now)
+	confirmed, _ := l.lease.Confirmed()
+	rank, alive := l.peers.Rank(now, freshness.TimeSlot(confirmed))
 	switch {
 	case !known:
-		return l.startup.untilStoreRead(now), 0
-	case !l.copy.Range().IsSet():
-		return maxRetryPause - age, 0 // the source has never been written to
+		return l.startup.untilStoreRead(now, alive), 0
+	case !l.copy.Range().IsSet(): // the source has never been written to
+		return replica.MaxPause(maxRetryPause, alive) - age, 0
 	}
-	confirmed, _ := l.lease.Confirmed()
-	rank, alive := l.peers.Rank(now, freshness.TimeSlot(confirmed))
 	if l.startup.joining(now) {
 		rank = max(rank, replica.FirstFallbackRank)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -80,6 +80,7 @@
 		drain:       newDrain(s.Bounds.Grace, logger),
 		initialSync: newInitialSync(s.Routing.StartTimeout),
 	}
+	g.initialSync.onWait = g.startup.setRequested
 	g.revision.onRestore = g.handleRestore
 	g.addQuarantine()
 	g.addConfiguration()
@@ -108,8 +109,8 @@
 		term:              freshness.Term(g.settings.Bounds.Revoke),
 		serveKeysInOutage: !g.settings.Bounds.StrictRevoke,
 		refresh:           g.settings.ConfigurationRefreshAge(),
-		changeTimeout:     g.settings.Bounds.Configuration,
 		latest:            g.settings.ConfigurationLatestAge(),
+		changeTimeout:     g.settings.Bounds.Configuration,
 		unreachableAfter:  g.settings.StoreUnreachableAfter(),
 		peers:             g.peers,
 		clock:             g.clock,
@@ -164,6 +165,7 @@
 		routers:       g.platform.Routers,
 		started:       clock.Monotonic().Nanoseconds(),
 		table:         g.peers,
+		startup:       g.startup,
 		configuration: g.configuration,
 		endpoints:     g.endpoints,
 		roster:        g.roster,
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -32,6 +32,7 @@
 	routers ryeford.RouterList
 	started int64 // start of this process, in nanoseconds of its VM's monotonic clock
 	table   *peers.Table
+	startup *startup
 
 	configuration *configuration
 	endpoints     *endpointList
--- a/gateway/gossiplookup.go
+++ b/gateway/gossiplookup.go
@@ -21,6 +21,7 @@
 		if g.lookupDue(clock.Now(), began) {
 			g.metrics.Count("ryeford_store_calls_total", causeRouters)
 			addresses, err := g.routers.Register(ctx, g.vm, g.self, peers.EnoughEntries(g.lookedUp.Swap(true)))
+			g.startup.recordLookup(clock.Now(), len(addresses))
 			_ = g.log.Log("decision", "look_up_peers", "found", len(addresses), "err", err)
 			if err == nil {
 				now := clock.Now()
--- a/gateway/initialsync.go
+++ b/gateway/initialsync.go
@@ -15,6 +15,7 @@
 	maxWait  time.Duration
 	done     <-chan struct{}
 	complete func() // releases all requests; safe to call more than once
+	onWait   func() // called when a request begins to wait; may be nil
 }
 
 // newInitialSync returns an initialSync that delays requests for at most maxWait from now.
@@ -31,6 +32,9 @@
 		return
 	default:
 	}
+	if s.onWait != nil {
+		s.onWait()
+	}
 	wait := admit.StartWait(clock.Since(s.started), s.maxWait, remaining)
 	if wait <= 0 {
 		return
--- a/gateway/peers/schedule.go
+++ b/gateway/peers/schedule.go
@@ -58,7 +58,7 @@
 	lookupSlotDuration = 32 * time.Second
 	// RegisterSpread is the period over which routers that start together spread their lookups,
 	// so that most find enough entries.
-	RegisterSpread = 500 * time.Millisecond
+	RegisterSpread = 200 * time.Millisecond
 	// enoughEntries is the number of entries of other routers at which a starting router does not
 	// add its own.
 	enoughEntries = 8
