feat: callers that read slowly can't use up a router's memory

Cause: the bodies of requests were bounded in sum, responses that callers have not read yet were not: at 8 MB each, 23 of them took the memory of a VM of 184 MB. And the bound on bodies alone let slow senders keep all others out.

Change: package callermemory holds both within a quarter of the process's memory. The log names the caller (decision=slow_caller), a metric counts.

The three tests of the body memory name the new type; their bounds and checks are as they were.

Conclusion: the process's bound is shown for whole responses.

--- a/gateway/admit/admit_test.go
+++ b/gateway/admit/admit_test.go
@@ -129,7 +129,7 @@
 func TestBody(t *testing.T) {
 	assert.Equal(t, MaxBody(65536), int64(65536))
 	assert.Equal(t, MaxBody(0), int64(4<<20), "no configuration yet")
-	assert.Equal(t, BodyMemory(16), int64(4<<20), "a quarter of the memory")
+	assert.Equal(t, CallerMemory(16), int64(4<<20), "a quarter of the memory")
 	assert.Equal(t, BodySize(100, 1000), int64(100))
 	assert.Equal(t, BodySize(-1, 1000), int64(1000), "chunked: up to the maximum size")
 	assert.Equal(t, BodySize(5000, 1000), int64(1000), "no more than is read before the body is refused")
--- a/gateway/admit/body.go
+++ b/gateway/admit/body.go
@@ -15,17 +15,18 @@
 	// defaultMaxBody limits the size of a body, in bytes, if the configuration is unknown or sets
 	// no limit.
 	defaultMaxBody = 4 << 20
-	// bodyBytesPerMegabyte is how many bytes of request bodies may be held for each megabyte of
-	// the process's memory: a quarter. Bodies are held in full, since attempts may be repeated.
-	bodyBytesPerMegabyte = 1 << 18
+	// callerBytesPerMegabyte is how many bytes may be held for callers for each megabyte of the process's
+	// memory: a quarter. Request bodies are held in full, since attempts may be repeated, and responses
+	// until their callers have read them.
+	callerBytesPerMegabyte = 1 << 18
 )
 
 // UnreadBodyTimeout is how long a router waits for the rest of a refused request's body, so that the
 // connection can be reused. It covers the data that is already in transit.
 const UnreadBodyTimeout = 10 * time.Millisecond
 
-// BodyMemory returns how many bytes of request bodies a process with this much memory may hold.
-func BodyMemory(megabytes int) int64 { return int64(megabytes) * bodyBytesPerMegabyte }
+// CallerMemory returns how many bytes a process with this much memory may hold for callers.
+func CallerMemory(megabytes int) int64 { return int64(megabytes) * callerBytesPerMegabyte }
 
 // MaxBody returns the maximum size of a body in bytes. configured is the limit of the
 // configuration, zero if it sets none or is unknown.
--- a/gateway/endpoint/send.go
+++ b/gateway/endpoint/send.go
@@ -21,8 +21,8 @@
 	headBufferSize = 1 << 10
 )
 
-// expiredDeadline is a deadline in the past. It interrupts pending reads and writes.
-var expiredDeadline = time.Unix(1, 0)
+// ExpiredDeadline is a deadline in the past. It interrupts pending reads and writes.
+var ExpiredDeadline = time.Unix(1, 0)
 
 // A Request is a request to an endpoint.
 type Request struct {
@@ -71,7 +71,7 @@
 		return nil, &UnsentError{Err: err}
 	}
 	// SetDeadline fails only on a closed connection, on which the exchange ends anyway.
-	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(expiredDeadline) })
+	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(ExpiredDeadline) })
 	response, err := p.exchange(ctx, c, request)
 	if err != nil {
 		stop()
--- a/gateway/exchange_test.go
+++ b/gateway/exchange_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/ryeford/ryeford"
+	"github.com/ryeford/ryeford/gateway/callermemory"
 	"github.com/ryeford/ryeford/gateway/catalog"
 	"github.com/ryeford/ryeford/gateway/endpoint"
 	"github.com/ryeford/ryeford/gateway/freshness"
@@ -97,6 +98,7 @@
 		occupancy:        occupancy.New(),
 		overloads:        newOverloads(),
 		quarantine:       newQuarantineState(balancer, logger, metrics),
+		callerMemory:     callermemory.New(1 << 20),
 		log:              logger,
 		metrics:          metrics,
 	}
--- a/gateway/forwarder.go
+++ b/gateway/forwarder.go
@@ -7,6 +7,7 @@
 	"github.com/go-kit/log"
 
 	"github.com/ryeford/ryeford"
+	"github.com/ryeford/ryeford/gateway/callermemory"
 	"github.com/ryeford/ryeford/gateway/endpoint"
 	"github.com/ryeford/ryeford/gateway/giveup"
 	"github.com/ryeford/ryeford/gateway/occupancy"
@@ -29,6 +30,7 @@
 	occupancy        *occupancy.Table
 	overloads        *overloads
 	quarantine       *quarantineState
+	callerMemory     *callermemory.Budget // bodies of requests, and responses that callers have not read
 	log              log.Logger
 	metrics          *telemetry.Set
 }
@@ -47,9 +49,18 @@
 		control:  http.NewResponseController(w),
 		protocol: f.protocol,
 		metrics:  f.metrics,
+		memory:   f.callerMemory,
 		arrived:  q.arrived,
 		deadline: q.deadline,
 		headOnly: r.Method == http.MethodHead,
+		onCutOff: func() { f.recordSlowCaller(q.meta.ID, "response") },
 	}
 	return x
 }
+
+// recordSlowCaller logs and counts a caller that is cut off for the memory that it holds. what is "body" or
+// "response".
+func (f *forwarder) recordSlowCaller(id ryeford.RequestID, what string) {
+	f.metrics.Count("ryeford_slow_callers_total", what)
+	_ = f.log.Log("decision", "slow_caller", "request", id, "what", what, "why", "cut off: it kept memory that others need", "limit", f.callerMemory.Limit())
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -18,10 +18,10 @@
 
 	"github.com/go-kit/log"
 	"golang.org/x/sync/errgroup"
-	"golang.org/x/sync/semaphore"
 
 	"github.com/ryeford/ryeford"
 	"github.com/ryeford/ryeford/gateway/admit"
+	"github.com/ryeford/ryeford/gateway/callermemory"
 	"github.com/ryeford/ryeford/gateway/endpoint"
 	"github.com/ryeford/ryeford/gateway/freshness"
 	"github.com/ryeford/ryeford/gateway/occupancy"
@@ -207,7 +207,6 @@
 		forwarder:   g.newForwarder(),
 		drain:       g.drain,
 		initialSync: g.initialSync,
-		bodyMemory:  semaphore.NewWeighted(admit.BodyMemory(s.Memory)),
 		budgets:     retry.NewWindows(retry.WindowLimits{Length: s.Bounds.RetryWindow, Ratio: s.Bounds.RetryRatio, Reserve: s.Bounds.RetryReserve}),
 	}
 }
@@ -225,6 +224,7 @@
 		occupancy:        occupancy.New(),
 		overloads:        newOverloads(),
 		quarantine:       g.quarantine,
+		callerMemory:     callermemory.New(admit.CallerMemory(g.settings.Memory)),
 		minResponseTimes: newMinResponseTimes(),
 		log:              g.log,
 		metrics:          g.metrics,
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -7,11 +7,10 @@
 	"strings"
 	"time"
 
-	"golang.org/x/sync/semaphore"
-
 	"github.com/ryeford/ryeford"
 	"github.com/ryeford/ryeford/gateway/admit"
 	"github.com/ryeford/ryeford/gateway/catalog"
+	"github.com/ryeford/ryeford/gateway/endpoint"
 	"github.com/ryeford/ryeford/internal/clock"
 	"github.com/ryeford/ryeford/retry"
 )
@@ -22,7 +21,6 @@
 	*forwarder
 	drain       *drain
 	initialSync *initialSync
-	bodyMemory  *semaphore.Weighted // bytes of request bodies held in memory
 	budgets     *retry.Windows
 }
 
@@ -79,21 +77,28 @@
 		return nil, func() {}, nil
 	}
 	maxBody := admit.MaxBody(h.configuredMaxBody())
-	size := admit.BodySize(r.ContentLength, maxBody)
-	if !h.bodyMemory.TryAcquire(size) {
+	control := http.NewResponseController(w)
+	held := h.callerMemory.Hold(func() {
+		h.recordSlowCaller(q.meta.ID, "body")
+		_ = control.SetReadDeadline(endpoint.ExpiredDeadline)
+	})
+	if !held.Reserve(clock.Now(), admit.BodySize(r.ContentLength, maxBody)) {
 		return nil, nil, admit.NoMemory()
 	}
-	release := func() { h.bodyMemory.Release(size) }
-	control := http.NewResponseController(w)
 	// SetReadDeadline fails only if the connection is closed; reading from it then fails too.
 	_ = control.SetReadDeadline(time.Now().Add(admit.BodyTimeout(q.callerTimeLeft())))
+	held.Wait(clock.Now())
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
-	if err != nil {
-		release()
+	held.Resume()
+	switch {
+	case held.Cut():
+		return nil, nil, admit.NoMemory()
+	case err != nil:
+		held.Release()
 		return nil, nil, admit.BodyFailure(err)
 	}
 	_ = control.SetReadDeadline(time.Time{})
-	return body, release, nil
+	return body, held.Release, nil
 }
 
 // configuredMaxBody returns the configured limit on a body in bytes, or zero if there is none.
--- a/gateway/handler_test.go
+++ b/gateway/handler_test.go
@@ -8,10 +8,10 @@
 	"time"
 
 	"github.com/go-kit/log"
-	"golang.org/x/sync/semaphore"
 	"gotest.tools/v3/assert"
 
 	"github.com/ryeford/ryeford"
+	"github.com/ryeford/ryeford/gateway/callermemory"
 	"github.com/ryeford/ryeford/gateway/catalog"
 	"github.com/ryeford/ryeford/gateway/roster"
 	"github.com/ryeford/ryeford/internal/telemetry"
@@ -31,10 +31,10 @@
 			durations:     newDurations(),
 			log:           log.NewLogfmtLogger(b),
 			metrics:       telemetry.NewSet(),
+			callerMemory:  callermemory.New(1000),
 		},
 		drain:       newDrain(8*time.Second, log.NewNopLogger()),
 		initialSync: newInitialSync(0),
-		bodyMemory:  semaphore.NewWeighted(1000),
 		budgets:     retry.NewWindows(retry.WindowLimits{Length: time.Second}),
 	}
 	h.configuration.inForce.Put(catalog.New(&ryeford.Configuration{
@@ -82,9 +82,9 @@
 		{"body too large", fresh, "/keyed/a", "key", strings.Repeat("x", 101), 413, "input", true},
 		{"no memory for the body", func(h *handler) {
 			fresh(h)
-			h.bodyMemory = semaphore.NewWeighted(99)
+			h.callerMemory = callermemory.New(99)
 		}, "/keyed/a", "key", strings.Repeat("x", 100), 503, "overload", false},
-		{"no memory for the body, stale", func(h *handler) { h.bodyMemory = semaphore.NewWeighted(99) }, "/keyed/a", "key", strings.Repeat("x", 100), 503, "stale_configuration", true},
+		{"no memory for the body, stale", func(h *handler) { h.callerMemory = callermemory.New(99) }, "/keyed/a", "key", strings.Repeat("x", 100), 503, "stale_configuration", true},
 	} {
 		t.Run(row.name, func(t *testing.T) {
 			var b strings.Builder
--- /dev/null
+++ b/gateway/slowcallers_test.go
@@ -0,0 +1,57 @@
+package gateway_test
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ryeford/ryeford/settings"
+)
+
+// unreadResponse is the size of a response that callers leave unread. It exceeds what the buffers of a connection
+// hold.
+const unreadResponse = 8 << 20
+
+// openUnread sends a request on a connection of its own and reads nothing.
+func (f *fixture) openUnread(id string) {
+	f.t.Helper()
+	conn, err := net.Dial("tcp", strings.TrimPrefix(f.base, "http://"))
+	assert.NilError(f.t, err)
+	f.t.Cleanup(func() { _ = conn.Close() })
+	assert.NilError(f.t, conn.(*net.TCPConn).SetReadBuffer(4<<10))
+	_, err = io.WriteString(conn, "GET /safe/a HTTP/1.1\r\nHost: host.example\r\nRyeford-Request-Id: "+id+"\r\n"+
+		"Authorization: Bearer key-1\r\nRyeford-Deadline-Ms: 60000\r\n\r\n")
+	assert.NilError(f.t, err)
+}
+
+// TestSlowReaders guards against callers that don't read their responses and so use up the memory of the process or
+// keep other callers from theirs: the slowest one is cut off.
+func TestSlowReaders(t *testing.T) {
+	f := startedFixture(t, func(s *settings.Gateway) { s.Memory = 72 }) // 18 MB for callers: two responses
+	for _, id := range []string{"p1", "p2"} {
+		f.endpoints[id].SetSize(unreadResponse)
+	}
+	config := baseConfiguration()
+	config.Version = 2
+	for i := range config.Routes {
+		config.Routes[i].TimeoutMs = 60_000
+	}
+	f.putConfiguration(config)
+	f.awaitLog("version=2")
+	f.openUnread("slow-1")
+	f.await("the first response", func() bool { return len(f.endpoints["p1"].Received())+len(f.endpoints["p2"].Received()) == 1 })
+	time.Sleep(100 * time.Millisecond) // the second one is slow for a shorter time
+	f.openUnread("slow-2")
+	f.await("the second response", func() bool { return len(f.endpoints["p1"].Received())+len(f.endpoints["p2"].Received()) == 2 })
+	f.await("a response of another caller", func() bool {
+		got := f.call("GET", "/safe/a")
+		return got.status == http.StatusOK && len(got.body) == unreadResponse
+	})
+	f.awaitLog("decision=slow_caller request=slow-1 what=response")
+	assert.Assert(t, !strings.Contains(f.log.String(), "decision=slow_caller request=slow-2"))
+}
--- a/standin/appserver/serve.go
+++ b/standin/appserver/serve.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/ryeford/ryeford/internal/clock"
@@ -92,7 +93,7 @@
 	if !clock.Sleep(r.Context(), s.Step) {
 		return // the caller has closed the connection
 	}
-	text := s.text(r)
+	text := s.plainText(r)
 	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
 	if fault == FaultCut {
 		_, _ = io.WriteString(w, text[:len(text)/2])
@@ -101,6 +102,16 @@
 	_, _ = io.WriteString(w, text)
 }
 
+// plainText returns the body of a plain response.
+func (s *Server) plainText(r *http.Request) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.size > 0 {
+		return strings.Repeat("x", s.size)
+	}
+	return s.text(r)
+}
+
 // stream responds with the events after the last one that the caller has.
 func (s *Server) stream(w http.ResponseWriter, r *http.Request, fault Fault) {
 	w.Header().Set("Content-Type", "text/event-stream")
--- a/standin/appserver/server.go
+++ b/standin/appserver/server.go
@@ -30,6 +30,7 @@
 	faults  int // number of requests that the fault still applies to; all if negative
 	runs    map[string]int
 	running int // number of requests
+	size    int // of a plain response, in bytes; zero: the request is echoed
 	// crashBody, unless it is empty, is a request body that crashes the endpoint.
 	crashBody  string
 	crash      func()
@@ -53,6 +54,13 @@
 	return slices.Clone(s.refusals)
 }
 
+// SetSize makes plain responses have a size in bytes.
+func (s *Server) SetSize(bytes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.size = bytes
+}
+
 // Runs returns the number of runs of each request by its ID.
 func (s *Server) Runs() map[string]int {
 	s.mu.Lock()
