--- a/gateway/endpointlist.go
+++ b/gateway/endpointlist.go
@@ -28,8 +28,6 @@
 	// maxRetryPause limits the pause after a failure, so that the return of the source is noticed
 	// soon.
 	maxRetryPause = 400 * time.Millisecond
-	// sweepInterval is the interval between checks for idle connections.
-	sweepInterval = 500 * time.Millisecond
 )
 
 // An endpointRemover keeps per-endpoint state that is removed together with the endpoint.
@@ -240,49 +238,6 @@
 	return true
 }
 
-// triggerSweep makes sweep recompute which endpoint expires next.
-func (l *endpointList) triggerSweep() {
-	select {
-	case l.sweepDue <- struct{}{}:
-	default: // a sweep is already pending
-	}
-}
-
-// removeState removes all state of an endpoint.
-func (l *endpointList) removeState(id ryeford.EndpointID) {
-	l.pool.CloseIdle(id)
-	for _, remover := range l.removers {
-		remover.Remove(id)
-	}
-}
-
-// sweep closes connections that have been idle for too long, and removes endpoints whose retention
-// period has ended, until ctx is done.
-func (l *endpointList) sweep(ctx context.Context) error {
-	timer := time.NewTimer(sweepInterval)
-	defer timer.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-l.sweepDue:
-		case <-timer.C:
-		}
-		now := clock.Now()
-		l.pool.CloseExpired(now)
-		l.expireBackoffs(now)
-		expired, released := l.roster.Expire(now)
-		for _, id := range expired {
-			_ = l.log.Log("decision", "endpoints", "expired", id)
-			l.removeState(id)
-		}
-		if len(released) > 0 {
-			_ = l.log.Log("decision", "endpoints", "released", join(released))
-		}
-		timer.Reset(l.roster.UntilExpiry(now, sweepInterval))
-	}
-}
-
 // join returns endpoint IDs separated by commas, for the log.
 func join(ids []ryeford.EndpointID) string {
 	texts := make([]string, len(ids))
