test: a write deadline doesn't outlive its response

Cause: a stream's caller now has 2 s for each event; a deadline that stayed on the connection would end a later response that the router writes itself.

Checked: TestWriteDeadlineReset passes as it is: net/http clears the deadline.

Conclusion: nothing to mend; the test guards it.

--- a/gateway/slowcallers_test.go
+++ b/gateway/slowcallers_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"bufio"
 	"io"
 	"net"
 	"net/http"
@@ -55,3 +56,26 @@
 	f.awaitLog("decision=slow_caller request=slow-1 what=response")
 	assert.Assert(t, !strings.Contains(f.log.String(), "decision=slow_caller request=slow-2"))
 }
+
+// TestWriteDeadlineReset guards against the write deadline of one response that ends a later response on the same
+// connection, which the router writes itself.
+func TestWriteDeadlineReset(t *testing.T) {
+	f := startedFixture(t, nil)
+	conn, err := net.Dial("tcp", strings.TrimPrefix(f.base, "http://"))
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	status := func(id, path string) int {
+		_, err := io.WriteString(conn, "GET "+path+" HTTP/1.1\r\nHost: host.example\r\nRyeford-Request-Id: "+id+"\r\n"+
+			"Authorization: Bearer key-1\r\nRyeford-Deadline-Ms: 1000\r\n\r\n")
+		assert.NilError(t, err)
+		response, err := http.ReadResponse(reader, nil)
+		assert.NilError(t, err, path)
+		_, err = io.Copy(io.Discard, response.Body)
+		assert.NilError(t, err, path)
+		return response.StatusCode
+	}
+	assert.Equal(t, status("w1", "/stream/a"), http.StatusOK)
+	time.Sleep(2500 * time.Millisecond) // longer than the time that a caller has for an event or a response
+	assert.Equal(t, status("w2", "/none/a"), http.StatusNotFound)
+}
