fix: a failure domain whose endpoints have left stays among those asked about

Cause: found in the reading of the diff: a comparison names the evacuations of the failure domains with endpoints. One that is evacuated anew while it has none would be found out only some time after its endpoints are back.

Change: the roster remembers the failure domains that it has seen.

Checked: TestFailureDomains (fails with the domains of the entries alone).

Conclusion: what is left: a failure domain of which the reading router has never seen an endpoint; the next reader that has seen one finds the order out, within a second.

--- a/gateway/roster/queries.go
+++ b/gateway/roster/queries.go
@@ -53,13 +53,10 @@
 	return len(r.entries)
 }
 
-// FailureDomains returns the failure domains with endpoints, sorted.
+// FailureDomains returns the failure domains that have or had endpoints on the list, sorted. The operators may
+// evacuate one that has none now.
 func (r *Roster) FailureDomains() []string {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	domains := make(map[string]bool)
-	for _, entry := range r.entries {
-		domains[entry.FailureDomain] = true
-	}
-	return slices.Sorted(maps.Keys(domains))
+	return slices.Sorted(maps.Keys(r.domains))
 }
--- a/gateway/roster/roster.go
+++ b/gateway/roster/roster.go
@@ -29,6 +29,7 @@
 	loaded       bool
 	revision     ryeford.Revision
 
+	domains         map[string]bool      // failure domains that have or had endpoints on the list
 	evacuated       map[string]bool      // by failure domain
 	evacuationEnded map[string]time.Time // by failure domain: end of the last evacuation
 
@@ -49,6 +50,7 @@
 	return &Roster{
 		entries:         make(map[ryeford.EndpointID]*Entry),
 		incarnations:    make(map[ryeford.EndpointID]ryeford.EndpointID),
+		domains:         make(map[string]bool),
 		evacuated:       make(map[string]bool),
 		evacuationEnded: make(map[string]time.Time),
 		departures:      make(map[ryeford.EndpointID]departure),
@@ -110,6 +112,7 @@
 
 // put adds or updates a listed endpoint.
 func (r *Roster) put(now time.Time, endpoint ryeford.Endpoint, change *Change) {
+	r.domains[endpoint.FailureDomain] = true
 	withheld := r.withholds(now, &endpoint)
 	if incarnation, known := r.incarnations[endpoint.ID.Name()]; withheld && known && incarnation != endpoint.ID {
 		return // the backup has an earlier incarnation than the roster
--- a/source.go
+++ b/source.go
@@ -15,8 +15,8 @@
 type KnownConfiguration struct {
 	State ConfigurationState
 	Size  int // at the source, in bytes
-	// Evacuations are the newest known ones, and FailureDomains all domains with endpoints. With
-	// these, a source may return the evacuations of these domains only.
+	// Evacuations are the newest known ones, and FailureDomains all domains that have or had endpoints.
+	// With these, a source may return the evacuations of these domains only.
 	Evacuations    Evacuations
 	FailureDomains []string
 	// OnChange, if it is not nil, is called as soon as the response shows that the source has a
