fix: endpoints listed before the first request haven't joined

Cause: an endpoint counts as joined if the first list that the router read lacks it. Where endpoints write their entries while routers start, that is nearly all of them, for the whole life of the router: what the index knows to hold the beginning of a prompt was ignored for the next endpoint in the prompt's order, which holds nothing of a new prompt.

Change: an endpoint has joined if the list got it after this router's first choice.

Checked: TestSourceAfterGrowingList fails without it.

--- a/gateway/balancer.go
+++ b/gateway/balancer.go
@@ -24,7 +24,7 @@
 
 // A balancer chooses the endpoint of an attempt. It collects the router's data on the
 // endpoints for package choice, which implements the rules. The tables belong to other parts of
-// the gateway; the balancer's only state is where the next search by load starts.
+// the gateway; the balancer's only state is where the next search by load starts and when it first chose.
 type balancer struct {
 	roster   *roster.Roster // updated by endpointList
 	detector *outlier.Detector
@@ -42,6 +42,8 @@
 	minRouters int
 
 	searchStart atomic.Uint64 // start index of the next search for the least loaded endpoint
+	// firstChoiceAt is when the first endpoint was chosen, or nil before. The list may still grow until then.
+	firstChoiceAt atomic.Pointer[time.Time]
 }
 
 // newBalancer returns a balancer without any endpoints.
@@ -87,6 +89,9 @@
 // choose chooses an endpoint for an attempt: by affinity if the prompt has shared parts, for
 // which draining endpoints may be sources, or else by load.
 func (b *balancer) choose(now time.Time, query *endpointQuery) selection {
+	if b.firstChoiceAt.Load() == nil {
+		b.firstChoiceAt.CompareAndSwap(nil, &now)
+	}
 	if len(query.shared) == 0 {
 		s := b.candidateSet(now, query, b.roster.Serving(query.service))
 		return b.selected(now, query, s, choice.ByLoad(s.candidates, b.limits, int(b.searchStart.Add(1)%maxSearchStart)))
@@ -231,7 +236,7 @@
 		entry := b.roster.Entry(id)
 		return entry != nil && entry.Service == query.service && !entry.Replaced && id != to.ID && b.detector.Healthy(now, id)
 	})
-	joined := !to.FirstSeen.IsZero()
+	joined := to.FirstSeen.After(*b.firstChoiceAt.Load())
 	if choice.FetchFromAlternate(chosen, parts, len(query.shared), joined) {
 		return entries[chosen.Alternate]
 	}
--- a/gateway/balancer_test.go
+++ b/gateway/balancer_test.go
@@ -111,3 +111,30 @@
 	assert.Equal(t, b.backingOffFor(now, "s"), 2*time.Second)
 	assert.Equal(t, b.unavailableFor(now, "another"), time.Duration(0))
 }
+
+// TestSourceAfterGrowingList guards against endpoints that count as joined because the list had only some of them when
+// the router started: what the index knows would be ignored for an endpoint that holds nothing.
+func TestSourceAfterGrowingList(t *testing.T) {
+	now := time.Unix(1000, 0)
+	start := func() *balancer {
+		b := newTestBalancer(now)
+		b.roster.Apply(now, &ryeford.EndpointUpdate{Revision: 2, Present: []ryeford.Endpoint{
+			{ID: "c", Service: "s", Slots: 8}, {ID: "d", Service: "s", Slots: 8}, {ID: "e", Service: "s", Slots: 8},
+		}}, time.Time{})
+		return b
+	}
+	for affinity := range uint64(20) {
+		query := &endpointQuery{service: "s", shared: []ryeford.PromptPart{{ID: 1, Tokens: 100}, {ID: 2, Tokens: 50}}, affinity: affinity}
+		fresh := start().choose(now.Add(time.Second), query)
+		for _, entry := range start().roster.Serving("s") {
+			if entry.ID == fresh.to.ID || entry.ID == fresh.source.ID {
+				continue
+			}
+			b := start()
+			b.prefixes.Add(now, entry.ID, query.shared[:1])
+			chosen := b.choose(now.Add(time.Second), query)
+			assert.Equal(t, chosen.to.ID, fresh.to.ID)
+			assert.Equal(t, chosen.source.ID, entry.ID, "prompt %d at %s", affinity, fresh.to.ID)
+		}
+	}
+}
--- a/gateway/choice/source.go
+++ b/gateway/choice/source.go
@@ -4,7 +4,7 @@
 // prompt from the choice's alternate rather than from the source in the prefix-cache index, which
 // is the endpoint that holds the longest indexed prefix. indexed is the number of the prompt's
 // shared parts that the index lists for another endpoint, shared the number of shared parts, and
-// joined reports that the chosen endpoint was not on the first list that this router read.
+// joined reports that the chosen endpoint has joined since this router's first choice.
 //
 // The index evicts entries, and a router that started late lacks most of them. If the index lists
 // no part, the alternate is used. If it lists only a prefix, and earlier requests with this prompt
