feat: routers of a large fleet tell each other who has the first parts of prompts

Cause: messages of a large fleet leave out prompts that went where peers would have sent them. With 2.2 requests a second, a router doesn't learn by itself which endpoints have the large parts that many prompts begin with, so that each engine reads each of them.

--- a/gateway/fleetload_test.go
+++ b/gateway/fleetload_test.go
@@ -16,6 +16,7 @@
 	"github.com/ryeford/ryeford"
 	"github.com/ryeford/ryeford/gateway/choice"
 	"github.com/ryeford/ryeford/gateway/peers"
+	"github.com/ryeford/ryeford/gateway/roster"
 	"github.com/ryeford/ryeford/internal/telemetry"
 	"github.com/ryeford/ryeford/route"
 	"github.com/ryeford/ryeford/settings"
@@ -89,8 +90,13 @@
 	sent, aboveBound int     // requests since the onset, and those of them sent to engines above the bound
 	spilled          int     // those of sent that did not go to the first engine by affinity
 	errors           errorSums
-	shedding         *shedding       // nil without
-	leavingEngines   *leavingEngines // nil without
+	rate             float64              // requests per second and router
+	firstParts       uint64               // number of different first parts of prompts
+	hasFirstPart     map[firstPartAt]bool // engines that have first parts
+	firstPartsRead   map[uint64]bool      // first parts that any engine has
+	lacking, reread  int                  // requests at engines without theirs, and those whose source lacked it, too
+	shedding         *shedding            // nil without
+	leavingEngines   *leavingEngines      // nil without
 }
 
 // errorSums are the sums from which the error of the routers' load estimates is computed.
@@ -112,6 +118,12 @@
 		began:     time.Unix(1000, 0),
 		byAddress: make(map[netip.AddrPort]*simulatedRouter),
 		load:      make(map[ryeford.EndpointID]int),
+
+		rate:         simulatedRate,
+		firstParts:   1,
+		hasFirstPart: make(map[firstPartAt]bool),
+
+		firstPartsRead: make(map[uint64]bool),
 	}
 	update := &ryeford.EndpointUpdate{Snapshot: true, Revision: 1}
 	for i := range int(simulatedEngines * float64(routers)) {
@@ -188,7 +200,7 @@
 // handleArrival sends a request from a random router and schedules the next arrival.
 func (f *simulatedFleet) handleArrival(now time.Time) {
 	f.send(now, f.routers[f.random.IntN(len(f.routers))])
-	rate := simulatedRate * float64(len(f.routers))
+	rate := f.rate * float64(len(f.routers))
 	f.schedule(now.Add(time.Duration(f.random.ExpFloat64()/rate*float64(time.Second))), f.handleArrival)
 }
 
@@ -199,7 +211,7 @@
 	if onset && f.random.Float64() < f.hotShare {
 		prompt, duration = 0, simulatedDurations[2].mean
 	}
-	parts := []ryeford.PromptPart{{ID: 1 << 40, Tokens: 300}, {ID: 1<<41 + prompt, Tokens: 2000}}
+	parts := []ryeford.PromptPart{{ID: 1<<40 + prompt%f.firstParts, Tokens: 300}, {ID: 1<<41 + prompt, Tokens: 2000}}
 	query := &endpointQuery{service: "s", shared: parts, affinity: route.KeyHash(parts[1].ID), tried: make(map[ryeford.EndpointID]bool)}
 	chosen := r.choose(now, query)
 	for chosen.to != nil && f.shedding.receive(f, now, r, chosen.to.ID) {
@@ -219,6 +231,7 @@
 			f.aboveBound++
 		}
 	}
+	f.countFirstPart(parts[0].ID, to, chosen.source)
 	f.leavingEngines.observe(f, now, r, to.ID)
 	f.load[to.ID]++
 	f.inFlight++
@@ -237,6 +250,24 @@
 	})
 }
 
+// A firstPartAt is the first part of a prompt at an engine.
+type firstPartAt struct {
+	part   uint64
+	engine ryeford.EndpointID
+}
+
+// countFirstPart counts a request at an engine that lacks the first part of its prompt, which another one has.
+func (f *simulatedFleet) countFirstPart(part uint64, to, source *roster.Entry) {
+	if !f.hasFirstPart[firstPartAt{part, to.ID}] && f.firstPartsRead[part] {
+		f.lacking++
+		if source == nil || !f.hasFirstPart[firstPartAt{part, source.ID}] {
+			f.reread++
+		}
+	}
+	f.hasFirstPart[firstPartAt{part, to.ID}] = true
+	f.firstPartsRead[part] = true
+}
+
 // drawDuration draws how long a request takes.
 func (f *simulatedFleet) drawDuration() time.Duration {
 	drawn := f.random.Float64()
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -51,10 +51,11 @@
 	// joiningPeers are peers whose process has just sent its first message.
 	joiningPeers chan netip.AddrPort
 
-	mu      sync.Mutex
-	prompts []peers.Prompt // for the next message
-	parts   int            // total number of parts of these prompts
-	partial bool           // the last message did not contain all loads
+	mu         sync.Mutex
+	prompts    []peers.Prompt // for the next message
+	parts      int            // total number of parts of these prompts
+	partial    bool           // the last message did not contain all loads
+	firstParts firstParts     // for the messages of a large fleet
 }
 
 // The reasons by which ryeford_gossip_dropped_total counts datagrams. They are counted but not logged,
@@ -74,6 +75,7 @@
 func (g *gossip) addPrompt(endpoint ryeford.EndpointID, parts []ryeford.PromptPart, expected bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.firstParts.add(endpoint, parts)
 	if len(g.prompts) >= peers.MaxPrompts || expected && g.partial {
 		return
 	}
@@ -265,5 +267,8 @@
 	defer g.mu.Unlock()
 	message.Prompts, g.partial = g.prompts, !message.Complete
 	g.prompts, g.parts = nil, 0
+	if g.partial {
+		message.Prompts = append(message.Prompts, g.firstParts.next(maxFirstParts)...)
+	}
 	return message
 }
