--- a/gateway/callermemory/budget.go
+++ b/gateway/callermemory/budget.go
@@ -23,16 +23,16 @@
 type Budget struct {
 	limit int64
 
-	mu       sync.Mutex
-	reserved int64
-	holders  map[*Holder]bool // all with reserved bytes
+	mu          sync.Mutex
+	reserved    int64
+	allocations map[*Allocation]bool // all with bytes
 }
 
 // New returns a Budget of limit bytes.
-func New(limit int64) *Budget { return &Budget{limit: limit, holders: make(map[*Holder]bool)} }
+func New(limit int64) *Budget { return &Budget{limit: limit, allocations: make(map[*Allocation]bool)} }
 
-// A Holder is the memory that is held for one request. Its methods may be called concurrently.
-type Holder struct {
+// An Allocation is the memory that is held for one request. Its methods may be called concurrently.
+type Allocation struct {
 	budget *Budget
 	cutOff func() // ends the read from or the write to the caller
 
@@ -42,9 +42,11 @@
 	cut          bool
 }
 
-// Hold returns a Holder without memory. cutOff is called at most once, to end a read from the caller or a write to
-// it, and must not call the budget.
-func (b *Budget) Hold(cutOff func()) *Holder { return &Holder{budget: b, cutOff: cutOff} }
+// NewAllocation returns an Allocation without memory. cutOff is called at most once, to end a read from the caller or
+// a write to it, and must not call the budget.
+func (b *Budget) NewAllocation(cutOff func()) *Allocation {
+	return &Allocation{budget: b, cutOff: cutOff}
+}
 
 // Limit returns the budget in bytes.
 func (b *Budget) Limit() int64 { return b.limit }
@@ -56,16 +58,16 @@
 	return b.reserved
 }
 
-// Reserve reserves further bytes and reports whether they fit. It returns false once the holder was cut off.
-func (h *Holder) Reserve(now time.Time, bytes int64) bool {
-	b := h.budget
+// Grow reserves further bytes and reports whether they fit. It returns false once the caller was cut off.
+func (a *Allocation) Grow(now time.Time, bytes int64) bool {
+	b := a.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if h.cut || bytes > b.limit {
+	if a.cut || bytes > b.limit {
 		return false
 	}
 	for b.reserved+bytes > b.limit {
-		slowest := b.slowest(now, h)
+		slowest := b.slowest(now, a)
 		if slowest == nil {
 			return false
 		}
@@ -74,60 +76,60 @@
 		slowest.cutOff()
 	}
 	b.reserved += bytes
-	h.reserved += bytes
-	b.holders[h] = true
+	a.reserved += bytes
+	b.allocations[a] = true
 	return true
 }
 
-// slowest returns the holder, other than one, whose caller has kept the router waiting for the longest time, or nil
+// slowest returns the allocation, other than one, whose caller has kept the router waiting for the longest time, or nil
 // if none has for minStall. b.mu is held.
-func (b *Budget) slowest(now time.Time, except *Holder) *Holder {
-	var slowest *Holder
-	for h := range b.holders {
-		if h == except || h.waitingSince.IsZero() || now.Sub(h.waitingSince) < minStall {
+func (b *Budget) slowest(now time.Time, except *Allocation) *Allocation {
+	var slowest *Allocation
+	for a := range b.allocations {
+		if a == except || a.waitingSince.IsZero() || now.Sub(a.waitingSince) < minStall {
 			continue
 		}
-		if slowest == nil || h.waitingSince.Before(slowest.waitingSince) {
-			slowest = h
+		if slowest == nil || a.waitingSince.Before(slowest.waitingSince) {
+			slowest = a
 		}
 	}
 	return slowest
 }
 
 // Wait records that the router waits for the caller, which sends its body or reads its response.
-func (h *Holder) Wait(now time.Time) {
-	h.budget.mu.Lock()
-	defer h.budget.mu.Unlock()
-	if h.waitingSince.IsZero() {
-		h.waitingSince = now
+func (a *Allocation) Wait(now time.Time) {
+	a.budget.mu.Lock()
+	defer a.budget.mu.Unlock()
+	if a.waitingSince.IsZero() {
+		a.waitingSince = now
 	}
 }
 
 // Resume records that the router no longer waits for the caller.
-func (h *Holder) Resume() {
-	h.budget.mu.Lock()
-	defer h.budget.mu.Unlock()
-	h.waitingSince = time.Time{}
+func (a *Allocation) Resume() {
+	a.budget.mu.Lock()
+	defer a.budget.mu.Unlock()
+	a.waitingSince = time.Time{}
 }
 
 // Cut reports whether the caller was cut off for the memory that it held.
-func (h *Holder) Cut() bool {
-	h.budget.mu.Lock()
-	defer h.budget.mu.Unlock()
-	return h.cut
+func (a *Allocation) Cut() bool {
+	a.budget.mu.Lock()
+	defer a.budget.mu.Unlock()
+	return a.cut
 }
 
 // Release releases all reserved bytes. It may be called more than once.
-func (h *Holder) Release() {
-	h.budget.mu.Lock()
-	defer h.budget.mu.Unlock()
-	h.release()
+func (a *Allocation) Release() {
+	a.budget.mu.Lock()
+	defer a.budget.mu.Unlock()
+	a.release()
 }
 
 // release is Release with budget.mu held.
-func (h *Holder) release() {
-	h.budget.reserved -= h.reserved
-	h.reserved = 0
-	h.waitingSince = time.Time{}
-	delete(h.budget.holders, h)
+func (a *Allocation) release() {
+	a.budget.reserved -= a.reserved
+	a.reserved = 0
+	a.waitingSince = time.Time{}
+	delete(a.budget.allocations, a)
 }
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -78,11 +78,11 @@
 	}
 	maxBody := admit.MaxBody(h.configuredMaxBody())
 	control := http.NewResponseController(w)
-	held := h.callerMemory.Hold(func() {
+	held := h.callerMemory.NewAllocation(func() {
 		h.recordSlowCaller(q.meta.ID, "body")
 		_ = control.SetReadDeadline(endpoint.ExpiredDeadline)
 	})
-	if !held.Reserve(clock.Now(), admit.BodySize(r.ContentLength, maxBody)) {
+	if !held.Grow(clock.Now(), admit.BodySize(r.ContentLength, maxBody)) {
 		return nil, nil, admit.NoMemory()
 	}
 	// SetReadDeadline fails only if the connection is closed; reading from it then fails too.
--- a/gateway/heldresponse.go
+++ b/gateway/heldresponse.go
@@ -30,7 +30,7 @@
 
 // readHeld reads a complete body, for which it reserves memory: as announced, or as it is read. The error is a
 // *callerMemoryError or a *endpoint.LostError.
-func readHeld(ctx context.Context, response *endpoint.Response, held *callermemory.Holder) ([]byte, error) {
+func readHeld(ctx context.Context, response *endpoint.Response, held *callermemory.Allocation) ([]byte, error) {
 	announced, err := strconv.ParseInt(response.Header.Get("Content-Length"), 10, 64)
 	if err == nil && announced <= maxBufferedBody {
 		if !reserve(ctx, held, announced) {
@@ -55,7 +55,7 @@
 type heldReader struct {
 	io.Reader
 	ctx  context.Context
-	held *callermemory.Holder
+	held *callermemory.Allocation
 }
 
 // Read implements io.Reader. The error is a *callerMemoryError if the memory is exhausted.
@@ -69,9 +69,9 @@
 
 // reserve reserves memory for a response, and waits until it fits or maxMemoryWait has passed: other callers may be
 // reading theirs, and slow ones are cut off only after a time.
-func reserve(ctx context.Context, held *callermemory.Holder, bytes int64) bool {
+func reserve(ctx context.Context, held *callermemory.Allocation, bytes int64) bool {
 	began := clock.Now()
-	for !held.Reserve(clock.Now(), bytes) {
+	for !held.Grow(clock.Now(), bytes) {
 		if clock.Since(began) > maxMemoryWait || !clock.Sleep(ctx, memoryRetryInterval) {
 			return false
 		}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -64,7 +64,7 @@
 
 // forwardBuffered reads the complete response and then passes it on.
 func (r *relay) forwardBuffered(ctx context.Context, response *endpoint.Response, withheld bool) (retry.End, error) {
-	held := r.memory.Hold(func() {
+	held := r.memory.NewAllocation(func() {
 		r.onCutOff()
 		_ = r.control.SetWriteDeadline(endpoint.ExpiredDeadline)
 	})
