feat: limit the requests for services that report no load, and share the room of overloaded ones

Cause: in a crowd at a plain service, whose endpoints queue four times what they run and report no load, nobody in the fleet decided how much it takes. All priorities and accounts were rejected alike. Change: package gateway/limit estimates the fleet's arrivals and the time that a request takes, and each router admits the same share of the arrivals. Package gateway/fairshare gives that share, or the one that follows from the endpoints' reports (gateway/occupancy), to priorities in order, accounts by max-min fairness of the work, and requests that can still be in time. Package gateway/overload holds both decisions, the gossip of their figures (key 29), and what gateway/overloads.go held. Settings routing.concurrency_limits and routing.fair_shares.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -36,8 +36,8 @@
 		f.loads.BeginPrompt(x.request.affinity)
 		defer f.loads.EndPrompt(x.request.affinity)
 	}
-	f.occupancy.Begin(x.request.service)
-	defer f.occupancy.End(x.request.service)
+	f.overload.Begin(x.request.service)
+	defer f.overload.End(x.request.service)
 	x.attemptStarted = sent
 	response, err := x.observedSend(attemptCtx, to, source)
 	if err != nil {
@@ -51,7 +51,7 @@
 	defer response.Close()
 	x.recordReport(to, &response.Meta.Report)
 	f.loads.Report(clock.Now(), to.ID, response.Meta.Report.Load)
-	f.occupancy.Report(clock.Now(), x.request.service, to.Slots, response.Meta.Report.Load)
+	f.overload.Report(clock.Now(), x.request.service, to.Slots, response.Meta.Report.Load)
 	if response.Meta.NotRun {
 		return x.endRefused(to, response)
 	}
@@ -188,6 +188,8 @@
 	_, _ = response.ReadAll(maxBufferedBody)
 	if response.Status == http.StatusMisdirectedRequest {
 		x.forwarder.roster.MarkMisdirected(to.ID)
+	} else if response.Meta.Report.Load == nil {
+		x.forwarder.overload.Rejected(clock.Now(), x.request.service, x.decision)
 	}
 	backoff := response.Meta.Report.RetryAfter > 0
 	rateAttempt(attemptEnd{end: retry.EndRefused, status: response.Status, full: x.isFull(to, response), backoff: backoff}).report(x.forwarder.detector, to.ID)
@@ -215,6 +217,9 @@
 	x.recordPrompt(to, response.Status)
 	end, err := x.relay.forward(attemptCtx, response, x.shouldWithhold(response.Status))
 	ctxDone := ctx.Err() != nil
+	if response.Meta.Report.Load == nil && (end == retry.EndAnswered || end == retry.EndFailed) {
+		x.forwarder.overload.Answered(clock.Now(), x.request.service, clock.Since(x.attemptStarted))
+	}
 	rateAttempt(attemptEnd{end: end, status: response.Status, ctxDone: ctxDone}).report(x.forwarder.detector, to.ID)
 	if end == retry.EndAnswered {
 		x.recordAnswered(to, response.Status)
--- a/gateway/balancer.go
+++ b/gateway/balancer.go
@@ -12,6 +12,7 @@
 	"github.com/ryeford/ryeford/gateway/backoff"
 	"github.com/ryeford/ryeford/gateway/choice"
 	"github.com/ryeford/ryeford/gateway/freshness"
+	"github.com/ryeford/ryeford/gateway/limit"
 	"github.com/ryeford/ryeford/gateway/loads"
 	"github.com/ryeford/ryeford/gateway/outlier"
 	"github.com/ryeford/ryeford/gateway/peers"
@@ -136,6 +137,18 @@
 	return choice.Prompt{Key: query.affinity, InFlight: peers + float64(b.loads.LocalPrompt(query.affinity))}
 }
 
+// room returns what a request's service may have: the slots of the endpoints that may be sent requests.
+func (b *balancer) room(now time.Time, q *request) limit.Room {
+	sample := b.peers.Sample(now, q.service)
+	room := limit.Room{Goal: q.catalog.ShortestGoal(q.service), Peers: sample.Alive}
+	for _, entry := range b.roster.Serving(q.service) {
+		if b.exclusionReason(now, entry) == "" && b.detector.Healthy(now, entry.ID) {
+			room.Slots += entry.Slots
+		}
+	}
+	return room
+}
+
 // unavailableFor returns how long it takes until the first of a service's endpoints that accept
 // requests is neither ejected nor backing off. It is zero if one is available, or if there are
 // none.
--- a/gateway/catalog/catalog.go
+++ b/gateway/catalog/catalog.go
@@ -10,6 +10,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/ryeford/ryeford"
 )
@@ -20,7 +21,8 @@
 	hosts         map[string]*hostRoutes
 	accounts      map[string]*ryeford.AccountRule // by key
 	services      map[string]*ryeford.ServiceRule
-	priorities    []ryeford.Priority // in descending order
+	priorities    []ryeford.Priority       // in descending order
+	goals         map[string]time.Duration // shortest goal by service
 }
 
 type hostRoutes struct {
@@ -50,6 +52,7 @@
 		c.services[configuration.Services[i].Name] = &configuration.Services[i]
 	}
 	c.priorities = prioritiesOf(configuration)
+	c.goals = shortestGoals(configuration)
 	return c
 }
 
@@ -73,6 +76,23 @@
 // Priorities returns the priorities that requests may have, in descending order. The caller must not change them.
 func (c *Catalog) Priorities() []ryeford.Priority { return c.priorities }
 
+// shortestGoals returns the shortest latency goal of the routes of each service, without routes that have none.
+func shortestGoals(configuration *ryeford.Configuration) map[string]time.Duration {
+	goals := make(map[string]time.Duration)
+	for i := range configuration.Routes {
+		rule := &configuration.Routes[i]
+		for _, part := range rule.Split {
+			if known, ok := goals[part.Service]; rule.Goal > 0 && (!ok || rule.Goal < known) {
+				goals[part.Service] = rule.Goal
+			}
+		}
+	}
+	return goals
+}
+
+// ShortestGoal returns the shortest latency goal of a service's routes, or zero if none has one.
+func (c *Catalog) ShortestGoal(service string) time.Duration { return c.goals[service] }
+
 // Version returns the configuration's version.
 func (c *Catalog) Version() int64 { return c.configuration.Version }
 
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -9,6 +9,8 @@
 	"github.com/ryeford/ryeford"
 	"github.com/ryeford/ryeford/gateway/admit"
 	"github.com/ryeford/ryeford/gateway/giveup"
+	"github.com/ryeford/ryeford/gateway/limit"
+	"github.com/ryeford/ryeford/gateway/overload"
 	"github.com/ryeford/ryeford/gateway/quarantine"
 	"github.com/ryeford/ryeford/gateway/roster"
 	"github.com/ryeford/ryeford/internal/clock"
@@ -33,6 +35,7 @@
 	mayHaveRun   bool  // any attempt may have run at an endpoint
 	lastErr      error // error of the last attempt
 
+	decision          *overload.Decision     // whether the service has room for it; nil before the first attempt
 	attemptStarted    time.Time              // start of the last attempt
 	cachedFingerprint quarantine.Fingerprint // computed on first use: see fingerprint
 }
@@ -91,12 +94,26 @@
 	if decision := x.checkQuarantine(now); decision.Held {
 		return giveup.Quarantined(decision.RetryAfter)
 	}
-	if x.history.Sent == 0 && x.forwarder.occupancy.Full(now, q.service) {
+	if x.history.Sent == 0 && !x.admitLoad(now) {
 		return giveup.NotRun(ryeford.ReasonOverload)
 	}
 	return admit.CheckTime(q.deadline.Sub(now), x.forwarder.minResponseTimes.get(now, q.service))
 }
 
+// admitLoad reports whether the service has room for the request. It decides once: a request that could not be sent
+// to one endpoint is no further arrival.
+func (x *exchange) admitLoad(now time.Time) bool {
+	if x.decision == nil {
+		f, q := x.forwarder, x.request
+		decision := f.overload.Admit(now, q.load(), func() limit.Room { return f.room(now, q) })
+		x.decision = &decision
+		if !decision.Admitted {
+			f.metrics.Count("ryeford_overload_rejected_total", string(decision.Source))
+		}
+	}
+	return x.decision.Admitted
+}
+
 // chooseFor chooses the endpoint of an attempt, and the endpoint from which it may fetch cached
 // parts of the prompt. Either may be nil.
 func (x *exchange) chooseFor(decision retry.Decision) (to, source *roster.Entry) {
@@ -156,16 +173,20 @@
 	outcome := giveup.Decide(giveup.Request{
 		Err: err, Last: x.lastErr, MayHaveRun: x.mayHaveRun, ResponseStarted: x.relay.headerSent.Load(),
 		UnavailableFor: f.unavailableFor(now, q.service), BackingOffFor: f.backingOffFor(now, q.service), Unlisted: f.roster.Accepting(q.service) == 0, Caller: q.caller(), Recent: f.refusals.get(now, q.service),
-		OverloadedFor: f.overloads.duration(now, q.service),
+		OverloadedFor: f.overload.RefusingFor(now, q.service),
 	})
 	f.refusals.add(now, q.service, outcome.Counts())
 	if outcome.Reason == string(ryeford.ReasonOverload) {
-		f.overloads.add(now, q.service)
+		f.overload.Refused(now, q.service)
 	}
 	f.metrics.Count("ryeford_given_up_total", outcome.Reason)
-	_ = f.log.Log("decision", "give_up", "request", q.meta.ID, "route", q.rule.Name, "account", q.accountID(), "service", q.service,
+	line := []any{"decision", "give_up", "request", q.meta.ID, "route", q.rule.Name, "account", q.accountID(), "service", q.service,
 		"sent", x.history.Sent, "unsent", x.history.Unsent, "may_have_run", x.mayHaveRun, "begun", x.relay.headerSent.Load(), "events", x.relay.sentEvents,
-		"version", q.catalog.Version(), "status", outcome.Status, "reason", outcome.Reason, "took", roundTime(clock.Since(q.arrived)), "err", outcome.Err)
+		"version", q.catalog.Version(), "status", outcome.Status, "reason", outcome.Reason, "took", roundTime(clock.Since(q.arrived)), "err", outcome.Err}
+	if x.decision != nil && !x.decision.Admitted {
+		line = append(line, x.decision.LogFields()...)
+	}
+	_ = f.log.Log(line...)
 	if outcome.Abort {
 		panic(http.ErrAbortHandler) // makes net/http close the connection
 	}
--- a/gateway/exchange_test.go
+++ b/gateway/exchange_test.go
@@ -21,7 +21,7 @@
 	"github.com/ryeford/ryeford/gateway/endpoint"
 	"github.com/ryeford/ryeford/gateway/freshness"
 	"github.com/ryeford/ryeford/gateway/giveup"
-	"github.com/ryeford/ryeford/gateway/occupancy"
+	"github.com/ryeford/ryeford/gateway/overload"
 	"github.com/ryeford/ryeford/gateway/quarantine"
 	"github.com/ryeford/ryeford/gateway/roster"
 	"github.com/ryeford/ryeford/internal/freeport"
@@ -95,8 +95,7 @@
 		durations:        newDurations(),
 		minResponseTimes: newMinResponseTimes(),
 		refusals:         newRefusals(),
-		occupancy:        occupancy.New(),
-		overloads:        newOverloads(),
+		overload:         overload.New(overload.Options{Limits: true, FairShares: true}),
 		quarantine:       newQuarantineState(balancer, logger, metrics),
 		callerMemory:     callermemory.New(1 << 20),
 		log:              logger,
@@ -155,9 +154,9 @@
 
 // fillSlots makes the endpoints of the request's service report that all their slots are taken.
 func (e *exchangeTest) fillSlots() {
-	e.forwarder.occupancy.Begin("s")
+	e.forwarder.overload.Begin("s")
 	for range 9 {
-		e.forwarder.occupancy.Report(time.Now(), "s", 8, &ryeford.EndpointLoad{Running: 8})
+		e.forwarder.overload.Report(time.Now(), "s", 8, &ryeford.EndpointLoad{Running: 8})
 	}
 }
 
--- a/gateway/fleetload_test.go
+++ b/gateway/fleetload_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/ryeford/ryeford"
 	"github.com/ryeford/ryeford/gateway/choice"
+	"github.com/ryeford/ryeford/gateway/overload"
 	"github.com/ryeford/ryeford/gateway/peers"
 	"github.com/ryeford/ryeford/gateway/roster"
 	"github.com/ryeford/ryeford/internal/telemetry"
@@ -140,7 +141,7 @@
 		r.roster.Apply(f.began, update, time.Time{})
 		r.gossip = &gossip{
 			self: s.Peers.AddrPort, started: 1, table: r.peers, configuration: newConfiguration(configurationOptions{}),
-			endpoints: newEndpointList(s, nil), roster: r.roster, prefixes: r.prefixes, loads: r.loads,
+			endpoints: newEndpointList(s, nil), roster: r.roster, prefixes: r.prefixes, loads: r.loads, overload: overload.New(overload.Options{}),
 			quarantine: newQuarantineState(r.balancer, log.NewNopLogger(), telemetry.NewSet()), log: log.NewNopLogger(), metrics: telemetry.NewSet(),
 		}
 		r.gossip.endpoints.roster = r.roster
--- a/gateway/forwarder.go
+++ b/gateway/forwarder.go
@@ -10,7 +10,7 @@
 	"github.com/ryeford/ryeford/gateway/callermemory"
 	"github.com/ryeford/ryeford/gateway/endpoint"
 	"github.com/ryeford/ryeford/gateway/giveup"
-	"github.com/ryeford/ryeford/gateway/occupancy"
+	"github.com/ryeford/ryeford/gateway/overload"
 	"github.com/ryeford/ryeford/internal/telemetry"
 	"github.com/ryeford/ryeford/retry"
 )
@@ -27,8 +27,7 @@
 	durations        *durations
 	minResponseTimes *slidingWindow[time.Duration]
 	refusals         *slidingWindow[giveup.RecentCounts]
-	occupancy        *occupancy.Table
-	overloads        *overloads
+	overload         *overload.Table
 	quarantine       *quarantineState
 	callerMemory     *callermemory.Budget // bodies of requests, and responses that callers have not read
 	log              log.Logger
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -18,13 +18,14 @@
 
 	"github.com/go-kit/log"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
 
 	"github.com/ryeford/ryeford"
 	"github.com/ryeford/ryeford/gateway/admit"
 	"github.com/ryeford/ryeford/gateway/callermemory"
 	"github.com/ryeford/ryeford/gateway/endpoint"
 	"github.com/ryeford/ryeford/gateway/freshness"
-	"github.com/ryeford/ryeford/gateway/occupancy"
+	"github.com/ryeford/ryeford/gateway/overload"
 	"github.com/ryeford/ryeford/gateway/replica"
 	"github.com/ryeford/ryeford/internal/clock"
 	"github.com/ryeford/ryeford/internal/telemetry"
@@ -65,6 +66,7 @@
 	pool       *endpoint.Pool
 	revision   *storeRevision // the newest revision received from the store
 	quarantine *quarantineState
+	overload   *overload.Table
 }
 
 // New returns a Gateway that is not running yet.
@@ -77,6 +79,7 @@
 		balancer:    newBalancer(s),
 		pool:        endpoint.New(platform.Protocol),
 		revision:    &storeRevision{},
+		overload:    overload.New(overload.Options{Limits: s.Routing.ConcurrencyLimits, FairShares: s.Routing.FairShares}),
 		drain:       newDrain(s.Bounds.Grace, logger),
 		initialSync: newInitialSync(s.Routing.StartTimeout),
 	}
@@ -172,8 +175,11 @@
 		prefixes:      g.prefixes,
 		loads:         g.loads,
 		quarantine:    g.quarantine,
+		overload:      g.overload,
 		log:           g.log,
-		metrics:       g.metrics,
+
+		implausibleLog: rate.Sometimes{First: 1, Interval: implausibleLogInterval},
+		metrics:        g.metrics,
 	}
 }
 
@@ -221,8 +227,7 @@
 		minBudgetRouters: g.settings.Routing.Routers,
 		durations:        newDurations(),
 		refusals:         newRefusals(),
-		occupancy:        occupancy.New(),
-		overloads:        newOverloads(),
+		overload:         g.overload,
 		quarantine:       g.quarantine,
 		callerMemory:     callermemory.New(admit.CallerMemory(g.settings.Memory)),
 		minResponseTimes: newMinResponseTimes(),
@@ -237,6 +242,7 @@
 	g.metrics.Gauge("ryeford_resting_endpoints", func() float64 { return float64(g.backoffs.Len()) })
 	g.metrics.Gauge("ryeford_evacuated_domains", func() float64 { return float64(len(g.configuration.evacuations.lastRead().Orders)) })
 	g.metrics.Gauge("ryeford_quarantined_requests", func() float64 { return float64(len(g.quarantine.table.Held())) })
+	g.metrics.Gauge("ryeford_admitted_share", func() float64 { return g.overload.LowestShare(clock.Now()) })
 	g.metrics.Gauge("ryeford_peers", func() float64 { return float64(g.peers.Alive(clock.Now())) })
 	g.metrics.Gauge("ryeford_lease_seconds", func() float64 { return g.configuration.lease.Remaining(clock.Now()).Seconds() })
 	g.metrics.Gauge("ryeford_endpoints_age_seconds", func() float64 {
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -11,9 +11,11 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-kit/log"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
 
 	"github.com/ryeford/ryeford"
 	"github.com/ryeford/ryeford/gateway/loads"
+	"github.com/ryeford/ryeford/gateway/overload"
 	"github.com/ryeford/ryeford/gateway/peers"
 	"github.com/ryeford/ryeford/gateway/prefixcache"
 	"github.com/ryeford/ryeford/gateway/roster"
@@ -40,9 +42,12 @@
 	prefixes      *prefixcache.Index
 	loads         *loads.Table
 	quarantine    *quarantineState
+	overload      *overload.Table
 	log           log.Logger
 	metrics       *telemetry.Set
 
+	implausibleLog rate.Sometimes
+
 	// registered is when this router registered in the platform's list of routers, or nil. lookedUp is
 	// whether it has queried that list.
 	registered atomic.Pointer[time.Time]
@@ -67,6 +72,9 @@
 	droppedSend   = "send"   // the socket failed to send
 )
 
+// implausibleLogInterval is how often implausible figures of peers are logged at most. They are counted each time.
+const implausibleLogInterval = 10 * time.Second
+
 func (g *gossip) countDropped(reason string) { g.metrics.Count("ryeford_gossip_dropped_total", reason) }
 
 // addPrompt adds a prompt that was sent to an endpoint to the next message, truncated to the parts
@@ -147,6 +155,7 @@
 	}
 	g.loads.Merge(now, message.Reports)
 	g.quarantine.merge(now, message)
+	g.mergeServices(now, message)
 	for _, prompt := range message.Prompts {
 		if !g.roster.Has(prompt.Endpoint) {
 			continue
@@ -159,6 +168,18 @@
 	}
 }
 
+// mergeServices merges a peer's figures of services, and counts those that are implausible.
+func (g *gossip) mergeServices(now time.Time, message *peers.Message) {
+	implausible := g.overload.Merge(now, message.Services)
+	if implausible == 0 {
+		return
+	}
+	g.metrics.Add("ryeford_implausible_figures_total", "", implausible)
+	g.implausibleLog.Do(func() {
+		_ = g.log.Log("decision", "implausible_figures", "peer", message.Sender, "figures", implausible, "err", "they count only up to a limit, or not at all")
+	})
+}
+
 // queueJoinReply makes send reply to a peer that has just started and may have no data yet.
 func (g *gossip) queueJoinReply(peer netip.AddrPort) {
 	select {
@@ -250,6 +271,7 @@
 	}
 	message.SetWithheld(g.roster.Withheld(now, peers.MaxWithheld))
 	message.Leaving = g.roster.RecentlyLeaving(now, peers.MaxLeaving)
+	message.Services = g.overload.Figures(now)
 	return message
 }
 
--- a/gateway/gossip_test.go
+++ b/gateway/gossip_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/ryeford/ryeford"
 	"github.com/ryeford/ryeford/gateway/loads"
+	"github.com/ryeford/ryeford/gateway/overload"
 	"github.com/ryeford/ryeford/gateway/peers"
 	"github.com/ryeford/ryeford/gateway/prefixcache"
 	"github.com/ryeford/ryeford/gateway/quarantine"
@@ -38,6 +39,7 @@
 		roster:        r,
 		prefixes:      prefixcache.New(),
 		loads:         loads.New(),
+		overload:      overload.New(overload.Options{Limits: true, FairShares: true}),
 		quarantine:    newQuarantineState(nil, log.NewNopLogger(), telemetry.NewSet()),
 		log:           log.NewNopLogger(),
 		metrics:       telemetry.NewSet(),
--- a/gateway/occupancy/occupancy.go
+++ b/gateway/occupancy/occupancy.go
@@ -37,11 +37,23 @@
 	maxOccupancy = 4.0
 )
 
-// full reports whether a service is full. occupancy is the mean of the reports in requests per slot,
-// localThen the mean number of this router's requests in flight at the time of the reports, and now the
-// current number.
-func full(occupancy, localThen float64, now int) bool {
-	return localThen > 0 && occupancy*float64(now+1)/localThen >= fullOccupancy
+// current returns the requests per slot of a service, with one further request. occupancy is the mean of the
+// reports in requests per slot, localThen the mean number of this router's requests in flight at the time of the
+// reports, and now the current number.
+func current(occupancy, localThen float64, now int) float64 {
+	if localThen <= 0 {
+		return 0
+	}
+	return occupancy * float64(now+1) / localThen
+}
+
+// shareRange is the range of the requests per slot, around fullOccupancy, in which the share of the requests that
+// are admitted falls from one to zero.
+const shareRange = 0.1
+
+// shareAt returns the share of the requests that are admitted at a number of requests per slot.
+func shareAt(occupancy float64) float64 {
+	return min(1, max(0, 0.5+(fullOccupancy-occupancy)/shareRange))
 }
 
 // A Table holds the state of each service. It is safe for concurrent use.
@@ -102,17 +114,30 @@
 
 // Full reports whether a service is full. It returns false if too few recent reports are known.
 func (t *Table) Full(now time.Time, name string) bool {
+	occupancy, known := t.Occupancy(now, name)
+	return known && occupancy >= fullOccupancy
+}
+
+// Share returns the share of the requests that are admitted, and whether enough recent reports are known.
+func (t *Table) Share(now time.Time, name string) (share float64, known bool) {
+	occupancy, known := t.Occupancy(now, name)
+	return shareAt(occupancy), known
+}
+
+// Occupancy returns the requests per slot of a service, with one further request, and whether enough recent
+// reports are known.
+func (t *Table) Occupancy(now time.Time, name string) (occupancy float64, known bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.services[name]
 	if s == nil {
-		return false
+		return 0, false
 	}
 	s.decay(now)
 	if s.weight < minReportWeight {
-		return false
+		return 0, false
 	}
-	return full(s.occupancy/s.weight, s.localAtReport/s.weight, s.local)
+	return current(s.occupancy/s.weight, s.localAtReport/s.weight, s.local), true
 }
 
 // decay reduces the weight of the reports by the elapsed time.
--- a/gateway/peers/message.go
+++ b/gateway/peers/message.go
@@ -71,6 +71,42 @@
 	Leaving []ryeford.EndpointID `cbor:"28,keyasint,omitempty"`
 	// Prompts are the prompts sent to endpoints since the last message.
 	Prompts []Prompt `cbor:"6,keyasint,omitempty"`
+	// Services describe the sender's recent requests for services whose load is limited.
+	Services []ServiceFigures `cbor:"29,keyasint,omitempty"`
+}
+
+// ServiceFigures describe a router's recent requests for a service. Counts are decayed.
+type ServiceFigures struct {
+	_         struct{} `cbor:",toarray"`
+	Service   uint32   // the low 32 bits of route.NameHash of its name
+	Arrivals  uint32   // in hundredths of a request per second
+	Responses uint32   // number of recent response times, in sixteenths
+	Mean      uint32   // of these times, in microseconds
+	// Mix describes the requests by priority and client account, or is nil.
+	Mix *Mix
+}
+
+// A Mix is the recent work of a router's requests for a service, by priority and client account.
+type Mix struct {
+	_        struct{} `cbor:",toarray"`
+	Ranks    []RankWork
+	Accounts []AccountWork // those with the most work
+}
+
+// RankWork is the work of the requests of one priority.
+type RankWork struct {
+	_    struct{} `cbor:",toarray"`
+	Rank uint8    // of the priority: 0 is the highest
+	Work uint32
+	Late uint32 // part of Work that can no longer be in time
+}
+
+// AccountWork is the work of one client account's requests of one priority.
+type AccountWork struct {
+	_       struct{} `cbor:",toarray"`
+	Rank    uint8
+	Account uint32 // the low 32 bits of route.NameHash of its name
+	Work    uint32
 }
 
 // An Age is an age at the time of sending, in milliseconds.
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -6,6 +6,7 @@
 	"github.com/ryeford/ryeford"
 	"github.com/ryeford/ryeford/gateway/catalog"
 	"github.com/ryeford/ryeford/gateway/giveup"
+	"github.com/ryeford/ryeford/gateway/overload"
 	"github.com/ryeford/ryeford/internal/clock"
 	"github.com/ryeford/ryeford/retry"
 	"github.com/ryeford/ryeford/route"
@@ -69,6 +70,23 @@
 	return caller
 }
 
+// load returns what the decision depends on whether the request's service has room for it.
+func (q *request) load() *overload.Request {
+	return &overload.Request{
+		Service: q.service, Route: q.rule.Name, Priority: q.priority(), Account: q.accountID(), Work: q.work(),
+		Goal: q.rule.Goal, Timeout: q.meta.Timeout,
+	}
+}
+
+// work returns the request's work: the tokens of its prompt, or one if it has none.
+func (q *request) work() float64 {
+	tokens := 0
+	for _, part := range q.meta.Prefix {
+		tokens += part.Tokens
+	}
+	return float64(max(1, tokens))
+}
+
 // callerTimeLeft returns how long the caller still waits for a response. The request's deadline
 // may be earlier.
 func (q *request) callerTimeLeft() time.Duration {
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -113,6 +113,14 @@
 	// three endpoints have ended. If it is false, they are sent on like any other
 	// request, and endpoints end as often as callers send them.
 	Quarantine bool `yaml:"quarantine"`
+	// ConcurrencyLimits limits the requests for services whose endpoints list slots
+	// and report no load, and whose routes have a goal. If it is false, such a
+	// service's endpoints queue and reject what they can't answer in time.
+	ConcurrencyLimits bool `yaml:"concurrency_limits"`
+	// FairShares gives the room of an overloaded service to the higher priorities
+	// first, and within a priority in equal shares to the client accounts. If it is
+	// false, all requests are rejected alike.
+	FairShares bool `yaml:"fair_shares"`
 }
 
 // DefaultGateway returns a Gateway with the defaults of the optional settings.
@@ -137,6 +145,9 @@
 			StartSpread:  40 * time.Millisecond,
 			Routers:      10,
 			Quarantine:   true,
+
+			ConcurrencyLimits: true,
+			FairShares:        true,
 		},
 	}
 }
