test: the soak plays a crowd at plain servers with a room, beside one account's surge and a killed gateway

Cause: the soak's servers ran every request at once and always reported their load, so that neither the limits of services without reports nor the fair shares were played by real processes. Change: stand-in servers can have slots and a queue, reject what is beyond, and report no load then. TestPlainCrowd runs three gateways, 48 callers of which one in six belongs to the second account, and kills a gateway midway: a refused request has not run, none runs twice, the servers reject less than half of what the gateways refuse, and the second account keeps a quarter of the mean rate.

--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -18,7 +18,7 @@
 //   - stalls_test.go: when the machine stalled, by which time limits are extended;
 //   - crowd_test.go: TestSoakCrowd, one run with many processes;
 //   - crashingrequests_test.go, hangup_test.go, largeconfiguration_test.go, laterequest_test.go,
-//     peerlinkscheck_test.go, superseded_test.go, regress_test.go: tests of single cases.
+//     peerlinkscheck_test.go, plaincrowd_test.go, superseded_test.go, regress_test.go: tests of single cases.
 //
 // The kept seeds and the single cases, as in CI:
 //
--- a/standin/appserver/serve.go
+++ b/standin/appserver/serve.go
@@ -30,12 +30,23 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	room := s.currentRoom()
+	if !room.admit() {
+		s.reject(w)
+		return
+	}
+	if !room.start(r.Context()) {
+		return // the caller's connection is broken
+	}
+	defer room.end()
 	s.mu.Lock()
 	fault := s.nextFault()
 	if fault != FaultShed {
 		s.startRun(id)
 	}
-	w.Header().Set(wire.HeaderLoad, fmt.Sprintf("%d,0,%d", s.running, ReportedSlots))
+	if !room.limited() {
+		w.Header().Set(wire.HeaderLoad, fmt.Sprintf("%d,0,%d", s.running, ReportedSlots))
+	}
 	if s.leaving {
 		w.Header().Set(wire.HeaderLeaving, "1")
 	}
@@ -60,6 +71,15 @@
 	s.respond(w, r, fault)
 }
 
+// reject refuses a request for which there is no room.
+func (s *Server) reject(w http.ResponseWriter) {
+	s.mu.Lock()
+	s.rejected++
+	s.mu.Unlock()
+	w.Header().Set(wire.HeaderNotRun, "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
 func (s *Server) respond(w http.ResponseWriter, r *http.Request, fault Fault) {
 	switch fault {
 	case FaultHang:
--- a/standin/appserver/server.go
+++ b/standin/appserver/server.go
@@ -5,7 +5,7 @@
 // It implements the endpoints' HTTP/1.1 interface for routers, with the headers of platform/wire. A
 // Fault makes it fail as the platform's servers may.
 //
-// It doesn't play slots, queues and preemption (every request runs immediately), a model's memory
+// Every request runs immediately, unless SetRoom limits them. It doesn't play preemption, a model's memory
 // and caches, priorities, deadlines, health checks or draining (the stand-in of the store sets the
 // endpoint's state).
 package appserver
@@ -37,6 +37,8 @@
 	leaving    bool   // responses report that the endpoint is leaving
 	retryAfter string // of requests refused by FaultShed; none if empty
 	refusals   []Refusal
+	room       room
+	rejected   int // number of requests for which there was no room
 }
 
 // A Refusal is a request that was refused with a Retry-After.
--- a/standin/emulator/emulator.go
+++ b/standin/emulator/emulator.go
@@ -40,8 +40,10 @@
 	mu sync.Mutex
 	// started is the start time in the last row of each endpoint, in Unix milliseconds.
 	started []int64
-	backup  *rowstore.Backup // the last one
-	lost    *rowstore.Backup // the state before the last restore, until WriteAgain has used it
+	// slots are the slots in the last row of each endpoint whose requests are limited.
+	slots  []int
+	backup *rowstore.Backup // the last one
+	lost   *rowstore.Backup // the state before the last restore, until WriteAgain has used it
 }
 
 // New returns an Emulator with the operators' first configuration, in the platform's JSON. A nil
@@ -56,6 +58,7 @@
 		e.servers = append(e.servers, &appserver.Server{ID: server.ID, Events: server.Events, Step: server.Step})
 	}
 	e.started = make([]int64, len(e.servers))
+	e.slots = make([]int, len(e.servers))
 	return e
 }
 
@@ -79,6 +82,7 @@
 	admin.HandleFunc("POST /fault", e.serveChange)
 	admin.HandleFunc("GET /runs", e.serveRuns)
 	admin.HandleFunc("GET /refusals", e.serveRefusals)
+	admin.HandleFunc("GET /rejected", e.serveRejected)
 	if err := serve(ctx, group, e.settings.Admin.AddrPort, admin); err != nil {
 		return err
 	}
@@ -121,7 +125,7 @@
 		Service:       server.Service,
 		Address:       server.Address.String(),
 		FailureDomain: server.FailureDomain,
-		Slots:         appserver.ReportedSlots,
+		Slots:         e.slotsOf(i, change),
 		State:         change.State,
 		ColdMs:        change.ColdMs,
 		Born:          e.startOf(i, change),
@@ -130,6 +134,19 @@
 	return err
 }
 
+// slotsOf returns the slots of the i-th endpoint's row, given a change.
+func (e *Emulator) slotsOf(i int, change *Change) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if change.Room != nil {
+		e.slots[i] = change.Room.Slots
+	}
+	if e.slots[i] == 0 {
+		return appserver.ReportedSlots
+	}
+	return e.slots[i]
+}
+
 // startOf returns the start time of the i-th endpoint: that of the change, or else the last one.
 func (e *Emulator) startOf(i int, change *Change) int64 {
 	e.mu.Lock()
@@ -192,6 +209,8 @@
 	// zero keeps the previous one.
 	ColdMs  float64 `json:"cold_ms"`
 	Started int64   `json:"born"`
+	// Room limits the requests of the endpoint, and its slots are written with State.
+	Room *appserver.Room `json:"room"`
 }
 
 // serveChange applies a posted Change.
@@ -248,6 +267,9 @@
 		if change.CrashBody != nil {
 			server.SetCrashBody(*change.CrashBody)
 		}
+		if change.Room != nil {
+			server.SetRoom(*change.Room)
+		}
 		if change.State != "" {
 			if err := e.updateRow(i, change); err != nil {
 				return err
@@ -290,6 +312,15 @@
 	e.date.Store(change.Date)
 }
 
+// serveRejected answers with the number of requests that endpoints had no room for.
+func (e *Emulator) serveRejected(w http.ResponseWriter, _ *http.Request) {
+	total := 0
+	for _, server := range e.servers {
+		total += server.Rejected()
+	}
+	_ = json.NewEncoder(w).Encode(total) // fails only if the client has disconnected
+}
+
 // serveRuns answers with the number of runs of each request on all endpoints, by request ID.
 func (e *Emulator) serveRuns(w http.ResponseWriter, _ *http.Request) {
 	total := make(map[string]int)
