docs: put back reasons behind constants in comments

Change: the comments of 20 constants state them again, in today's names, only what the old ones held and what is still true. No code is changed. Conclusion: done; sentences without numbers inside functions were not compared one by one.

--- a/agentfleet/claim/batcher.go
+++ b/agentfleet/claim/batcher.go
@@ -11,7 +11,7 @@
 
 const (
 	// batchWindow is how long a batch accepts further writes. It adds to the latency of
-	// each claim.
+	// each claim. At a few claims a second, a batch holds one row (docs/CAPACITY.md).
 	batchWindow = 4 * time.Millisecond
 
 	// batchSize is the largest number of writes in a batch.
--- a/agentfleet/gossip/gossip.go
+++ b/agentfleet/gossip/gossip.go
@@ -23,7 +23,8 @@
 )
 
 const (
-	// fanout is the number of random peers to which a process sends a change immediately.
+	// fanout is the number of random peers to which a process sends a change immediately. It reaches
+	// 390 routers and 880 agents in four rounds.
 	fanout = 8
 
 	// PullTimeout limits how long a pull of templates or of a plan may make no progress
--- a/agentfleet/router/claimed.go
+++ b/agentfleet/router/claimed.go
@@ -22,7 +22,8 @@
 // does not reply, the outcome is unknown.
 
 const (
-	// releaseTimeout limits the release of a claim. No caller waits for it.
+	// releaseTimeout limits the release of a claim. A write takes a few milliseconds, and no caller waits
+	// for it.
 	releaseTimeout = 2 * time.Second
 
 	// storeRetryAfter is the retry delay for a caller whose key could not be claimed.
--- a/agentfleet/router/recover.go
+++ b/agentfleet/router/recover.go
@@ -107,7 +107,8 @@
 	// lost.
 	rejoinTimeout = 5 * time.Second
 
-	// rejoinInterval is the interval between two such requests.
+	// rejoinInterval is the interval between two such requests. It is short compared with a caller's
+	// wait, and long compared with a round trip.
 	rejoinInterval = 25 * time.Millisecond
 )
 
--- a/gateway/choice/affinity.go
+++ b/gateway/choice/affinity.go
@@ -9,7 +9,7 @@
 	// another one, so that small differences in load do not move prompts.
 	minGain = 300
 	// maxReplacements is how many endpoints after the first are considered as a less loaded
-	// replacement.
+	// replacement. With one alone, more requests exceed the operators' load bound.
 	maxReplacements = 4
 )
 
--- a/gateway/endpoint/pool.go
+++ b/gateway/endpoint/pool.go
@@ -33,7 +33,8 @@
 	idleMargin = 700 * time.Millisecond
 	// notRepeatableMaxIdle is how long a connection may be idle before it is no longer used for a request that
 	// must not be sent again, and how long it is kept after one. A connection that was idle longer may
-	// be broken without notice. A shorter limit would cost such requests a handshake each.
+	// be broken without notice. A shorter limit would cost such requests a handshake each,
+	// which takes a slot's time at the endpoint: in a crowd fewer are then answered in time.
 	notRepeatableMaxIdle = 100 * time.Millisecond
 	// maxIdlePerEndpoint is the maximum number of idle connections to one endpoint.
 	maxIdlePerEndpoint = 16
--- a/gateway/freshness/refresh.go
+++ b/gateway/freshness/refresh.go
@@ -38,7 +38,7 @@
 	// minReadPause is the minimum time between two reads of a router.
 	minReadPause = 60 * time.Millisecond
 	// slowReadPause is the pause after a failed read, or after a read that found no
-	// configuration.
+	// configuration. It may take seconds until operators have set one.
 	slowReadPause = 400 * time.Millisecond
 )
 
--- a/gateway/freshness/sourceclock.go
+++ b/gateway/freshness/sourceclock.go
@@ -19,7 +19,8 @@
 	// clockDrift is the relative drift between two monotonic clocks that the bound allows for.
 	clockDrift = 1e-4
 	// observationTTL is how long one response may bound the source's clock. It limits the error
-	// if the clocks drift apart faster than clockDrift (TestFastClock).
+	// if the clocks drift apart faster than clockDrift (TestFastClock): at a difference of one in a
+	// thousand it is 54 ms, less than an eighth of leaseMargin.
 	observationTTL = time.Minute
 	// clockResetThreshold is how far ahead of its bound a reading of the source's clock must be
 	// to count as a reset of that clock.
--- a/gateway/loads/loads.go
+++ b/gateway/loads/loads.go
@@ -57,7 +57,8 @@
 }
 
 // Key returns the key of an endpoint in reports, given the uniform hash of its ID. It is half of the
-// hash, which is shorter than the ID. Endpoints whose keys collide count as equally loaded.
+// hash, which is shorter than the ID. Endpoints whose keys collide count as equally loaded; among
+// 3,500 endpoints a collision is rare.
 func Key(hash uint64) uint32 { return uint32(hash) }
 
 // Begin counts a request that is sent to an endpoint of a service.
--- a/gateway/occupancy/occupancy.go
+++ b/gateway/occupancy/occupancy.go
@@ -27,7 +27,7 @@
 	// full.
 	fullOccupancy = 1.0
 	// halfLife is the time after which the weight of a report has halved. It spans several reports
-	// at a router of a large fleet.
+	// at a router of a large fleet, which receives some 24 a second in an overload.
 	halfLife = 200 * time.Millisecond
 	// minReportWeight is the minimum weight of the reports for a decision.
 	minReportWeight = 2.0
--- a/gateway/peerreader.go
+++ b/gateway/peerreader.go
@@ -15,7 +15,8 @@
 )
 
 const (
-	// peerReadTimeout is the idle timeout when reading a peer's response.
+	// peerReadTimeout is the idle timeout when reading a peer's response. A round trip between failure
+	// domains takes some milliseconds.
 	peerReadTimeout = 500 * time.Millisecond
 	// maxPeerResponse limits the size of a peer's response, in bytes, as for responses of the store.
 	maxPeerResponse = 32 << 20
--- a/gateway/peers/quarantine.go
+++ b/gateway/peers/quarantine.go
@@ -6,8 +6,8 @@
 	"github.com/ryeford/ryeford/gateway/quarantine"
 )
 
-// MaxQuarantined is the maximum number of records of poison requests in a message. Their size is
-// checked by TestQuarantinedInMessage.
+// MaxQuarantined is the maximum number of records of poison requests in a message. Each takes
+// some 60 bytes, which TestQuarantinedInMessage checks.
 const MaxQuarantined = 6
 
 // A Quarantined is the message form of a quarantine.Record. Times are sent as ages, and are nil if the
--- a/gateway/peers/schedule.go
+++ b/gateway/peers/schedule.go
@@ -18,10 +18,12 @@
 	Interval = 75 * time.Millisecond
 	// Fanout is the maximum number of peers that a message is sent to.
 	Fanout = 8
-	// BytesPerSecond limits outgoing gossip. The incoming rate is the same on average.
+	// BytesPerSecond limits outgoing gossip. The incoming rate is the same on average,
+	// so that a router has 10 KB/s of control traffic.
 	BytesPerSecond = 5000
 	// briefShare is the share of BytesPerSecond for brief messages in a fleet that is too large
-	// for complete loads. Brief messages spread confirmations faster.
+	// for complete loads. They spread confirmations three
+	// times as fast for half of the bytes.
 	briefShare = 0.5
 	// MaxPrompts is the maximum number of prompts in a message. Further ones are dropped.
 	MaxPrompts = 6
--- a/gateway/quarantine/record.go
+++ b/gateway/quarantine/record.go
@@ -7,7 +7,8 @@
 
 const (
 	// crashesToHold is the number of successive crashes after which requests are held. A smaller number
-	// would hold requests that only ran beside a poison request.
+	// would hold requests that only ran beside a poison request: of 156 such requests in 35 crashes one was
+	// in two of them, and none in three.
 	crashesToHold = 3
 	// totalCrashesToHold and minSuccessiveCrashes are the alternative condition. They apply to a poison
 	// request that is sent several times at once and so crashes several endpoints at once.
@@ -20,8 +21,8 @@
 	// delay grows after each unsuccessful trial. Each may crash an engine, and a fix takes minutes to roll out.
 	trialDelay       = 10 * time.Minute
 	trialDelayFactor = 6
-	// maxTrials is the maximum number of trials of held requests. It limits the number of crashes after the
-	// hold.
+	// maxTrials is the maximum number of trials of held requests. Together with an attempt that is in
+	// flight at the hold, at most three endpoints crash after it.
 	maxTrials = 2
 	// crashTTL is how long crashes count that have not led to a hold. holdTTL is how long requests stay
 	// held after the hold or the last trial.
--- a/gateway/replica/schedule.go
+++ b/gateway/replica/schedule.go
@@ -22,7 +22,7 @@
 	staggerFraction = 0.1
 	// marginFraction is the fraction of the bound, limited to maxMargin, between the end of a held
 	// read and the age at which the other routers read. It is the time for a confirmation to
-	// reach all routers.
+	// reach all routers, which takes 0.4 to 0.6 s among 26 to 390 of them (TestFleetList).
 	marginFraction = 0.35
 	maxMargin      = 700 * time.Millisecond
 	// secondFraction is the fraction of the margin after which the second router reads.
@@ -30,7 +30,7 @@
 	// minHold is the minimum time for which the source holds a read.
 	minHold = 100 * time.Millisecond
 	// pausePerRouter is the maximum pause after a failure per live router. It limits the fleet's
-	// rate of calls in an outage.
+	// rate of calls in an outage to 50 a second.
 	pausePerRouter = 20 * time.Millisecond
 )
 
--- a/gateway/replica/start.go
+++ b/gateway/replica/start.go
@@ -20,7 +20,8 @@
 
 const (
 	// startSteepness is the exponent of the delay distribution: the density of the delays grows
-	// by a factor of e to the startSteepness from the shortest to the longest.
+	// by a factor of e to the startSteepness from the shortest to the longest. Of 103 routers five
+	// draw one of the first half.
 	startSteepness = 6.0
 	// JoinDuration is how long after its start a router may not have received messages from all
 	// others.
--- a/gateway/roster/status.go
+++ b/gateway/roster/status.go
@@ -14,7 +14,8 @@
 	// router's freshness bounds apply again. It covers the request path to the endpoint.
 	suspectMargin = 100 * time.Millisecond
 	// minOutageForExpiry is the shortest observed outage in which entries may have expired. It is shorter
-	// than the TTL of an entry, since the router may notice an outage late. It excludes single failed calls.
+	// than the TTL of an entry, since a router that pauses after a change of the
+	// list may notice an outage up to a second late. It excludes single failed calls.
 	minOutageForExpiry = 500 * time.Millisecond
 	// departedTTL is how long an endpoint that was removed from the list without draining may still
 	// serve cached prefixes to others: it shuts down no faster than one that announced draining, and
--- a/gateway/roster/withheld.go
+++ b/gateway/roster/withheld.go
@@ -20,7 +20,7 @@
 // endpoint is withheld for good.
 
 const (
-	// withholdDuration covers three heartbeats, after which the entry of a dead endpoint has expired, and
+	// withholdDuration covers three heartbeats of 1.2 s, after which the entry of a dead endpoint has expired, and
 	// the time to read that.
 	withholdDuration = 5 * time.Second
 	// departureRecordTTL is how long departures are recorded. It exceeds the usual age of a backup.
