fix: no figures are sent of services whose endpoints report loads

Change: once an endpoint has reported a load, its service's figures are not sent, and it isn't limited by response times. Checked: TestOptions.

--- a/gateway/overload/overload.go
+++ b/gateway/overload/overload.go
@@ -9,6 +9,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -89,6 +90,7 @@
 
 	mu         sync.Mutex
 	overloaded map[string]overload
+	reporting  map[uint32]bool // services whose endpoints report loads
 }
 
 // An overload is a service's most recent decision with a share below one.
@@ -108,6 +110,7 @@
 		refusals:   newRefusals(),
 		random:     rand.Float64,
 		overloaded: make(map[string]overload),
+		reporting:  make(map[uint32]bool),
 	}
 }
 
@@ -147,7 +150,7 @@
 			share = 0
 		}
 		return Decision{Source: SourceReports, Share: share, Occupancy: occupancy}
-	case t.options.Limits:
+	case t.options.Limits && !t.isReporting(key(request.Service)):
 		limited := t.limits.Arrive(now, key(request.Service), room())
 		return Decision{Source: SourceTimes, Share: limited.Share, Limit: limited}
 	}
@@ -191,6 +194,18 @@
 // Report records the load that an endpoint with some slots reported with a response. load may be nil.
 func (t *Table) Report(now time.Time, service string, slots int, load *ryeford.EndpointLoad) {
 	t.occupancy.Report(now, service, slots, load)
+	if load != nil {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		t.reporting[key(service)] = true
+	}
+}
+
+// isReporting reports whether an endpoint of a service has ever reported its load.
+func (t *Table) isReporting(key uint32) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.reporting[key]
 }
 
 // Answered records how long an endpoint that reports no load took for a request.
@@ -216,7 +231,7 @@
 	if !t.options.Limits && !t.options.FairShares {
 		return nil
 	}
-	figures := t.limits.Figures(now)
+	figures := slices.DeleteFunc(t.limits.Figures(now), func(f peers.ServiceFigures) bool { return t.isReporting(f.Service) })
 	for _, service := range t.recentlyOverloaded(now) {
 		mix := t.shares.Mix(now, service)
 		if mix == nil {
--- a/gateway/overload/overload_test.go
+++ b/gateway/overload/overload_test.go
@@ -149,6 +149,13 @@
 	assert.Assert(t, d.Admitted)
 	assert.Equal(t, New(allParts).Admit(now, request, room).Source, SourceTimes)
 	assert.Equal(t, len(New(Options{}).Figures(now)), 0)
+
+	table := New(allParts)
+	table.Admit(now, request, room)
+	assert.Equal(t, len(table.Figures(now)), 1)
+	table.Report(now, "s", 8, &ryeford.EndpointLoad{})
+	assert.Equal(t, len(table.Figures(now)), 0, "its endpoints report loads")
+	assert.Equal(t, table.Admit(now, request, room).Source, SourceNone, "a single report is too few")
 }
 
 // TestLate checks when a request counts as come back.
