refactor: one package for decayed weights, one for the event queue of replays

Cause: the same exponential decay was written in five packages, and three replays had each their own heap of events. The fleet that only gossips is built without requests, in place of removing their events again. Checked: the tests of the packages, and those of the simulated fleets. A negative age no longer raises a slowdown's weight above one; times come from one monotonic clock, so that there is none.

--- a/gateway/fairshare/fairshare.go
+++ b/gateway/fairshare/fairshare.go
@@ -9,6 +9,8 @@
 	"math"
 	"sync"
 	"time"
+
+	"github.com/ryeford/ryeford/internal/decay"
 )
 
 const (
@@ -104,7 +106,7 @@
 		return
 	}
 	s.decayedAt = now
-	factor := math.Exp2(-float64(period) / float64(halfLife))
+	factor := decay.Factor(period, halfLife)
 	s.own.scale(factor)
 	s.peers.scale(factor)
 	s.reports *= factor
--- a/gateway/fleetlist_test.go
+++ b/gateway/fleetlist_test.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"container/heap"
 	"testing"
 	"time"
 
@@ -35,8 +34,7 @@
 func simulateListChange(t *testing.T, update *ryeford.EndpointUpdate) {
 	t.Helper()
 	for _, test := range fleetLists {
-		f := newSimulatedFleet(test.routers, 0, 1)
-		f.events = gossipEvents(f)
+		f := newGossipingFleet(test.routers, 0, 1)
 		for _, r := range f.routers {
 			r.gossip.endpoints.applySource(&ryeford.EndpointUpdate{Snapshot: true, Revision: 5, ResponseStarted: time.Now()}, 0, time.Now())
 			r.gossip.endpoints.setFullReadAt(time.Time{})
@@ -55,19 +53,6 @@
 	}
 }
 
-// gossipEvents returns a fleet's events without its requests and observations, which are the last two
-// that a new fleet schedules.
-func gossipEvents(f *simulatedFleet) fleetEvents {
-	var gossip fleetEvents
-	for _, event := range f.events {
-		if !event.at.Equal(f.began) && !event.at.Equal(f.began.Add(simulatedWarmUp)) {
-			gossip = append(gossip, event)
-		}
-	}
-	heap.Init(&gossip)
-	return gossip
-}
-
 // readNewerCopies makes each router read the newer copy that a peer has reported, until all routers
 // have the list at a revision.
 func (f *simulatedFleet) readNewerCopies(now, changed time.Time, revision ryeford.Revision, half, all *time.Duration) {
--- a/gateway/fleetload_test.go
+++ b/gateway/fleetload_test.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -18,6 +17,7 @@
 	"github.com/ryeford/ryeford/gateway/overload"
 	"github.com/ryeford/ryeford/gateway/peers"
 	"github.com/ryeford/ryeford/gateway/roster"
+	"github.com/ryeford/ryeford/internal/eventqueue"
 	"github.com/ryeford/ryeford/internal/telemetry"
 	"github.com/ryeford/ryeford/route"
 	"github.com/ryeford/ryeford/settings"
@@ -45,29 +45,6 @@
 	mean  time.Duration
 }{{0.4, 400 * time.Millisecond}, {0.3, 150 * time.Millisecond}, {0.3, 1700 * time.Millisecond}}
 
-// A fleetEvent is a scheduled event of a simulated fleet.
-type fleetEvent struct {
-	at time.Time
-	do func(now time.Time)
-}
-
-// A fleetEvents is a heap of events ordered by time.
-type fleetEvents []fleetEvent
-
-func (e fleetEvents) Len() int           { return len(e) }
-func (e fleetEvents) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
-func (e fleetEvents) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
-
-// Push implements heap.Interface.
-func (e *fleetEvents) Push(x any) { *e = append(*e, x.(fleetEvent)) }
-
-// Pop implements heap.Interface.
-func (e *fleetEvents) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 // A simulatedRouter is a router of a simulated fleet.
 type simulatedRouter struct {
 	*balancer
@@ -80,7 +57,7 @@
 type simulatedFleet struct {
 	random    *rand.Rand
 	began     time.Time
-	events    fleetEvents
+	queue     eventqueue.Queue
 	routers   []*simulatedRouter
 	byAddress map[netip.AddrPort]*simulatedRouter
 	ids       []ryeford.EndpointID
@@ -111,8 +88,16 @@
 	return math.Sqrt(s.squaredError/float64(s.n)) / (s.load / float64(s.n))
 }
 
-// newSimulatedFleet returns a fleet of the given number of routers, all of which are peers.
+// newSimulatedFleet returns a fleet of the given number of routers, all of which are peers, that receives requests.
 func newSimulatedFleet(routers int, hotShare float64, seed uint64) *simulatedFleet {
+	f := newGossipingFleet(routers, hotShare, seed)
+	f.handleArrival(f.began)
+	f.observe(f.began.Add(simulatedWarmUp))
+	return f
+}
+
+// newGossipingFleet returns a fleet like that of newSimulatedFleet that receives no requests.
+func newGossipingFleet(routers int, hotShare float64, seed uint64) *simulatedFleet {
 	f := &simulatedFleet{
 		hotShare:  hotShare,
 		random:    rand.New(rand.NewPCG(seed, 1)),
@@ -152,22 +137,16 @@
 		r.peers.Add(f.began, addresses)
 		f.schedule(f.began.Add(time.Duration(f.random.Int64N(int64(peers.Interval)))), func(now time.Time) { f.sendGossip(now, r, 1) })
 	}
-	f.handleArrival(f.began)
-	f.observe(f.began.Add(simulatedWarmUp))
 	return f
 }
 
 func (f *simulatedFleet) schedule(at time.Time, do func(now time.Time)) {
-	heap.Push(&f.events, fleetEvent{at: at, do: do})
+	f.queue.After(at.Sub(f.began)-f.queue.Now(), func() { do(f.began.Add(f.queue.Now())) })
 }
 
 // run simulates the fleet for the given duration.
 func (f *simulatedFleet) run(length time.Duration) {
-	end := f.began.Add(length)
-	for f.events.Len() > 0 && f.events[0].at.Before(end) {
-		event := heap.Pop(&f.events).(fleetEvent)
-		event.do(event.at)
-	}
+	f.queue.Run(length)
 }
 
 // sendGossip sends a router's messages and schedules the next ones.
--- a/gateway/limit/arrivals.go
+++ b/gateway/limit/arrivals.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/ryeford/ryeford/internal/decay"
 )
 
 // Estimate of the requests that arrive at the whole fleet.
@@ -47,9 +49,9 @@
 }
 
 func (a *arrivals) decay(now time.Time) {
-	a.own *= decay(now.Sub(a.ownAt), arrivalHalfLife)
+	a.own *= decay.Factor(now.Sub(a.ownAt), arrivalHalfLife)
 	a.ownAt = now
-	f := decay(now.Sub(a.reportsAt), reportHalfLife)
+	f := decay.Factor(now.Sub(a.reportsAt), reportHalfLife)
 	a.reportsAt = now
 	a.reports *= f
 	a.peerRates *= f
--- a/gateway/limit/limit.go
+++ b/gateway/limit/limit.go
@@ -7,7 +7,6 @@
 package limit
 
 import (
-	"math"
 	"sync"
 	"time"
 )
@@ -98,11 +97,3 @@
 		s.rejected(now, share)
 	}
 }
-
-// decay returns the factor by which a value decreases in a period.
-func decay(period, halfLife time.Duration) float64 {
-	if period <= 0 {
-		return 1
-	}
-	return math.Exp2(-float64(period) / float64(halfLife))
-}
--- a/gateway/limit/service.go
+++ b/gateway/limit/service.go
@@ -1,6 +1,10 @@
 package limit
 
-import "time"
+import (
+	"time"
+
+	"github.com/ryeford/ryeford/internal/decay"
+)
 
 // Rule: while more requests arrive at the fleet than a service answers in time, each router may send the same
 // share of them: the service's capacity over the fleet's arrivals. The capacity is the number of requests that the
@@ -73,7 +77,7 @@
 
 // recovered updates the correction to its recovery up to now, and returns it.
 func (s *service) recovered(now time.Time) float64 {
-	s.correction = min(1, s.correction/decay(now.Sub(s.correctedAt), correctionDoubling))
+	s.correction = min(1, s.correction/decay.Factor(now.Sub(s.correctedAt), correctionDoubling))
 	s.correctedAt = now
 	return s.correction
 }
--- a/gateway/limit/times.go
+++ b/gateway/limit/times.go
@@ -1,6 +1,10 @@
 package limit
 
-import "time"
+import (
+	"time"
+
+	"github.com/ryeford/ryeford/internal/decay"
+)
 
 const (
 	// timeHalfLife is the time after which a response time counts half.
@@ -31,7 +35,7 @@
 }
 
 func (m *decayedMean) decay(now time.Time) {
-	f := decay(now.Sub(m.at), timeHalfLife)
+	f := decay.Factor(now.Sub(m.at), timeHalfLife)
 	m.at = now
 	m.weight *= f
 	m.sum *= f
--- a/gateway/loads/estimate.go
+++ b/gateway/loads/estimate.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/ryeford/ryeford/internal/decay"
 )
 
 // Estimate of an endpoint's load.
@@ -73,7 +75,7 @@
 // fromReport returns the estimate of the other routers' requests that follows from the endpoint status
 // report.
 func (o *Observation) fromReport() estimate {
-	kept := math.Exp2(-float64(o.Age) / float64(reportHalfLife))
+	kept := decay.Factor(o.Age, reportHalfLife)
 	return estimate{
 		value:    o.Mean + kept*(o.Others-o.Mean),
 		variance: minVariance + (1-kept*kept)*meanVariance*max(o.Others, o.Mean),
--- a/gateway/loads/slowdown.go
+++ b/gateway/loads/slowdown.go
@@ -1,8 +1,9 @@
 package loads
 
 import (
-	"math"
 	"time"
+
+	"github.com/ryeford/ryeford/internal/decay"
 )
 
 // Slowdown of work at an endpoint.
@@ -31,6 +32,6 @@
 	if s.factor <= 0 {
 		return 0
 	}
-	kept := math.Exp2(-now.Sub(s.at).Seconds() / slowdownHalfLife.Seconds())
+	kept := decay.Factor(now.Sub(s.at), slowdownHalfLife)
 	return usualSlowdown + kept*(s.factor-usualSlowdown)
 }
--- a/gateway/occupancy/occupancy.go
+++ b/gateway/occupancy/occupancy.go
@@ -6,11 +6,11 @@
 package occupancy
 
 import (
-	"math"
 	"sync"
 	"time"
 
 	"github.com/ryeford/ryeford"
+	"github.com/ryeford/ryeford/internal/decay"
 )
 
 // Rule: a service is full if its endpoints have, by the mean of their recent reports, at least one
@@ -142,7 +142,7 @@
 
 // decay reduces the weight of the reports by the elapsed time.
 func (s *service) decay(now time.Time) {
-	factor := math.Exp2(-now.Sub(s.lastDecay).Seconds() / halfLife.Seconds())
+	factor := decay.Factor(now.Sub(s.lastDecay), halfLife)
 	s.lastDecay = now
 	s.weight *= factor
 	s.occupancy *= factor
--- a/gateway/occupancy/simulation_test.go
+++ b/gateway/occupancy/simulation_test.go
@@ -1,13 +1,13 @@
 package occupancy
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
 
 	"github.com/ryeford/ryeford"
+	"github.com/ryeford/ryeford/internal/eventqueue"
 )
 
 // The simulated service. Its engines run simSlots requests concurrently and queue the others in the
@@ -22,7 +22,9 @@
 	// simOverload is the duration of the overload, which follows simWarmup at half of the capacity.
 	simOverload = 6 * time.Second
 	simWarmup   = 2 * time.Second
-	simSeed     = 27
+	// simRest is time after the overload for the requests that are in flight.
+	simRest = time.Minute
+	simSeed = 27
 )
 
 // A request is a simulated request.
@@ -38,28 +40,9 @@
 	waiting []*request
 }
 
-// An event is a scheduled action of the simulation.
-type event struct {
-	at time.Duration
-	do func()
-}
-
-type events []event
-
-func (e events) Len() int           { return len(e) }
-func (e events) Less(i, j int) bool { return e[i].at < e[j].at }
-func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 // A simulation simulates requests at routers that decide by their tables.
 type simulation struct {
-	now       time.Duration
-	events    events
+	eventqueue.Queue
 	random    *rand.Rand
 	tables    []*Table
 	engines   []engine
@@ -94,27 +77,19 @@
 		}
 		return load * capacity
 	})
-	for len(r.events) > 0 {
-		e := heap.Pop(&r.events).(event)
-		r.now = e.at
-		e.do()
-	}
+	r.Run(simWarmup + simOverload + simRest)
 	return r.outcome()
 }
 
-func (r *simulation) after(wait time.Duration, do func()) {
-	heap.Push(&r.events, event{at: r.now + wait, do: do})
-}
-
 // arrive schedules requests at rate requests a second, until the overload ends.
 func (r *simulation) arrive(rate func(at time.Duration) float64) {
-	if r.now > simWarmup+simOverload {
+	if r.Now() > simWarmup+simOverload {
 		return
 	}
-	wait := time.Duration(r.random.ExpFloat64() / rate(r.now) * float64(time.Second))
-	r.after(wait, func() {
+	wait := time.Duration(r.random.ExpFloat64() / rate(r.Now()) * float64(time.Second))
+	r.After(wait, func() {
 		r.admit(&request{
-			router: r.random.IntN(len(r.tables)), endpoint: r.random.IntN(len(r.engines)), arrived: r.now,
+			router: r.random.IntN(len(r.tables)), endpoint: r.random.IntN(len(r.engines)), arrived: r.Now(),
 			work: time.Duration(r.random.ExpFloat64() * float64(simWork)),
 		})
 		r.arrive(rate)
@@ -124,7 +99,7 @@
 // admit sends a request to its endpoint, unless its router rejects it.
 func (r *simulation) admit(q *request) {
 	table := r.tables[q.router]
-	if r.rejecting && table.Full(start.Add(r.now), "s") {
+	if r.rejecting && table.Full(start.Add(r.Now()), "s") {
 		if q.arrived >= simWarmup {
 			r.rejected++
 		}
@@ -143,13 +118,13 @@
 func (r *simulation) run(q *request) {
 	e, table := &r.engines[q.endpoint], r.tables[q.router]
 	e.running++
-	r.after(simFirstEvent, func() {
-		table.Report(start.Add(r.now), "s", simSlots, &ryeford.EndpointLoad{Running: e.running, Waiting: len(e.waiting)})
+	r.After(simFirstEvent, func() {
+		table.Report(start.Add(r.Now()), "s", simSlots, &ryeford.EndpointLoad{Running: e.running, Waiting: len(e.waiting)})
 		if q.arrived >= simWarmup {
-			r.firstEvents = append(r.firstEvents, r.now-q.arrived)
+			r.firstEvents = append(r.firstEvents, r.Now()-q.arrived)
 		}
 	})
-	r.after(simFirstEvent+q.work, func() {
+	r.After(simFirstEvent+q.work, func() {
 		table.End("s")
 		e.running--
 		if len(e.waiting) > 0 {
--- a/gateway/overload/overload_test.go
+++ b/gateway/overload/overload_test.go
@@ -113,14 +113,14 @@
 // same share as its peers.
 func TestRestartedRouter(t *testing.T) {
 	r := newReplay(scenario{routers: 8, endpoints: 5, load: 4, options: allParts})
-	r.after(replayWarmup+2*time.Second, func() { r.tables[0] = r.newTable() })
+	r.After(replayWarmup+2*time.Second, func() { r.tables[0] = r.newTable() })
 	shares := make([]float64, 2) // last decisions of the restarted router and of the next one
 	r.onDecision = func(router int, d Decision) {
-		if router < 2 && r.now < replayWarmup+3*time.Second {
+		if router < 2 && r.Now() < replayWarmup+3*time.Second {
 			shares[router] = d.Share
 		}
 	}
-	r.run()
+	r.play()
 	t.Log(shares)
 	assert.Assert(t, shares[0] > shares[1]/2 && shares[0] < 2*shares[1])
 }
--- a/gateway/overload/replay_test.go
+++ b/gateway/overload/replay_test.go
@@ -1,7 +1,6 @@
 package overload
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -10,6 +9,7 @@
 	"github.com/ryeford/ryeford"
 	"github.com/ryeford/ryeford/gateway/limit"
 	"github.com/ryeford/ryeford/gateway/peers"
+	"github.com/ryeford/ryeford/internal/eventqueue"
 )
 
 // The replayed service: endpoints that run some requests each, queue others, reject those beyond, and report no
@@ -86,33 +86,10 @@
 	frozenUntil time.Duration
 }
 
-type replayEvent struct {
-	at     time.Duration
-	number int
-	do     func()
-}
-
-// replayEvents implements heap.Interface.
-type replayEvents []replayEvent
-
-func (e replayEvents) Len() int { return len(e) }
-func (e replayEvents) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].number < e[j].number
-}
-func (e replayEvents) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *replayEvents) Push(x any)   { *e = append(*e, x.(replayEvent)) }
-func (e *replayEvents) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 // A replay plays a scenario.
 type replay struct {
 	scenario
-	now    time.Duration
-	events replayEvents
-	pushed int
+	eventqueue.Queue
 	random *rand.Rand
 	tables []*Table
 	// onDecision is called for each decision of a router, unless it is nil.
@@ -127,7 +104,7 @@
 
 func play(s scenario) *replay {
 	r := newReplay(s)
-	r.run()
+	r.play()
 	return r
 }
 
@@ -157,7 +134,7 @@
 		r.arrive(account, share)
 	}
 	if s.frozen > 0 {
-		r.after(replayWarmup+2*time.Second, r.freeze)
+		r.After(replayWarmup+2*time.Second, r.freeze)
 	}
 	return r
 }
@@ -168,23 +145,14 @@
 	return table
 }
 
-// run plays the scenario to its end.
-func (r *replay) run() {
-	for len(r.events) > 0 && r.events[0].at < replayWarmup+replayCrowd+replayRest {
-		e := heap.Pop(&r.events).(replayEvent)
-		r.now = e.at
-		e.do()
-	}
-}
-
-func (r *replay) after(wait time.Duration, do func()) {
-	r.pushed++
-	heap.Push(&r.events, replayEvent{at: r.now + wait, number: r.pushed, do: do})
+// play plays the scenario to its end.
+func (r *replay) play() {
+	r.Run(replayWarmup + replayCrowd + replayRest)
 }
 
-func (r *replay) clock() time.Time { return replayStart.Add(r.now) }
+func (r *replay) clock() time.Time { return replayStart.Add(r.Now()) }
 func (r *replay) inCrowd() bool {
-	return r.now >= replayWarmup && r.now < replayWarmup+replayCrowd
+	return r.Now() >= replayWarmup && r.Now() < replayWarmup+replayCrowd
 }
 
 // capacity returns the requests per second that the endpoints can answer.
@@ -196,7 +164,7 @@
 func (r *replay) sendFigures(router int) {
 	targets := min(peers.Fanout, len(r.tables)-1)
 	interval := max(peers.Interval, time.Duration(targets*replayMessage)*time.Second/peers.BytesPerSecond)
-	r.after(time.Duration(2*r.random.Float64()*float64(interval)), func() {
+	r.After(time.Duration(2*r.random.Float64()*float64(interval)), func() {
 		r.sendFigures(router)
 		if r.silent && r.inCrowd() {
 			return
@@ -204,7 +172,7 @@
 		figures := r.tables[router].Figures(r.clock())
 		for range targets {
 			if to := r.random.IntN(len(r.tables)); to != router {
-				r.after(replayDelay, func() { r.tables[to].Merge(r.clock(), figures) })
+				r.After(replayDelay, func() { r.tables[to].Merge(r.clock(), figures) })
 			}
 		}
 	})
@@ -220,21 +188,21 @@
 		}
 	}
 	wait := time.Duration(r.random.ExpFloat64() / rate * float64(time.Second))
-	if r.now < replayWarmup && r.now+wait >= replayWarmup {
-		r.after(replayWarmup-r.now, func() { r.arrive(account, share) })
+	if r.Now() < replayWarmup && r.Now()+wait >= replayWarmup {
+		r.After(replayWarmup-r.Now(), func() { r.arrive(account, share) })
 		return
 	}
-	if r.now+wait >= replayWarmup+replayCrowd {
+	if r.Now()+wait >= replayWarmup+replayCrowd {
 		return
 	}
-	r.after(wait, func() {
+	r.After(wait, func() {
 		r.serve(r.newRequest(account))
 		r.arrive(account, share)
 	})
 }
 
 func (r *replay) newRequest(account int) *replayRequest {
-	q := &replayRequest{account: account, asked: r.now, urgent: r.random.Float64() < r.scenario.urgent}
+	q := &replayRequest{account: account, asked: r.Now(), urgent: r.random.Float64() < r.scenario.urgent}
 	q.timeout = time.Duration((0.85 + 0.15*r.random.Float64()) * float64(replayTimeout))
 	if !r.inCrowd() {
 		return q
@@ -258,14 +226,14 @@
 
 // serve lets a request arrive at a router.
 func (r *replay) serve(q *replayRequest) {
-	q.arrived, q.router = r.now, 0
+	q.arrived, q.router = r.Now(), 0
 	for x := r.random.Float64(); r.callers[q.router] < x; {
 		q.router++
 	}
 	q.count(func(c *tally) { c.arrivals++ })
 	request := &Request{
 		Service: "s", Route: "r", Account: ryeford.AccountID(fmt.Sprint(q.account)), Work: 1,
-		Goal: replayGoal, Timeout: q.timeout - (r.now - q.asked), Priority: ryeford.PriorityDefault,
+		Goal: replayGoal, Timeout: q.timeout - (r.Now() - q.asked), Priority: ryeford.PriorityDefault,
 	}
 	if q.urgent {
 		request.Priority = ryeford.PriorityHighest
@@ -299,8 +267,8 @@
 	e := &r.endpoints[endpoint]
 	r.attempts[q.router][endpoint]++
 	switch {
-	case e.running < replaySlots && r.now >= e.frozenUntil:
-		r.runAt(endpoint, q)
+	case e.running < replaySlots && r.Now() >= e.frozenUntil:
+		r.start(endpoint, q)
 	case len(e.waiting) < replayQueue:
 		e.waiting = append(e.waiting, q)
 	default:
@@ -318,24 +286,24 @@
 		return
 	}
 	last := 0.3 * float64(q.timeout)
-	from := min(last, max(float64(100*time.Millisecond), float64(r.now-replayWarmup)))
-	r.after(time.Duration(from+r.random.Float64()*(last-from)), func() {
+	from := min(last, max(float64(100*time.Millisecond), float64(r.Now()-replayWarmup)))
+	r.After(time.Duration(from+r.random.Float64()*(last-from)), func() {
 		r.serve(&replayRequest{account: q.account, urgent: q.urgent, asked: q.asked, returned: true, timeout: q.timeout, tallies: q.tallies})
 	})
 }
 
-// runAt starts a request at an endpoint.
-func (r *replay) runAt(endpoint int, q *replayRequest) {
+// start starts a request at an endpoint.
+func (r *replay) start(endpoint int, q *replayRequest) {
 	e := &r.endpoints[endpoint]
 	e.running++
 	work := float64(replayWork) * math.Exp(0.5*r.random.NormFloat64()-0.125)
 	if r.slow > 0 && r.inCrowd() {
 		work *= r.slow
 	}
-	r.after(time.Duration(work), func() {
+	r.After(time.Duration(work), func() {
 		e.running--
 		r.attempts[q.router][endpoint]--
-		r.tables[q.router].Answered(r.clock(), "s", r.now-q.arrived)
+		r.tables[q.router].Answered(r.clock(), "s", r.Now()-q.arrived)
 		q.count(func(c *tally) { r.countAnswer(c, q) })
 		r.runWaiting(endpoint)
 	})
@@ -343,7 +311,7 @@
 
 func (r *replay) countAnswer(c *tally, q *replayRequest) {
 	switch {
-	case r.now-q.arrived > replayGoal:
+	case r.Now()-q.arrived > replayGoal:
 		c.late++
 	case q.returned:
 		c.returned++
@@ -354,18 +322,18 @@
 
 func (r *replay) runWaiting(endpoint int) {
 	e := &r.endpoints[endpoint]
-	for e.running < replaySlots && len(e.waiting) > 0 && r.now >= e.frozenUntil {
+	for e.running < replaySlots && len(e.waiting) > 0 && r.Now() >= e.frozenUntil {
 		next := e.waiting[0]
 		e.waiting = e.waiting[1:]
-		r.runAt(endpoint, next)
+		r.start(endpoint, next)
 	}
 }
 
 // freeze lets some endpoints start no request for a second.
 func (r *replay) freeze() {
 	for i := range r.frozen {
-		r.endpoints[i].frozenUntil = r.now + time.Second
-		r.after(time.Second, func() { r.runWaiting(i) })
+		r.endpoints[i].frozenUntil = r.Now() + time.Second
+		r.After(time.Second, func() { r.runWaiting(i) })
 	}
 }
 
--- a/imports_test.go
+++ b/imports_test.go
@@ -52,9 +52,11 @@
 	"retry": {rules, both},
 	"route": {rules, both},
 
-	"settings": {plumbing, both},
-	"internal": {plumbing, both},
-	"platform": {plumbing, platform},
+	"settings":            {plumbing, both},
+	"internal":            {plumbing, both},
+	"internal/decay":      {values, both},
+	"internal/eventqueue": {values, both},
+	"platform":            {plumbing, platform},
 
 	"gateway/admit":       {rules, platform},
 	"gateway/catalog":     {rules, platform},
