--- a/gateway/occupancy/occupancy.go
+++ b/gateway/occupancy/occupancy.go
@@ -14,8 +14,8 @@
 )
 
 // Rule: a service is full if its endpoints have, by the mean of their recent reports, at least one
-// request per slot. The mean is scaled by the growth of this router's requests since then. Further
-// requests are rejected immediately.
+// request per slot. The mean is scaled by the growth of this router's requests since then. Around that
+// load a share of further requests is rejected immediately.
 //
 // Why: beyond its slots an engine serves no request sooner, and waiting requests delay all others.
 // The reports of a few endpoints represent all, and the growth of this router's requests represents
@@ -31,6 +31,9 @@
 	halfLife = 200 * time.Millisecond
 	// minReportWeight is the minimum weight of the reports for a decision.
 	minReportWeight = 2.0
+	// shareRange is the range of the requests per slot, around fullOccupancy, in which the share of the requests
+	// that may be admitted falls from one to zero.
+	shareRange = 0.1
 	// maxOccupancy limits the requests per slot of one report, so that an endpoint with invalid
 	// reports can't make its service full. It is the occupancy of an endpoint with a full queue of
 	// three times its slots.
@@ -47,12 +50,9 @@
 	return occupancy * float64(now+1) / localThen
 }
 
-// shareRange is the range of the requests per slot, around fullOccupancy, in which the share of the requests that
-// are admitted falls from one to zero.
-const shareRange = 0.1
-
-// shareAt returns the share of the requests that are admitted at a number of requests per slot.
-func shareAt(occupancy float64) float64 {
+// ShareAt returns the share of the requests that may be admitted at a number of requests per slot. It falls from one
+// to zero around fullOccupancy, so that the less urgent requests give way before the others.
+func ShareAt(occupancy float64) float64 {
 	return min(1, max(0, 0.5+(fullOccupancy-occupancy)/shareRange))
 }
 
@@ -118,12 +118,6 @@
 	return known && occupancy >= fullOccupancy
 }
 
-// Share returns the share of the requests that are admitted, and whether enough recent reports are known.
-func (t *Table) Share(now time.Time, name string) (share float64, known bool) {
-	occupancy, known := t.Occupancy(now, name)
-	return shareAt(occupancy), known
-}
-
 // Occupancy returns the requests per slot of a service, with one further request, and whether enough recent
 // reports are known.
 func (t *Table) Occupancy(now time.Time, name string) (occupancy float64, known bool) {
--- a/gateway/occupancy/occupancy_test.go
+++ b/gateway/occupancy/occupancy_test.go
@@ -56,6 +56,13 @@
 	}
 }
 
+// TestShareAt checks which share of the requests may be admitted around the load at which a service is full.
+func TestShareAt(t *testing.T) {
+	for load, want := range map[float64]float64{0: 1, 0.9: 1, 1: 0.5, 1.1: 0, 4: 0} {
+		assert.Equal(t, ShareAt(load), want)
+	}
+}
+
 // TestReports checks that reports without load or slots are ignored, that newer reports have more
 // weight, and that old ones have none.
 func TestReports(t *testing.T) {
--- a/gateway/overload/overload.go
+++ b/gateway/overload/overload.go
@@ -139,17 +139,14 @@
 
 // share returns the Decision without the request's own part.
 func (t *Table) share(now time.Time, request *Request, room func() limit.Room) Decision {
-	occupancy, known := t.occupancy.Occupancy(now, request.Service)
+	load, known := t.occupancy.Occupancy(now, request.Service)
 	switch {
 	case known && t.options.FairShares:
-		share, _ := t.occupancy.Share(now, request.Service)
-		return Decision{Source: SourceReports, Share: share, Occupancy: occupancy}
+		return Decision{Source: SourceReports, Share: occupancy.ShareAt(load), Occupancy: load}
+	case known && t.occupancy.Full(now, request.Service):
+		return Decision{Source: SourceReports, Share: 0, Occupancy: load}
 	case known:
-		share := 1.0
-		if t.occupancy.Full(now, request.Service) {
-			share = 0
-		}
-		return Decision{Source: SourceReports, Share: share, Occupancy: occupancy}
+		return Decision{Source: SourceReports, Share: 1, Occupancy: load}
 	case t.options.Limits && !t.isReporting(key(request.Service)):
 		limited := t.limits.Arrive(now, key(request.Service), room())
 		return Decision{Source: SourceTimes, Share: limited.Share, Limit: limited}
