--- a/gateway/balancer.go
+++ b/gateway/balancer.go
@@ -137,12 +137,17 @@
 	return choice.Prompt{Key: query.affinity, InFlight: peers + float64(b.loads.LocalPrompt(query.affinity))}
 }
 
-// room returns what a request's service may have: the slots of the endpoints that may be sent requests.
+// room returns what a request's service may have: the slots of the endpoints that may be sent requests. They are zero,
+// that is unknown, if one of these endpoints lists none.
 func (b *balancer) room(now time.Time, q *request) limit.Room {
 	sample := b.peers.Sample(now, q.service)
 	room := limit.Room{Goal: q.catalog.ShortestGoal(q.service), Peers: sample.Alive}
 	for _, entry := range b.roster.Serving(q.service) {
 		if b.exclusionReason(now, entry) == "" && b.detector.Healthy(now, entry.ID) {
+			if entry.Slots <= 0 {
+				room.Slots = 0
+				break
+			}
 			room.Slots += entry.Slots
 		}
 	}
--- a/gateway/fairshare/fairshare.go
+++ b/gateway/fairshare/fairshare.go
@@ -24,7 +24,7 @@
 	halfLife = 2 * time.Second
 	// decayStep is how often work is decayed.
 	decayStep = 20 * time.Millisecond
-	// minWork is the decayed work below which an account is dropped.
+	// minWork is the decayed work below which an account or a service is dropped.
 	minWork = 0.01
 )
 
@@ -79,6 +79,9 @@
 func (t *Table) get(now time.Time, key uint32) *service {
 	s := t.services[key]
 	if s == nil {
+		if len(t.services) >= maxServices {
+			t.removeIdle(now)
+		}
 		if len(t.services) >= maxServices {
 			return nil
 		}
@@ -89,6 +92,16 @@
 	return s
 }
 
+// removeIdle removes the services without recent work.
+func (t *Table) removeIdle(now time.Time) {
+	for key, s := range t.services {
+		s.decay(now)
+		if s.own.total+s.peers.total < minWork {
+			delete(t.services, key)
+		}
+	}
+}
+
 // account returns the key of the request's account.
 func (r *Request) account() account { return account{rank: uint8(r.Rank), hash: r.Account} }
 
--- a/gateway/fairshare/figures.go
+++ b/gateway/fairshare/figures.go
@@ -16,7 +16,7 @@
 	workUnits = 16.0
 	// maxReportFactor limits the work of a peer's report as a multiple of the mean of this router's and the
 	// peers', so that one router's report can't shut an account out.
-	maxReportFactor = 4.0
+	maxReportFactor = 2.0
 )
 
 // Mix returns what this router reports to its peers of its requests for a service, or nil if there were none.
@@ -49,7 +49,8 @@
 
 func sentWork(work float64) uint32 { return uint32(min(work*workUnits, math.MaxUint32)) }
 
-// Merge merges a peer's mix. It returns false if the mix is implausible and counts only in part.
+// Merge merges a peer's mix. It returns false if the mix is invalid and counts only in part. A router that has more
+// requests than most is limited too, which is no fault.
 func (t *Table) Merge(now time.Time, key uint32, sent *peers.Mix) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -62,9 +63,9 @@
 		return plausible
 	}
 	factor := 1.0
-	if mean := (s.own.total + s.peers.total) / (1 + s.reports); received.total > maxReportFactor*mean {
-		factor = max(1, maxReportFactor*mean) / received.total
-		plausible = plausible && mean <= 0
+	limit := maxReportFactor * (s.own.total + s.peers.total) / (1 + s.reports)
+	if received.total > limit {
+		factor = max(1, limit) / received.total
 	}
 	s.peers.merge(&received, factor)
 	s.reports++
--- a/gateway/fairshare/shares.go
+++ b/gateway/fairshare/shares.go
@@ -1,9 +1,6 @@
 package fairshare
 
-import (
-	"math"
-	"slices"
-)
+import "math"
 
 // Rule: if only a share of the work may be admitted, it goes to the priorities in order. Within the first priority that
 // can't be served whole, client accounts get max-min fair shares of the work. Within an account, requests that can
@@ -17,10 +14,12 @@
 	// minimumShare is the least share of a request, as a part of the share of all work.
 	minimumShare = 0.25
 	// lateMinimum is the least share of a request that can't be in time, as a part of minimumShare.
-	lateMinimum = 0.5
+	lateMinimum = 0.25
 	// certainty is the number of standard deviations by which an account's work must exceed its fair share, so that
 	// a few requests of a small account don't count as a surge.
 	certainty = 0.5
+	// levelSteps is the number of bisections by which the fair level is found: to a thousandth of the largest work.
+	levelSteps = 10
 )
 
 // shareOf returns the probability with which a request is admitted, given the share of all work that may be admitted.
@@ -31,11 +30,11 @@
 	minimum := minimumShare * share
 	fair := 1.0
 	if room := m.room(request.Rank, share, minimum); room < m.ranks[request.Rank].all {
-		fair = m.accountShare(request, room)
+		fair = m.accountShare(request, room, minimum)
 	}
-	admitted := inTimeFirst(fair, m.accounts[request.account()].lateShare(), request.Late)
+	admitted := inTimeFirst(fair, m.accounts[request.account()].lateShare(), lateMinimum*minimum, request.Late)
 	if request.Late {
-		minimum *= lateMinimum
+		return admitted
 	}
 	return max(minimum, admitted)
 }
@@ -56,22 +55,13 @@
 }
 
 // accountShare returns the part of an account's work that is admitted if room is the work of its priority that may
-// be. An account without known work gets all of it.
-func (m *mix) accountShare(request *Request, room float64) float64 {
-	works := m.works(request.Rank)
-	level := fairLevel(works, room)
-	admitted := 0.0
-	for _, work := range works {
-		admitted += work * shareBelow(level, work, request.Work)
-	}
-	share := shareBelow(level, m.accounts[request.account()].all, request.Work)
-	if admitted > room {
-		share *= room / admitted
-	}
-	return share
+// be, and minimum the least part of each account's. An account without known work gets all of it.
+func (m *mix) accountShare(request *Request, room, minimum float64) float64 {
+	level := fairLevel(m.works(request.Rank), room, minimum, request.Work)
+	return max(minimum, shareBelow(level, m.accounts[request.account()].all, request.Work))
 }
 
-// works returns the work of the accounts of a priority in ascending order.
+// works returns the work of each account of a priority.
 func (m *mix) works(rank int) []float64 {
 	var works []float64
 	for key, w := range m.accounts {
@@ -79,42 +69,52 @@
 			works = append(works, w.all)
 		}
 	}
-	slices.Sort(works)
 	return works
 }
 
-// fairLevel returns the largest work of one account that is admitted whole, so that the accounts have no more than
-// room together (max-min fairness). works is in ascending order.
-func fairLevel(works []float64, room float64) float64 {
-	for i, work := range works {
-		if left := len(works) - i; work*float64(left) >= room {
-			return room / float64(left)
+// fairLevel returns the work that no account may exceed, so that the accounts have no more than room together (max-min
+// fairness), except for the least part of each. unit is the work of one request.
+func fairLevel(works []float64, room, minimum, unit float64) float64 {
+	low, high := 0.0, 0.0
+	for _, w := range works {
+		high = max(high, w)
+	}
+	for range levelSteps {
+		middle := (low + high) / 2
+		admitted := 0.0
+		for _, w := range works {
+			admitted += w * max(minimum, shareBelow(middle, w, unit))
+		}
+		if admitted > room {
+			high = middle
+		} else {
+			low = middle
 		}
-		room -= work
 	}
-	return room
+	return low
 }
 
-// shareBelow returns the part of an account's work that is admitted if no account may have more than level. unit is
+// shareBelow returns the part of an account's work w that is admitted if no account may have more than level. unit is
 // the work of one request: the work of random arrivals has a standard deviation.
-func shareBelow(level, work, unit float64) float64 {
-	if work <= level+certainty*math.Sqrt(work*unit) {
+func shareBelow(level, w, unit float64) float64 {
+	if w <= level+certainty*math.Sqrt(w*unit) {
 		return 1
 	}
-	return level / work
+	return level / w
 }
 
 // inTimeFirst returns the probability with which a request is admitted if a share of its account's work is. late
-// reports that it can no longer be in time, and lateShare is the part of the work for which this holds.
-func inTimeFirst(share, lateShare float64, late bool) float64 {
+// reports that it can no longer be in time, lateShare is the part of the work for which this holds, and least is the
+// least probability for these.
+func inTimeFirst(share, lateShare, least float64, late bool) float64 {
 	inTime := 1 - lateShare
 	switch {
 	case late && share <= inTime:
-		return 0
+		return least
 	case late:
-		return min(1, (share-inTime)/lateShare)
-	case share >= inTime:
+		return min(1, max(least, (share-inTime)/lateShare))
+	case inTime <= 0:
 		return 1
 	}
-	return share / inTime
+	return min(1, max(0, share-lateShare*least)/inTime)
 }
--- a/gateway/limit/arrivals.go
+++ b/gateway/limit/arrivals.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/ryeford/ryeford/internal/decay"
@@ -19,7 +20,7 @@
 	// arrivalHalfLife is the time after which an arrival counts half.
 	arrivalHalfLife = 250 * time.Millisecond
 	// reportHalfLife is the time after which a peer's report counts half.
-	reportHalfLife = 500 * time.Millisecond
+	reportHalfLife = time.Second
 	// growthPrior is a number of arrivals that is added to both sides of the growth, so that a few arrivals at a
 	// router with little traffic don't count as a crowd.
 	growthPrior = 3.0
@@ -28,10 +29,14 @@
 	maxGrowth = 2.0
 	// minReportWeight is the weight of the reports below which this router's arrivals stand for its peers'.
 	minReportWeight = 0.05
-	// maxReportFactor limits a peer's report, as a multiple of the mean of all reports.
-	maxReportFactor = 16.0
+	// medianReports is the number of the last reports of which the median is taken, and minMedianReports the least.
+	medianReports    = 15
+	minMedianReports = 3
+	// maxReportFactor limits a peer's report, as a multiple of that median. One router can't raise the median,
+	// however often it reports too much.
+	maxReportFactor = 8.0
 	// minReportLimit is the least limit on a report, in requests per second.
-	minReportLimit = 100.0
+	minReportLimit = 30.0
 )
 
 // ratePerArrival converts a decayed number of arrivals to arrivals per second.
@@ -46,6 +51,9 @@
 	peerRates   float64 // sum of the reported arrivals per second
 	ownAtReport float64 // sum of own at the time of each report
 	reportsAt   time.Time
+
+	last     [medianReports]float64 // last reported arrivals per second
+	received int                    // number of reports received so far
 }
 
 func (a *arrivals) decay(now time.Time) {
@@ -73,18 +81,24 @@
 // report merges a peer's arrivals per second. It returns false if they are implausible and were limited.
 func (a *arrivals) report(now time.Time, rate float64) bool {
 	a.decay(now)
-	limit := max(minReportLimit, maxReportFactor*(a.peerRates+a.own*ratePerArrival)/(a.reports+1))
-	plausible := rate >= 0 && rate <= limit // false for a NaN
-	if !plausible {
-		rate = min(max(0, rate), limit)
-	}
-	if math.IsNaN(rate) {
-		return false
-	}
+	a.last[a.received%medianReports] = rate
+	a.received++
+	limited := min(rate, a.reportLimit())
 	a.reports++
-	a.peerRates += rate
+	a.peerRates += limited
 	a.ownAtReport += a.own
-	return plausible
+	return limited == rate
+}
+
+// reportLimit returns the arrivals per second up to which a peer's report counts. Few reports are not limited, since
+// there is nothing to compare them with.
+func (a *arrivals) reportLimit() float64 {
+	known := min(a.received, medianReports)
+	if known < minMedianReports {
+		return math.Inf(1)
+	}
+	sorted := slices.Sorted(slices.Values(a.last[:known]))
+	return max(minReportLimit, maxReportFactor*sorted[known/2])
 }
 
 // A rateEstimate is an estimated number of arrivals per second.
--- a/gateway/limit/limit_test.go
+++ b/gateway/limit/limit_test.go
@@ -143,6 +143,13 @@
 	absurd := []peers.ServiceFigures{{Service: 1, Arrivals: math.MaxUint32, Responses: math.MaxUint32, Mean: math.MaxUint32}}
 	assert.Equal(t, table.Merge(start.Add(time.Second), absurd), 2)
 	assert.Assert(t, table.Arrive(start.Add(time.Second), 1, crowd).Share > 0.05)
+	for i := range 20 {
+		now := start.Add(time.Second + time.Duration(i)*50*time.Millisecond)
+		arriveOnce(table, now, 1)
+		table.Merge(now, append(sane, absurd...))
+	}
+	d := table.Arrive(start.Add(2*time.Second), 1, crowd)
+	assert.Assert(t, d.Share > 0.5, "one of eight routers reports absurd figures all the time: %+v", d)
 	assert.Equal(t, table.Merge(start, []peers.ServiceFigures{{Service: 1, Mean: math.MaxUint32}}), 0, "without responses")
 }
 
--- a/gateway/limit/times.go
+++ b/gateway/limit/times.go
@@ -8,7 +8,7 @@
 
 const (
 	// timeHalfLife is the time after which a response time counts half.
-	timeHalfLife = 250 * time.Millisecond
+	timeHalfLife = 120 * time.Millisecond
 	// unloadedWindow is how long the lowest mean counts at least; it counts twice as long at most.
 	unloadedWindow = 10 * time.Second
 	// batchSize is the number of response times of which a mean is taken for the lowest one.
@@ -18,8 +18,9 @@
 	unloadedWeight = 0.2
 	// maxReportWeight is the number of response times for which a peer's report counts at most.
 	maxReportWeight = 1.0
-	// maxResponseTime limits a reported response time.
-	maxResponseTime = time.Minute
+	// maxReportedFactor limits a reported response time, as a multiple of the lowest mean, so that one router's
+	// reports can't shut a service.
+	maxReportedFactor = 8
 )
 
 // A decayedMean is a mean of recent times, each of which counts less as it ages.
@@ -57,13 +58,17 @@
 	r.merge(now, took, 1)
 }
 
-// report merges the mean of a peer's response times. It returns false if it is implausible and was dropped.
+// report merges the mean of a peer's response times. It returns false if it is implausible and was limited.
 func (r *responseTimes) report(now time.Time, mean time.Duration, responses float64) bool {
-	if mean <= 0 || mean > maxResponseTime || !(responses > 0) {
-		return mean == 0 || responses == 0
+	if mean <= 0 || responses <= 0 {
+		return true // the peer has had no response lately
 	}
-	r.merge(now, mean, min(maxReportWeight, responses))
-	return true
+	limited := mean
+	if unloaded := r.unloaded(); unloaded > 0 {
+		limited = min(mean, maxReportedFactor*unloaded)
+	}
+	r.merge(now, limited, min(maxReportWeight, responses))
+	return limited == mean
 }
 
 func (r *responseTimes) merge(now time.Time, mean time.Duration, weight float64) {
