--- a/gateway/fairshare/fairshare.go
+++ b/gateway/fairshare/fairshare.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	// maxRanks is the number of priorities that are told apart.
+	// maxRanks is the number of distinct priorities.
 	maxRanks = 10
 	// maxAccounts bounds the accounts of a service that are tracked. The ones with the least work are dropped.
 	maxAccounts = 64
--- a/gateway/overload/replay_test.go
+++ b/gateway/overload/replay_test.go
@@ -279,8 +279,8 @@
 	}
 }
 
-// refuse lets a refused caller come back once, as late as it waits when told to. It is told to come back after
-// as long as the overload has lasted.
+// refuse lets a refused caller come back once, within the part of its time that it waits. Its Retry-After is at least
+// the time for which the overload has lasted.
 func (r *replay) refuse(q *replayRequest) {
 	if q.returned {
 		return
