--- a/endpoint.go
+++ b/endpoint.go
@@ -65,6 +65,8 @@
 	// queue.
 	Slots int
 	State EndpointState
+	// Software is unknown in a copy of the list from a router that doesn't send it.
+	Software SoftwareVersion `cbor:"v,omitempty"`
 	// Cold is how much longer it accepts requests only at a limited rate, counted from when it
 	// wrote its entry.
 	Cold time.Duration
--- a/gateway/balancer.go
+++ b/gateway/balancer.go
@@ -296,7 +296,7 @@
 		sourceID = s.source.ID
 	}
 	_ = f.log.Log("decision", "send", "request", q.meta.ID, "route", q.rule.Name, "account", q.accountID(), "service", q.service,
-		"endpoint", s.to.ID, "why", s.choice.Reason, "load", roundLoad(s.load), "mean", roundLoad(s.choice.Mean), "cap", roundLoad(s.choice.Cap), "candidates", s.candidates, "evacuated", s.excluded.evacuated, "cold", s.excluded.cold, "resting", s.excluded.backingOff, "prompt", promptText(q.meta.Prefix), "source", sourceID,
+		"endpoint", s.to.ID, "software", s.to.Software, "why", s.choice.Reason, "load", roundLoad(s.load), "mean", roundLoad(s.choice.Mean), "cap", roundLoad(s.choice.Cap), "candidates", s.candidates, "evacuated", s.excluded.evacuated, "cold", s.excluded.cold, "resting", s.excluded.backingOff, "prompt", promptText(q.meta.Prefix), "source", sourceID,
 		"sent", x.history.Sent, "unsent", x.history.Unsent, "version", q.catalog.Version(), "lease", f.configuration.leaseRemaining())
 }
 
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -61,6 +61,9 @@
 }
 
 func (x *exchange) serve(ctx context.Context) {
+	if x.request.meta.LastEvent != "" {
+		x.recordTakeUp()
+	}
 	decision := retry.Decision{Retry: true}
 	for decision.Retry {
 		if err := x.checkServable(); err != nil {
@@ -193,6 +196,14 @@
 	writeOutcome(x.relay.writer, f.protocol, q.meta.ID, &outcome)
 }
 
+// recordTakeUp logs and counts a request that takes up a stream whose first events its caller already has.
+func (x *exchange) recordTakeUp() {
+	f, q := x.forwarder, x.request
+	f.metrics.Count("ryeford_streams_taken_up_total", "")
+	_ = f.log.Log("decision", "take_up", "request", q.meta.ID, "route", q.rule.Name, "account", q.accountID(), "service", q.service,
+		"resumes", q.meta.Resumes, "after", q.meta.LastEvent)
+}
+
 // recordFailed logs and counts an attempt that did not answer the caller.
 func (x *exchange) recordFailed(to *roster.Entry, end retry.End, err error) {
 	f, q := x.forwarder, x.request
--- a/protocol.go
+++ b/protocol.go
@@ -23,6 +23,12 @@
 	// Prefix holds the parts of the prompt in order. The last part is specific to this request
 	// or its chat. It is nil for a request without a prompt.
 	Prefix []PromptPart
+	// LastEvent is the ID of the last event that the caller has received of a stream that it takes up
+	// again. It is empty for a new stream.
+	LastEvent string
+	// Resumes is the ID of the request that brought the first event of that stream. It is empty if the
+	// caller names none.
+	Resumes RequestID
 }
 
 // A ForwardMeta is the metadata that the router adds to a request when it forwards the request
