--- a/standin/appserver/serve.go
+++ b/standin/appserver/serve.go
@@ -145,11 +145,19 @@
 			_ = http.NewResponseController(w).Flush()
 			panic(http.ErrAbortHandler)
 		}
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: event %d\n\n", event, event)
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: event %d%s\n\n", event, event, s.writtenBy())
 		_ = http.NewResponseController(w).Flush()
 	}
 }
 
+// writtenBy returns what the data of an event ends with if the server has a Software version.
+func (s *Server) writtenBy() string {
+	if s.Software == "" {
+		return ""
+	}
+	return " of " + s.Software
+}
+
 // lastEvent returns the number of the last event that the caller has. It returns zero if the request
 // has no event ID, or one that is not a number.
 func lastEvent(r *http.Request) int {
--- a/standin/appserver/server.go
+++ b/standin/appserver/server.go
@@ -23,6 +23,9 @@
 	ID string
 	// Events is the number of events of a stream. Zero makes the server a plain service.
 	Events int
+	// Software, unless it is empty, is the version that the server names in each event, so that callers can tell which
+	// version wrote it.
+	Software string
 	// Step is the time before each event, or the processing time of a plain request.
 	Step    time.Duration
 	mu      sync.Mutex
