fix: a router continues a stream only at the software version that began it

Cause: an attempt that follows a lost one is placed like a new request, by affinity, and nothing knew of versions.

Change: the version of the endpoint that writes the first event binds the exchange (streamversion.Constraint); endpoints of other versions, or of an unknown one, are excluded from its further choices, and a stream without an endpoint of its version is broken off. It holds since the constraint is set right before the first byte goes to the caller, and each further choice of the exchange is filtered by it.

Callers' take-ups are not touched yet.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -11,6 +11,7 @@
 	"github.com/ryeford/ryeford/gateway/endpoint"
 	"github.com/ryeford/ryeford/gateway/giveup"
 	"github.com/ryeford/ryeford/gateway/roster"
+	"github.com/ryeford/ryeford/gateway/streamversion"
 	"github.com/ryeford/ryeford/internal/clock"
 	"github.com/ryeford/ryeford/retry"
 )
@@ -39,6 +40,7 @@
 	f.overload.Begin(x.request.service)
 	defer f.overload.End(x.request.service)
 	x.attemptStarted = sent
+	x.relay.onFirstEvent = func() { x.stream = streamversion.BegunBy(to.Software) }
 	response, err := x.observedSend(attemptCtx, to, source)
 	if err != nil {
 		if timedOut(attemptCtx) || errors.Is(ctx.Err(), context.DeadlineExceeded) {
--- a/gateway/balancer.go
+++ b/gateway/balancer.go
@@ -19,6 +19,7 @@
 	"github.com/ryeford/ryeford/gateway/prefixcache"
 	"github.com/ryeford/ryeford/gateway/roster"
 	"github.com/ryeford/ryeford/gateway/slowstart"
+	"github.com/ryeford/ryeford/gateway/streamversion"
 	"github.com/ryeford/ryeford/internal/clock"
 	"github.com/ryeford/ryeford/settings"
 )
@@ -73,6 +74,8 @@
 	shared   []ryeford.PromptPart
 	affinity uint64
 	tried    map[ryeford.EndpointID]bool
+	// stream excludes endpoints that may not continue the request's stream.
+	stream streamversion.Constraint
 }
 
 type selection struct {
@@ -98,7 +101,8 @@
 		return b.selected(now, query, s, choice.ByLoad(s.candidates, b.limits, int(b.searchStart.Add(1)%maxSearchStart)))
 	}
 	prompt := b.prompt(now, query)
-	if first := b.firstByAffinity(now, query); first.entries != nil {
+	// The first endpoints by affinity may all be excluded for a stream that has begun.
+	if first := b.firstByAffinity(now, query); first.entries != nil && !query.stream.Begun() {
 		prompt.Means = &first.means
 		s := b.candidateSet(now, query, first.entries)
 		if chosen := choice.ByAffinity(s.candidates, prompt, b.limits, rand.Uint64()); chosen.Settled {
@@ -210,6 +214,10 @@
 			expected = 0
 		}
 		excluded := s.excluded.add(b.exclusionReason(now, entry), allowed)
+		if !query.stream.Allows(entry.Software) {
+			s.excluded.otherVersion++
+			excluded = true
+		}
 		known := b.observe(now, entry, sample, expected)
 		load, deviation := known.Estimate()
 		s.candidates = append(s.candidates, choice.Candidate{
@@ -265,7 +273,7 @@
 // cached part of the prompt. Either may be nil.
 func (x *exchange) choose() (to, source *roster.Entry) {
 	q := x.request
-	query := endpointQuery{service: q.service, rule: q.catalog.Service(q.service), affinity: q.affinity, tried: x.tried}
+	query := endpointQuery{service: q.service, rule: q.catalog.Service(q.service), affinity: q.affinity, tried: x.tried, stream: x.stream}
 	if q.hasSharedPrefix {
 		query.shared = q.sharedParts()
 	}
@@ -296,14 +304,14 @@
 		sourceID = s.source.ID
 	}
 	_ = f.log.Log("decision", "send", "request", q.meta.ID, "route", q.rule.Name, "account", q.accountID(), "service", q.service,
-		"endpoint", s.to.ID, "software", s.to.Software, "why", s.choice.Reason, "load", roundLoad(s.load), "mean", roundLoad(s.choice.Mean), "cap", roundLoad(s.choice.Cap), "candidates", s.candidates, "evacuated", s.excluded.evacuated, "cold", s.excluded.cold, "resting", s.excluded.backingOff, "prompt", promptText(q.meta.Prefix), "source", sourceID,
+		"endpoint", s.to.ID, "software", s.to.Software, "why", s.choice.Reason, "load", roundLoad(s.load), "mean", roundLoad(s.choice.Mean), "cap", roundLoad(s.choice.Cap), "candidates", s.candidates, "evacuated", s.excluded.evacuated, "cold", s.excluded.cold, "resting", s.excluded.backingOff, "other_version", s.excluded.otherVersion, "prompt", promptText(q.meta.Prefix), "source", sourceID,
 		"sent", x.history.Sent, "unsent", x.history.Unsent, "version", q.catalog.Version(), "lease", f.configuration.leaseRemaining())
 }
 
 // logNoChoice logs that no endpoint may be sent the request now.
 func (x *exchange) logNoChoice(s *selection) {
 	f, q := x.forwarder, x.request
-	_ = f.log.Log("decision", "no_endpoint", "request", q.meta.ID, "service", q.service, "candidates", s.candidates, "tried", len(x.tried), "evacuated", s.excluded.evacuated, "cold", s.excluded.cold, "resting", s.excluded.backingOff)
+	_ = f.log.Log("decision", "no_endpoint", "request", q.meta.ID, "service", q.service, "candidates", s.candidates, "tried", len(x.tried), "evacuated", s.excluded.evacuated, "cold", s.excluded.cold, "resting", s.excluded.backingOff, "other_version", s.excluded.otherVersion)
 }
 
 // promptText formats the shared parts of a prompt for the log: ID and number of tokens of each.
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -13,6 +13,7 @@
 	"github.com/ryeford/ryeford/gateway/overload"
 	"github.com/ryeford/ryeford/gateway/quarantine"
 	"github.com/ryeford/ryeford/gateway/roster"
+	"github.com/ryeford/ryeford/gateway/streamversion"
 	"github.com/ryeford/ryeford/internal/clock"
 	"github.com/ryeford/ryeford/retry"
 )
@@ -35,6 +36,8 @@
 	mayHaveRun   bool  // any attempt may have run at an endpoint
 	lastErr      error // error of the last attempt
 
+	stream streamversion.Constraint // which endpoints may write the next event
+
 	decision          *overload.Decision     // whether the service has room for it; nil before the first attempt
 	attemptStarted    time.Time              // start of the last attempt
 	cachedFingerprint quarantine.Fingerprint // computed on first use: see fingerprint
@@ -72,7 +75,7 @@
 		}
 		to, source := x.chooseFor(decision)
 		if to == nil {
-			x.giveUp(giveup.NotRun(ryeford.ReasonNoCandidate))
+			x.giveUp(giveup.NotRun(x.noEndpointReason()))
 			return
 		}
 		end, err := x.attempt(ctx, to, source)
@@ -103,6 +106,14 @@
 	return admit.CheckTime(q.deadline.Sub(now), x.forwarder.minResponseTimes.get(now, q.service))
 }
 
+// noEndpointReason returns why there is no endpoint for an attempt.
+func (x *exchange) noEndpointReason() ryeford.Reason {
+	if x.stream.Begun() {
+		return ryeford.ReasonVersionUnavailable
+	}
+	return ryeford.ReasonNoCandidate
+}
+
 // admitLoad reports whether the service has room for the request. It decides once: a request that could not be sent
 // to one endpoint is no further arrival.
 func (x *exchange) admitLoad(now time.Time) bool {
--- a/gateway/exclusion.go
+++ b/gateway/exclusion.go
@@ -26,6 +26,8 @@
 	evacuated  int // by an operator's evacuation order
 	cold       int // cold, and this router has no free time slot
 	backingOff int // asked for no requests for a time
+	// otherVersion counts those that run another software version than the one that began the stream.
+	otherVersion int
 }
 
 // add counts an endpoint with an exclusion reason, or a cold one without a free time slot, and reports whether it
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -45,6 +45,7 @@
 
 	onCutOff        func()        // called if the caller is cut off because it reads its response too slowly
 	onFirstResponse func()        // called once, for the first event or a complete response
+	onFirstEvent    func()        // called right before the first event is sent to the caller
 	timeToFirst     time.Duration // from the request's arrival to the first event or complete response
 	headerSent      atomic.Bool   // the header of a stream was sent to the caller
 	sentEvents      int           // number of events sent to the caller
@@ -161,6 +162,9 @@
 
 // writeEvent sends one event to the caller and flushes it.
 func (r *relay) writeEvent(response *endpoint.Response, event []byte) error {
+	if !r.headerSent.Load() {
+		r.onFirstEvent()
+	}
 	r.sendHeader(response)
 	// As in writeHeader, an error means that the connection is closed.
 	_ = r.control.SetWriteDeadline(time.Now().Add(min(maxEventStall, clock.Until(r.deadline)+writeMargin)))
--- a/gateway/streamversions_test.go
+++ b/gateway/streamversions_test.go
@@ -55,7 +55,7 @@
 func (f *fixture) takeUp(last int, resumes string) reply {
 	f.t.Helper()
 	request := f.request("POST", "/resume/a", "key-1", "")
-	request.Header.Set(wire.HeaderRequestID, resumes+"-"+strconv.Itoa(f.requests))
+	request.Header.Set(wire.HeaderRequestID, "take-up-"+strconv.Itoa(f.requests))
 	request.Header.Set(wire.HeaderLastEvent, strconv.Itoa(last))
 	request.Header.Set(wire.HeaderResumes, resumes)
 	return f.do(request)
