fix: a stream that a caller takes up continues only at the software version that began it

Cause: a take-up was routed like a new request. Nothing read Resumes, and no router kept which version had begun a stream. Evidence: TestStreamTakenUpAtOtherVersion and TestUnknownStreamTakenUp, which failed at the same router, at another one and for the third time, and answered 200 for a stream that nobody knew.

Change (package streamversion, pure but for timers): while a service may have several versions, the router that sends a request keeps a record of the version and sends it to three peers, the first in rendezvous order of the request's ID; the first event waits until one has confirmed it. A take-up asks the first peers of the same order. While one version has served for longer than streams live, nothing is sent or kept; running streams are recorded when a second version is listed. New streams avoid a second version for bounds.drain after its first entry, so that every router whose list is recent knows of it first. A stream of unknown version is rejected (version_unknown), one without an endpoint of its version too (version_unavailable). A list from a peer of an older release, which lacks versions, is not used; the source is read instead.

Why it holds: a version is either the only one that can have begun a stream that lives now, by a list that is recent and has no gap, or it comes from a record that was confirmed before the first event. A record of a later attempt counts only once all peers that may keep an earlier one have replaced it.

--- a/configuration.go
+++ b/configuration.go
@@ -44,9 +44,12 @@
 
 // Idempotent reports whether a request on the route may run more than once.
 func (r *RouteRule) Idempotent() bool {
-	return r.Kind == RouteIdempotent || (r.Kind == RouteStream && r.Resumable)
+	return r.Kind == RouteIdempotent || r.Continuable()
 }
 
+// Continuable reports whether the route's streams may be continued at another endpoint.
+func (r *RouteRule) Continuable() bool { return r.Kind == RouteStream && r.Resumable }
+
 // A WeightedService is one of the services that serve a route. Its share of the route's
 // requests is its weight divided by the sum of all weights.
 type WeightedService struct {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -11,7 +11,6 @@
 	"github.com/ryeford/ryeford/gateway/endpoint"
 	"github.com/ryeford/ryeford/gateway/giveup"
 	"github.com/ryeford/ryeford/gateway/roster"
-	"github.com/ryeford/ryeford/gateway/streamversion"
 	"github.com/ryeford/ryeford/internal/clock"
 	"github.com/ryeford/ryeford/retry"
 )
@@ -40,7 +39,7 @@
 	f.overload.Begin(x.request.service)
 	defer f.overload.End(x.request.service)
 	x.attemptStarted = sent
-	x.relay.onFirstEvent = func() { x.stream = streamversion.BegunBy(to.Software) }
+	x.bindStream(to)
 	response, err := x.observedSend(attemptCtx, to, source)
 	if err != nil {
 		if timedOut(attemptCtx) || errors.Is(ctx.Err(), context.DeadlineExceeded) {
@@ -123,7 +122,13 @@
 	f, now := x.forwarder, clock.Now()
 	s := x.sendState(now)
 	s.ExclusionReason = f.exclusionReason(now, f.roster.Entry(to.ID))
-	return admit.CheckSend(s)
+	if err := admit.CheckSend(s); err != nil {
+		return err
+	}
+	if x.stream != nil {
+		x.stream.Sending(to.Software)
+	}
+	return nil
 }
 
 // sendState returns the inputs of the decision whether the request may still be sent, without
--- a/gateway/balancer.go
+++ b/gateway/balancer.go
@@ -74,7 +74,7 @@
 	shared   []ryeford.PromptPart
 	affinity uint64
 	tried    map[ryeford.EndpointID]bool
-	// stream excludes endpoints that may not continue the request's stream.
+	// stream excludes endpoints that may not write the next event of the request's stream.
 	stream streamversion.Constraint
 }
 
@@ -273,14 +273,15 @@
 // cached part of the prompt. Either may be nil.
 func (x *exchange) choose() (to, source *roster.Entry) {
 	q := x.request
-	query := endpointQuery{service: q.service, rule: q.catalog.Service(q.service), affinity: q.affinity, tried: x.tried, stream: x.stream}
+	query := endpointQuery{service: q.service, rule: q.catalog.Service(q.service), affinity: q.affinity, tried: x.tried}
 	if q.hasSharedPrefix {
 		query.shared = q.sharedParts()
 	}
-	selected := x.forwarder.choose(clock.Now(), &query)
-	for selected.to != nil && !(x.mayAttempt(selected.to) && x.forwarder.takeTimeSlot(clock.Now(), selected.to, query.rule)) {
-		x.tried[selected.to.ID] = true
-		selected = x.forwarder.choose(clock.Now(), &query)
+	preferred := x.addStream(&query)
+	selected := x.chooseUsable(&query)
+	if selected.to == nil && preferred {
+		query.stream = streamversion.Constraint{}
+		selected = x.chooseUsable(&query)
 	}
 	if selected.to == nil {
 		x.logNoChoice(&selected)
@@ -291,6 +292,16 @@
 	return selected.to, selected.source
 }
 
+// chooseUsable chooses among the endpoints at which an attempt may be made now.
+func (x *exchange) chooseUsable(query *endpointQuery) selection {
+	selected := x.forwarder.choose(clock.Now(), query)
+	for selected.to != nil && !(x.mayAttempt(selected.to) && x.forwarder.takeTimeSlot(clock.Now(), selected.to, query.rule)) {
+		x.tried[selected.to.ID] = true
+		selected = x.forwarder.choose(clock.Now(), query)
+	}
+	return selected
+}
+
 // mayAttempt reports whether an attempt may be made at an endpoint.
 func (x *exchange) mayAttempt(to *roster.Entry) bool {
 	return x.history.MayTry(x.forwarder.detector.Unusable(clock.Now(), to.ID))
--- a/gateway/catalog/catalog.go
+++ b/gateway/catalog/catalog.go
@@ -23,6 +23,10 @@
 	services      map[string]*ryeford.ServiceRule
 	priorities    []ryeford.Priority       // in descending order
 	goals         map[string]time.Duration // shortest goal by service
+	// longestStream is the longest timeout of the routes whose streams may be continued, and unlimitedStreams whether
+	// one of them has none.
+	longestStream    time.Duration
+	unlimitedStreams bool
 }
 
 type hostRoutes struct {
@@ -53,9 +57,29 @@
 	}
 	c.priorities = prioritiesOf(configuration)
 	c.goals = shortestGoals(configuration)
+	c.setStreams()
 	return c
 }
 
+// LongestStream returns the longest timeout of the routes whose streams may be continued. Routes without a timeout
+// have the given one.
+func (c *Catalog) LongestStream(unset time.Duration) time.Duration {
+	if c.unlimitedStreams {
+		return max(c.longestStream, unset)
+	}
+	return c.longestStream
+}
+
+// setStreams sets what LongestStream depends on.
+func (c *Catalog) setStreams() {
+	for i := range c.configuration.Routes {
+		if rule := &c.configuration.Routes[i]; rule.Continuable() {
+			c.longestStream = max(c.longestStream, rule.Timeout)
+			c.unlimitedStreams = c.unlimitedStreams || rule.Timeout <= 0
+		}
+	}
+}
+
 // Configuration returns the configuration, which must not be changed.
 func (c *Catalog) Configuration() *ryeford.Configuration { return c.configuration }
 
--- a/gateway/endpointlist.go
+++ b/gateway/endpointlist.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"strings"
 	"sync"
 	"time"
@@ -55,6 +56,7 @@
 	roster   *roster.Roster
 	backoffs *backoff.Table
 	pool     *endpoint.Pool
+	streams  *streams
 	removers []endpointRemover // remove the state of an endpoint that is gone
 	outage   *watch.Outage
 	onUpdate func() // called after each update
@@ -77,6 +79,8 @@
 	// such a copy is unknown: it may be any up to that of the copy. It is zero once that revision is
 	// known, or enough time has passed.
 	fullReadAt time.Time
+	// skipped are peers whose copies lack software versions, with the times of the last reads.
+	skipped map[netip.AddrPort]time.Time
 }
 
 // run follows the list of endpoints until ctx is done.
@@ -158,6 +162,7 @@
 	}
 	// Renewed only after applying: what peers receive as confirmed must have been applied.
 	l.lease.RenewRead(sent, update.ResponseStarted, update.Clock)
+	l.recordConfirmation()
 	return len(update.Present)+len(update.Removed) > 0
 }
 
@@ -200,6 +205,15 @@
 	l.mu.Unlock()
 	if apply() {
 		l.lease.RenewFromPeer(clock.Now(), confirmed)
+		l.recordConfirmation()
+	}
+}
+
+// recordConfirmation records as of when the versions of the listed endpoints are known.
+func (l *endpointList) recordConfirmation() {
+	now := clock.Now()
+	if age, known := l.lease.Age(now); known {
+		l.streams.history.Confirm(now.Add(-age))
 	}
 }
 
@@ -211,6 +225,7 @@
 func (l *endpointList) apply(changes *replica.Changes, from string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	followed := l.copy.Follows(changes)
 	if result := l.copy.Apply(changes); result != replica.Applied {
 		_ = l.log.Log("decision", "endpoints", "applied", false, "from", from, "since", changes.Since, "revision", changes.Range.To, "known", l.copy.Range().To, "gap", result == replica.Gap)
 		return false
@@ -219,6 +234,7 @@
 	change := l.roster.Apply(now, &ryeford.EndpointUpdate{
 		Snapshot: changes.Snapshot, Present: changes.Present, Removed: changes.Removed, Revision: changes.Range.To,
 	}, l.suspectUntil)
+	l.streams.update(now, l.roster, followed)
 	l.onUpdate()
 	for range change.Restarted {
 		l.metrics.Count("ryeford_restarted_endpoints_total", "")
--- a/gateway/endpointsweep.go
+++ b/gateway/endpointsweep.go
@@ -42,6 +42,7 @@
 		now := clock.Now()
 		l.pool.CloseExpired(now)
 		l.expireBackoffs(now)
+		l.streams.update(now, l.roster, true)
 		expired, released := l.roster.Expire(now)
 		for _, id := range expired {
 			_ = l.log.Log("decision", "endpoints", "expired", id)
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -36,7 +36,7 @@
 	mayHaveRun   bool  // any attempt may have run at an endpoint
 	lastErr      error // error of the last attempt
 
-	stream streamversion.Constraint // which endpoints may write the next event
+	stream *streamversion.Stream // of a route whose streams may be continued, or else nil
 
 	decision          *overload.Decision     // whether the service has room for it; nil before the first attempt
 	attemptStarted    time.Time              // start of the last attempt
@@ -64,8 +64,12 @@
 }
 
 func (x *exchange) serve(ctx context.Context) {
-	if x.request.meta.LastEvent != "" {
-		x.recordTakeUp()
+	if x.stream != nil {
+		defer x.stream.End()
+		if err := x.takeUp(ctx); err != nil {
+			x.giveUp(err)
+			return
+		}
 	}
 	decision := retry.Decision{Retry: true}
 	for decision.Retry {
@@ -106,14 +110,6 @@
 	return admit.CheckTime(q.deadline.Sub(now), x.forwarder.minResponseTimes.get(now, q.service))
 }
 
-// noEndpointReason returns why there is no endpoint for an attempt.
-func (x *exchange) noEndpointReason() ryeford.Reason {
-	if x.stream.Begun() {
-		return ryeford.ReasonVersionUnavailable
-	}
-	return ryeford.ReasonNoCandidate
-}
-
 // admitLoad reports whether the service has room for the request. It decides once: a request that could not be sent
 // to one endpoint is no further arrival.
 func (x *exchange) admitLoad(now time.Time) bool {
@@ -207,14 +203,6 @@
 	writeOutcome(x.relay.writer, f.protocol, q.meta.ID, &outcome)
 }
 
-// recordTakeUp logs and counts a request that takes up a stream whose first events its caller already has.
-func (x *exchange) recordTakeUp() {
-	f, q := x.forwarder, x.request
-	f.metrics.Count("ryeford_streams_taken_up_total", "")
-	_ = f.log.Log("decision", "take_up", "request", q.meta.ID, "route", q.rule.Name, "account", q.accountID(), "service", q.service,
-		"resumes", q.meta.Resumes, "after", q.meta.LastEvent)
-}
-
 // recordFailed logs and counts an attempt that did not answer the caller.
 func (x *exchange) recordFailed(to *roster.Entry, end retry.End, err error) {
 	f, q := x.forwarder, x.request
--- a/gateway/forwarder.go
+++ b/gateway/forwarder.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -29,6 +30,7 @@
 	refusals         *slidingWindow[giveup.RecentCounts]
 	overload         *overload.Table
 	quarantine       *quarantineState
+	streams          *streams
 	callerMemory     *callermemory.Budget // bodies of requests, and responses that callers have not read
 	log              log.Logger
 	metrics          *telemetry.Set
@@ -44,15 +46,19 @@
 		tried:     make(map[ryeford.EndpointID]bool),
 	}
 	x.relay = relay{
-		writer:   w,
-		control:  http.NewResponseController(w),
-		protocol: f.protocol,
-		metrics:  f.metrics,
-		memory:   f.callerMemory,
-		arrived:  q.arrived,
-		deadline: q.deadline,
-		headOnly: r.Method == http.MethodHead,
-		onCutOff: func() { f.recordSlowCaller(q.meta.ID, "response") },
+		writer:       w,
+		control:      http.NewResponseController(w),
+		protocol:     f.protocol,
+		metrics:      f.metrics,
+		memory:       f.callerMemory,
+		arrived:      q.arrived,
+		deadline:     q.deadline,
+		headOnly:     r.Method == http.MethodHead,
+		onFirstEvent: func(context.Context) error { return nil },
+		onCutOff:     func() { f.recordSlowCaller(q.meta.ID, "response") },
+	}
+	if q.rule.Continuable() {
+		x.stream = f.streams.tracker.New(q.meta.ID, q.service, q.accountID())
 	}
 	return x
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -67,6 +67,7 @@
 	revision   *storeRevision // the newest revision received from the store
 	quarantine *quarantineState
 	overload   *overload.Table
+	streams    *streams
 }
 
 // New returns a Gateway that is not running yet.
@@ -83,6 +84,7 @@
 		drain:       newDrain(s.Bounds.Grace, logger),
 		initialSync: newInitialSync(s.Routing.StartTimeout),
 	}
+	g.streams = newStreams(s, g.balancer, metrics)
 	g.initialSync.onWait = g.startup.setRequested
 	g.revision.onRestore = g.handleRestore
 	g.addQuarantine()
@@ -120,12 +122,18 @@
 		startup:           g.startup,
 		revision:          g.revision,
 		evacuations:       newEvacuations(g.roster, g.log, g.metrics),
-		onUpdate:          g.checkSynced,
+		onUpdate:          g.configurationUpdated,
 		log:               g.log,
 		metrics:           g.metrics,
 	})
 }
 
+// configurationUpdated is called after each answer of the configuration's source.
+func (g *Gateway) configurationUpdated() {
+	g.streams.history.Extend(streamMemoryFactor * g.configuration.current().LongestStream(defaultTimeout))
+	g.checkSynced()
+}
+
 func (g *Gateway) addEndpoints() {
 	g.endpoints = &endpointList{
 		source:          g.platform.Endpoints,
@@ -142,6 +150,7 @@
 		roster:          g.roster,
 		backoffs:        g.backoffs,
 		pool:            g.pool,
+		streams:         g.streams,
 		removers:        []endpointRemover{g.detector, g.loads, g.prefixes, g.slowStart},
 		outage:          newOutage("endpoints", g.configuration.leaseRemaining, g.log, g.metrics),
 		onUpdate:        g.checkSynced,
@@ -176,6 +185,7 @@
 		loads:         g.loads,
 		quarantine:    g.quarantine,
 		overload:      g.overload,
+		streams:       g.streams,
 		log:           g.log,
 
 		implausibleLog: rate.Sometimes{First: 1, Interval: implausibleLogInterval},
@@ -229,6 +239,7 @@
 		refusals:         newRefusals(),
 		overload:         g.overload,
 		quarantine:       g.quarantine,
+		streams:          g.streams,
 		callerMemory:     callermemory.New(admit.CallerMemory(g.settings.Memory)),
 		minResponseTimes: newMinResponseTimes(),
 		log:              g.log,
@@ -242,6 +253,7 @@
 	g.metrics.Gauge("ryeford_resting_endpoints", func() float64 { return float64(g.backoffs.Len()) })
 	g.metrics.Gauge("ryeford_evacuated_domains", func() float64 { return float64(len(g.configuration.evacuations.lastRead().Orders)) })
 	g.metrics.Gauge("ryeford_quarantined_requests", func() float64 { return float64(len(g.quarantine.table.Held())) })
+	g.metrics.Gauge("ryeford_stream_records", func() float64 { return float64(g.streams.tracker.Len()) })
 	g.metrics.Gauge("ryeford_admitted_share", func() float64 { return g.overload.LowestShare(clock.Now()) })
 	g.metrics.Gauge("ryeford_peers", func() float64 { return float64(g.peers.Alive(clock.Now())) })
 	g.metrics.Gauge("ryeford_lease_seconds", func() float64 { return g.configuration.lease.Remaining(clock.Now()).Seconds() })
--- a/gateway/giveup/retryafter.go
+++ b/gateway/giveup/retryafter.go
@@ -47,7 +47,7 @@
 	switch reason {
 	case ryeford.ReasonNotReady:
 		return retryNotReady
-	case ryeford.ReasonNoCandidate, ryeford.ReasonUnreachable, ryeford.ReasonVersionUnavailable:
+	case ryeford.ReasonNoCandidate, ryeford.ReasonUnreachable, ryeford.ReasonVersionUnknown, ryeford.ReasonVersionUnavailable:
 		return retryNoEndpoint
 	case ryeford.ReasonLeaving, ryeford.ReasonBackingOff, ryeford.ReasonEvacuated:
 		return retryElsewhere
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -19,6 +19,7 @@
 	"github.com/ryeford/ryeford/gateway/peers"
 	"github.com/ryeford/ryeford/gateway/prefixcache"
 	"github.com/ryeford/ryeford/gateway/roster"
+	"github.com/ryeford/ryeford/gateway/streamversion"
 	"github.com/ryeford/ryeford/internal/clock"
 	"github.com/ryeford/ryeford/internal/telemetry"
 )
@@ -43,6 +44,7 @@
 	loads         *loads.Table
 	quarantine    *quarantineState
 	overload      *overload.Table
+	streams       *streams
 	log           log.Logger
 	metrics       *telemetry.Set
 
@@ -104,6 +106,7 @@
 	if err != nil {
 		return &ListenError{Address: g.self, Err: err}
 	}
+	g.streams.setConn(conn)
 	group, ctx := errgroup.WithContext(ctx)
 	// Closing the connection unblocks receive, which then ignores the error.
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
@@ -128,6 +131,12 @@
 			g.countDropped(droppedRead)
 			continue
 		}
+		if streamversion.IsMessage(buffer[:n]) {
+			if !g.streams.tracker.Receive(buffer[:n]) {
+				g.countDropped(droppedFormat)
+			}
+			continue
+		}
 		var message peers.Message
 		if err := cbor.Unmarshal(buffer[:n], &message); err != nil {
 			g.countDropped(droppedFormat)
@@ -202,6 +211,7 @@
 			_ = g.log.Log("decision", "peers", "alive", alive, "before", previous)
 			previous = alive
 		}
+		schedule.RecordOther(g.streams.takeSent())
 		full, brief := schedule.Next(now, alive)
 		targets := g.table.Targets(now, full+brief)
 		if full = min(full, len(targets)); full > 0 {
--- a/gateway/gossip_test.go
+++ b/gateway/gossip_test.go
@@ -39,6 +39,7 @@
 		roster:        r,
 		prefixes:      prefixcache.New(),
 		loads:         loads.New(),
+		streams:       list.streams,
 		overload:      overload.New(overload.Options{Limits: true, FairShares: true}),
 		quarantine:    newQuarantineState(nil, log.NewNopLogger(), telemetry.NewSet()),
 		log:           log.NewNopLogger(),
--- a/gateway/peerlist.go
+++ b/gateway/peerlist.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
 	"time"
 
@@ -49,6 +50,9 @@
 	case replica.Newer:
 		// Within one era, a copy that was read in full may only appear to be newer.
 		localRange := l.copy.Range()
+		if l.skips(clock.Now(), peer) {
+			return
+		}
 		if !list.Full || !localRange.IsSet() || peerRange.To.Era() > localRange.To.Era() {
 			l.triggerPeerRead(peerCopy{peer: peer, contents: peerRange})
 		}
@@ -123,6 +127,11 @@
 		_ = l.log.Log("decision", "endpoints_from_peer", "peer", peer, "applied", false, "err", err)
 		return
 	}
+	if !response.Software {
+		l.skipPeer(sent, peer)
+		_ = l.log.Log("decision", "endpoints_from_peer", "peer", peer, "applied", false, "why", "the peer's release doesn't send software versions; the source is read instead")
+		return
+	}
 	l.revision.observe(response.Changes.Range.To)
 	l.clock.Observe(sent, response.Latest)
 	l.renewFromPeer(response.ConfirmedAt, response.Changes.Range.To.Era(), func() bool {
@@ -138,6 +147,28 @@
 	})
 }
 
+// skipDuration is how long a peer of an older release is not read from. It may be replaced by a newer one meanwhile.
+const skipDuration = 10 * time.Second
+
+// skipPeer makes this router read nothing from a peer for skipDuration.
+func (l *endpointList) skipPeer(now time.Time, peer netip.AddrPort) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	maps.DeleteFunc(l.skipped, func(_ netip.AddrPort, since time.Time) bool { return now.Sub(since) >= skipDuration })
+	if l.skipped == nil {
+		l.skipped = make(map[netip.AddrPort]time.Time)
+	}
+	l.skipped[peer] = now
+}
+
+// skips reports whether nothing is read from a peer now.
+func (l *endpointList) skips(now time.Time, peer netip.AddrPort) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	since, skipped := l.skipped[peer]
+	return skipped && now.Sub(since) < skipDuration
+}
+
 // A listResponse is the response to a peer that reads the list of endpoints.
 type listResponse struct {
 	Changes replica.Changes
@@ -147,6 +178,8 @@
 	Latest      time.Duration
 	// Whole has the meaning of peers.List.Full.
 	Whole bool
+	// Software means that the entries have their software versions. Routers of older releases don't send them.
+	Software bool
 }
 
 // peerResponse returns the changes since a revision for a peer, or nil if the list is not known yet.
@@ -160,5 +193,5 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return &listResponse{Whole: !l.fullReadAt.IsZero(), Changes: l.copy.Since(since), ConfirmedAt: confirmed, Latest: upperBound}
+	return &listResponse{Software: true, Whole: !l.fullReadAt.IsZero(), Changes: l.copy.Since(since), ConfirmedAt: confirmed, Latest: upperBound}
 }
--- a/gateway/peers/budget.go
+++ b/gateway/peers/budget.go
@@ -49,6 +49,13 @@
 	s.full.bytes -= float64(targets * size)
 }
 
+// RecordOther records bytes that were sent to peers in other datagrams, headers not included. They are taken from
+// what full messages may use now, so that both together keep to the budget where it suffices.
+func (s *Schedule) RecordOther(datagrams, bytes int) {
+	size := float64(bytes + datagrams*datagramHeader)
+	s.full.bytes -= min(size, max(0, s.full.bytes))
+}
+
 // A budget limits the bytes that are sent per second.
 type budget struct {
 	rate  float64 // bytes per second, before the share of the message kind is applied
--- a/gateway/peers/table.go
+++ b/gateway/peers/table.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"slices"
+	"sort"
 	"sync"
 	"time"
 
@@ -186,6 +188,30 @@
 	return rank, alive
 }
 
+// Ranked returns at most n live peers, in rendezvous order of a key. Routers that see the same peers as alive agree
+// on the order, but each leaves itself out.
+func (t *Table) Ranked(now time.Time, key uint64, n int) []netip.AddrPort {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	first := make([]netip.AddrPort, 0, n+1)
+	scores := make([]uint64, 0, n+1)
+	for address, m := range t.members {
+		if !t.isAlive(now, m) {
+			continue
+		}
+		score := route.Mix(route.KeyHash(key), m.hash)
+		at := sort.Search(len(scores), func(i int) bool { return scores[i] < score })
+		if at == n {
+			continue
+		}
+		first, scores = slices.Insert(first, at, address), slices.Insert(scores, at, score)
+		if len(first) > n {
+			first, scores = first[:n], scores[:n]
+		}
+	}
+	return first
+}
+
 func (t *Table) count(m *member) {
 	t.sums.add(&m.requests, 1)
 	m.counted = true
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -43,13 +43,14 @@
 	deadline time.Time // deadline of the request
 	headOnly bool      // HEAD request: no body is sent
 
-	onCutOff        func()        // called if the caller is cut off because it reads its response too slowly
-	onFirstResponse func()        // called once, for the first event or a complete response
-	onFirstEvent    func()        // called right before the first event is sent to the caller
-	timeToFirst     time.Duration // from the request's arrival to the first event or complete response
-	headerSent      atomic.Bool   // the header of a stream was sent to the caller
-	sentEvents      int           // number of events sent to the caller
-	lastEventID     string        // ID of the last event with an ID that was sent to the caller
+	onCutOff        func() // called if the caller is cut off because it reads its response too slowly
+	onFirstResponse func() // called once, for the first event or a complete response
+	// onFirstEvent is called right before the first event is sent to the caller. If it fails, the attempt has failed.
+	onFirstEvent func(ctx context.Context) error
+	timeToFirst  time.Duration // from the request's arrival to the first event or complete response
+	headerSent   atomic.Bool   // the header of a stream was sent to the caller
+	sentEvents   int           // number of events sent to the caller
+	lastEventID  string        // ID of the last event with an ID that was sent to the caller
 }
 
 // forward passes a response on, unless it is withheld. It returns how the attempt ended, and an
@@ -113,6 +114,9 @@
 		if r.headerSent.Load() && id != "" && !isLaterEvent(r.lastEventID, id) {
 			continue // already sent to the caller
 		}
+		if err := r.beginStream(ctx); err != nil {
+			return retry.EndStopped, &ryeford.MayHaveRunError{Reason: ryeford.ReasonVersionUnavailable, Err: err}
+		}
 		if err := r.writeEvent(response, event); err != nil {
 			return retry.EndStopped, &ryeford.MayHaveRunError{Reason: ryeford.ReasonCancelled, Err: err}
 		}
@@ -123,6 +127,14 @@
 	}
 }
 
+// beginStream is called before each event.
+func (r *relay) beginStream(ctx context.Context) error {
+	if r.headerSent.Load() {
+		return nil
+	}
+	return r.onFirstEvent(ctx)
+}
+
 // recordFirstResponse records the time of the first event, or of a complete response.
 func (r *relay) recordFirstResponse() {
 	if r.onFirstResponse != nil {
@@ -162,9 +174,6 @@
 
 // writeEvent sends one event to the caller and flushes it.
 func (r *relay) writeEvent(response *endpoint.Response, event []byte) error {
-	if !r.headerSent.Load() {
-		r.onFirstEvent()
-	}
 	r.sendHeader(response)
 	// As in writeHeader, an error means that the connection is closed.
 	_ = r.control.SetWriteDeadline(time.Now().Add(min(maxEventStall, clock.Until(r.deadline)+writeMargin)))
--- a/gateway/replica/replica.go
+++ b/gateway/replica/replica.go
@@ -97,6 +97,22 @@
 	return r.at
 }
 
+// Follows reports whether changes show each endpoint that was listed since r was read, so that none has come and gone
+// unseen.
+func (r *Replica) Follows(c *Changes) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if c.Snapshot {
+		return false
+	}
+	for _, name := range c.Removed {
+		if _, known := r.entries[name]; !known {
+			return false
+		}
+	}
+	return true
+}
+
 // Apply applies changes, unless r is newer or lacks earlier changes.
 func (r *Replica) Apply(c *Changes) ApplyResult {
 	r.mu.Lock()
--- a/gateway/roster/queries.go
+++ b/gateway/roster/queries.go
@@ -60,3 +60,18 @@
 	defer r.mu.RUnlock()
 	return slices.Sorted(maps.Keys(r.domains))
 }
+
+// Software returns the software versions of each service's endpoints, whatever their status, and whether one that runs
+// the version accepts requests.
+func (r *Roster) Software() map[string]map[ryeford.SoftwareVersion]bool {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	versions := make(map[string]map[ryeford.SoftwareVersion]bool)
+	for _, entry := range r.entries {
+		if versions[entry.Service] == nil {
+			versions[entry.Service] = make(map[ryeford.SoftwareVersion]bool)
+		}
+		versions[entry.Service][entry.Software] = versions[entry.Service][entry.Software] || entry.Accepts()
+	}
+	return versions
+}
--- /dev/null
+++ b/gateway/streamversion/lookup.go
@@ -0,0 +1,168 @@
+package streamversion
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/ryeford/ryeford"
+)
+
+// Resume finds out which version began the stream that a caller takes up, and binds the stream to it. resumes is the
+// ID of the request that brought the first event, or empty if the caller names none. It returns the Origin once it is
+// known, once all peers that may know it have replied, or after lookupTimeout. If ctx ends before that, the Origin is
+// unknown.
+func (s *Stream) Resume(ctx context.Context, resumes ryeford.RequestID, account ryeford.AccountID) Origin {
+	origin := s.origin(ctx, resumes, account)
+	s.constraint = BegunBy(origin.Software)
+	return origin
+}
+
+func (s *Stream) origin(ctx context.Context, resumes ryeford.RequestID, account ryeford.AccountID) Origin {
+	t := s.tracker
+	now := t.now()
+	key := NewKey(resumes, s.service, account)
+	t.mu.Lock()
+	record, ok := t.records.get(now, key)
+	t.mu.Unlock()
+	if ok && resumes != "" {
+		return Origin{Software: record.Software, Source: SourceRecord, Age: now.Sub(record.kept)}
+	}
+	if only, ok := t.history.Only(now, s.service); ok {
+		return Origin{Software: only, Source: SourceOnly}
+	}
+	return s.lookUp(ctx, key, resumes != "")
+}
+
+// secondRound is how long a lookup waits for the first peers before it asks further ones.
+const secondRound = 25 * time.Millisecond
+
+// lookUp asks peers for the record of a stream. named is false if the caller has not named the stream, so that only
+// a proof can tell its version.
+func (s *Stream) lookUp(ctx context.Context, key Key, named bool) Origin {
+	t := s.tracker
+	l := &lookup{tracker: t, key: key, named: named, done: make(chan struct{})}
+	t.mu.Lock()
+	l.unasked = t.ranked(t.now(), key.Request, maxLookupPeers)
+	l.askNext()
+	t.mu.Unlock()
+	l.wait(ctx)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, c := range l.calls {
+		t.endCall(c)
+	}
+	origin := l.origin()
+	switch origin.Source {
+	case SourcePeer:
+		t.records.put(t.now(), l.found.Record) // the caller may take the stream up here again
+	case SourceProof:
+		t.history.Adopt(t.now(), s.service, origin.Software)
+	}
+	return origin
+}
+
+// A lookup asks peers for the record of a stream until one knows it. Its fields are guarded by Tracker.mu.
+type lookup struct {
+	tracker *Tracker
+	key     Key
+	named   bool
+	unasked []netip.AddrPort
+	calls   []*call
+	found   *reply // that has the record, or nil
+	proof   *reply // that proves the only version of the service, or nil
+	done    chan struct{}
+	ended   bool // done is closed
+}
+
+// wait waits until the lookup is done or takes too long.
+func (l *lookup) wait(ctx context.Context) {
+	timer, next := time.NewTimer(lookupTimeout), time.NewTimer(secondRound)
+	defer timer.Stop()
+	defer next.Stop()
+	for {
+		select {
+		case <-l.done:
+			return
+		case <-next.C:
+			l.tracker.mu.Lock()
+			l.askNext()
+			l.tracker.mu.Unlock()
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// askNext asks the next peers, or ends the lookup if all that were asked have replied and none is left.
+func (l *lookup) askNext() {
+	if l.ended {
+		return
+	}
+	n := min(lookupPeers, len(l.unasked))
+	if n == 0 {
+		if l.silent() == 0 {
+			l.end()
+		}
+		return
+	}
+	peers := l.unasked[:n]
+	l.unasked = l.unasked[n:]
+	message := message{Kind: kindLookup, Record: Record{Key: l.key}}
+	l.calls = append(l.calls, l.tracker.startCall(message, peers, l.evaluate))
+}
+
+// evaluate looks for an answer among the replies, and asks further peers if all have replied without one.
+func (l *lookup) evaluate() {
+	for _, c := range l.calls {
+		for i := range c.replies {
+			r := &c.replies[i]
+			if r.Found && l.named && r.Record.Key == l.key {
+				l.found = r
+			}
+			if r.Only.Known() {
+				l.proof = r
+			}
+		}
+	}
+	switch {
+	case l.found != nil || l.proof != nil:
+		l.end()
+	case l.silent() == 0:
+		l.askNext()
+	}
+}
+
+func (l *lookup) end() {
+	if !l.ended {
+		l.ended = true
+		close(l.done)
+	}
+}
+
+// silent returns the number of peers that were asked and have not replied.
+func (l *lookup) silent() int {
+	n := 0
+	for _, c := range l.calls {
+		n += len(c.waiting)
+	}
+	return n
+}
+
+// origin returns the result of the lookup.
+func (l *lookup) origin() Origin {
+	result := Origin{Source: SourceNone, Silent: l.silent()}
+	for _, c := range l.calls {
+		result.Asked += len(c.peers)
+	}
+	switch {
+	case l.found != nil:
+		result.Source, result.Software, result.Peer = SourcePeer, l.found.Record.Software, l.found.peer
+		result.Age = time.Duration(l.found.AgeMs) * time.Millisecond
+	case l.proof != nil:
+		result.Source, result.Software, result.Peer = SourceProof, l.proof.Only, l.proof.peer
+	}
+	return result
+}
--- a/gateway/streamversions_test.go
+++ b/gateway/streamversions_test.go
@@ -95,6 +95,7 @@
 		gateways[i] = newFixtureAt(t, store, config, func(s *settings.Gateway) {
 			s.VM = ryeford.VMID("router-" + strconv.Itoa(i))
 			s.Peers.AddrPort = freeport.Next()
+			s.FirstStart = true
 		})
 	}
 	for _, version := range versions {
@@ -107,10 +108,22 @@
 		if n > 1 {
 			f.awaitLog("decision=peers alive=" + strconv.Itoa(n-1))
 		}
+		f.awaitStreams(versions)
 	}
 	return gateways
 }
 
+// awaitStreams waits until new streams begin at each of the versions. A gateway sends none to a version that was
+// listed a moment ago.
+func (f *fixture) awaitStreams(versions []string) {
+	f.t.Helper()
+	began := make(map[string]bool)
+	f.await("a stream of each version", func() bool {
+		began[versionsOf(f.call("POST", "/resume/a").body)[0]] = true
+		return len(began) == len(versions)
+	})
+}
+
 // TestStreamContinuedAtOtherVersion guards against one answer that joins events of two software versions.
 func TestStreamContinuedAtOtherVersion(t *testing.T) {
 	f := newFixture(t, baseConfiguration(), nil)
--- a/reason.go
+++ b/reason.go
@@ -25,6 +25,7 @@
 	ReasonQuarantined        Reason = "quarantined"         // identical requests have crashed the endpoints that ran them
 	ReasonBackingOff         Reason = "resting"             // the endpoint has asked for no requests for a time
 	ReasonEvacuated          Reason = "evacuated"           // the operators have evacuated the endpoint's failure domain
+	ReasonVersionUnknown     Reason = "version_unknown"     // which software version began the stream is unknown
 	ReasonVersionUnavailable Reason = "version_unavailable" // no endpoint of the software version that began the stream can continue it
 )
 
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -26,6 +26,10 @@
 	// down. A starting gateway asks them first, and looks up others in the store
 	// only if none answers.
 	Seeds []Address `yaml:"seeds"`
+	// FirstStart means that no gateway of the fleet has run before, so that no caller
+	// can take up a stream that began earlier. If it is wrongly set, such a stream may
+	// be continued at another software version than the one that began it.
+	FirstStart bool `yaml:"first_start"`
 	// Memory is the memory that the process may use. The heap is limited to 0.6 of
 	// it, the bodies of requests in flight to a quarter. If it exceeds what the
 	// platform allows, the process may be killed; if it is too low, request bodies
@@ -109,6 +113,16 @@
 	// load allowed on a cold endpoint, are divided. If there are more and they don't
 	// exchange gossip, the fleet exceeds both.
 	Routers int `yaml:"routers" unit:"routers" validate:"min=1,max=10000"`
+	// StreamMemory is how long routers remember which software version began a
+	// stream, counted from its begin or the last time that a caller took it up, while
+	// several versions serve; twice the longest timeout of a route whose streams may
+	// be continued, if that is longer. A stream that is taken up later may be
+	// rejected, or continued at another version.
+	StreamMemory time.Duration `yaml:"stream_memory" validate:"min=1s,max=1h"`
+	// StreamRecords is the number of streams of which a gateway remembers at most
+	// which software version began them, its peers' streams included; each takes
+	// some 200 bytes. If it is too low, streams that are taken up are rejected.
+	StreamRecords int `yaml:"stream_records" unit:"streams" validate:"min=100,max=10000000"`
 	// Quarantine holds poison requests, which end the endpoints that run them, once
 	// three endpoints have ended. If it is false, they are sent on like any other
 	// request, and endpoints end as often as callers send them.
@@ -146,6 +160,9 @@
 			Routers:      10,
 			Quarantine:   true,
 
+			StreamMemory:  5 * time.Second,
+			StreamRecords: 20000,
+
 			ConcurrencyLimits: true,
 			FairShares:        true,
 		},
--- a/software.go
+++ b/software.go
@@ -23,14 +23,17 @@
 	switch {
 	case text == "":
 		return emptySoftwareVersion
-	case len(text) > maxSoftwareVersion || !utf8.ValidString(text) || strings.ContainsRune(text, utf8.RuneError):
-		return ""
-	case SoftwareVersion(text) == emptySoftwareVersion:
+	case SoftwareVersion(text) == emptySoftwareVersion || !SoftwareVersion(text).Valid():
 		return ""
 	}
 	return SoftwareVersion(text)
 }
 
+// Valid reports whether the version may have been returned by NewSoftwareVersion.
+func (v SoftwareVersion) Valid() bool {
+	return len(v) <= maxSoftwareVersion && utf8.ValidString(string(v)) && !strings.ContainsRune(string(v), utf8.RuneError)
+}
+
 // Known reports whether the version is known.
 func (v SoftwareVersion) Known() bool { return v != "" }
 
