--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -125,9 +125,7 @@
 	if err := admit.CheckSend(s); err != nil {
 		return err
 	}
-	if x.stream != nil {
-		x.stream.Sending(to.Software)
-	}
+	x.recordSoftware(to)
 	return nil
 }
 
--- /dev/null
+++ b/gateway/peerversions_test.go
@@ -0,0 +1,53 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"gotest.tools/v3/assert"
+
+	"github.com/ryeford/ryeford"
+	"github.com/ryeford/ryeford/gateway/peers"
+	"github.com/ryeford/ryeford/gateway/replica"
+	"github.com/ryeford/ryeford/internal/clock"
+	"github.com/ryeford/ryeford/settings"
+)
+
+// TestListWithoutVersions guards against a list of a peer of an older release, whose endpoints would keep an unknown
+// software version until their entries change, and against a peer that is asked for it again and again.
+func TestListWithoutVersions(t *testing.T) {
+	for name, software := range map[string]bool{"of an older release": false, "of this release": true} {
+		t.Run(name, func(t *testing.T) {
+			endpoint := ryeford.Endpoint{ID: "e", Service: "s", Software: "v1"}
+			if !software {
+				endpoint.Software = ""
+			}
+			served := &listResponse{Software: software, ConfirmedAt: time.Second, Latest: 2 * time.Second, Changes: replica.Changes{
+				Snapshot: true, Present: []ryeford.Endpoint{endpoint}, Range: replica.Range{From: 7, To: 7},
+			}}
+			reads := 0
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				reads++
+				content, err := cbor.Marshal(served)
+				assert.NilError(t, err)
+				_, _ = w.Write(content)
+			}))
+			defer server.Close()
+			peer := netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+			list := newEndpointList(settings.DefaultGateway(), nil)
+			list.readPeer(context.Background(), peer)
+			assert.Equal(t, list.roster.Has("e"), software)
+			list.mergeDigest(peer, peers.NewList(9, 9, false, time.Second))
+			assert.Equal(t, len(list.newerCopy) > 0, software, "a read of the peer is due")
+			assert.Equal(t, list.skips(clock.Now(), peer), !software)
+			assert.Assert(t, !list.skips(clock.Now().Add(skipDuration), peer))
+			assert.Equal(t, reads, 1)
+		})
+	}
+}
--- a/gateway/roster/queries.go
+++ b/gateway/roster/queries.go
@@ -61,17 +61,21 @@
 	return slices.Sorted(maps.Keys(r.domains))
 }
 
-// Software returns the software versions of each service's endpoints, whatever their status, and whether one that runs
-// the version accepts requests.
-func (r *Roster) Software() map[string]map[ryeford.SoftwareVersion]bool {
+// Software returns the software versions of each service's endpoints, whatever their status, with the number of those
+// that accept requests.
+func (r *Roster) Software() map[string]map[ryeford.SoftwareVersion]int {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	versions := make(map[string]map[ryeford.SoftwareVersion]bool)
+	versions := make(map[string]map[ryeford.SoftwareVersion]int)
 	for _, entry := range r.entries {
 		if versions[entry.Service] == nil {
-			versions[entry.Service] = make(map[ryeford.SoftwareVersion]bool)
+			versions[entry.Service] = make(map[ryeford.SoftwareVersion]int)
 		}
-		versions[entry.Service][entry.Software] = versions[entry.Service][entry.Software] || entry.Accepts()
+		accepting := 0
+		if entry.Accepts() {
+			accepting = 1
+		}
+		versions[entry.Service][entry.Software] += accepting
 	}
 	return versions
 }
--- a/gateway/streams.go
+++ b/gateway/streams.go
@@ -27,12 +27,14 @@
 	conn    atomic.Pointer[net.UDPConn] // the socket of gossip; nil before it is open
 	metrics *telemetry.Set
 
+	gauges versionGauges
+
 	// Datagrams and bytes that were sent since the last call of takeSent.
 	datagrams, bytes atomic.Int64
 }
 
 func newStreams(s *settings.Gateway, b *balancer, metrics *telemetry.Set) *streams {
-	result := &streams{metrics: metrics}
+	result := &streams{metrics: metrics, gauges: versionGauges{metrics: metrics}}
 	limits := streamversion.Limits{Memory: s.Routing.StreamMemory, Settle: s.Bounds.Drain, Records: s.Routing.StreamRecords}
 	result.history = streamversion.NewHistory(limits, s.FirstStart)
 	result.tracker = streamversion.NewTracker(streamversion.Options{
@@ -45,7 +47,9 @@
 // update records the software versions of the endpoints, and expires what is kept of streams. followed means that no
 // endpoint has come and gone unseen since the last update.
 func (s *streams) update(now time.Time, endpoints *roster.Roster, followed bool) {
-	s.history.List(now, endpoints.Software(), followed)
+	versions := endpoints.Software()
+	s.gauges.set(versions)
+	s.history.List(now, versions, followed)
 	s.tracker.Sweep(now)
 }
 
@@ -98,6 +102,13 @@
 	x.relay.onFirstEvent = func(ctx context.Context) error { return x.stream.Begin(ctx, to.Software) }
 }
 
+// recordSoftware tells peers, right before the request is sent, which software version may begin the stream.
+func (x *exchange) recordSoftware(to *roster.Entry) {
+	if x.stream != nil {
+		x.stream.Sending(to.Software)
+	}
+}
+
 // addStream adds to a query which endpoints may write the next event of the request's stream. It reports whether
 // others may as well if none of these is left.
 func (x *exchange) addStream(query *endpointQuery) (preferred bool) {
--- a/gateway/streamversion/history.go
+++ b/gateway/streamversion/history.go
@@ -103,10 +103,9 @@
 	}
 }
 
-// List records the versions of each service's endpoints, and whether an endpoint of the version accepts requests. followed
-// means that no endpoint has come and gone unseen since
+// List records the versions of each service's endpoints, with the number of those that accept requests. followed means that no endpoint has come and gone unseen since
 // the last list. It must be called before Confirm is called for the read that returned them.
-func (h *History) List(now time.Time, versions map[string]map[ryeford.SoftwareVersion]bool, followed bool) {
+func (h *History) List(now time.Time, versions map[string]map[ryeford.SoftwareVersion]int, followed bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.gap = h.gap || !followed
@@ -116,9 +115,9 @@
 		if listed[id] == nil {
 			listed[id] = make(map[ryeford.SoftwareVersion]bool)
 		}
-		for version, accepts := range list {
+		for version, accepting := range list {
 			listed[id][version] = true
-			h.add(now, id, version).accepts = accepts
+			h.add(now, id, version).accepts = accepting > 0
 		}
 	}
 	for id, periods := range h.services {
--- a/gateway/streamversion/history_test.go
+++ b/gateway/streamversion/history_test.go
@@ -32,12 +32,12 @@
 }
 
 // listOf returns the list of a service "s" whose endpoints accept requests.
-func listOf(versions []ryeford.SoftwareVersion) map[string]map[ryeford.SoftwareVersion]bool {
-	accepts := make(map[ryeford.SoftwareVersion]bool)
+func listOf(versions []ryeford.SoftwareVersion) map[string]map[ryeford.SoftwareVersion]int {
+	accepting := make(map[ryeford.SoftwareVersion]int)
 	for _, version := range versions {
-		accepts[version] = true
+		accepting[version]++
 	}
-	return map[string]map[ryeford.SoftwareVersion]bool{"s": accepts}
+	return map[string]map[ryeford.SoftwareVersion]int{"s": accepting}
 }
 
 // pass lets time pass with confirmed lists.
@@ -130,7 +130,7 @@
 	assert.Assert(t, allows("v1") && allows("v2") && allows("v3"), "no router takes one of two versions for the only one")
 	h = newHistoryTest(true, "v1")
 	h.pass(time.Second)
-	h.List(h.now, map[string]map[ryeford.SoftwareVersion]bool{"s": {"v1": false, "v2": true}}, true)
+	h.List(h.now, map[string]map[ryeford.SoftwareVersion]int{"s": {"v1": 0, "v2": 1}}, true)
 	assert.Assert(t, h.NewStreams(h.now, "s").Allows("v2"), "the endpoints of the settled version leave")
 	assert.Equal(t, h.only(), "several")
 	h.set("")
--- a/internal/cmd/explaincmd.go
+++ b/internal/cmd/explaincmd.go
@@ -85,7 +85,8 @@
 	time    time.Time
 	vm      string
 	request ryeford.RequestID
-	event   string // the decision, or the message
+	resumes ryeford.RequestID // of a request that takes a stream up: the request that brought its first event
+	event   string            // the decision, or the message
 	text    string
 }
 
@@ -109,11 +110,29 @@
 	return err
 }
 
-// linesFor selects the lines that explainLogs prints.
+// streamOf returns the requests that continued the same stream as a request, and the request itself.
+func streamOf(request ryeford.RequestID, lines []logLine) map[ryeford.RequestID]bool {
+	first := request
+	for _, line := range lines {
+		if line.request == request && line.resumes != "" {
+			first = line.resumes
+		}
+	}
+	stream := map[ryeford.RequestID]bool{request: true, first: true}
+	for _, line := range lines {
+		if line.resumes == first {
+			stream[line.request] = true
+		}
+	}
+	return stream
+}
+
+// linesFor selects the lines that explainLogs prints: those of the request and of all that continued its stream.
 func linesFor(request ryeford.RequestID, lines []logLine) []string {
+	stream := streamOf(request, lines)
 	first, last := make(map[string]time.Time), make(map[string]time.Time)
 	for _, line := range lines {
-		if line.request != request {
+		if !stream[line.request] {
 			continue
 		}
 		if _, ok := first[line.vm]; !ok {
@@ -125,7 +144,7 @@
 	for _, line := range lines {
 		from, involved := first[line.vm]
 		within := involved && !line.time.Before(from.Add(-contextBefore)) && !line.time.After(last[line.vm])
-		if line.request == request || (within && slices.Contains(stateChanges, line.event)) {
+		if stream[line.request] || (within && slices.Contains(stateChanges, line.event)) {
 			found = append(found, line.text)
 		}
 	}
@@ -179,6 +198,8 @@
 			line.vm = value
 		case "request":
 			line.request = ryeford.RequestID(value)
+		case "resumes":
+			line.resumes = ryeford.RequestID(value)
 		case "decision", "msg":
 			line.event = value
 		}
--- a/internal/cmd/explainlog_test.go
+++ b/internal/cmd/explainlog_test.go
@@ -45,3 +45,22 @@
 	var notFound *ryeford.NotFoundError
 	assert.Assert(t, errors.As(explainLogs(&out, "r3", files), &notFound))
 }
+
+// TestExplainStream guards against an explanation of a stream that lacks the requests by which callers took it up.
+func TestExplainStream(t *testing.T) {
+	const log = `ts=2026-01-01T00:00:10Z vm=a decision=send request=r1 endpoint=e1 software=v1
+ts=2026-01-01T00:00:11Z vm=b decision=take_up request=r2 resumes=r1 after=3 software=v1 known_by=peer
+ts=2026-01-01T00:00:11.1Z vm=b decision=send request=r2 endpoint=e2 software=v1
+ts=2026-01-01T00:00:12Z vm=c decision=take_up request=r3 resumes=r1 after=5 software= known_by=none
+ts=2026-01-01T00:00:12.1Z vm=c decision=give_up request=r3 reason=version_unknown
+ts=2026-01-01T00:00:12.2Z vm=c decision=take_up request=r4 resumes=other after=5 software=v1 known_by=record
+`
+	file := filepath.Join(t.TempDir(), "log")
+	assert.NilError(t, os.WriteFile(file, []byte(log), 0o600))
+	for _, id := range []ryeford.RequestID{"r1", "r2", "r3"} {
+		var out bytes.Buffer
+		assert.NilError(t, explainLogs(&out, id, []string{file}))
+		assert.Equal(t, strings.Count(out.String(), "\n"), 5, "%s: %s", id, out.String())
+		assert.Assert(t, !strings.Contains(out.String(), "request=r4"))
+	}
+}
