fix: an endpoint that may have restarted under its ID doesn't count as its old software version

What callers could see: a stream that is taken up right after an endpoint started again under its former ID, with another version, goes to it by its old entry, and holds two versions.

Change: where IDs are used again, the version of an endpoint that was unreachable less than bounds.drain ago is unknown: it continues no stream, and a stream that begins there is recorded as unknown. An entry written after the restart has another incarnation and is not concerned. A router that had no connection to the endpoint can't notice the restart: that stays open.

Measured: TestSoftwareOfRestarted, which fails to compile without the rule.

--- a/gateway/balancer.go
+++ b/gateway/balancer.go
@@ -36,6 +36,8 @@
 	slowStart *slowstart.Table
 	clock     *freshness.SourceClock // time base of the time slots
 	startup   *startup
+	// listAge is the maximum age of the list of endpoints at a router that is in touch with its source or a peer.
+	listAge time.Duration
 	// minRouters is the minimum number of routers among which the request rate of a cold endpoint
 	// is divided.
 	minRouters int
@@ -60,6 +62,7 @@
 		clock:      &freshness.SourceClock{},
 		startup:    newStartup(s),
 		minRouters: s.Routing.Routers,
+		listAge:    s.Bounds.Drain,
 	}
 }
 
@@ -211,7 +214,7 @@
 			expected = 0
 		}
 		excluded := s.excluded.add(b.exclusionReason(now, entry), allowed)
-		if !query.stream.Allows(entry.Software) {
+		if query.stream.Begun() && !query.stream.Allows(b.softwareOf(now, entry)) {
 			s.excluded.otherVersion++
 			excluded = true
 		}
--- a/gateway/exclusion.go
+++ b/gateway/exclusion.go
@@ -21,6 +21,16 @@
 	return ""
 }
 
+// softwareOf returns the software version that an endpoint runs now. It is unknown if the endpoint was unreachable a
+// moment ago and may have started again under the same ID, with an entry that has not arrived yet.
+func (b *balancer) softwareOf(now time.Time, entry *roster.Entry) ryeford.SoftwareVersion {
+	_, reusesID := entry.ID.Started()
+	if since := b.detector.ReachableSince(entry.ID); reusesID && !since.IsZero() && now.Sub(since) < b.listAge {
+		return ""
+	}
+	return entry.Software
+}
+
 // An exclusionCounts counts the candidates of a choice that are excluded now, by reason.
 type exclusionCounts struct {
 	evacuated  int // by an operator's evacuation order
--- a/gateway/peerversions_test.go
+++ b/gateway/peerversions_test.go
@@ -51,3 +51,24 @@
 		})
 	}
 }
+
+// TestSoftwareOfRestarted guards against an endpoint that may have started again under its ID, with another version,
+// and is taken for one of the version of its old entry.
+func TestSoftwareOfRestarted(t *testing.T) {
+	b := newTestBalancer(time.Now())
+	b.listAge = 2 * time.Second
+	now := time.Now()
+	restartable := ryeford.NewEndpointID("e", 1000)
+	b.roster.Apply(now, &ryeford.EndpointUpdate{Snapshot: true, Revision: 1, Present: []ryeford.Endpoint{
+		{ID: restartable, Service: "s", Software: "v1"}, {ID: "f", Service: "s", Software: "v1"},
+	}}, time.Time{})
+	assert.Equal(t, b.softwareOf(now, b.roster.Entry(restartable)), ryeford.SoftwareVersion("v1"))
+	for _, id := range []ryeford.EndpointID{restartable, "f"} {
+		b.detector.Eject(now, id, time.Second)
+	}
+	again := b.detector.ReachableSince(restartable)
+	assert.Assert(t, !again.IsZero())
+	assert.Assert(t, !b.softwareOf(again.Add(time.Second), b.roster.Entry(restartable)).Known())
+	assert.Equal(t, b.softwareOf(again.Add(b.listAge), b.roster.Entry(restartable)), ryeford.SoftwareVersion("v1"))
+	assert.Equal(t, b.softwareOf(again.Add(time.Second), b.roster.Entry("f")), ryeford.SoftwareVersion("v1"), "its ID is not used again")
+}
--- a/gateway/streams.go
+++ b/gateway/streams.go
@@ -99,13 +99,14 @@
 	if x.stream == nil {
 		return
 	}
-	x.relay.onFirstEvent = func(ctx context.Context) error { return x.stream.Begin(ctx, to.Software) }
+	software := x.forwarder.softwareOf(clock.Now(), to)
+	x.relay.onFirstEvent = func(ctx context.Context) error { return x.stream.Begin(ctx, software) }
 }
 
 // recordSoftware tells peers, right before the request is sent, which software version may begin the stream.
 func (x *exchange) recordSoftware(to *roster.Entry) {
 	if x.stream != nil {
-		x.stream.Sending(to.Software)
+		x.stream.Sending(x.forwarder.softwareOf(clock.Now(), to))
 	}
 }
 
