--- a/internal/soak/configuration_test.go
+++ b/internal/soak/configuration_test.go
@@ -10,6 +10,7 @@
 	routeOnce   = "once"   // not idempotent: may run once
 	routeSafe   = "safe"   // idempotent
 	routeStream = "stream" // not idempotent; the response is a stream of events
+	routeResume = "resume" // the same, and the stream may be continued
 )
 
 var routes = []string{routeOnce, routeSafe, routeStream}
@@ -56,7 +57,8 @@
 "routes":[
 {"name":"once","host":%[2]q,"pathPrefix":"/once/","kind":"unsafe","service":"plain","timeoutMs":3000,"goalMs":500,"priority":1,"maxAttempts":2},
 {"name":"safe","host":%[2]q,"pathPrefix":"/safe/","kind":"safe","service":"plain","timeoutMs":3000,"goalMs":500,"priority":1,"maxAttempts":%[3]d},
-{"name":"stream","host":%[2]q,"pathPrefix":"/stream/","kind":"streaming","service":"model","timeoutMs":5000,"goalMs":500,"priority":1,"maxAttempts":2}%[5]s],
+{"name":"stream","host":%[2]q,"pathPrefix":"/stream/","kind":"streaming","service":"model","timeoutMs":5000,"goalMs":500,"priority":1,"maxAttempts":2},
+{"name":"resume","host":%[2]q,"pathPrefix":"/resume/","kind":"streaming","resumable":true,"service":"model","timeoutMs":5000,"goalMs":500,"priority":1,"maxAttempts":2}%[5]s],
 "services":[{"name":"plain"},{"name":"model","engine":{"slots":64,"kvCapacity":100000}}],
 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":65536,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
 "tenants":[%[4]s]}`, c.Version, host, maxAttempts, accounts, extra.String())
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -37,6 +37,8 @@
 	// slowServer is an additional server of the model service whose streams take 3 s. It is
 	// listed only temporarily, so that gateways don't expect such durations from then on.
 	slowServer = "slow"
+	// versionedFormat is serverFormat with a software version.
+	versionedFormat = "    - {id: %s, service: model, address: %q, failure_domain: a, software: %s, events: %d, step: %s}\n"
 	// fastStep and slowStep are the intervals between the events of streams.
 	fastStep = 5 * time.Millisecond
 	slowStep = 150 * time.Millisecond
@@ -104,11 +106,19 @@
 		if isModel(id) {
 			service, events = "model", streamEvents
 		}
+		if isModel(id) && len(p.versions) > 0 {
+			continue
+		}
 		fmt.Fprintf(&list, serverFormat, id, service, freeport.Next().String(), domainOf(id), events, fastStep)
 	}
 	if p.slowServer {
 		fmt.Fprintf(&list, serverFormat, slowServer, "model", freeport.Next().String(), domainOf(slowServer), streamEvents, slowStep)
 	}
+	for _, version := range p.versions {
+		for _, id := range versionServers(version) {
+			fmt.Fprintf(&list, versionedFormat, id, freeport.Next().String(), version, streamEvents, fastStep)
+		}
+	}
 	settings := f.write("emulator.yaml", fmt.Sprintf("emulator:\n  store: %q\n  admin: %q\n  configuration: %s\n  servers:\n%s",
 		store, f.admin, configuration, list.String()))
 	var err error
@@ -121,6 +131,16 @@
 	if p.slowServer {
 		assert.NilError(f.t, f.post(serverState(slowServer, stateGone)))
 	}
+	for _, version := range p.versions[min(1, len(p.versions)):] {
+		for _, id := range versionServers(version) {
+			assert.NilError(f.t, f.post(serverState(id, stateGone)))
+		}
+	}
+}
+
+// versionServers returns the servers that run a software version.
+func versionServers(version string) []string {
+	return []string{"m-" + version + "-1", "m-" + version + "-2", "m-" + version + "-3"}
 }
 
 // write writes a file and returns its path.
--- a/internal/soak/plan_test.go
+++ b/internal/soak/plan_test.go
@@ -20,6 +20,9 @@
 	responseMargin time.Duration
 	// slowServer adds the server of that name.
 	slowServer bool
+	// versions are the software versions of the model service's servers. Servers of the first one
+	// are listed at first. Nil means that all servers run the same one.
+	versions []string
 	// linkRate limits the link to the store of every second gateway, in bytes per second; 0
 	// means no limit.
 	linkRate int
--- a/settings/standin.go
+++ b/settings/standin.go
@@ -43,6 +43,9 @@
 	Address Address `yaml:"address" validate:"required"`
 	// FailureDomain is the server's failure domain.
 	FailureDomain string `yaml:"failure_domain" validate:"required"`
+	// Software is the version of the server's software, which its entry and its
+	// events name; empty for none.
+	Software string `yaml:"software"`
 	// Events is the number of events in a stream; zero makes the server a plain
 	// service.
 	Events int `yaml:"events" unit:"events" validate:"min=0,max=100000"`
--- a/standin/emulator/emulator.go
+++ b/standin/emulator/emulator.go
@@ -55,7 +55,7 @@
 	}
 	for i := range s.Servers {
 		server := &s.Servers[i]
-		e.servers = append(e.servers, &appserver.Server{ID: server.ID, Events: server.Events, Step: server.Step})
+		e.servers = append(e.servers, &appserver.Server{ID: server.ID, Software: server.Software, Events: server.Events, Step: server.Step})
 	}
 	e.started = make([]int64, len(e.servers))
 	e.slots = make([]int, len(e.servers))
@@ -125,6 +125,7 @@
 		Service:       server.Service,
 		Address:       server.Address.String(),
 		FailureDomain: server.FailureDomain,
+		Version:       server.Software,
 		Slots:         e.slotsOf(i, change),
 		State:         change.State,
 		ColdMs:        change.ColdMs,
