fix: no records of streams are sent to routers of releases that keep none

While the routers themselves are replaced, records sent to old ones would never be confirmed, and the first event of each stream would wait for 20 ms. Messages of gossip now state that their sender keeps records (key 30), and peers heard without it are left out of the rendezvous order.

Found by reading for the case of a router beside the release before; none seen. Measured: TestRanked; the tests of peers and of gossip in gateway pass.

--- a/gateway/gossipmessage.go
+++ b/gateway/gossipmessage.go
@@ -23,6 +23,7 @@
 		Started:          g.started,
 		Sequence:         sequence,
 		Brief:            true,
+		KeepsRecords:     true,
 		List:             g.endpoints.digest(),
 		Reports:          g.loads.Reports(now, peers.MaxBriefReports, 0),
 	}
--- a/gateway/peers/message.go
+++ b/gateway/peers/message.go
@@ -73,6 +73,9 @@
 	Prompts []Prompt `cbor:"6,keyasint,omitempty"`
 	// Services describe the sender's recent requests for services whose load is limited.
 	Services []ServiceFigures `cbor:"29,keyasint,omitempty"`
+	// KeepsRecords means that the sender keeps records of streams for its peers (package streamversion). Releases before
+	// did not.
+	KeepsRecords bool `cbor:"30,keyasint,omitempty"`
 }
 
 // ServiceFigures describe a router's recent requests for a service. Counts are decayed.
--- a/gateway/peers/table.go
+++ b/gateway/peers/table.go
@@ -31,13 +31,14 @@
 const sweepInterval = 20 * time.Millisecond
 
 type member struct {
-	hash     uint64    // of its address
-	lastSeen time.Time // when it was last known to be alive, or was added
-	known    bool      // lastSeen is a time at which it was known to be alive
-	version  version   // of its last message
-	loadsAt  time.Time // when its last full message was received
-	requests requests  // of that message
-	counted  bool      // requests are in the sums
+	hash       uint64    // of its address
+	lastSeen   time.Time // when it was last known to be alive, or was added
+	known      bool      // lastSeen is a time at which it was known to be alive
+	version    version   // of its last message
+	loadsAt    time.Time // when its last full message was received
+	requests   requests  // of that message
+	recordless bool      // its last message shows that it keeps no records of streams
+	counted    bool      // requests are in the sums
 }
 
 // New returns an empty Table for the router at address self.
@@ -58,7 +59,7 @@
 	first = m.version.started != v.started
 	t.received = now
 	m.markAlive(now)
-	m.version = v
+	m.version, m.recordless = v, !message.KeepsRecords
 	if !message.Brief {
 		t.uncount(m)
 		m.requests, m.loadsAt = requestsOf(message), now
@@ -188,15 +189,15 @@
 	return rank, alive
 }
 
-// Ranked returns at most n live peers, in rendezvous order of a key. Routers that see the same peers as alive agree
-// on the order, but each leaves itself out.
+// Ranked returns at most n live peers, in rendezvous order of a key, without those that are known to keep no records of
+// streams. Routers that see the same peers as alive agree on the order, but each leaves itself out.
 func (t *Table) Ranked(now time.Time, key uint64, n int) []netip.AddrPort {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	first := make([]netip.AddrPort, 0, n+1)
 	scores := make([]uint64, 0, n+1)
 	for address, m := range t.members {
-		if !t.isAlive(now, m) {
+		if !t.isAlive(now, m) || m.recordless {
 			continue
 		}
 		score := route.Mix(route.KeyHash(key), m.hash)
--- a/gateway/peers/table_test.go
+++ b/gateway/peers/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -153,3 +154,35 @@
 	}
 	assert.Equal(t, len(everFirst), routers, "not every router was first in some time slot")
 }
+
+// TestRanked guards against routers that look for the records of streams at different peers, and against records that
+// are sent to routers of releases that keep none.
+func TestRanked(t *testing.T) {
+	now := time.Now()
+	address := func(i int) netip.AddrPort {
+		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7000)
+	}
+	const routers = 9
+	tables := make([]*Table, routers)
+	for i := range tables {
+		tables[i] = New(address(i), DefaultLimits())
+		for j := range routers {
+			if j != i {
+				tables[i].Receive(now, &Message{Sender: address(j), Started: 1, Sequence: 1, KeepsRecords: j != 0})
+			}
+		}
+	}
+	for key := range uint64(50) {
+		kept := tables[1].Ranked(now, key, 3)
+		assert.Equal(t, len(kept), 3)
+		asked := tables[2].Ranked(now, key, 4)
+		for _, peer := range kept {
+			assert.Assert(t, peer != address(0) && peer != address(1))
+			assert.Assert(t, peer == address(2) || slices.Contains(asked, peer), "%v of %v", peer, asked)
+		}
+	}
+	assert.Equal(t, len(tables[1].Ranked(now, 7, 100)), routers-2)
+	assert.Equal(t, len(tables[1].Ranked(now.Add(time.Hour), 7, 100)), 0)
+	tables[1].Receive(now, &Message{Sender: address(0), Started: 2, Sequence: 1, KeepsRecords: true})
+	assert.Equal(t, len(tables[1].Ranked(now, 7, 100)), routers-1, "it has been replaced by a newer release")
+}
