fix: a version that comes back settles again, and an older confirmation hides no gap of the list

Two ways in which a router could take one of two versions for the only one, both found by reading History, none seen. A version that was listed again counted as settled by its first listing, though other routers may have forgotten it meanwhile. And a confirmation as of an earlier time, which a peer's may be, cleared the mark of a gap.

--- a/gateway/streamversion/history.go
+++ b/gateway/streamversion/history.go
@@ -53,8 +53,8 @@
 
 // A period is the time in which a version was listed.
 type period struct {
-	// after is a time before the version was listed, and seen when this router received its first entry. Both are
-	// zero if the router's first list had it.
+	// after is a time before the version was first listed, and seen when this router last saw it come. Both are zero if
+	// the router's first list had it.
 	after, seen time.Time
 	listed      bool
 	accepts     bool      // an endpoint that runs it accepts requests
@@ -70,8 +70,8 @@
 	}
 }
 
-// Extend makes the memory at least d, which is the longest timeout of a route. It never shrinks: streams that began
-// under a longer timeout may still run.
+// Extend makes the memory at least d. It never shrinks: streams that began under a longer timeout of their route may
+// still run.
 func (h *History) Extend(d time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -93,18 +93,18 @@
 	switch {
 	case h.since.IsZero():
 		h.since = at
+	case !at.After(h.confirmed):
+		return
 	case h.gap && at.Sub(h.confirmed) > h.limits.Settle:
 		h.since, h.complete = at, false
 		clear(h.proven)
 	}
-	h.gap = false
-	if at.After(h.confirmed) {
-		h.confirmed = at
-	}
+	h.confirmed, h.gap = at, false
 }
 
-// List records the versions of each service's endpoints, with the number of those that accept requests. followed means that no endpoint has come and gone unseen since
-// the last list. It must be called before Confirm is called for the read that returned them.
+// List records the versions of each service's endpoints, with the number of those that accept requests. followed means
+// that no endpoint has come and gone unseen since the last list. It must be called before Confirm is called for the read
+// that returned them.
 func (h *History) List(now time.Time, versions map[string]map[ryeford.SoftwareVersion]int, followed bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -137,12 +137,15 @@
 		h.services[id] = periods
 	}
 	p := periods[version]
-	if p == nil {
+	switch {
+	case p == nil:
 		p = &period{}
 		if !h.confirmed.IsZero() {
 			p.after, p.seen = h.confirmed, now
 		}
 		periods[version] = p
+	case !p.listed: // other routers may have forgotten the version
+		p.seen = now
 	}
 	p.listed = true
 	return p
@@ -196,8 +199,8 @@
 	return found, true
 }
 
-// hasSettled reports whether a settled version of a service accepts requests. If not, new streams go to the others at once.
-// h.mu is held.
+// hasSettled reports whether a settled version of a service accepts requests. If not, new streams go to the others at
+// once. h.mu is held.
 func (h *History) hasSettled(now time.Time, id service) bool {
 	for _, p := range h.services[id] {
 		if p.accepts && p.settled(now, h.limits) {
--- a/gateway/streamversion/history_test.go
+++ b/gateway/streamversion/history_test.go
@@ -81,6 +81,13 @@
 		{"the list lacked changes, long ago", func(h *historyTest) { h.now = h.now.Add(time.Minute); h.list(false); h.pass(12 * time.Second) }, "v1"},
 		{"the list lacks changes of a moment", func(h *historyTest) { h.now = h.now.Add(time.Second); h.list(false) }, "v1"},
 		{"the first version has left at once, before the second has settled", func(h *historyTest) { h.pass(time.Second); h.set("v2") }, "several"},
+		{"the list was old, lacks changes, and is confirmed as of before too", func(h *historyTest) {
+			before := h.now
+			h.now = h.now.Add(time.Minute)
+			h.List(h.now, listOf(h.versions), false)
+			h.Confirm(before)
+			h.Confirm(h.now)
+		}, "several"},
 		{"an endpoint of unknown version", func(h *historyTest) { h.pass(time.Second); h.set("v1", ""); h.pass(2 * time.Second) }, "several"},
 		{"only endpoints of unknown version", func(h *historyTest) { h.set(""); h.pass(time.Minute) }, "several"},
 		{"no endpoint", func(h *historyTest) { h.set(); h.pass(time.Minute) }, "several"},
@@ -129,6 +136,13 @@
 	h.set("v1", "v2", "v3")
 	assert.Assert(t, allows("v1") && allows("v2") && allows("v3"), "no router takes one of two versions for the only one")
 	h = newHistoryTest(true, "v1")
+	h.set("v2")
+	h.pass(10 * time.Second)
+	h.set("v1", "v2")
+	assert.Assert(t, !allows("v1"), "other routers may have forgotten it")
+	h.pass(2 * time.Second)
+	assert.Assert(t, allows("v1"))
+	h = newHistoryTest(true, "v1")
 	h.pass(time.Second)
 	h.List(h.now, map[string]map[ryeford.SoftwareVersion]int{"s": {"v1": 0, "v2": 1}}, true)
 	assert.Assert(t, h.NewStreams(h.now, "s").Allows("v2"), "the endpoints of the settled version leave")
