fix: a stream that begins at another version than the only one known is recorded

A router that knows one version may send a request to an endpoint of another one: the retry of a new stream, once its first version had no endpoint left, could go to a version that has not settled. Such a stream had no record, and other routers would have taken it up at the first version. It is recorded now, and that retry keeps to the versions at which new streams may begin. Found by reading the diff; none seen.

Measured: TestOtherVersionIsRecorded, which fails without the comparison; TestReplay passes.

--- a/gateway/choosing.go
+++ b/gateway/choosing.go
@@ -7,7 +7,6 @@
 	"github.com/ryeford/ryeford"
 	"github.com/ryeford/ryeford/gateway/choice"
 	"github.com/ryeford/ryeford/gateway/roster"
-	"github.com/ryeford/ryeford/gateway/streamversion"
 	"github.com/ryeford/ryeford/internal/clock"
 )
 
@@ -22,7 +21,7 @@
 	preferred := x.addStream(&query)
 	selected := x.chooseUsable(&query)
 	if selected.to == nil && preferred {
-		query.stream = streamversion.Constraint{}
+		query.stream = x.forwarder.streams.history.NewStreams(clock.Now(), query.service)
 		selected = x.chooseUsable(&query)
 	}
 	if selected.to == nil {
--- a/gateway/streamversion/stream.go
+++ b/gateway/streamversion/stream.go
@@ -69,12 +69,15 @@
 	if s.constraint.begun {
 		return
 	}
-	t := s.tracker
-	now := t.now()
-	if _, only := t.history.Only(now, s.service); only {
-		return
+	if now := s.tracker.now(); !s.isOnly(now, software) {
+		s.sendRecord(now, software)
 	}
-	s.sendRecord(now, software)
+}
+
+// isOnly reports whether every router that is in touch can prove that the stream has begun at a version.
+func (s *Stream) isOnly(now time.Time, software ryeford.SoftwareVersion) bool {
+	only, ok := s.tracker.history.Only(now, s.service)
+	return ok && only.Same(software)
 }
 
 // sendRecord sends the record of an attempt to peers, unless they have it.
@@ -112,20 +115,18 @@
 	}
 	t := s.tracker
 	now := t.now()
-	_, only := t.history.Only(now, s.service)
-	switch {
-	case len(s.sent) > 0 || !only:
-		s.sendRecord(now, software) // several versions may serve since the request was sent
-		if err := s.awaitConfirmed(ctx); err != nil {
-			return err
-		}
-		s.constraint = BegunBy(software)
-	default:
+	if len(s.sent) == 0 && s.isOnly(now, software) {
 		s.constraint = BegunBy(software)
 		t.mu.Lock()
+		defer t.mu.Unlock()
 		t.running[s] = true
-		t.mu.Unlock()
+		return nil
+	}
+	s.sendRecord(now, software) // several versions may serve since the request was sent
+	if err := s.awaitConfirmed(ctx); err != nil {
+		return err
 	}
+	s.constraint = BegunBy(software)
 	return nil
 }
 
--- a/gateway/streamversion/tracker_test.go
+++ b/gateway/streamversion/tracker_test.go
@@ -194,6 +194,21 @@
 	})
 }
 
+// TestOtherVersionIsRecorded guards against a stream without a record at a router that knows one version, if the endpoint
+// that begins it runs another one.
+func TestOtherVersionIsRecorded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, software := range []ryeford.SoftwareVersion{"v2", ""} {
+			l, trackers := newLinkedTrackers(3, "v1")
+			begin(t, trackers[0], "r", "s", software)
+			assert.Assert(t, l.sends() > 0)
+			origin := resume(trackers[0], "r", "s", "account")
+			assert.Equal(t, origin.Source, SourceRecord)
+			assert.Equal(t, origin.Software, software)
+		}
+	})
+}
+
 // TestRecordsBound guards against records that grow without a bound or stay for good, and against records of streams
 // that go on but are dropped.
 func TestRecordsBound(t *testing.T) {
