feat: the charge of a crash names the prompt that ran

The logs could not show by themselves that all endpoints of the incident ended under one shared part: request_crashed named the exact request only, and its prompt had to be joined from send over all routers. It now has the shared parts of the prompt, the events that the caller has, and how long the attempt had run, which tells a request that ends its endpoint at the first token from one that ran beside it. No decision changes.

Measured: go test ./gateway -run 'Poison|Crash|Quarantine|Held' passes.

--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -92,6 +92,8 @@
 	request     ryeford.RequestID
 	fingerprint quarantine.Fingerprint
 	account     ryeford.AccountID
+	prompt      []ryeford.PromptPart
+	events      int // number of events that the caller has received
 	began       time.Time
 	ended       time.Time
 }
@@ -106,7 +108,8 @@
 	wasHeld := h.table.Check(now, lost.fingerprint, false).Held
 	record := h.table.RecordCrash(now, lost.fingerprint, uint32(route.NameHash(string(lost.account))), crash)
 	_ = h.log.Log("decision", "request_crashed", "request", lost.request, "fingerprint", lost.fingerprint, "account", lost.account,
-		"endpoint", to.ID, "crashes", len(record.Crashes), "held", !record.HeldSince.IsZero())
+		"endpoint", to.ID, "prompt", promptText(lost.prompt), "events", lost.events, "took", roundTime(lost.ended.Sub(lost.began)),
+		"crashes", len(record.Crashes), "held", !record.HeldSince.IsZero())
 	if record.HeldSince.IsZero() {
 		return
 	}
@@ -168,7 +171,7 @@
 	}
 	lost := &lostAttempt{
 		request: x.request.meta.ID, fingerprint: x.fingerprint(), account: x.request.accountID(),
-		began: x.attemptStarted, ended: clock.Now(),
+		prompt: x.request.meta.Prefix, events: x.relay.sentEvents, began: x.attemptStarted, ended: clock.Now(),
 	}
 	go x.forwarder.quarantine.recordCrash(to, lost)
 }
