--- /dev/null
+++ b/gateway/poisonpart_test.go
@@ -0,0 +1,85 @@
+package gateway_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ryeford/ryeford/platform/wire"
+	"github.com/ryeford/ryeford/settings"
+)
+
+// These tests guard against a poison prompt part: whatever else a request with this part holds, it crashes each
+// endpoint that runs it.
+
+// poisonPart is the ID of the poison prompt part.
+const poisonPart = "c0ffee"
+
+// prompted sends a request with a body of its own whose prompt has the given shared parts and an own last part.
+func (f *fixture) prompted(parts ...string) reply {
+	f.t.Helper()
+	request := f.request("POST", "/stream/a", "key-1", fmt.Sprintf("request %d of %p", f.requests, f))
+	var prompt strings.Builder
+	for _, part := range parts {
+		fmt.Fprintf(&prompt, "%s:100,", part)
+	}
+	fmt.Fprintf(&prompt, "%x:10", 1<<20+f.requests)
+	request.Header.Set(wire.HeaderPrompt, prompt.String())
+	return f.do(request)
+}
+
+// crashesByPart returns the number of requests with poisonPart that endpoints have received.
+func (f *fixture) crashesByPart() int {
+	n := 0
+	for _, server := range f.endpoints {
+		for _, received := range server.Received() {
+			if strings.Contains(received.Header.Get(wire.HeaderPrompt), poisonPart) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// TestPoisonPart checks that requests with a part that has crashed five endpoints reach at most three more, at any
+// router, wherever in the prompt the part stands, though each request is new; and that requests with the other parts,
+// even if these never came without it, are served.
+func TestPoisonPart(t *testing.T) {
+	const endpoints, contact, maxCrashes = 24, 500 * time.Millisecond, 5 + 3
+	for name, parts := range map[string][]string{
+		"first":        {poisonPart, "a1", "b1"},
+		"in between":   {"a1", poisonPart, "b1"},
+		"next to last": {"a1", "b1", poisonPart},
+		"alone":        {poisonPart},
+	} {
+		t.Run(name, func(t *testing.T) {
+			gateways := newPeers(t, 3, time.Hour, func(_ int, s *settings.Gateway) { s.Bounds.Contact = contact })
+			first := gateways[0]
+			for i := range endpoints {
+				first.addEndpoint("model", fmt.Sprintf("m%d", i), 5).SetCrashPart(poisonPart)
+			}
+			for _, f := range gateways {
+				f.awaitEndpoints(2 + endpoints)
+			}
+			for i := 0; first.crashesByPart() < 5 && i < 12; i++ {
+				assert.Assert(t, gateways[i%len(gateways)].prompted(parts...).status != 200)
+			}
+			time.Sleep(contact)
+			for i := range 8 * len(gateways) {
+				got := gateways[i%len(gateways)].prompted(parts...)
+				assert.NilError(t, got.err)
+				assert.Assert(t, got.status == 502 || got.status == 503, "%d", got.status)
+			}
+			crashes := first.crashesByPart()
+			assert.Assert(t, crashes <= maxCrashes, "%d requests crashed endpoints", crashes)
+			for _, f := range gateways {
+				assert.Equal(t, f.prompted("a1", "b1").status, 200)
+				assert.Equal(t, f.prompted("b1").status, 200)
+				assert.Equal(t, f.prompted("a1", "b2").status, 200)
+			}
+		})
+	}
+}
--- a/standin/appserver/serve.go
+++ b/standin/appserver/serve.go
@@ -64,7 +64,7 @@
 		return
 	}
 	defer s.endRun()
-	if crash := s.crashFor(body); crash != nil {
+	if crash := s.crashFor(body, r.Header.Get(wire.HeaderPrompt)); crash != nil {
 		crash()
 		panic(http.ErrAbortHandler)
 	}
--- a/standin/appserver/server.go
+++ b/standin/appserver/server.go
@@ -13,6 +13,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -35,7 +36,10 @@
 	running int // number of requests
 	size    int // of a plain response, in bytes; zero: the request is echoed
 	// crashBody, unless it is empty, is a request body that crashes the endpoint.
-	crashBody  string
+	crashBody string
+	// crashPart, unless it is empty, is the ID of a prompt part that crashes the endpoint, unless it is the last of its
+	// prompt.
+	crashPart  string
 	crash      func()
 	leaving    bool   // responses report that the endpoint is leaving
 	retryAfter string // of requests refused by FaultShed; none if empty
@@ -151,22 +155,42 @@
 	s.crashBody = body
 }
 
+// SetCrashPart sets the ID of a prompt part, in hexadecimal. Requests crash the endpoint when it starts to run them if
+// their prompt has that part, not as the last one. Empty disables such crashes.
+func (s *Server) SetCrashPart(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.crashPart = id
+}
+
 // SetCrash sets the function that plays a crash: it must stop the HTTP server and close all its
-// connections. It is called when a request with the body of SetCrashBody starts to run.
+// connections. It is called when a request of SetCrashBody or SetCrashPart starts to run.
 func (s *Server) SetCrash(crash func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.crash = crash
 }
 
-// crashFor returns the crash function if a body crashes the endpoint, and nil otherwise.
-func (s *Server) crashFor(body []byte) func() {
+// crashFor returns the crash function if a request crashes the endpoint, and nil otherwise. prompt is the header that
+// describes its prompt.
+func (s *Server) crashFor(body []byte, prompt string) func() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.crashBody == "" || string(body) != s.crashBody {
-		return nil
+	if s.crashBody != "" && string(body) == s.crashBody || s.crashPart != "" && sharesPart(prompt, s.crashPart) {
+		return s.crash
+	}
+	return nil
+}
+
+// sharesPart reports whether a prompt has a part with an ID, other than its last part.
+func sharesPart(prompt, id string) bool {
+	parts := strings.Split(prompt, ",")
+	for _, part := range parts[:len(parts)-1] {
+		if name, _, _ := strings.Cut(part, ":"); name == id {
+			return true
+		}
 	}
-	return s.crash
+	return false
 }
 
 // nextFault returns the fault of the next request. s.mu is held.
