fix: requests that share a poison part of their prompts are held

Cause: a crash was charged to the exact request (account, target, body). Requests that share only a part of their prompts are new ones each time, so that no record had two crashes: 46 charges, 46 fingerprints.

Change: a fingerprint names a request or a shared part; both are charged, cleared, gossiped and kept by the one table. The first message to a starting peer has what is held. Records in gossip and in the store keep their format; routers of the release before take a part for a request that never comes.

Two faults of the table showed in it and are part of the rule: a success within a second of a known one did not clear crashes that it refutes, and a hold outlasted the crashes that a late success had refuted (TestSuccessOfPart, TestSuccessBeforeHold).

Conclusion: holds because any success of any request with a part clears it, a poison part has none, and three crashes, one after the other, come before the fifth.

--- a/gateway/exchange_test.go
+++ b/gateway/exchange_test.go
@@ -165,7 +165,8 @@
 	now := time.Now()
 	for i := range 3 {
 		began := now.Add(time.Duration(i-5) * time.Second)
-		e.forwarder.quarantine.table.RecordCrash(now, quarantine.FingerprintOf("bank", "/keyed/a", nil), 0,
+		same := &quarantine.Subject{Fingerprints: []quarantine.Fingerprint{quarantine.FingerprintOf("bank", "/keyed/a", nil)}}
+		e.forwarder.quarantine.table.RecordCrash(now, same,
 			quarantine.Crash{Endpoint: uint32(i), Began: began, Ended: began.Add(time.Second / 2)})
 	}
 }
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -239,6 +239,7 @@
 			now := clock.Now()
 			message := g.message(now, sequence, schedule.Complete(g.table.Alive(now)))
 			message.Leaving = g.roster.LeavingSince(time.Time{}, peers.MaxLeaving) // regardless of age: the peer has only the list
+			message.Quarantined = g.quarantine.forJoining(now)
 			g.sendTo(conn, []netip.AddrPort{peer}, message, schedule)
 		}
 	}
--- a/gateway/gossip_test.go
+++ b/gateway/gossip_test.go
@@ -62,7 +62,7 @@
 	assert.Equal(t, len(b.prefixes.CachedTokens(now, parts)), 1)
 	assert.Equal(t, len(a.message(now, 2, true).Prompts), 0, "prompts are sent only once")
 	suspect := quarantine.FingerprintOf("bank", "/stream/a", nil)
-	a.quarantine.table.RecordCrash(now, suspect, 0, quarantine.Crash{Began: now.Add(-time.Second), Ended: now})
+	a.quarantine.table.RecordCrash(now, &quarantine.Subject{Account: 0, Fingerprints: []quarantine.Fingerprint{suspect}}, quarantine.Crash{Began: now.Add(-time.Second), Ended: now})
 	b.merge(now, a.briefMessage(now, 3))
 	assert.Assert(t, b.quarantine.table.MayMatch(suspect.Filter()))
 	b.merge(now, a.message(now, 1, true))
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -1,6 +1,9 @@
 package gateway
 
 import (
+	"fmt"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/go-kit/log"
@@ -57,6 +60,14 @@
 	return peers.EncodeRecords(now, h.table.Outgoing(now, peers.MaxQuarantined))
 }
 
+// forJoining returns the records for the first message to a peer that has just started.
+func (h *quarantineState) forJoining(now time.Time) []peers.Quarantined {
+	if h.disabled {
+		return nil
+	}
+	return peers.EncodeRecords(now, h.table.ForJoining(peers.MaxQuarantined))
+}
+
 // merge merges the records of a peer's message.
 func (h *quarantineState) merge(now time.Time, message *peers.Message) {
 	if h.disabled {
@@ -89,13 +100,13 @@
 
 // A lostAttempt is an attempt whose connection the endpoint has closed.
 type lostAttempt struct {
-	request     ryeford.RequestID
-	fingerprint quarantine.Fingerprint
-	account     ryeford.AccountID
-	prompt      []ryeford.PromptPart
-	events      int // number of events that the caller has received
-	began       time.Time
-	ended       time.Time
+	request ryeford.RequestID
+	subject quarantine.Subject
+	account ryeford.AccountID
+	prompt  []ryeford.PromptPart
+	events  int // number of events that the caller has received
+	began   time.Time
+	ended   time.Time
 }
 
 // recordCrash records a lost attempt if the endpoint has crashed.
@@ -103,20 +114,31 @@
 	if h.disabled || !h.crashes.crashed(to) {
 		return
 	}
-	now := clock.Now()
 	crash := quarantine.Crash{Endpoint: uint32(route.NameHash(string(to.ID))), Began: lost.began, Ended: lost.ended}
-	wasHeld := h.table.Check(now, lost.fingerprint, false).Held
-	record := h.table.RecordCrash(now, lost.fingerprint, uint32(route.NameHash(string(lost.account))), crash)
-	_ = h.log.Log("decision", "request_crashed", "request", lost.request, "fingerprint", lost.fingerprint, "account", lost.account,
+	charges := h.table.RecordCrash(clock.Now(), &lost.subject, crash)
+	_ = h.log.Log("decision", "request_crashed", "request", lost.request, "fingerprint", lost.subject.Fingerprints[0], "account", lost.account,
 		"endpoint", to.ID, "prompt", promptText(lost.prompt), "events", lost.events, "took", roundTime(lost.ended.Sub(lost.began)),
-		"crashes", len(record.Crashes), "held", !record.HeldSince.IsZero())
-	if record.HeldSince.IsZero() {
-		return
+		"charged", chargesText(charges), "held", slices.ContainsFunc(charges, blocks))
+	for i := range charges {
+		charge := &charges[i]
+		if charge.Blocks {
+			h.heldRequests.enqueueWrite(&charge.Record)
+		}
+		if charge.NewlyHeld {
+			h.logHeld(&charge.Record, "self")
+		}
 	}
-	h.heldRequests.enqueueWrite(&record)
-	if !wasHeld {
-		h.logHeld(&record, "self")
+}
+
+func blocks(charge quarantine.Charge) bool { return charge.Blocks }
+
+// chargesText formats charges for the log: the number of crashes of each fingerprint.
+func chargesText(charges []quarantine.Charge) string {
+	var texts []string
+	for i := range charges {
+		texts = append(texts, fmt.Sprintf("%s=%d", charges[i].Fingerprint, len(charges[i].Crashes)))
 	}
+	return strings.Join(texts, ",")
 }
 
 // fingerprint returns the fingerprint that requests share if they differ only in their IDs. It is
@@ -128,38 +150,50 @@
 	return x.cachedFingerprint
 }
 
-// mayBePoison reports whether requests like this one may have crashed endpoints.
-func (x *exchange) mayBePoison() bool {
-	if x.forwarder.quarantine.disabled {
-		return false
-	}
+// subject returns the request as a subject of the quarantine, without its own fingerprint if no record can match it.
+func (x *exchange) subject() *quarantine.Subject {
+	var fingerprints []quarantine.Fingerprint
 	filter := quarantine.FilterOf(x.request.accountID(), x.incoming.RequestURI, len(x.request.body))
-	return x.forwarder.quarantine.table.MayMatch(filter)
+	if x.forwarder.quarantine.table.MayMatch(filter) {
+		fingerprints = append(fingerprints, x.fingerprint())
+	}
+	return x.subjectOf(fingerprints)
+}
+
+// subjectOf returns a subject with fingerprints and those of the shared parts of the request's prompt.
+func (x *exchange) subjectOf(fingerprints []quarantine.Fingerprint) *quarantine.Subject {
+	return &quarantine.Subject{
+		Account:      uint32(route.NameHash(string(x.request.accountID()))),
+		Fingerprints: append(fingerprints, quarantine.PartFingerprints(x.request.meta.Prefix)...),
+	}
 }
 
 // checkQuarantine returns whether the request is held, or let through as a trial.
 func (x *exchange) checkQuarantine(now time.Time) quarantine.Decision {
-	if !x.mayBePoison() {
+	h := x.forwarder.quarantine
+	if h.disabled || h.table.Empty() {
 		return quarantine.Decision{}
 	}
-	h := x.forwarder.quarantine
-	decision := h.table.Check(now, x.fingerprint(), h.mayTry(now))
-	if decision.Trial {
-		h.heldRequests.enqueueWrite(&decision.Record)
-		_ = h.log.Log("decision", "quarantine_trial", "request", x.request.meta.ID, "fingerprint", x.fingerprint())
+	decision := h.table.Check(now, x.subject(), h.mayTry(now))
+	for i := range decision.Records {
+		h.heldRequests.enqueueWrite(&decision.Records[i])
+		_ = h.log.Log("decision", "quarantine_trial", "request", x.request.meta.ID, "fingerprint", decision.Records[i].Fingerprint)
+	}
+	if decision.Held {
+		_ = h.log.Log("decision", "quarantine_held", "request", x.request.meta.ID, "by", fmt.Sprint(decision.By), "retry_after", roundTime(decision.RetryAfter))
 	}
 	return decision
 }
 
 // clearQuarantine records that the request was answered successfully and so is not a poison request.
 func (x *exchange) clearQuarantine() {
-	if !x.mayBePoison() {
+	h := x.forwarder.quarantine
+	if h.disabled {
 		return
 	}
-	h := x.forwarder.quarantine
-	if h.table.RecordSuccess(clock.Now(), x.fingerprint()) {
-		h.heldRequests.enqueueRemoval(x.fingerprint())
-		_ = h.log.Log("decision", "quarantine_ended", "request", x.request.meta.ID, "fingerprint", x.fingerprint(), "why", "answered")
+	for _, fingerprint := range h.table.RecordSuccess(clock.Now(), x.subject(), x.relay.generated) {
+		h.heldRequests.enqueueRemoval(fingerprint)
+		_ = h.log.Log("decision", "quarantine_ended", "request", x.request.meta.ID, "fingerprint", fingerprint, "why", "answered")
 	}
 }
 
@@ -170,7 +204,7 @@
 		return
 	}
 	lost := &lostAttempt{
-		request: x.request.meta.ID, fingerprint: x.fingerprint(), account: x.request.accountID(),
+		request: x.request.meta.ID, subject: *x.subjectOf([]quarantine.Fingerprint{x.fingerprint()}), account: x.request.accountID(),
 		prompt: x.request.meta.Prefix, events: x.relay.sentEvents, began: x.attemptStarted, ended: clock.Now(),
 	}
 	go x.forwarder.quarantine.recordCrash(to, lost)
--- a/gateway/quarantine/fingerprint.go
+++ b/gateway/quarantine/fingerprint.go
@@ -4,15 +4,17 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/ryeford/ryeford"
 )
 
-// A Fingerprint identifies requests with the same client account, target and body. It does not cover the
-// request's ID, its headers or the caller's key. It contains a cryptographic hash, so that no caller can craft
-// a request with the fingerprint of another account's request.
+// A Fingerprint identifies a possible cause of crashes: all requests with the same client account, target and body,
+// or all requests with the same prompt part. That of a request does not cover the request's ID, its headers or the
+// caller's key. It contains a cryptographic hash, so that no caller can craft a request with the fingerprint of
+// another account's request.
 type Fingerprint [16]byte
 
 // A Filter is the part of a fingerprint that needs no hash of the body. It rules out most requests
@@ -53,5 +55,10 @@
 // Filter returns the filter of f.
 func (f Fingerprint) Filter() Filter { return Filter(binary.BigEndian.Uint32(f[:])) }
 
-// String returns f in hexadecimal digits.
-func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
+// String returns f in hexadecimal digits, or the ID of a prompt part after "part:".
+func (f Fingerprint) String() string {
+	if id, ok := f.part(); ok {
+		return partPrefix + strconv.FormatUint(id, 16)
+	}
+	return hex.EncodeToString(f[:])
+}
--- a/gateway/quarantine/record.go
+++ b/gateway/quarantine/record.go
@@ -15,15 +15,8 @@
 	totalCrashesToHold   = 5
 	minSuccessiveCrashes = 2
 	// MaxCrashes is the maximum number of crashes in a Record. It exceeds totalCrashesToHold, since
-	// crashes may overlap.
-	MaxCrashes = 8
-	// trialDelay is the time from the hold to the first trial. trialDelayFactor is the factor by which the
-	// delay grows after each unsuccessful trial. Each may crash an engine, and a fix takes minutes to roll out.
-	trialDelay       = 10 * time.Minute
-	trialDelayFactor = 6
-	// maxTrials is the maximum number of trials of held requests. Together with an attempt that is in
-	// flight at the hold, at most three endpoints crash after it.
-	maxTrials = 2
+	// crashes may overlap, and those of two records are compared.
+	MaxCrashes = 16
 	// crashTTL is how long crashes count that have not led to a hold. holdTTL is how long requests stay
 	// held after the hold or the last trial.
 	crashTTL = time.Hour
@@ -40,15 +33,20 @@
 	Ended    time.Time // end of the endpoint
 }
 
+// anyAccount is the Account of a prompt part that crashed endpoints in requests of several client accounts.
+const anyAccount = 0
+
 // A Record holds the crashes, successes and trials of the requests with one fingerprint. Its times are on the
 // monotonic clock.
 type Record struct {
 	Fingerprint Fingerprint
-	Account     uint32  // the low half of route.NameHash of the client account
-	Crashes     []Crash // ordered by Ended
+	// Account is the low half of route.NameHash of the client account whose requests crashed endpoints, or anyAccount.
+	Account uint32
+	Crashes []Crash // ordered by Ended
 	// LastSuccess is the time of the last success, or zero. Attempts that began earlier don't count.
 	LastSuccess time.Time
-	// HeldSince is when the requests were held, or zero if they are not.
+	// HeldSince is when the crashes sufficed to hold the requests, or zero if they don't. Other held records may explain
+	// the crashes.
 	HeldSince time.Time
 	// Trials is the number of trials since HeldSince, and LastTrial is when the last one began.
 	Trials    int
@@ -72,19 +70,33 @@
 	slices.SortStableFunc(r.Crashes, func(a, b Crash) int { return a.Ended.Compare(b.Ended) })
 	r.hold()
 	if len(r.Crashes) > MaxCrashes {
-		r.Crashes = slices.Delete(r.Crashes, 0, 1)
+		// The first and the last crash are kept: all between them count as this record's, too.
+		r.Crashes = slices.Delete(r.Crashes, MaxCrashes/2, MaxCrashes/2+1)
 	}
 	return true
 }
 
+// lastCrash returns when the last endpoint ended, or zero.
+func (r *Record) lastCrash() time.Time {
+	if len(r.Crashes) == 0 {
+		return time.Time{}
+	}
+	return r.Crashes[len(r.Crashes)-1].Ended
+}
+
 // hold marks the requests as held if enough endpoints have crashed.
 func (r *Record) hold() {
-	n := countSuccessive(r.Crashes)
-	if r.HeldSince.IsZero() && (n >= crashesToHold || n >= minSuccessiveCrashes && len(r.Crashes) >= totalCrashesToHold) {
+	if r.HeldSince.IsZero() && sufficient(r.Crashes) {
 		r.HeldSince = r.Crashes[len(r.Crashes)-1].Ended
 	}
 }
 
+// sufficient reports whether requests are held after crashes, which are ordered by Ended.
+func sufficient(crashes []Crash) bool {
+	n := countSuccessive(crashes)
+	return n >= crashesToHold || n >= minSuccessiveCrashes && len(crashes) >= totalCrashesToHold
+}
+
 // countSuccessive returns the largest number of successive crashes among crashes, which are ordered by Ended.
 // Taking the earliest possible crash each time yields the maximum.
 func countSuccessive(crashes []Crash) int {
@@ -105,20 +117,45 @@
 		return false
 	}
 	r.LastSuccess = at
+	before := len(r.Crashes)
 	r.Crashes = slices.DeleteFunc(r.Crashes, func(crash Crash) bool { return !crash.Began.After(at) })
-	if !r.HeldSince.After(at) {
+	if !r.HeldSince.After(at) || len(r.Crashes) < before && !sufficient(r.Crashes) {
 		r.HeldSince, r.LastTrial, r.Trials = time.Time{}, time.Time{}, 0
 	}
 	return true
 }
 
+// refutes reports whether a success precedes the end of one of the crashes of another record, so that the other
+// router does not know of it.
+func (r *Record) refutes(other *Record) bool {
+	return slices.ContainsFunc(other.Crashes, func(crash Crash) bool { return !crash.Began.After(r.LastSuccess) })
+}
+
+// addAccount records that requests of an account crashed an endpoint, and reports whether the record changed.
+func (r *Record) addAccount(account uint32) bool {
+	switch {
+	case !r.Fingerprint.IsPart() || r.Account == account:
+		return false
+	case len(r.Crashes) == 0 && r.HeldSince.IsZero():
+		r.Account = account
+	case r.Account == anyAccount:
+		return false
+	default:
+		r.Account = anyAccount
+	}
+	return true
+}
+
 // merge adds a peer's record, and reports whether anything changed.
 func (r *Record) merge(other *Record) (changed bool) {
 	changed = !other.LastSuccess.IsZero() && r.mergeSuccess(other.LastSuccess)
+	if len(other.Crashes) > 0 || !other.HeldSince.IsZero() {
+		changed = r.addAccount(other.Account) || changed
+	}
 	for _, crash := range other.Crashes {
 		changed = r.add(crash) || changed
 	}
-	if r.HeldSince.IsZero() && other.HeldSince.After(r.LastSuccess) {
+	if r.HeldSince.IsZero() && other.HeldSince.After(r.LastSuccess) && r.supported(other) {
 		r.HeldSince, changed = other.HeldSince, true
 	}
 	if !r.HeldSince.IsZero() && other.Trials > r.Trials {
@@ -127,30 +164,24 @@
 	return changed
 }
 
+// supported reports whether a peer's hold may still stand: it has no crashes, because it was read from the store, or
+// some that no success follows.
+func (r *Record) supported(other *Record) bool { return len(other.Crashes) == 0 || len(r.Crashes) > 0 }
+
 // timeTolerance is the maximum difference between the times of one event in several messages. Messages state
 // ages in whole milliseconds, and their transmission times differ.
 const timeTolerance = time.Second
 
 // mergeSuccess is recordSuccess for a success from a peer's record, which may already be recorded.
 func (r *Record) mergeSuccess(at time.Time) bool {
-	if !r.LastSuccess.IsZero() && at.Sub(r.LastSuccess) < timeTolerance {
+	precedes := func(crash Crash) bool { return !crash.Began.After(at) }
+	known := !r.LastSuccess.IsZero() && at.Sub(r.LastSuccess) < timeTolerance
+	if known && !slices.ContainsFunc(r.Crashes, precedes) {
 		return false
 	}
 	return r.recordSuccess(at)
 }
 
-// trialDue returns when the next trial of a held request is due, and false if there are no more trials.
-func (r *Record) trialDue() (time.Time, bool) {
-	if r.Trials >= maxTrials {
-		return time.Time{}, false
-	}
-	since, wait := r.HeldSince, trialDelay
-	for range r.Trials {
-		since, wait = r.LastTrial, wait*trialDelayFactor
-	}
-	return since.Add(wait), true
-}
-
 // expires returns when the record can be removed unless it changes.
 func (r *Record) expires() time.Time {
 	last := r.LastSuccess.Add(successTTL)
--- a/gateway/quarantine/table.go
+++ b/gateway/quarantine/table.go
@@ -2,9 +2,9 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -14,17 +14,19 @@
 	// sendsPerChange is the number of messages that contain a record after each change. With several
 	// receivers for each message it reaches all routers.
 	sendsPerChange = 4
-	// trialDuration is the time that a trial may take. It is the retry delay of callers while a trial is due
-	// that this router may not start.
-	trialDuration = time.Minute
+	// maxRotated is the maximum number of unchanged held records in a message.
+	maxRotated = 2
 )
 
 // A Table holds the records of one router. It is safe for concurrent use.
 type Table struct {
-	mu       sync.Mutex
-	records  map[Fingerprint]*entry
-	filters  map[Filter]int // number of records by filter
-	nextHeld int            // index of the held record that was sent last
+	size atomic.Int64 // number of records, for requests while there are none
+
+	mu        sync.Mutex
+	records   map[Fingerprint]*entry
+	filters   map[Filter]int // number of records by filter
+	nextHeld  int            // index of the held record that was sent last
+	successes successes      // of prompt parts
 }
 
 // An entry is a record and its send state.
@@ -38,6 +40,9 @@
 	return &Table{records: make(map[Fingerprint]*entry), filters: make(map[Filter]int)}
 }
 
+// Empty reports whether there are no records, so that nothing matches any request.
+func (t *Table) Empty() bool { return t.size.Load() == 0 }
+
 // MayMatch reports whether a record may match a request whose fingerprint has the filter.
 func (t *Table) MayMatch(filter Filter) bool {
 	t.mu.Lock()
@@ -45,64 +50,112 @@
 	return t.filters[filter] > 0
 }
 
-// RecordCrash records that an endpoint ended while it ran a request of an account. It returns a copy of the
-// request's record.
-func (t *Table) RecordCrash(now time.Time, fingerprint Fingerprint, account uint32, crash Crash) Record {
+// A Charge is the outcome of a crash for one fingerprint of the request that ran.
+type Charge struct {
+	Record
+	// NewlyHeld reports that the crash was the one that sufficed to hold the requests.
+	NewlyHeld bool
+	// Blocks reports that the record keeps the subject from being sent again.
+	Blocks bool
+}
+
+// RecordCrash records that an endpoint ended while it ran a request. It returns a charge for each fingerprint of the
+// request, other than those that have succeeded since the attempt began.
+func (t *Table) RecordCrash(now time.Time, s *Subject, crash Crash) []Charge {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	e := t.entry(now, fingerprint, account)
-	if e.add(crash) {
-		e.sendsLeft = sendsPerChange
+	var charges []Charge
+	for _, fingerprint := range s.Fingerprints {
+		if !crash.Began.After(t.successes.last(fingerprint)) {
+			continue
+		}
+		e := t.entry(now, fingerprint, s.Account)
+		wasHeld := !e.HeldSince.IsZero()
+		e.addAccount(s.Account)
+		if e.add(crash) {
+			e.sendsLeft = sendsPerChange
+		}
+		charges = append(charges, Charge{Record: e.copy(), NewlyHeld: !wasHeld && !e.HeldSince.IsZero()})
 	}
-	return e.copy()
+	blockers := t.blockers(s)
+	for i := range charges {
+		blocks := func(e *entry) bool { return e.Fingerprint == charges[i].Fingerprint }
+		charges[i].Blocks = slices.ContainsFunc(blockers, blocks)
+	}
+	return charges
 }
 
-// RecordSuccess records that a request was answered with a success, and reports whether it was held.
-func (t *Table) RecordSuccess(now time.Time, fingerprint Fingerprint) (wasHeld bool) {
+// RecordSuccess records that a request was answered with a success, and returns which of its fingerprints were held.
+// generated reports whether the endpoint generated anything: otherwise the success says nothing about prompt parts.
+func (t *Table) RecordSuccess(now time.Time, s *Subject, generated bool) (released []Fingerprint) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	e := t.records[fingerprint]
-	if e == nil {
-		return false
-	}
-	wasHeld = !e.HeldSince.IsZero()
-	if len(e.Crashes) > 0 || wasHeld {
+	for _, fingerprint := range s.Fingerprints {
+		if fingerprint.IsPart() {
+			if !generated {
+				continue
+			}
+			t.successes.add(now, fingerprint)
+		}
+		e := t.records[fingerprint]
+		if e == nil {
+			continue
+		}
+		wasHeld := !e.HeldSince.IsZero()
+		if len(e.Crashes) > 0 || wasHeld {
+			e.sendsLeft = sendsPerChange
+		}
 		e.recordSuccess(now)
-		e.sendsLeft = sendsPerChange
+		if wasHeld {
+			released = append(released, fingerprint)
+		}
 	}
-	return wasHeld
+	return released
 }
 
 // A Decision states whether a request may be sent to an endpoint.
 type Decision struct {
 	Held bool
+	// By are the fingerprints for which the request is held.
+	By []Fingerprint
 	// RetryAfter is the time until a held request may be tried again, or until its record expires.
 	RetryAfter time.Duration
-	// Trial reports that the request may be sent as a trial of a held request. Record is the record
+	// Trial reports that the request may be sent as a trial of a held request. Records are the records
 	// including this trial.
-	Trial  bool
-	Record Record
+	Trial   bool
+	Records []Record
 }
 
 // Check returns the decision on a request. mayTry reports whether this router may start a trial now.
-func (t *Table) Check(now time.Time, fingerprint Fingerprint, mayTry bool) Decision {
+func (t *Table) Check(now time.Time, s *Subject, mayTry bool) Decision {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	e := t.records[fingerprint]
-	if e == nil || e.HeldSince.IsZero() {
+	blockers := t.blockers(s)
+	if len(blockers) == 0 {
 		return Decision{}
 	}
-	due, possible := e.trialDue()
-	switch {
-	case !possible:
-		return Decision{Held: true, RetryAfter: e.expires().Sub(now)}
-	case now.Before(due):
-		return Decision{Held: true, RetryAfter: due.Sub(now)}
-	case !mayTry:
-		return Decision{Held: true, RetryAfter: trialDuration}
+	decision := Decision{Held: true}
+	allDue := true
+	for _, e := range blockers {
+		after, due := e.retryAfter(now)
+		decision.By = append(decision.By, e.Fingerprint)
+		decision.RetryAfter = max(decision.RetryAfter, after)
+		allDue = allDue && due
 	}
-	e.Trials, e.LastTrial, e.sendsLeft = e.Trials+1, now, sendsPerChange
-	return Decision{Trial: true, Record: e.copy()}
+	if !allDue || !mayTry {
+		return decision
+	}
+	return startTrial(now, blockers)
+}
+
+// startTrial starts a trial of held records.
+func startTrial(now time.Time, held []*entry) Decision {
+	decision := Decision{Trial: true}
+	for _, e := range held {
+		e.Trials, e.LastTrial, e.sendsLeft = e.Trials+1, now, sendsPerChange
+		decision.Records = append(decision.Records, e.copy())
+	}
+	return decision
 }
 
 // Merge adds the records of a peer, and returns the records that are held as a result.
@@ -116,7 +169,8 @@
 		}
 		e := t.entry(now, other.Fingerprint, other.Account)
 		before := e.HeldSince
-		if e.merge(other) {
+		refuted := e.refutes(other)
+		if e.merge(other) || refuted {
 			e.sendsLeft = sendsPerChange
 		}
 		if before.IsZero() && !e.HeldSince.IsZero() {
@@ -127,7 +181,7 @@
 }
 
 // Outgoing returns the records to include in the next message to peers, up to limit. Recently changed records
-// come first, by weight. If there is room, one other held record follows in rotation, for peers that have just
+// come first, by weight. If there is room, other held records follow in rotation, for peers that have just
 // started or were partitioned.
 func (t *Table) Outgoing(now time.Time, limit int) []Record {
 	t.mu.Lock()
@@ -142,13 +196,23 @@
 		e.sendsLeft--
 		result = append(result, e.copy())
 	}
-	if len(held) > 0 && len(result) < limit {
+	for range min(len(held), maxRotated, limit-len(result)) {
 		t.nextHeld = (t.nextHeld + 1) % len(held)
 		result = append(result, held[t.nextHeld].copy())
 	}
 	return result
 }
 
+// ForJoining returns the records to include in the first message to a peer that has just started, up to limit: held
+// ones, those with the most crashes first.
+func (t *Table) ForJoining(limit int) []Record {
+	held := t.Held()
+	slices.SortFunc(held, func(a, b Record) int {
+		return cmp.Or(cmp.Compare(len(b.Crashes), len(a.Crashes)), slices.Compare(a.Fingerprint[:], b.Fingerprint[:]))
+	})
+	return held[:min(len(held), limit)]
+}
+
 // outgoing returns the records that still have messages to go out with, by descending weight, and the other held
 // records. t.mu is held.
 func (t *Table) outgoing() (changed, held []*entry) {
@@ -161,7 +225,8 @@
 		}
 	}
 	slices.SortFunc(changed, func(a, b *entry) int {
-		return cmp.Or(cmp.Compare(b.weight(), a.weight()), slices.Compare(a.Fingerprint[:], b.Fingerprint[:]))
+		// Records of one attempt are compared with each other, so that they go out together.
+		return cmp.Or(cmp.Compare(b.weight(), a.weight()), b.lastCrash().Compare(a.lastCrash()), slices.Compare(a.Fingerprint[:], b.Fingerprint[:]))
 	})
 	slices.SortFunc(held, func(a, b *entry) int { return slices.Compare(a.Fingerprint[:], b.Fingerprint[:]) })
 	return changed, held
@@ -206,60 +271,13 @@
 	if len(t.records) >= maxRecords {
 		t.evict(t.largestAccount())
 	}
-	e := &entry{Record: Record{Fingerprint: fingerprint, Account: account}}
+	e := &entry{Record: Record{Fingerprint: fingerprint, Account: account, LastSuccess: t.successes.last(fingerprint)}}
 	t.records[fingerprint] = e
 	t.filters[fingerprint.Filter()]++
+	t.size.Add(1)
 	return e
 }
 
-// largestAccount returns the account with the most records. Records are evicted from this account, so that an
-// account with many poison requests does not displace the records of others. t.mu is held.
-func (t *Table) largestAccount() uint32 {
-	counts := make(map[uint32]int)
-	for _, e := range t.records {
-		counts[e.Account]++
-	}
-	accounts := slices.Collect(maps.Keys(counts))
-	return slices.MaxFunc(accounts, func(a, b uint32) int {
-		return cmp.Or(cmp.Compare(counts[a], counts[b]), cmp.Compare(a, b))
-	})
-}
-
-// evict removes an eighth of an account's records: those with the lowest weight, and among these those that
-// expire first. t.mu is held.
-func (t *Table) evict(account uint32) {
-	var entries []*entry
-	for _, e := range t.records {
-		if e.Account == account {
-			entries = append(entries, e)
-		}
-	}
-	slices.SortFunc(entries, func(a, b *entry) int {
-		return cmp.Or(cmp.Compare(a.weight(), b.weight()), a.expires().Compare(b.expires()))
-	})
-	for _, e := range entries[:len(entries)/8+1] {
-		t.remove(e)
-	}
-}
-
-// expire removes the expired records. t.mu is held.
-func (t *Table) expire(now time.Time) {
-	for _, e := range t.records {
-		if !now.Before(e.expires()) {
-			t.remove(e)
-		}
-	}
-}
-
-// remove removes a record. t.mu is held.
-func (t *Table) remove(e *entry) {
-	filter := e.Fingerprint.Filter()
-	delete(t.records, e.Fingerprint)
-	if t.filters[filter]--; t.filters[filter] <= 0 {
-		delete(t.filters, filter)
-	}
-}
-
 // copy returns a deep copy of the record.
 func (e *entry) copy() Record {
 	record := e.Record
--- a/gateway/quarantine/table_test.go
+++ b/gateway/quarantine/table_test.go
@@ -14,11 +14,16 @@
 // poison is the fingerprint of a poison request.
 var poison = FingerprintOf("bank", "/stream/a", []byte("body"))
 
+// subject returns a subject with some fingerprints.
+func subject(account uint32, fingerprints ...Fingerprint) *Subject {
+	return &Subject{Account: account, Fingerprints: fingerprints}
+}
+
 // crashUntilHeld records enough crashes for a request to be held, one each second.
 func crashUntilHeld(t *Table, fingerprint Fingerprint, account uint32, second float64) {
 	for i := range crashesToHold {
 		began := second + float64(i)
-		t.RecordCrash(at(began+0.5), fingerprint, account, Crash{Endpoint: uint32(i), Began: at(began), Ended: at(began + 0.5)})
+		t.RecordCrash(at(began+0.5), subject(account, fingerprint), Crash{Endpoint: uint32(i), Began: at(began), Ended: at(began + 0.5)})
 	}
 }
 
@@ -28,17 +33,17 @@
 	assert.Assert(t, !table.MayMatch(poison.Filter()))
 	crashUntilHeld(table, poison, 1, 0)
 	assert.Assert(t, table.MayMatch(poison.Filter()))
-	assert.DeepEqual(t, table.Check(at(3), poison, true), Decision{Held: true, RetryAfter: trialDelay - 500*time.Millisecond})
-	assert.DeepEqual(t, table.Check(at(3), FingerprintOf("church", "/stream/a", []byte("body")), true), Decision{})
+	assert.DeepEqual(t, table.Check(at(3), subject(1, poison), true), Decision{Held: true, By: []Fingerprint{poison}, RetryAfter: trialDelay - 500*time.Millisecond})
+	assert.DeepEqual(t, table.Check(at(3), subject(1, FingerprintOf("church", "/stream/a", []byte("body"))), true), Decision{})
 
 	due := at(2.5).Add(trialDelay)
-	assert.DeepEqual(t, table.Check(due, poison, false), Decision{Held: true, RetryAfter: trialDuration})
-	trial := table.Check(due, poison, true)
+	assert.DeepEqual(t, table.Check(due, subject(1, poison), false), Decision{Held: true, By: []Fingerprint{poison}, RetryAfter: trialDuration})
+	trial := table.Check(due, subject(1, poison), true)
 	assert.Assert(t, trial.Trial && !trial.Held)
-	assert.Equal(t, trial.Record.Trials, 1)
-	assert.DeepEqual(t, table.Check(due, poison, true), Decision{Held: true, RetryAfter: trialDelayFactor * trialDelay})
-	assert.Assert(t, table.RecordSuccess(due.Add(time.Second), poison))
-	assert.DeepEqual(t, table.Check(due.Add(time.Second), poison, false), Decision{})
+	assert.Equal(t, trial.Records[0].Trials, 1)
+	assert.DeepEqual(t, table.Check(due, subject(1, poison), true), Decision{Held: true, By: []Fingerprint{poison}, RetryAfter: trialDelayFactor * trialDelay})
+	assert.DeepEqual(t, table.RecordSuccess(due.Add(time.Second), subject(1, poison), true), []Fingerprint{poison})
+	assert.DeepEqual(t, table.Check(due.Add(time.Second), subject(1, poison), false), Decision{})
 	assert.Equal(t, len(table.Held()), 0)
 }
 
@@ -48,7 +53,7 @@
 	crashUntilHeld(table, poison, 1, 0)
 	trials := 0
 	for minute := range 24 * 60 {
-		if table.Check(at(float64(60*minute)), poison, true).Trial {
+		if table.Check(at(float64(60*minute)), subject(1, poison), true).Trial {
 			trials++
 		}
 	}
@@ -90,7 +95,7 @@
 func countHolding(tables []*Table, fingerprint Fingerprint) int {
 	n := 0
 	for _, table := range tables {
-		if table.Check(at(3), fingerprint, false).Held {
+		if table.Check(at(3), subject(1, fingerprint), false).Held {
 			n++
 		}
 	}
@@ -103,7 +108,7 @@
 	table := New()
 	for i := range 20 {
 		fingerprint := FingerprintOf("bank", fmt.Sprint(i), nil)
-		table.RecordCrash(at(1), fingerprint, 1, Crash{Endpoint: 1, Began: at(0), Ended: at(1)})
+		table.RecordCrash(at(1), subject(1, fingerprint), Crash{Endpoint: 1, Began: at(0), Ended: at(1)})
 	}
 	crashUntilHeld(table, poison, 1, 2)
 	first := table.Outgoing(at(5), 3)
@@ -120,7 +125,7 @@
 // TestExpiry checks that records of crashes expire, and those of held requests later.
 func TestExpiry(t *testing.T) {
 	table := New()
-	table.RecordCrash(at(1), FingerprintOf("bank", "/once", nil), 1, Crash{Endpoint: 1, Began: at(0), Ended: at(1)})
+	table.RecordCrash(at(1), subject(1, FingerprintOf("bank", "/once", nil)), Crash{Endpoint: 1, Began: at(0), Ended: at(1)})
 	crashUntilHeld(table, poison, 1, 0)
 	table.Outgoing(at(1).Add(crashTTL), 1)
 	assert.Equal(t, table.Len(), 1)
@@ -138,7 +143,7 @@
 		crashUntilHeld(table, FingerprintOf("other", fmt.Sprint(i), nil), 2, 10)
 	}
 	assert.Assert(t, table.Len() <= maxRecords && table.Len() > maxRecords*7/8)
-	assert.Assert(t, table.Check(at(20), poison, false).Held)
+	assert.Assert(t, table.Check(at(20), subject(1, poison), false).Held)
 }
 
 // TestTableMemory logs the memory of a full table.
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -51,11 +51,13 @@
 	headerSent   atomic.Bool   // the header of a stream was sent to the caller
 	sentEvents   int           // number of events sent to the caller
 	lastEventID  string        // ID of the last event with an ID that was sent to the caller
+	generated    bool          // the last response had a body or an event
 }
 
 // forward passes a response on, unless it is withheld. It returns how the attempt ended, and an
 // error unless the caller received the complete response.
 func (r *relay) forward(ctx context.Context, response *endpoint.Response, withheld bool) (retry.End, error) {
+	r.generated = false
 	if isSuccess(response.Status) && isEventStream(response.Header) {
 		return r.forwardEvents(ctx, response)
 	}
@@ -76,6 +78,7 @@
 		return retry.EndLost, &ryeford.MayHaveRunError{Reason: reasonOfRead(err), Err: err}
 	}
 	r.recordFirstResponse()
+	r.generated = len(body) > 0
 	switch {
 	case r.headerSent.Load(): // a complete response can't continue a stream
 		return retry.EndLost, newStatusError(response.Status)
@@ -110,6 +113,7 @@
 			return retry.EndLost, &ryeford.MayHaveRunError{Reason: ryeford.ReasonEngineLost, Err: err}
 		}
 		r.recordFirstResponse()
+		r.generated = true
 		id := eventID(event)
 		if r.headerSent.Load() && id != "" && !isLaterEvent(r.lastEventID, id) {
 			continue // already sent to the caller
