fix: a crash soon after a connection that only broke is charged

Cause, found by reading: whether an endpoint has exited is found out once for all attempts that it breaks off within 0.5 s. If a connection broke at a living endpoint, a crash within the next 0.5 s was taken for another such break, and charged to nobody.

Change: a result that the endpoint lives counts only for connections that were closed before the check began; that it has exited counts for all, as before.

Of many attempts that break at once at a living endpoint, two checks are made in place of one.

--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -20,7 +20,8 @@
 	// connections before its port.
 	maxCrashChecks  = 3
 	crashCheckPause = 50 * time.Millisecond
-	// crashCheckTTL is how long a result is reused for further lost attempts at the endpoint.
+	// crashCheckTTL is how long a result is reused for further lost attempts at the endpoint: that it lives only for
+	// those that were lost before the check.
 	crashCheckTTL = 500 * time.Millisecond
 )
 
@@ -45,19 +46,38 @@
 	return &crashDetector{log: logger, metrics: metrics, checks: make(map[ryeford.EndpointID]*crashCheck)}
 }
 
-// crashed reports whether an endpoint that has just closed a connection has exited. It blocks until
-// the check has completed.
-func (c *crashDetector) crashed(to *roster.Entry) bool {
-	check, first := c.check(clock.Now(), to.ID)
-	if first {
-		check.run(to)
-		if check.crashed {
-			c.metrics.Count("ryeford_endpoint_crashes_total", to.Service)
-			_ = c.log.Log("decision", "endpoint_crashed", "endpoint", to.ID, "address", to.Address, "service", to.Service)
+// crashed reports whether an endpoint that closed a connection at a time has exited. It blocks until
+// a check has completed that began after that time, or has found that the endpoint has exited.
+func (c *crashDetector) crashed(to *roster.Entry, closed time.Time) bool {
+	for {
+		check, first := c.check(clock.Now(), to.ID)
+		if first {
+			c.run(check, to)
 		}
+		<-check.done
+		if check.crashed || !check.began.Before(closed) {
+			return check.crashed
+		}
+		c.forget(check, to.ID)
+	}
+}
+
+// run runs a check, and logs and counts a crash.
+func (c *crashDetector) run(check *crashCheck, to *roster.Entry) {
+	check.run(to)
+	if check.crashed {
+		c.metrics.Count("ryeford_endpoint_crashes_total", to.Service)
+		_ = c.log.Log("decision", "endpoint_crashed", "endpoint", to.ID, "address", to.Address, "service", to.Service)
+	}
+}
+
+// forget removes a check whose result is too old.
+func (c *crashDetector) forget(check *crashCheck, id ryeford.EndpointID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.checks[id] == check {
+		delete(c.checks, id)
 	}
-	<-check.done
-	return check.crashed
 }
 
 // check returns the current check of an endpoint, and whether the caller must run it.
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -111,7 +111,7 @@
 
 // recordCrash records a lost attempt if the endpoint has crashed.
 func (h *quarantineState) recordCrash(to *roster.Entry, lost *lostAttempt) {
-	if h.disabled || !h.crashes.crashed(to) {
+	if h.disabled || !h.crashes.crashed(to, lost.ended) {
 		return
 	}
 	crash := quarantine.Crash{Endpoint: uint32(route.NameHash(string(to.ID))), Began: lost.began, Ended: lost.ended}
