fix: a stream without a length or chunks that a crash has ended is not told as complete

Cause: EOF was taken for the end whatever framed the body.

Change: at the end of such a response the endpoint is checked, as after a broken connection. If it has exited and hadn't said that it leaves, the attempt is lost: the crash is charged, a resumable stream goes on elsewhere, others are broken off. An endpoint that accepts connections has ended its response, which counts as a success: if it didn't, a service whose answers are all of this kind could never end a wrong hold.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -220,6 +220,7 @@
 func (x *exchange) receive(ctx, attemptCtx context.Context, to *roster.Entry, response *endpoint.Response) (retry.End, error) {
 	x.countSent(true)
 	x.recordPrompt(to, response.Status)
+	x.relay.endedByCrash = func() bool { return x.forwarder.endedByCrash(to) }
 	end, err := x.relay.forward(attemptCtx, response, x.shouldWithhold(response.Status))
 	ctxDone := ctx.Err() != nil
 	if response.Meta.Report.Load == nil && (end == retry.EndAnswered || end == retry.EndFailed) {
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -62,6 +62,12 @@
 	}
 }
 
+// endedByCrash reports whether an endpoint has exited that has just closed a connection, and not because it leaves.
+func (f *forwarder) endedByCrash(to *roster.Entry) bool {
+	entry := f.roster.Entry(to.ID)
+	return entry != nil && entry.Accepts() && f.quarantine.crashes.crashed(to, clock.Now())
+}
+
 // run runs a check, and logs and counts a crash.
 func (c *crashDetector) run(check *crashCheck, to *roster.Entry) {
 	check.run(to)
--- a/gateway/endpoint/response.go
+++ b/gateway/endpoint/response.go
@@ -13,6 +13,9 @@
 	Status int
 	Header http.Header
 	Meta   ryeford.ResponseMeta
+	// Unframed reports that the body has neither a length nor chunks: it ends with the connection, also if the endpoint
+	// has crashed.
+	Unframed bool
 
 	pool       *Pool
 	connection *connection // nil once closed
@@ -26,7 +29,7 @@
 	stop func() bool
 }
 
-// Read implements io.Reader. io.EOF means that the response is complete.
+// Read implements io.Reader. io.EOF means that the response is complete, if it is not Unframed.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.body.Read(p)
 	if err == io.EOF {
--- a/gateway/endpoint/send.go
+++ b/gateway/endpoint/send.go
@@ -139,6 +139,7 @@
 		Status:     head.StatusCode,
 		Header:     head.Header,
 		Meta:       meta,
+		Unframed:   isUnframed(head),
 		pool:       p,
 		connection: c,
 		body:       head.Body,
@@ -146,6 +147,11 @@
 	}, nil
 }
 
+// isUnframed reports whether a response's body ends with its connection.
+func isUnframed(head *http.Response) bool {
+	return head.ContentLength < 0 && len(head.TransferEncoding) == 0 && head.Body != http.NoBody
+}
+
 // readHead reads the head of the next final response and skips interim ones (1xx).
 func readHead(c *connection, method string) (*http.Response, error) {
 	for {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -47,6 +47,8 @@
 	onFirstResponse func() // called once, for the first event or a complete response
 	// onFirstEvent is called right before the first event is sent to the caller. If it fails, the attempt has failed.
 	onFirstEvent func(ctx context.Context) error
+	// endedByCrash reports, at the end of an unframed response, whether a crash of its endpoint may have ended it.
+	endedByCrash func() bool
 	timeToFirst  time.Duration // from the request's arrival to the first event or complete response
 	headerSent   atomic.Bool   // the header of a stream was sent to the caller
 	sentEvents   int           // number of events sent to the caller
@@ -74,6 +76,9 @@
 	})
 	defer held.Release()
 	body, err := readHeld(ctx, response, held)
+	if err == nil {
+		err = r.checkEnd(response)
+	}
 	if err != nil {
 		return retry.EndLost, &ryeford.MayHaveRunError{Reason: reasonOfRead(err), Err: err}
 	}
@@ -103,6 +108,9 @@
 	for {
 		event, err := readEvent(reader)
 		if errors.Is(err, io.EOF) {
+			if err := r.checkEnd(response); err != nil {
+				return retry.EndLost, &ryeford.MayHaveRunError{Reason: ryeford.ReasonEngineLost, Err: err}
+			}
 			r.sendHeader(response) // for a stream without events
 			return retry.EndAnswered, nil
 		}
@@ -131,6 +139,14 @@
 	}
 }
 
+// checkEnd returns an error if a response that has ended may be incomplete.
+func (r *relay) checkEnd(response *endpoint.Response) error {
+	if response.Unframed && r.endedByCrash() {
+		return &endpoint.LostError{Err: io.ErrUnexpectedEOF}
+	}
+	return nil
+}
+
 // beginStream is called before each event.
 func (r *relay) beginStream(ctx context.Context) error {
 	if r.headerSent.Load() {
--- a/standin/appserver/serve.go
+++ b/standin/appserver/serve.go
@@ -65,12 +65,45 @@
 	}
 	defer s.endRun()
 	if crash := s.crashFor(body, r.Header.Get(wire.HeaderPrompt)); crash != nil {
+		s.respondUntilCrash(w, r)
 		crash()
 		panic(http.ErrAbortHandler)
 	}
 	s.respond(w, r, fault)
 }
 
+// respondUntilCrash sends what a crash leaves of a stream.
+func (s *Server) respondUntilCrash(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	head, events := s.crashHead, s.crashEvents
+	s.mu.Unlock()
+	if !head {
+		return
+	}
+	w.Header().Set(wire.HeaderSignature, s.ID)
+	s.beginStream(w)
+	_ = http.NewResponseController(w).Flush()
+	for event := 1; event <= events; event++ {
+		s.writeEvent(w, lastEvent(r)+event)
+	}
+}
+
+// beginStream sets the headers of a stream.
+func (s *Server) beginStream(w http.ResponseWriter) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.unframed {
+		w.Header().Set("Transfer-Encoding", "identity") // net/http sends no chunks, and closes the connection at the end
+	}
+}
+
+// writeEvent sends one event.
+func (s *Server) writeEvent(w http.ResponseWriter, event int) {
+	_, _ = fmt.Fprintf(w, "id: %d\ndata: event %d%s\n\n", event, event, s.writtenBy())
+	_ = http.NewResponseController(w).Flush()
+}
+
 // reject refuses a request for which there is no room.
 func (s *Server) reject(w http.ResponseWriter) {
 	s.mu.Lock()
@@ -134,7 +167,7 @@
 
 // stream responds with the events after the last one that the caller has.
 func (s *Server) stream(w http.ResponseWriter, r *http.Request, fault Fault) {
-	w.Header().Set("Content-Type", "text/event-stream")
+	s.beginStream(w)
 	last := lastEvent(r)
 	for event := last + 1; event <= s.Events; event++ {
 		if !clock.Sleep(r.Context(), s.Step) {
@@ -145,8 +178,7 @@
 			_ = http.NewResponseController(w).Flush()
 			panic(http.ErrAbortHandler)
 		}
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: event %d%s\n\n", event, event, s.writtenBy())
-		_ = http.NewResponseController(w).Flush()
+		s.writeEvent(w, event)
 	}
 }
 
--- a/standin/appserver/server.go
+++ b/standin/appserver/server.go
@@ -39,13 +39,18 @@
 	crashBody string
 	// crashPart, unless it is empty, is the ID of a prompt part that crashes the endpoint, unless it is the last of its
 	// prompt.
-	crashPart  string
-	crash      func()
-	leaving    bool   // responses report that the endpoint is leaving
-	retryAfter string // of requests refused by FaultShed; none if empty
-	refusals   []Refusal
-	room       room
-	rejected   int // number of requests for which there was no room
+	crashPart string
+	crash     func()
+	// crashHead and crashEvents are what the server has sent of a response when it crashes: its head, and a number of
+	// complete events.
+	crashHead   bool
+	crashEvents int
+	unframed    bool   // streams have neither a length nor chunks
+	leaving     bool   // responses report that the endpoint is leaving
+	retryAfter  string // of requests refused by FaultShed; none if empty
+	refusals    []Refusal
+	room        room
+	rejected    int // number of requests for which there was no room
 }
 
 // A Refusal is a request that was refused with a Retry-After.
@@ -163,6 +168,21 @@
 	s.crashPart = id
 }
 
+// SetCrashPoint sets what the server sends of a response before it crashes: its head, and a number of complete events.
+// By default it sends nothing.
+func (s *Server) SetCrashPoint(head bool, events int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.crashHead, s.crashEvents = head, events
+}
+
+// SetUnframed sets whether streams have neither a length nor chunks, so that they end with their connection.
+func (s *Server) SetUnframed(unframed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unframed = unframed
+}
+
 // SetCrash sets the function that plays a crash: it must stop the HTTP server and close all its
 // connections. It is called when a request of SetCrashBody or SetCrashPart starts to run.
 func (s *Server) SetCrash(crash func()) {
