fix: a prompt part that ran on endpoints which crashed together with others is not held

Cause: crashes at the same time counted once, but three waves one after the other still suffice for whatever ran in each of them, though most endpoints of each wave had not run it.

Change: a crash within 0.1 s of that of another endpoint, at which no request with the fingerprint ran, is no evidence, and records of such crashes alone aren't sent. Routers tell each other which endpoints crashed (a new field of gossip, key 31, at most 16 of 9 bytes a message, which releases before ignore).

--- a/gateway/gossipmessage.go
+++ b/gateway/gossipmessage.go
@@ -18,6 +18,7 @@
 		Version:          g.configuration.version(),
 		Evacuations:      peers.EncodeEvacuations(g.configuration.evacuations.lastRead()),
 		Quarantined:      g.quarantine.outgoing(now),
+		Ended:            g.quarantine.outgoingEndings(now),
 		HeldRequestsRead: g.quarantine.heldRequests.loaded.Load(),
 		Sender:           g.self,
 		Started:          g.started,
--- a/gateway/peers/message.go
+++ b/gateway/peers/message.go
@@ -76,6 +76,15 @@
 	// KeepsRecords means that the sender keeps records of streams for its peers (package streamversion). Releases before
 	// did not.
 	KeepsRecords bool `cbor:"30,keyasint,omitempty"`
+	// Ended are crashes of endpoints that the sender has recently learned of.
+	Ended []Ended `cbor:"31,keyasint,omitempty"`
+}
+
+// An Ended is the message form of a quarantine.Ending.
+type Ended struct {
+	_        struct{} `cbor:",toarray"`
+	Endpoint uint32
+	At       Age
 }
 
 // ServiceFigures describe a router's recent requests for a service. Counts are decayed.
--- a/gateway/peers/quarantine.go
+++ b/gateway/peers/quarantine.go
@@ -10,6 +10,9 @@
 // some 60 bytes, which TestQuarantinedInMessage checks.
 const MaxQuarantined = 6
 
+// MaxEnded is the maximum number of crashes of endpoints in a message.
+const MaxEnded = 16
+
 // A Quarantined is the message form of a quarantine.Record. Times are sent as ages, and are nil if the
 // record has none.
 type Quarantined struct {
@@ -68,6 +71,25 @@
 	return result
 }
 
+// EncodeEndings returns the message form of crashes of endpoints, with ages relative to now.
+func EncodeEndings(now time.Time, endings []quarantine.Ending) []Ended {
+	var result []Ended
+	for _, ending := range endings {
+		result = append(result, Ended{Endpoint: ending.Endpoint, At: AgeOf(now.Sub(ending.At))})
+	}
+	return result
+}
+
+// DecodeEndings returns the crashes of endpoints of a message received at now. Entries beyond the limit of a message are
+// dropped.
+func DecodeEndings(now time.Time, received []Ended) []quarantine.Ending {
+	var result []quarantine.Ending
+	for _, ended := range received[:min(len(received), MaxEnded)] {
+		result = append(result, quarantine.Ending{Endpoint: ended.Endpoint, At: now.Add(-ended.At.Duration())})
+	}
+	return result
+}
+
 // ageAt returns the age of t at now, or nil if t is zero.
 func ageAt(now, t time.Time) *Age {
 	if t.IsZero() {
--- a/gateway/peers/quarantine_test.go
+++ b/gateway/peers/quarantine_test.go
@@ -58,3 +58,22 @@
 	assert.Equal(t, len(got), MaxQuarantined)
 	assert.Equal(t, len(got[0].Crashes), quarantine.MaxCrashes)
 }
+
+// TestEnded checks that crashes of endpoints survive encoding and decoding, that their number and size are bounded, and
+// that a message without them is as it was.
+func TestEnded(t *testing.T) {
+	sent := time.Unix(10_000, 0)
+	endings := []quarantine.Ending{{Endpoint: 1 << 31, At: sent.Add(-400 * time.Millisecond)}, {Endpoint: 7, At: sent}}
+	without, err := cbor.Marshal(&Message{})
+	assert.NilError(t, err)
+	content, err := cbor.Marshal(&Message{Ended: EncodeEndings(sent, endings)})
+	assert.NilError(t, err)
+	assert.Assert(t, len(content)-len(without) <= 3+9*len(endings), "%d bytes", len(content)-len(without))
+	var got Message
+	assert.NilError(t, cbor.Unmarshal(content, &got))
+	assert.DeepEqual(t, DecodeEndings(sent, got.Ended), endings)
+	assert.Equal(t, len(DecodeEndings(sent, make([]Ended, 1000))), MaxEnded)
+	content, err = cbor.Marshal(&Message{Ended: EncodeEndings(sent, nil)})
+	assert.NilError(t, err)
+	assert.DeepEqual(t, content, without)
+}
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -18,8 +18,12 @@
 	"github.com/ryeford/ryeford/route"
 )
 
-// trialSlot is the length of the time slot in which one router may try held requests.
-const trialSlot = 10 * time.Second
+// trialSlot is the length of the time slot in which one router may try held requests, and partTrialSlot that for held
+// prompt parts: many requests may wait for these.
+const (
+	trialSlot     = 10 * time.Second
+	partTrialSlot = 2 * time.Second
+)
 
 // A quarantineState quarantines poison requests (package quarantine), based on the crashes that this
 // router and its peers have detected. It is safe for concurrent use.
@@ -60,6 +64,14 @@
 	return peers.EncodeRecords(now, h.table.Outgoing(now, peers.MaxQuarantined))
 }
 
+// outgoingEndings returns the crashes of endpoints for the next message to peers.
+func (h *quarantineState) outgoingEndings(now time.Time) []peers.Ended {
+	if h.disabled {
+		return nil
+	}
+	return peers.EncodeEndings(now, h.table.OutgoingEndings(peers.MaxEnded))
+}
+
 // forJoining returns the records for the first message to a peer that has just started.
 func (h *quarantineState) forJoining(now time.Time) []peers.Quarantined {
 	if h.disabled {
@@ -76,6 +88,7 @@
 	if message.HeldRequestsRead {
 		h.heldRequests.loaded.Store(true)
 	}
+	h.table.MergeEndings(peers.DecodeEndings(now, message.Ended))
 	for _, record := range h.table.Merge(now, peers.DecodeRecords(now, message.Quarantined)) {
 		h.logHeld(&record, message.Sender.String())
 	}
@@ -87,15 +100,18 @@
 	_ = h.log.Log("decision", "quarantine", "fingerprint", record.Fingerprint, "crashes", len(record.Crashes), "from", from)
 }
 
-// mayTry reports whether this router may start a trial of a held request now. Routers take time
-// slots of length trialSlot by the store's clock.
-func (h *quarantineState) mayTry(now time.Time) bool {
+// turn returns which trials of held requests this router may start now. Routers take time slots of length trialSlot and
+// partTrialSlot by the store's clock.
+func (h *quarantineState) turn(now time.Time) quarantine.Turn {
 	storeTime, known := h.balancer.clock.UpperBound(now)
 	if !known || h.balancer.startup.joining(now) {
-		return false
+		return quarantine.Turn{}
+	}
+	first := func(slot time.Duration) bool {
+		rank, _ := h.balancer.peers.Rank(now, uint64(storeTime/slot))
+		return rank == 0
 	}
-	rank, _ := h.balancer.peers.Rank(now, uint64(storeTime/trialSlot))
-	return rank == 0
+	return quarantine.Turn{Request: first(trialSlot), Part: first(partTrialSlot)}
 }
 
 // A lostAttempt is an attempt whose connection the endpoint has closed.
@@ -174,7 +190,7 @@
 	if h.disabled || h.table.Empty() {
 		return quarantine.Decision{}
 	}
-	decision := h.table.Check(now, x.subject(), h.mayTry(now))
+	decision := h.table.Check(now, x.subject(), h.turn(now))
 	for i := range decision.Records {
 		h.heldRequests.enqueueWrite(&decision.Records[i])
 		_ = h.log.Log("decision", "quarantine_trial", "request", x.request.meta.ID, "fingerprint", decision.Records[i].Fingerprint)
--- a/gateway/quarantine/blame.go
+++ b/gateway/quarantine/blame.go
@@ -25,23 +25,31 @@
 func (t *Table) blockers(s *Subject) []*entry {
 	var result []*entry
 	for _, fingerprint := range s.Fingerprints {
-		if e := t.records[fingerprint]; e != nil && !e.HeldSince.IsZero() && e.appliesTo(s.Account) {
+		if e := t.records[fingerprint]; e != nil && e.appliesTo(s.Account) && t.holds(e) {
 			result = append(result, e)
 		}
 	}
 	if len(result) == 0 {
 		return nil
 	}
-	others := t.heldWithout(s)
-	return slices.DeleteFunc(result, func(e *entry) bool { return e.explainedBy(others) })
+	others := t.explanations(s)
+	return slices.DeleteFunc(result, func(e *entry) bool { return t.explained(e, others) })
 }
 
-// heldWithout returns the held records whose fingerprints a subject doesn't contain. t.mu is held.
-func (t *Table) heldWithout(s *Subject) []*entry {
-	var result []*entry
+// holds reports whether a record is held, not counting crashes of endpoints that crashed together with others. t.mu is
+// held.
+func (t *Table) holds(e *entry) bool { return !e.HeldSince.IsZero() && !t.explained(e, nil) }
+
+// An explanation is a held record that may explain crashes of others: its crashes that did not come together with
+// others.
+type explanation []Crash
+
+// explanations returns the held records whose fingerprints a subject doesn't contain. t.mu is held.
+func (t *Table) explanations(s *Subject) []explanation {
+	var result []explanation
 	for fingerprint, e := range t.records {
 		if !e.HeldSince.IsZero() && !slices.Contains(s.Fingerprints, fingerprint) {
-			result = append(result, e)
+			result = append(result, t.ungrouped(e))
 		}
 	}
 	return result
@@ -52,15 +60,17 @@
 	return !r.Fingerprint.IsPart() || r.Account == anyAccount || r.Account == account
 }
 
-// explainedBy reports whether other held records explain why requests of the held record r crashed endpoints. It is
-// false if r has no crashes, because it was read from the store.
-func (r *Record) explainedBy(others []*entry) bool {
-	if len(r.Crashes) == 0 {
+// explained reports whether other held records, or crashes of other endpoints at the same time, explain why requests of
+// a held record crashed endpoints. It is false if the record has no crashes, because it was read from the store. t.mu
+// is held.
+func (t *Table) explained(e *entry, others []explanation) bool {
+	if len(e.Crashes) == 0 {
 		return false
 	}
+	crashes := t.ungrouped(e)
 	var unexplained []Crash
-	for _, crash := range r.Crashes {
-		explains := func(other *entry) bool { return other.explains(crash, r) }
+	for _, crash := range crashes {
+		explains := func(other explanation) bool { return other.explains(crash, len(crashes)) }
 		if !slices.ContainsFunc(others, explains) {
 			unexplained = append(unexplained, crash)
 		}
@@ -68,27 +78,25 @@
 	return countSuccessive(unexplained) < unexplainedToHold
 }
 
-// explains reports whether r is the likelier cause of a crash of another record.
-func (r *Record) explains(crash Crash, other *Record) bool {
-	if r.unlisted(crash) {
+// explains reports whether a held record is the likelier cause of a crash of another one that has n crashes.
+func (x explanation) explains(crash Crash, n int) bool {
+	if unlisted(x, crash.Ended) {
 		return true
 	}
-	return slices.ContainsFunc(r.Crashes, func(own Crash) bool {
-		return own.sameAttempt(crash) || own.same(crash) && r.precedes(other)
+	return slices.ContainsFunc(x, func(own Crash) bool {
+		return own.sameAttempt(crash) || own.same(crash) && x.precedes(n)
 	})
 }
 
-// unlisted reports whether r has so many crashes that it does not list all from its first to its last one, and a crash
-// lies between these.
-func (r *Record) unlisted(crash Crash) bool {
-	return len(r.Crashes) >= MaxCrashes && !crash.Ended.Before(r.Crashes[0].Ended) && !crash.Ended.After(r.lastCrash())
+// precedes reports whether a held record is the likelier cause than one with n crashes. Between records with as many
+// crashes, requests with only one of the fingerprints decide, up to a limited number of crashes.
+func (x explanation) precedes(n int) bool {
+	return len(x) > n || len(x) == n && n < totalCrashesToHold
 }
 
-// precedes reports whether r is the likelier cause of crashes that both records have. Between records with as many
-// crashes, requests with only one of the fingerprints decide, up to a limited number of crashes.
-func (r *Record) precedes(other *Record) bool {
-	n := len(other.Crashes)
-	return len(r.Crashes) > n || len(r.Crashes) == n && n < totalCrashesToHold
+// unlisted reports whether a time is between the first and the last of so many crashes that these are not all.
+func unlisted(crashes []Crash, at time.Time) bool {
+	return len(crashes) >= MaxCrashes && !at.Before(crashes[0].Ended) && !at.After(crashes[len(crashes)-1].Ended)
 }
 
 // sameAttempt reports whether c and other were charged for the same attempt.
--- a/gateway/quarantine/eviction.go
+++ b/gateway/quarantine/eviction.go
@@ -30,7 +30,7 @@
 		}
 	}
 	slices.SortFunc(entries, func(a, b *entry) int {
-		return cmp.Or(cmp.Compare(a.weight(), b.weight()), a.expires().Compare(b.expires()))
+		return cmp.Or(cmp.Compare(t.weight(a), t.weight(b)), a.expires().Compare(b.expires()))
 	})
 	for _, e := range entries[:len(entries)/8+1] {
 		t.remove(e)
--- a/gateway/quarantine/table.go
+++ b/gateway/quarantine/table.go
@@ -27,6 +27,7 @@
 	filters   map[Filter]int // number of records by filter
 	nextHeld  int            // index of the held record that was sent last
 	successes successes      // of prompt parts
+	endings   endings
 }
 
 // An entry is a record and its send state.
@@ -64,18 +65,19 @@
 func (t *Table) RecordCrash(now time.Time, s *Subject, crash Crash) []Charge {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.endings.add(crash.ending())
 	var charges []Charge
 	for _, fingerprint := range s.Fingerprints {
 		if !crash.Began.After(t.successes.last(fingerprint)) {
 			continue
 		}
 		e := t.entry(now, fingerprint, s.Account)
-		wasHeld := !e.HeldSince.IsZero()
+		wasHeld := t.holds(e)
 		e.addAccount(s.Account)
 		if e.add(crash) {
 			e.sendsLeft = sendsPerChange
 		}
-		charges = append(charges, Charge{Record: e.copy(), NewlyHeld: !wasHeld && !e.HeldSince.IsZero()})
+		charges = append(charges, Charge{Record: e.copy(), NewlyHeld: !wasHeld && t.holds(e)})
 	}
 	blockers := t.blockers(s)
 	for i := range charges {
@@ -126,8 +128,19 @@
 	Records []Record
 }
 
-// Check returns the decision on a request. mayTry reports whether this router may start a trial now.
-func (t *Table) Check(now time.Time, s *Subject, mayTry bool) Decision {
+// A Turn states which trials this router may start now.
+type Turn struct {
+	Request bool // of requests that are the same
+	Part    bool // of prompt parts
+}
+
+// allows reports whether a trial of a record may start.
+func (t Turn) allows(r *Record) bool {
+	return t.Part && r.Fingerprint.IsPart() || t.Request && !r.Fingerprint.IsPart()
+}
+
+// Check returns the decision on a request.
+func (t *Table) Check(now time.Time, s *Subject, turn Turn) Decision {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	blockers := t.blockers(s)
@@ -135,14 +148,14 @@
 		return Decision{}
 	}
 	decision := Decision{Held: true}
-	allDue := true
+	allowed := true
 	for _, e := range blockers {
 		after, due := e.retryAfter(now)
 		decision.By = append(decision.By, e.Fingerprint)
 		decision.RetryAfter = max(decision.RetryAfter, after)
-		allDue = allDue && due
+		allowed = allowed && due && turn.allows(&e.Record)
 	}
-	if !allDue || !mayTry {
+	if !allowed {
 		return decision
 	}
 	return startTrial(now, blockers)
@@ -167,13 +180,16 @@
 		if !now.Before(other.expires()) {
 			continue
 		}
+		for _, crash := range other.Crashes {
+			t.endings.add(crash.ending())
+		}
 		e := t.entry(now, other.Fingerprint, other.Account)
-		before := e.HeldSince
+		wasHeld := t.holds(e)
 		refuted := e.refutes(other)
 		if e.merge(other) || refuted {
 			e.sendsLeft = sendsPerChange
 		}
-		if before.IsZero() && !e.HeldSince.IsZero() {
+		if !wasHeld && t.holds(e) {
 			held = append(held, e.copy())
 		}
 	}
@@ -214,30 +230,34 @@
 }
 
 // outgoing returns the records that still have messages to go out with, by descending weight, and the other held
-// records. t.mu is held.
+// records. Peers need not know those of weight zero. t.mu is held.
 func (t *Table) outgoing() (changed, held []*entry) {
+	weights := make(map[*entry]int)
 	for _, e := range t.records {
+		weights[e] = t.weight(e)
 		switch {
-		case e.sendsLeft > 0:
+		case e.sendsLeft > 0 && (weights[e] > 0 || len(e.Crashes) == 0):
 			changed = append(changed, e)
-		case !e.HeldSince.IsZero():
+		case t.holds(e):
 			held = append(held, e)
 		}
 	}
 	slices.SortFunc(changed, func(a, b *entry) int {
 		// Records of one attempt are compared with each other, so that they go out together.
-		return cmp.Or(cmp.Compare(b.weight(), a.weight()), b.lastCrash().Compare(a.lastCrash()), slices.Compare(a.Fingerprint[:], b.Fingerprint[:]))
+		return cmp.Or(cmp.Compare(weights[b], weights[a]), b.lastCrash().Compare(a.lastCrash()), slices.Compare(a.Fingerprint[:], b.Fingerprint[:]))
 	})
 	slices.SortFunc(held, func(a, b *entry) int { return slices.Compare(a.Fingerprint[:], b.Fingerprint[:]) })
 	return changed, held
 }
 
-// weight returns the priority of the record: held requests have the highest.
-func (e *entry) weight() int {
-	if !e.HeldSince.IsZero() {
+// weight returns the priority of a record: held requests have the highest. It is zero if the crashes, which came
+// together with others, are no evidence. A cause that crashes endpoints all the time has successive ones among them.
+// t.mu is held.
+func (t *Table) weight(e *entry) int {
+	if t.holds(e) {
 		return crashesToHold + 1
 	}
-	return countSuccessive(e.Crashes)
+	return max(countSuccessive(t.ungrouped(e)), min(1, countSuccessive(e.Crashes)-1))
 }
 
 // Held returns the records of held requests.
@@ -246,7 +266,7 @@
 	defer t.mu.Unlock()
 	var held []Record
 	for _, e := range t.records {
-		if !e.HeldSince.IsZero() {
+		if t.holds(e) {
 			held = append(held, e.copy())
 		}
 	}
