fix: a crash is charged if another endpoint answers at the address

Cause: whether an endpoint has crashed was found out by its port within 0.1 s. One that is back at once under another ID, or behind a port that stays open, was taken for alive, and what crashed it was charged to nobody: 12 of 12 endpoints would crash by one part, none was held.

Change: an attempt that was lost at an endpoint that accepts connections waits for 2 s. If the endpoint's address refuses a connection, or answers a request that it is another endpoint (421), the attempt is charged (quarantine.Pending).

Open: an endpoint that is back at once under its ID.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -160,6 +160,9 @@
 	if cause := context.Cause(attemptCtx); cause != nil && !ctxDone && end != retry.EndForbidden {
 		err = cause
 	}
+	if end == retry.EndUnsent && endpoint.ConnectionRefused(err) {
+		x.forwarder.quarantine.recordGone(to)
+	}
 	x.recordFailed(to, end, err)
 	switch {
 	case end == retry.EndForbidden:
@@ -193,6 +196,7 @@
 	_, _ = response.ReadAll(maxBufferedBody)
 	if response.Status == http.StatusMisdirectedRequest {
 		x.forwarder.roster.MarkMisdirected(to.ID)
+		x.forwarder.quarantine.recordGone(to)
 	} else if response.Meta.Report.Load == nil {
 		x.forwarder.overload.Rejected(clock.Now(), x.request.service, x.decision)
 	}
--- a/gateway/poisonpart_test.go
+++ b/gateway/poisonpart_test.go
@@ -83,3 +83,30 @@
 		})
 	}
 }
+
+// TestPoisonPartBehindPort guards against endpoints whose crash no closed port shows, because another process listens
+// there at once.
+func TestPoisonPartBehindPort(t *testing.T) {
+	f := newFixture(t, baseConfiguration(), nil)
+	const endpoints = 12
+	for i := range endpoints {
+		server := f.addEndpoint("model", fmt.Sprintf("m%d", i), 5)
+		server.SetCrashPart(poisonPart)
+		server.SetCrash(func() { server.ID = "next of " + server.ID }) // its requests are refused by the next one
+	}
+	f.awaitReady(true)
+	f.awaitEndpoints(endpoints)
+	held := func() bool {
+		if f.prompted(poisonPart).status == 503 {
+			return true
+		}
+		lost := f.crashesByPart()
+		f.await("the charge of a crash", func() bool {
+			f.prompted(fmt.Sprintf("%x", f.requests)) // a part of its own, which any endpoint serves
+			return strings.Count(f.log.String(), "decision=request_crashed") >= lost
+		})
+		return false
+	}
+	f.await("a held part", held)
+	assert.Assert(t, f.crashesByPart() <= 3, "%d endpoints crashed", f.crashesByPart())
+}
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -28,12 +28,14 @@
 // A quarantineState quarantines poison requests (package quarantine), based on the crashes that this
 // router and its peers have detected. It is safe for concurrent use.
 type quarantineState struct {
-	// disabled is set by the operators' settings: no requests are held.
-	disabled     bool
+	// disabled is set by the operators' settings: no requests are held. partsDisabled: none for a part of its prompt.
+	disabled, partsDisabled bool
+
 	table        *quarantine.Table
 	heldRequests *heldRequests
 	crashes      *crashDetector
-	balancer     *balancer // for this router's rank among its peers
+	pending      quarantine.Pending[*lostAttempt] // lost at endpoints that accept connections
+	balancer     *balancer                        // for this router's rank among its peers
 	log          log.Logger
 	metrics      *telemetry.Set
 }
@@ -125,11 +127,22 @@
 	ended   time.Time
 }
 
-// recordCrash records a lost attempt if the endpoint has crashed.
-func (h *quarantineState) recordCrash(to *roster.Entry, lost *lostAttempt) {
-	if h.disabled || !h.crashes.crashed(to, lost.ended) {
-		return
+// recordLost records a lost attempt if the endpoint has crashed, or once that is known.
+func (h *quarantineState) recordLost(to *roster.Entry, lost *lostAttempt) {
+	if h.crashes.crashed(to, lost.ended) || h.pending.Add(clock.Now(), to.ID, lost) {
+		h.recordCrash(to, lost)
 	}
+}
+
+// recordGone records that another process, or none, listens at the address of an endpoint.
+func (h *quarantineState) recordGone(to *roster.Entry) {
+	for _, lost := range h.pending.Gone(clock.Now(), to.ID) {
+		h.recordCrash(to, lost)
+	}
+}
+
+// recordCrash records an attempt that was lost because its endpoint crashed.
+func (h *quarantineState) recordCrash(to *roster.Entry, lost *lostAttempt) {
 	crash := quarantine.Crash{Endpoint: uint32(route.NameHash(string(to.ID))), Began: lost.began, Ended: lost.ended}
 	charges := h.table.RecordCrash(clock.Now(), &lost.subject, crash)
 	_ = h.log.Log("decision", "request_crashed", "request", lost.request, "fingerprint", lost.subject.Fingerprints[0], "account", lost.account,
@@ -178,10 +191,10 @@
 
 // subjectOf returns a subject with fingerprints and those of the shared parts of the request's prompt.
 func (x *exchange) subjectOf(fingerprints []quarantine.Fingerprint) *quarantine.Subject {
-	return &quarantine.Subject{
-		Account:      uint32(route.NameHash(string(x.request.accountID()))),
-		Fingerprints: append(fingerprints, quarantine.PartFingerprints(x.request.meta.Prefix)...),
+	if !x.forwarder.quarantine.partsDisabled {
+		fingerprints = append(fingerprints, quarantine.PartFingerprints(x.request.meta.Prefix)...)
 	}
+	return &quarantine.Subject{Account: uint32(route.NameHash(string(x.request.accountID()))), Fingerprints: fingerprints}
 }
 
 // checkQuarantine returns whether the request is held, or let through as a trial.
@@ -216,12 +229,12 @@
 // recordLostAttempt records, in the background, that the request's attempt was lost if err shows
 // that the endpoint has closed the connection.
 func (x *exchange) recordLostAttempt(to *roster.Entry, err error) {
-	if !endpoint.ConnectionBroken(err) {
+	if !endpoint.ConnectionBroken(err) || x.forwarder.quarantine.disabled {
 		return
 	}
 	lost := &lostAttempt{
 		request: x.request.meta.ID, subject: *x.subjectOf([]quarantine.Fingerprint{x.fingerprint()}), account: x.request.accountID(),
 		prompt: x.request.meta.Prefix, events: x.relay.sentEvents, began: x.attemptStarted, ended: clock.Now(),
 	}
-	go x.forwarder.quarantine.recordCrash(to, lost)
+	go x.forwarder.quarantine.recordLost(to, lost)
 }
