feat: routing.quarantine_parts switches off that requests are held for a part of their prompts

An operator could end a wrong hold of a part only by switching the protection from poison requests off, too.

Measured: TestQuarantinePartsOff (a router with it off sends what its peer holds for a part, and holds requests that are the same) passes.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -101,6 +101,7 @@
 
 func (g *Gateway) addQuarantine() {
 	g.quarantine = newQuarantineState(g.balancer, g.log, g.metrics)
+	g.quarantine.partsDisabled = !g.settings.Routing.QuarantineParts
 	if !g.settings.Routing.Quarantine {
 		g.quarantine.disabled = true
 		return
--- a/gateway/poisonpart_test.go
+++ b/gateway/poisonpart_test.go
@@ -84,6 +84,24 @@
 	}
 }
 
+// TestQuarantinePartsOff checks that a router that holds no parts sends what a peer holds for a part, and still holds
+// requests that are the same.
+func TestQuarantinePartsOff(t *testing.T) {
+	gateways := newPeers(t, 2, time.Hour, func(i int, s *settings.Gateway) { s.Routing.QuarantineParts = i == 0 })
+	on, off := gateways[0], gateways[1]
+	for i := range 12 {
+		on.addEndpoint("model", fmt.Sprintf("m%d", i), 5).SetCrashPart(poisonPart)
+	}
+	on.awaitEndpoints(14)
+	off.awaitEndpoints(14)
+	on.await("a held part", func() bool { return on.prompted(poisonPart).status == 503 })
+	before := on.crashesByPart()
+	assert.Equal(t, off.prompted(poisonPart).status, 502)
+	assert.Equal(t, on.crashesByPart(), before+1)
+	on.quarantineCrashBody()
+	off.await("a held request", func() bool { return off.do(off.request("POST", "/stream/a", "key-1", crashBody)).status == 503 })
+}
+
 // TestPoisonPartBehindPort guards against endpoints whose crash no closed port shows, because another process listens
 // there at once.
 func TestPoisonPartBehindPort(t *testing.T) {
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -127,6 +127,10 @@
 	// three endpoints have ended. If it is false, they are sent on like any other
 	// request, and endpoints end as often as callers send them.
 	Quarantine bool `yaml:"quarantine"`
+	// QuarantineParts holds requests for a part of their prompts, too, if requests
+	// with that part have ended three endpoints. If it is false, or quarantine is,
+	// endpoints end as often as callers send new requests with such a part.
+	QuarantineParts bool `yaml:"quarantine_parts"`
 	// ConcurrencyLimits limits the requests for services whose endpoints list slots
 	// and report no load, and whose routes have a goal. If it is false, such a
 	// service's endpoints queue and reject what they can't answer in time.
@@ -154,11 +158,12 @@
 			CapFactor:     2,
 		},
 		Routing: GatewayRouting{
-			StoreTimeout: 700 * time.Millisecond,
-			StartTimeout: 500 * time.Millisecond,
-			StartSpread:  40 * time.Millisecond,
-			Routers:      10,
-			Quarantine:   true,
+			StoreTimeout:    700 * time.Millisecond,
+			StartTimeout:    500 * time.Millisecond,
+			StartSpread:     40 * time.Millisecond,
+			Routers:         10,
+			Quarantine:      true,
+			QuarantineParts: true,
 
 			StreamMemory:  5 * time.Second,
 			StreamRecords: 20000,
