--- a/gateway/quarantine/blame.go
+++ b/gateway/quarantine/blame.go
@@ -49,7 +49,7 @@
 	var result []explanation
 	for fingerprint, e := range t.records {
 		if !e.HeldSince.IsZero() && !slices.Contains(s.Fingerprints, fingerprint) {
-			result = append(result, t.ungrouped(e))
+			result = append(result, t.evidence(e))
 		}
 	}
 	return result
@@ -60,14 +60,14 @@
 	return !r.Fingerprint.IsPart() || r.Account == anyAccount || r.Account == account
 }
 
-// explained reports whether other held records, or crashes of other endpoints at the same time, explain why requests of
-// a held record crashed endpoints. It is false if the record has no crashes, because it was read from the store. t.mu
-// is held.
+// explained reports whether other held records, or crashes of other endpoints at the same time, explain why requests
+// with a held part crashed endpoints. It is false if the record has no crashes, because it was read from the store, and
+// for requests that are the same: few of these run beside a cause three times. t.mu is held.
 func (t *Table) explained(e *entry, others []explanation) bool {
-	if len(e.Crashes) == 0 {
+	if len(e.Crashes) == 0 || !e.Fingerprint.IsPart() {
 		return false
 	}
-	crashes := t.ungrouped(e)
+	crashes := t.evidence(e)
 	var unexplained []Crash
 	for _, crash := range crashes {
 		explains := func(other explanation) bool { return other.explains(crash, len(crashes)) }
@@ -78,6 +78,14 @@
 	return countSuccessive(unexplained) < unexplainedToHold
 }
 
+// evidence returns the crashes of a record that count. t.mu is held.
+func (t *Table) evidence(e *entry) []Crash {
+	if !e.Fingerprint.IsPart() {
+		return e.Crashes
+	}
+	return t.ungrouped(e)
+}
+
 // explains reports whether a held record is the likelier cause of a crash of another one that has n crashes.
 func (x explanation) explains(crash Crash, n int) bool {
 	if unlisted(x, crash.Ended) {
--- a/gateway/quarantine/blame_test.go
+++ b/gateway/quarantine/blame_test.go
@@ -88,6 +88,17 @@
 	}
 }
 
+// TestSeveralRequests guards against poison requests that explain each other's crashes because they run at the same time:
+// each of them is held after three.
+func TestSeveralRequests(t *testing.T) {
+	table := New()
+	other := FingerprintOf("bank", "/stream/b", nil)
+	crash(table, together(3, poison)...)
+	crash(table, together(3, other)...)
+	assert.Assert(t, held(table, 4, 1, poison))
+	assert.Assert(t, held(table, 4, 1, other))
+}
+
 // TestManyCrashes guards against holding parts whose crashes a poison part no longer lists, because it has too many.
 func TestManyCrashes(t *testing.T) {
 	table := New()
