--- a/internal/soak/crashingrequests_test.go
+++ b/internal/soak/crashingrequests_test.go
@@ -84,7 +84,7 @@
 func (c *poisonSenders) send(kind int, random *rand.Rand) {
 	for n := 0; time.Now().Before(c.until); n++ {
 		request := poisonRequest{id: fmt.Sprintf("crash-%d-%d", kind, n), kind: kind, sent: time.Now()}
-		c.post(random, request.id, fmt.Sprintf("/stream/kind-%d", kind), poisonBody)
+		c.post(random, request.id, fmt.Sprintf("/stream/kind-%d", kind), poisonBody, "")
 		request.ended = time.Now()
 		c.mu.Lock()
 		c.sent = append(c.sent, request)
@@ -99,7 +99,7 @@
 	n := 0
 	for ; time.Now().Before(c.until); n++ {
 		id := fmt.Sprintf("other-%d", n)
-		response := c.post(random, id, fmt.Sprintf("/stream/kind-%d", n%poisonKinds), fmt.Sprintf("body %d", n%3))
+		response := c.post(random, id, fmt.Sprintf("/stream/kind-%d", n%poisonKinds), fmt.Sprintf("body %d", n%3), "")
 		if response != nil && response.Header.Get("X-Should-Retry") != "" {
 			c.mu.Lock()
 			c.held = append(c.held, id)
@@ -111,8 +111,8 @@
 }
 
 // post sends a request to a random gateway and returns the head of the response, or nil if
-// none arrived.
-func (c *poisonSenders) post(random *rand.Rand, id, path, body string) *http.Response {
+// none arrived. prompt describes its prompt, and is empty if it has none.
+func (c *poisonSenders) post(random *rand.Rand, id, path, body, prompt string) *http.Response {
 	g := c.fleet.gateways[random.IntN(len(c.fleet.gateways))]
 	request, err := http.NewRequest(http.MethodPost, "http://"+g.callers+path, strings.NewReader(body))
 	if err != nil {
@@ -122,6 +122,9 @@
 	request.Header.Set("Ryeford-Request-Id", id)
 	request.Header.Set("Ryeford-Deadline-Ms", "4000")
 	request.Header.Set("Authorization", "Bearer "+firstKey)
+	if prompt != "" {
+		request.Header.Set("Ryeford-Prompt-Prefix", prompt)
+	}
 	client := &http.Client{Timeout: callTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
 	response, err := client.Do(request)
 	if err != nil {
@@ -134,6 +137,11 @@
 // countRuns returns how many requests of a kind were sent, how many of them crashed a
 // server, and how many of these were sent more than bounds.contact after the third crash.
 func (c *poisonSenders) countRuns(kind int, runs map[string]int) (sent, ran, late int) {
+	return c.countRunsAfter(kind, runs, 3)
+}
+
+// countRunsAfter is countRuns for requests that may run until a number of them have crashed a server.
+func (c *poisonSenders) countRunsAfter(kind int, runs map[string]int, crashes int) (sent, ran, late int) {
 	var reached []poisonRequest
 	for _, request := range c.sent {
 		if request.kind != kind {
@@ -144,11 +152,11 @@
 			reached = append(reached, request)
 		}
 	}
-	if len(reached) < 3 {
+	if len(reached) < crashes {
 		return sent, len(reached), 0
 	}
 	slices.SortFunc(reached, func(a, b poisonRequest) int { return a.ended.Compare(b.ended) })
-	bound := reached[2].ended.Add(c.fleet.bounds.contact)
+	bound := reached[crashes-1].ended.Add(c.fleet.bounds.contact)
 	for _, request := range reached {
 		if request.sent.After(bound) {
 			late++
--- a/standin/emulator/emulator.go
+++ b/standin/emulator/emulator.go
@@ -205,6 +205,10 @@
 	// CrashBody is a request body that makes the endpoint crash when it starts to run the request;
 	// empty for none. The endpoint restarts a second later, as a new incarnation.
 	CrashBody *string `json:"crash_body"`
+	// CrashPart is the ID of a prompt part that does the same, unless it is the last of its prompt.
+	CrashPart *string `json:"crash_part"`
+	// Unframed sets whether streams have neither a length nor chunks.
+	Unframed *bool `json:"unframed"`
 	// ColdMs and Started are further fields of the row, written with State. ColdMs is how much
 	// longer the endpoint is cold, in milliseconds. Started is its start time in Unix milliseconds;
 	// zero keeps the previous one.
@@ -268,6 +272,12 @@
 		if change.CrashBody != nil {
 			server.SetCrashBody(*change.CrashBody)
 		}
+		if change.CrashPart != nil {
+			server.SetCrashPart(*change.CrashPart)
+		}
+		if change.Unframed != nil {
+			server.SetUnframed(*change.Unframed)
+		}
 		if change.Room != nil {
 			server.SetRoom(*change.Room)
 		}
