fix: the success of a part that only ran beside crashes costs no call of the store

Cause, found in the reading of the diff: after a series of crashes many parts have crashes enough to be held that something else explains. Each success of one was taken for the end of a hold, whose row is removed from the store: a writing call for each such part at each router.

Change: a row is removed only for what is held in force, was tried, or was stored by this router. The rest is names, comments and one function in place of two copies in the soak.

--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -181,12 +181,15 @@
 
 // subject returns the request as a subject of the quarantine, without its own fingerprint if no record can match it.
 func (x *exchange) subject() *quarantine.Subject {
-	var fingerprints []quarantine.Fingerprint
+	table := x.forwarder.quarantine.table
+	if table.Empty() {
+		return x.subjectOf(nil)
+	}
 	filter := quarantine.FilterOf(x.request.accountID(), x.incoming.RequestURI, len(x.request.body))
-	if x.forwarder.quarantine.table.MayMatch(filter) {
-		fingerprints = append(fingerprints, x.fingerprint())
+	if !table.MayMatch(filter) {
+		return x.subjectOf(nil)
 	}
-	return x.subjectOf(fingerprints)
+	return x.subjectOf([]quarantine.Fingerprint{x.fingerprint()})
 }
 
 // subjectOf returns a subject with fingerprints and those of the shared parts of the request's prompt.
--- a/gateway/quarantine/blame_test.go
+++ b/gateway/quarantine/blame_test.go
@@ -165,6 +165,18 @@
 	assert.Assert(t, !held(table, 2, 1, partA))
 }
 
+// TestReleased guards against calls of the store for each suspected part that succeeds: only what is held, or was stored,
+// is released.
+func TestReleased(t *testing.T) {
+	table := New()
+	crash(table, together(6, partA)...)
+	crash(table, ran{100, -0.3, 0.5, 2, []Fingerprint{partB}}, ran{101, 0.7, 1.5, 2, []Fingerprint{partB}}, ran{102, 1.7, 2.5, 2, []Fingerprint{partB}})
+	assert.Assert(t, !held(table, 6, 2, partB), "the other part explains it")
+	assert.Equal(t, len(table.RecordSuccess(at(7), subject(1, partC), true)), 0)
+	assert.DeepEqual(t, table.RecordSuccess(at(7), subject(1, partA), true), []Fingerprint{partA})
+	assert.Equal(t, len(table.RecordSuccess(at(8), subject(1, partA), true)), 0, "once")
+}
+
 // TestSuccessBeforeHold checks that a hold ends if a success is reported late that refutes the crashes that led to it.
 func TestSuccessBeforeHold(t *testing.T) {
 	table := New()
--- a/gateway/quarantine/endings.go
+++ b/gateway/quarantine/endings.go
@@ -29,13 +29,14 @@
 type endings []knownEnding
 
 // add adds the crash of an endpoint, unless it is known.
-func (e *endings) add(new Ending) {
-	for k := e.search(new.At.Add(-timeTolerance)); k < len(*e) && !(*e)[k].At.After(new.At.Add(timeTolerance)); k++ {
-		if (*e)[k].Endpoint == new.Endpoint {
+func (e *endings) add(added Ending) {
+	latest := added.At.Add(timeTolerance)
+	for k := e.search(added.At.Add(-timeTolerance)); k < len(*e) && !(*e)[k].At.After(latest); k++ {
+		if (*e)[k].Endpoint == added.Endpoint {
 			return
 		}
 	}
-	*e = slices.Insert(*e, e.search(new.At), knownEnding{new, sendsPerChange})
+	*e = slices.Insert(*e, e.search(added.At), knownEnding{added, sendsPerChange})
 	if len(*e) > maxEndings {
 		*e = slices.Delete(*e, 0, maxEndings/4)
 	}
--- a/gateway/quarantine/record.go
+++ b/gateway/quarantine/record.go
@@ -125,8 +125,8 @@
 	return true
 }
 
-// refutes reports whether a success precedes the end of one of the crashes of another record, so that the other
-// router does not know of it.
+// refutes reports whether the last success clears one of the crashes of a peer's record, so that the peer doesn't know
+// of the success.
 func (r *Record) refutes(other *Record) bool {
 	return slices.ContainsFunc(other.Crashes, func(crash Crash) bool { return !crash.Began.After(r.LastSuccess) })
 }
--- a/gateway/quarantine/table.go
+++ b/gateway/quarantine/table.go
@@ -33,7 +33,8 @@
 // An entry is a record and its send state.
 type entry struct {
 	Record
-	sendsLeft int // number of further messages to include the record in
+	sendsLeft int  // number of further messages to include the record in
+	stored    bool // this router has had a reason to store it
 }
 
 // New returns an empty Table.
@@ -79,16 +80,19 @@
 		}
 		charges = append(charges, Charge{Record: e.copy(), NewlyHeld: !wasHeld && t.holds(e)})
 	}
-	blockers := t.blockers(s)
-	for i := range charges {
-		blocks := func(e *entry) bool { return e.Fingerprint == charges[i].Fingerprint }
-		charges[i].Blocks = slices.ContainsFunc(blockers, blocks)
+	for _, blocker := range t.blockers(s) {
+		for i := range charges {
+			if charges[i].Fingerprint == blocker.Fingerprint {
+				charges[i].Blocks, blocker.stored = true, true
+			}
+		}
 	}
 	return charges
 }
 
-// RecordSuccess records that a request was answered with a success, and returns which of its fingerprints were held.
-// generated reports whether the endpoint generated anything: otherwise the success says nothing about prompt parts.
+// RecordSuccess records that a request was answered with a success, and returns which of its fingerprints were held or
+// may be stored. generated reports whether the endpoint generated anything: otherwise the success says nothing about
+// prompt parts.
 func (t *Table) RecordSuccess(now time.Time, s *Subject, generated bool) (released []Fingerprint) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -103,14 +107,14 @@
 		if e == nil {
 			continue
 		}
-		wasHeld := !e.HeldSince.IsZero()
-		if len(e.Crashes) > 0 || wasHeld {
+		if len(e.Crashes) > 0 || !e.HeldSince.IsZero() {
 			e.sendsLeft = sendsPerChange
 		}
-		e.recordSuccess(now)
-		if wasHeld {
+		if t.holds(e) || e.stored || e.Trials > 0 {
 			released = append(released, fingerprint)
 		}
+		e.recordSuccess(now)
+		e.stored = false
 	}
 	return released
 }
@@ -165,7 +169,7 @@
 func startTrial(now time.Time, held []*entry) Decision {
 	decision := Decision{Trial: true}
 	for _, e := range held {
-		e.Trials, e.LastTrial, e.sendsLeft = e.Trials+1, now, sendsPerChange
+		e.Trials, e.LastTrial, e.sendsLeft, e.stored = e.Trials+1, now, sendsPerChange, true
 		decision.Records = append(decision.Records, e.copy())
 	}
 	return decision
--- a/internal/soak/crashingparts_test.go
+++ b/internal/soak/crashingparts_test.go
@@ -61,15 +61,11 @@
 // sendParts sends requests with the poison part, no two alike.
 func (c *poisonSenders) sendParts(random *rand.Rand) {
 	for n := 0; time.Now().Before(c.until); n++ {
-		request := poisonRequest{id: fmt.Sprintf("part-%d", n), sent: time.Now()}
+		request := poisonRequest{id: fmt.Sprintf("part-%d", n)}
 		parts := []string{"a1:900", "b2:400", poisonPart + ":30"}
 		random.Shuffle(len(parts), func(i, j int) { parts[i], parts[j] = parts[j], parts[i] })
 		prompt := fmt.Sprintf("%s,%s,%s,%x:10", parts[0], parts[1], parts[2], 1<<20+n)
-		c.post(random, request.id, "/stream/parts", request.id, prompt)
-		request.ended = time.Now()
-		c.mu.Lock()
-		c.sent = append(c.sent, request)
-		c.mu.Unlock()
+		c.postRecorded(random, request, "/stream/parts", request.id, prompt)
 		pause(random, partPause)
 	}
 }
@@ -80,12 +76,7 @@
 	for ; time.Now().Before(c.until); n++ {
 		id := fmt.Sprintf("sound-%d", n)
 		prompt := fmt.Sprintf("a1:900,%s:400,%x:10", []string{"b2", "c3", "d4"}[n%3], 1<<21+n)
-		response := c.post(random, id, "/stream/parts", id, prompt)
-		if response != nil && response.Header.Get("X-Should-Retry") != "" {
-			c.mu.Lock()
-			c.held = append(c.held, id)
-			c.mu.Unlock()
-		}
+		c.postSound(random, id, "/stream/parts", id, prompt)
 		pause(random, partPause/8)
 	}
 	return n
--- a/internal/soak/crashingrequests_test.go
+++ b/internal/soak/crashingrequests_test.go
@@ -83,33 +83,45 @@
 // send sends requests of one kind.
 func (c *poisonSenders) send(kind int, random *rand.Rand) {
 	for n := 0; time.Now().Before(c.until); n++ {
-		request := poisonRequest{id: fmt.Sprintf("crash-%d-%d", kind, n), kind: kind, sent: time.Now()}
-		c.post(random, request.id, fmt.Sprintf("/stream/kind-%d", kind), poisonBody, "")
-		request.ended = time.Now()
-		c.mu.Lock()
-		c.sent = append(c.sent, request)
-		c.mu.Unlock()
+		request := poisonRequest{id: fmt.Sprintf("crash-%d-%d", kind, n), kind: kind}
+		c.postRecorded(random, request, fmt.Sprintf("/stream/kind-%d", kind), poisonBody, "")
 		pause(random, poisonPause)
 	}
 }
 
+// postRecorded sends a poison request and records it.
+func (c *poisonSenders) postRecorded(random *rand.Rand, request poisonRequest, path, body, prompt string) {
+	request.sent = time.Now()
+	c.post(random, request.id, path, body, prompt)
+	request.ended = time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sent = append(c.sent, request)
+}
+
 // sendOthers sends requests with the paths of the poison requests but other bodies, which
 // repeat. It returns the number of requests.
 func (c *poisonSenders) sendOthers(random *rand.Rand) int {
 	n := 0
 	for ; time.Now().Before(c.until); n++ {
 		id := fmt.Sprintf("other-%d", n)
-		response := c.post(random, id, fmt.Sprintf("/stream/kind-%d", n%poisonKinds), fmt.Sprintf("body %d", n%3), "")
-		if response != nil && response.Header.Get("X-Should-Retry") != "" {
-			c.mu.Lock()
-			c.held = append(c.held, id)
-			c.mu.Unlock()
-		}
+		c.postSound(random, id, fmt.Sprintf("/stream/kind-%d", n%poisonKinds), fmt.Sprintf("body %d", n%3), "")
 		pause(random, poisonPause/4)
 	}
 	return n
 }
 
+// postSound sends a request that crashes nothing, and records whether it was held.
+func (c *poisonSenders) postSound(random *rand.Rand, id, path, body, prompt string) {
+	response := c.post(random, id, path, body, prompt)
+	if response == nil || response.Header.Get("X-Should-Retry") == "" {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.held = append(c.held, id)
+}
+
 // post sends a request to a random gateway and returns the head of the response, or nil if
 // none arrived. prompt describes its prompt, and is empty if it has none.
 func (c *poisonSenders) post(random *rand.Rand, id, path, body, prompt string) *http.Response {
