test: TestReleased fails without the fix that it guards

The test has the case now that it lacked: a part whose endpoints crashed together with others; it fails without the fix and passes with it.

A part that another held part explains is still released by a call of the store, against what says of all suspected parts: docs/design/quarantine.md, "What is left". No code is changed.

--- a/gateway/quarantine/blame_test.go
+++ b/gateway/quarantine/blame_test.go
@@ -175,6 +175,13 @@
 	assert.Equal(t, len(table.RecordSuccess(at(7), subject(1, partC), true)), 0)
 	assert.DeepEqual(t, table.RecordSuccess(at(7), subject(1, partA), true), []Fingerprint{partA})
 	assert.Equal(t, len(table.RecordSuccess(at(8), subject(1, partA), true)), 0, "once")
+
+	grouped := New()
+	for i := range 4 {
+		second := float64(2 * i)
+		crash(grouped, ran{uint32(300 + i), second, second + 0.5, 1, []Fingerprint{partB}}, ran{uint32(400 + i), second, second + 0.51, 1, []Fingerprint{partC}})
+	}
+	assert.Equal(t, len(grouped.RecordSuccess(at(9), subject(1, partB), true)), 0, "its endpoints crashed together with others")
 }
 
 // TestSuccessBeforeHold checks that a hold ends if a success is reported late that refutes the crashes that led to it.
