review: show a gateway that exceeds its memory by one bad answer

Cause: the head of an endpoint's response is read without a limit (readHead in gateway/endpoint/send.go). A server that sends bytes without a line feed in place of an answer makes the gateway hold them all.

--- a/review/case/main.go
+++ b/review/case/main.go
@@ -28,6 +28,7 @@
 
 var cases = map[string]func(*setup) (int, error){
 	"truncated": runTruncated,
+	"junk":      runJunk,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
