--- a/review/case/junk.go
+++ b/review/case/junk.go
@@ -34,9 +34,9 @@
 	junkBytesPerS    = 1_000_000_000 / 8 // limits.linkMbps of the sheet
 	junkChunk        = 256 << 10         // bytes
 	memoryMB         = 284               // limits.memoryMb of the sheet
+	junkPieces       = 8
+	junkGap          = 10 * time.Millisecond
 	deskWork         = 300 * time.Millisecond
-	streamPieces     = 8
-	streamGap        = 10 * time.Millisecond
 	deskDeadline     = 4 * time.Second
 	modelDeadline    = 6 * time.Second
 	lostAllowed      = 3 // requests, by the rule
@@ -121,9 +121,9 @@
 		return s.spoil(conn, request, id)
 	}
 	_, err := fmt.Fprintf(conn, "%sContent-Type: text/event-stream\r\nRyeford-Weight-Versions: 1\r\nTransfer-Encoding: chunked\r\n\r\n", s.head(id))
-	for i := 1; i <= streamPieces && err == nil; i++ {
-		time.Sleep(streamGap)
-		event := fmt.Sprintf("id: %d\ndata: piece %d of %s\n\n", i, i, id)
+	for i := 1; i <= junkPieces && err == nil; i++ {
+		time.Sleep(junkGap)
+		event := piece(id, i)
 		_, err = fmt.Fprintf(conn, "%x\r\n%s\r\n", len(event), event)
 	}
 	if err == nil {
--- a/review/case/platform.go
+++ b/review/case/platform.go
@@ -104,9 +104,21 @@
 
 // list writes the entry of a server that is ready.
 func (p *platform) list(id, serviceName, zone, address string, slots int) error {
+	return p.writeEntry(id, serviceName, zone, address, "ready", slots)
+}
+
+// drain writes the entry of a server that is draining.
+func (p *platform) drain(id, serviceName, zone, address string, slots int) error {
+	return p.writeEntry(id, serviceName, zone, address, "draining", slots)
+}
+
+// remove removes the entry of a server.
+func (p *platform) remove(id string) { p.store.Remove("servers", id) }
+
+func (p *platform) writeEntry(id, serviceName, zone, address, state string, slots int) error {
 	_, err := p.store.PutJSON("servers", id, map[string]any{
 		"service": serviceName, "address": address, "zone": zone, "version": "1", "slots": slots,
-		"state": "ready", "coldMs": 0, "seq": 1,
+		"state": state, "coldMs": 0, "seq": 1,
 	})
 	return err
 }
--- a/review/case/truncated.go
+++ b/review/case/truncated.go
@@ -11,30 +11,33 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 )
 
-// The case "truncated". Servers answer long requests before they have read them, without a length, and go on reading
-// later. While a gateway still sends the rest of such a request, the network resets its connection, amid the answer.
+// The case "truncated". One in fifty of the servers' answers is a stream without a length that begins before the server
+// has read the long request. While the gateway still sends the rest of such a request, the network resets half of the
+// gateway's connections to servers, amid the answers.
 
 const (
 	truncatedGateways = 3
-	truncatedServers  = 3
+	truncatedServers  = 12
 	truncatedWaves    = 5
-	truncatedPerWave  = 4         // requests that each gateway gets at once
-	truncatedResets   = 2         // of them, at the first gateway: x 0.5 of its connections
-	truncatedRequest  = 1_000_000 // bytes of a request; limits.maxBodyBytes allows 4,194,304
-	truncatedAnswer   = 4_800     // bytes of an answer, the most on the sheet
-	truncatedDeadline = 4 * time.Second
+	truncatedPerWave  = 20      // requests that each gateway gets at once
+	truncatedResets   = 10      // of them, at the first gateway: x 0.5 of its connections
+	truncatedRequest  = 110_000 // bytes of a request, the most on the sheet
+	truncatedDeadline = 6 * time.Second
 
-	answerPause = 200 * time.Millisecond // between the halves of an answer
-	readPause   = 200 * time.Millisecond // from the end of the answer until the server goes on reading
+	streamPieces = 18                     // the mean on the sheet
+	resetPiece   = 9                      // after which the network resets the connections
+	streamGap    = 20 * time.Millisecond  // between pieces
+	readPause    = 300 * time.Millisecond // from the end of an early answer until the server goes on reading
 
-	linkSegment = 1460     // bytes: frames of the usual size, as between machines
-	linkWindow  = 16 << 10 // bytes that may wait at a server that doesn't read
+	linkSegment = 1460    // bytes: frames of the usual size, as between machines
+	linkWindow  = 4 << 10 // bytes that may wait at a server that doesn't read
 )
 
 // listenLink listens at an address to which frames have the usual size and the window is small.
@@ -52,34 +55,48 @@
 	return config.Listen(context.Background(), "tcp", net.JoinHostPort(host, "0"))
 }
 
-// wholeAnswer returns the body of the answer to a request.
-func wholeAnswer(id string) []byte {
-	return bytes.Repeat([]byte(id), truncatedAnswer/len(id))
+// piece returns one event of the answer to a request.
+func piece(id string, number int) string {
+	return fmt.Sprintf("id: %d\ndata: piece %d of %s\n\n", number, number, id)
 }
 
-// resets holds the requests whose connections the network resets.
-type resets struct {
-	mu  sync.Mutex
-	ids map[string]bool
+// wholeStream returns the body of the answer to a request.
+func wholeStream(id string) []byte {
+	var b strings.Builder
+	for i := 1; i <= streamPieces; i++ {
+		b.WriteString(piece(id, i))
+	}
+	return []byte(b.String())
+}
+
+// A streamPlan states what happens to the answers to some requests.
+type streamPlan struct {
+	mu       sync.Mutex
+	unframed map[string]bool // answered early and without a length
+	reset    map[string]bool // their connections are reset
+}
+
+func newStreamPlan() *streamPlan {
+	return &streamPlan{unframed: make(map[string]bool), reset: make(map[string]bool)}
 }
 
-func (r *resets) add(id string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.ids[id] = true
+func (p *streamPlan) set(id string, unframed, reset bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.unframed[id], p.reset[id] = unframed, reset
 }
 
-func (r *resets) has(id string) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.ids[id]
+func (p *streamPlan) get(id string) (unframed, reset bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.unframed[id], p.reset[id]
 }
 
-// An earlyServer answers before it has read a request, and without a length.
+// An earlyServer is a model server.
 type earlyServer struct {
 	id     string
 	record *record
-	resets *resets
+	plan   *streamPlan
 }
 
 func (s *earlyServer) serve(listener net.Listener) {
@@ -92,7 +109,7 @@
 	}
 }
 
-// serveConn serves the one request of a connection: an answer without a length ends with it.
+// serveConn serves one request: the connection is closed after it.
 func (s *earlyServer) serveConn(conn *net.TCPConn) {
 	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
@@ -105,57 +122,88 @@
 		_, _ = fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\n%s: %s\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", headerID, id)
 		return
 	}
-	s.record.add("server %s runs %s and answers before it has read its %d bytes", s.id, id, request.ContentLength)
-	answer := wholeAnswer(id)
-	half := len(answer) / 2
-	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s.%d\r\n%s: %s\r\nContent-Type: text/plain\r\n\r\n",
-		headerID, id, headerStamp, s.id, len(answer), headerInstance, s.id)
-	_, _ = conn.Write(answer[:half])
-	time.Sleep(answerPause)
-	if s.resets.has(id) {
-		s.record.add("the network resets the connection of %s after %d of %d bytes of the answer", id, half, len(answer))
-		_ = conn.SetLinger(0)
+	unframed, reset := s.plan.get(id)
+	s.record.add("server %s runs %s; answer without a length %v", s.id, id, unframed)
+	if !unframed {
+		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+			return
+		}
+	}
+	if !s.stream(conn, id, unframed, reset) {
 		return
 	}
-	_, _ = conn.Write(answer[half:])
-	time.Sleep(readPause)
-	n, err := io.Copy(io.Discard, request.Body)
-	s.record.add("server %s has sent the whole answer to %s and has read %d bytes of it, err %v", s.id, id, n, err)
+	if unframed {
+		time.Sleep(readPause)
+		n, err := io.Copy(io.Discard, request.Body)
+		s.record.add("server %s has sent the whole answer to %s and has read %d bytes of it, err %v", s.id, id, n, err)
+	}
 	_ = conn.CloseWrite()
 	_, _ = io.Copy(io.Discard, reader)
 }
 
-// truncatedCounts counts the ends of the requests.
-type truncatedCounts struct {
+// stream sends the answer to a request and reports whether its connection was not reset.
+func (s *earlyServer) stream(conn *net.TCPConn, id string, unframed, reset bool) bool {
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s.1\r\n%s: %s\r\nRyeford-Weight-Versions: 1\r\nContent-Type: text/event-stream\r\nConnection: close\r\n",
+		headerID, id, headerStamp, s.id, headerInstance, s.id)
+	format, end := "Transfer-Encoding: chunked\r\n\r\n", "0\r\n\r\n"
+	if unframed {
+		format, end = "\r\n", ""
+	}
+	_, _ = io.WriteString(conn, head+format)
+	for i := 1; i <= streamPieces; i++ {
+		time.Sleep(streamGap)
+		if reset && i > resetPiece {
+			s.record.add("the network resets the connection of %s after %d of %d pieces", id, resetPiece, streamPieces)
+			_ = conn.SetLinger(0)
+			return false
+		}
+		event := piece(id, i)
+		if !unframed {
+			event = fmt.Sprintf("%x\r\n%s\r\n", len(event), event)
+		}
+		_, _ = io.WriteString(conn, event)
+	}
+	_, _ = io.WriteString(conn, end)
+	return true
+}
+
+// streamCounts counts the ends of the requests.
+type streamCounts struct {
 	whole, partial, failures atomic.Int64
 }
 
-func runTruncated(s *setup) (int, error) {
-	p, err := newPlatform(s.host)
-	if err != nil {
-		return failed, err
-	}
-	defer p.close()
-	network := &resets{ids: make(map[string]bool)}
+// startStreamServers starts the servers of the case and lists them.
+func (s *setup) startStreamServers(p *platform, plan *streamPlan) error {
 	for i := range truncatedServers {
 		listener, err := listenLink(s.host)
 		if err != nil {
-			return failed, err
+			return err
 		}
-		defer func() { _ = listener.Close() }()
-		server := &earlyServer{id: fmt.Sprintf("i-5d1f0%d", i), record: s.record, resets: network}
+		server := &earlyServer{id: fmt.Sprintf("i-5d1f%02x", i), record: s.record, plan: plan}
 		go server.serve(listener)
-		if err := p.list(server.id, "scriptdesk", zones[i%len(zones)], listener.Addr().String(), 6); err != nil {
-			return failed, err
+		if err := p.list(server.id, "ryeford-pool", zones[i%len(zones)], listener.Addr().String(), 64); err != nil {
+			return err
 		}
 	}
-	err = p.configure([]string{"scriptdesk"}, []route{{
-		Name: "script-fetch", Host: requestHost, Prefix: "/fetch/", Service: "scriptdesk", Kind: "unsafe",
-		TimeoutMs: 4000, GoalMs: 300, Priority: 2, MaxAttempts: 1,
-	}})
+	return p.configure([]string{"ryeford-pool"}, []route{streamRoute})
+}
+
+// streamRoute is the route of a kind of request of the sheet.
+var streamRoute = route{
+	Name: "call-summary", Host: requestHost, Prefix: "/summary/", Service: "ryeford-pool", Kind: "streaming",
+	TimeoutMs: 6000, GoalMs: 600, Priority: 1, MaxAttempts: 1,
+}
+
+func runTruncated(s *setup) (int, error) {
+	p, err := newPlatform(s.host)
 	if err != nil {
 		return failed, err
 	}
+	defer p.close()
+	plan := newStreamPlan()
+	if err := s.startStreamServers(p, plan); err != nil {
+		return failed, err
+	}
 	var gateways []*gateway
 	for i := range truncatedGateways {
 		g, err := p.startGateway(s.dir, fmt.Sprintf("front-%d", i+1), zones[i%len(zones)])
@@ -167,13 +215,13 @@
 		gateways = append(gateways, g)
 	}
 	time.Sleep(contact) // the gateways are in touch with the store
-	counts := &truncatedCounts{}
+	counts := &streamCounts{}
 	for wave := range truncatedWaves {
-		s.sendWave(wave, gateways, network, counts)
+		s.sendWave(wave, gateways, plan, counts)
 		time.Sleep(time.Second)
 	}
 	sent := int64(truncatedWaves * truncatedGateways * truncatedPerWave)
-	s.record.add("%d requests: %d successes with the whole body, %d successes with a part of it, %d failures",
+	s.record.add("%d requests: %d whole streams, %d streams that ended as complete before their last piece, %d failures",
 		sent, counts.whole.Load(), counts.partial.Load(), counts.failures.Load())
 	switch {
 	case counts.partial.Load() > 0:
@@ -185,36 +233,34 @@
 }
 
 // sendWave sends requests to all gateways at once and waits for their ends.
-func (s *setup) sendWave(wave int, gateways []*gateway, network *resets, counts *truncatedCounts) {
+func (s *setup) sendWave(wave int, gateways []*gateway, plan *streamPlan, counts *streamCounts) {
 	var group sync.WaitGroup
 	for i, g := range gateways {
 		for n := range truncatedPerWave {
 			id := fmt.Sprintf("%04x%04x%08x", wave+1, i+1, 0x9c41d000+n)
-			if s.trouble && i == 0 && n < truncatedResets {
-				network.add(id)
-			}
-			group.Go(func() { s.sendLong(g, id, counts) })
+			plan.set(id, i == 0 && n == 0, s.trouble && i == 0 && n < truncatedResets)
+			group.Go(func() { s.sendStream(g, id, counts) })
 		}
 	}
 	group.Wait()
 }
 
-// sendLong sends one long request and compares the answer with what the server sent.
-func (s *setup) sendLong(g *gateway, id string, counts *truncatedCounts) {
+// sendStream sends one request and compares the answer with what the server sent.
+func (s *setup) sendStream(g *gateway, id string, counts *streamCounts) {
 	ctx, cancel := context.WithTimeout(context.Background(), truncatedDeadline)
 	defer cancel()
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
-	request, err := newRequest(ctx, g, "/fetch/a", id, truncatedDeadline, bytes.Repeat([]byte{'x'}, truncatedRequest))
+	request, err := newRequest(ctx, g, "/summary/a", id, truncatedDeadline, bytes.Repeat([]byte{'x'}, truncatedRequest))
 	if err != nil {
 		counts.failures.Add(1)
 		return
 	}
 	a := exchange(client, request)
-	s.record.add("the client gets for %s: status %d, stamp %q, %d bytes, err %v", id, a.status, a.stamp, len(a.body), a.err)
+	s.record.add("the client gets for %s: status %d, stamp %q, %d pieces, err %v", id, a.status, a.stamp, strings.Count(string(a.body), "\n\n"), a.err)
 	switch {
 	case a.err != nil || a.status != http.StatusOK:
 		counts.failures.Add(1)
-	case bytes.Equal(a.body, wholeAnswer(id)):
+	case bytes.Equal(a.body, wholeStream(id)):
 		counts.whole.Add(1)
 	default:
 		counts.partial.Add(1)
