review: show a stream of a crashed server that ends as a whole one

Cause: a gateway doesn't check whether a server has crashed if the server is draining or no longer listed (endedByCrash in gateway/crashes.go), and takes the end of its connection as the end of an answer without a length.

--- a/review/case/main.go
+++ b/review/case/main.go
@@ -29,11 +29,15 @@
 var cases = map[string]func(*setup) (int, error){
 	"truncated": runTruncated,
 	"junk":      runJunk,
+	"leaving":   runLeaving,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
 
 func run(args []string) int {
+	if len(args) == 4 && args[0] == "server" {
+		return runServer(args[1], args[2], args[3] == "true")
+	}
 	if len(args) != 2 || cases[args[0]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: case NAME RECORD")
 		return failed
