review: show the truncated answer without a disruption of the network

Cause: TCP_USER_TIMEOUT of a connection to a server also ends it if the server reads nothing for 3 s. The end is reported to the write of the request only, so that it has the same effect as a reset.

Change: the case has a part in which servers go on reading after their early answers, and then the part with resets.

--- a/review/case/leaving.go
+++ b/review/case/leaving.go
@@ -199,8 +199,7 @@
 		}
 	}
 	sent := int64(leavingWaves * leavingClients)
-	s.record.add("%d requests: %d whole streams, %d streams that ended as complete before their last piece, %d failures",
-		sent, counts.whole.Load(), counts.partial.Load(), counts.failures.Load())
+	s.record.add("%d requests: %s", sent, counts)
 	switch {
 	case counts.partial.Load() > 0:
 		return broken, nil
--- a/review/case/truncated.go
+++ b/review/case/truncated.go
@@ -18,14 +18,16 @@
 	"time"
 )
 
-// The case "truncated". One in fifty of the servers' answers is a stream without a length that begins before the server
-// has read the long request. While the gateway still sends the rest of such a request, the network resets half of the
-// gateway's connections to servers, amid the answers.
+// The case "truncated". One in sixty of the servers' answers is a stream without a length that begins before the server
+// has read the long request. In the first part, the server goes on reading when it has sent the answer, after over four
+// seconds. In the second part it goes on reading soon, and the network resets half of a gateway's connections to servers,
+// amid the answers.
 
 const (
 	truncatedGateways = 3
 	truncatedServers  = 12
-	truncatedWaves    = 5
+	truncatedLate     = 3       // waves of the first part
+	truncatedWaves    = 5       // of the second part
 	truncatedPerWave  = 20      // requests that each gateway gets at once
 	truncatedResets   = 10      // of them, at the first gateway: x 0.5 of its connections
 	truncatedRequest  = 110_000 // bytes of a request, the most on the sheet
@@ -34,6 +36,7 @@
 	streamPieces = 18                     // the mean on the sheet
 	resetPiece   = 9                      // after which the network resets the connections
 	streamGap    = 20 * time.Millisecond  // between pieces
+	lateGap      = 250 * time.Millisecond // between pieces of the answers of servers that read late; the sheet allows 300
 	readPause    = 300 * time.Millisecond // from the end of an early answer until the server goes on reading
 
 	linkSegment = 1460    // bytes: frames of the usual size, as between machines
@@ -69,27 +72,39 @@
 	return []byte(b.String())
 }
 
-// A streamPlan states what happens to the answers to some requests.
-type streamPlan struct {
-	mu       sync.Mutex
-	unframed map[string]bool // answered early and without a length
-	reset    map[string]bool // their connections are reset
+// A treatment is what happens to the answer to a request.
+type treatment struct {
+	unframed bool // it begins early and has no length
+	late     bool // its pieces are far apart, and the server reads the rest of the request after them
+	reset    bool // its connection is reset
+}
+
+// gap returns the time between the pieces of the answer.
+func (t treatment) gap() time.Duration {
+	if t.late {
+		return lateGap
+	}
+	return streamGap
 }
 
-func newStreamPlan() *streamPlan {
-	return &streamPlan{unframed: make(map[string]bool), reset: make(map[string]bool)}
+// A streamPlan holds the treatments of the requests that aren't answered plainly.
+type streamPlan struct {
+	mu         sync.Mutex
+	treatments map[string]treatment
 }
 
-func (p *streamPlan) set(id string, unframed, reset bool) {
+func newStreamPlan() *streamPlan { return &streamPlan{treatments: make(map[string]treatment)} }
+
+func (p *streamPlan) set(id string, t treatment) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.unframed[id], p.reset[id] = unframed, reset
+	p.treatments[id] = t
 }
 
-func (p *streamPlan) get(id string) (unframed, reset bool) {
+func (p *streamPlan) get(id string) treatment {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.unframed[id], p.reset[id]
+	return p.treatments[id]
 }
 
 // An earlyServer is a model server.
@@ -122,17 +137,17 @@
 		_, _ = fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\n%s: %s\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", headerID, id)
 		return
 	}
-	unframed, reset := s.plan.get(id)
-	s.record.add("server %s runs %s; answer without a length %v", s.id, id, unframed)
-	if !unframed {
+	t := s.plan.get(id)
+	s.record.add("server %s runs %s; answer without a length %v", s.id, id, t.unframed)
+	if !t.unframed {
 		if _, err := io.Copy(io.Discard, request.Body); err != nil {
 			return
 		}
 	}
-	if !s.stream(conn, id, unframed, reset) {
+	if !s.stream(conn, id, t) {
 		return
 	}
-	if unframed {
+	if t.unframed {
 		time.Sleep(readPause)
 		n, err := io.Copy(io.Discard, request.Body)
 		s.record.add("server %s has sent the whole answer to %s and has read %d bytes of it, err %v", s.id, id, n, err)
@@ -142,23 +157,23 @@
 }
 
 // stream sends the answer to a request and reports whether its connection was not reset.
-func (s *earlyServer) stream(conn *net.TCPConn, id string, unframed, reset bool) bool {
+func (s *earlyServer) stream(conn *net.TCPConn, id string, t treatment) bool {
 	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s.1\r\n%s: %s\r\nRyeford-Weight-Versions: 1\r\nContent-Type: text/event-stream\r\nConnection: close\r\n",
 		headerID, id, headerStamp, s.id, headerInstance, s.id)
 	format, end := "Transfer-Encoding: chunked\r\n\r\n", "0\r\n\r\n"
-	if unframed {
+	if t.unframed {
 		format, end = "\r\n", ""
 	}
 	_, _ = io.WriteString(conn, head+format)
 	for i := 1; i <= streamPieces; i++ {
-		time.Sleep(streamGap)
-		if reset && i > resetPiece {
+		time.Sleep(t.gap())
+		if t.reset && i > resetPiece {
 			s.record.add("the network resets the connection of %s after %d of %d pieces", id, resetPiece, streamPieces)
 			_ = conn.SetLinger(0)
 			return false
 		}
 		event := piece(id, i)
-		if !unframed {
+		if !t.unframed {
 			event = fmt.Sprintf("%x\r\n%s\r\n", len(event), event)
 		}
 		_, _ = io.WriteString(conn, event)
@@ -172,6 +187,12 @@
 	whole, partial, failures atomic.Int64
 }
 
+// String implements fmt.Stringer.
+func (c *streamCounts) String() string {
+	return fmt.Sprintf("%d whole streams, %d streams that ended as complete before their last piece, %d failures",
+		c.whole.Load(), c.partial.Load(), c.failures.Load())
+}
+
 // startStreamServers starts the servers of the case and lists them.
 func (s *setup) startStreamServers(p *platform, plan *streamPlan) error {
 	for i := range truncatedServers {
@@ -215,30 +236,40 @@
 		gateways = append(gateways, g)
 	}
 	time.Sleep(contact) // the gateways are in touch with the store
-	counts := &streamCounts{}
+	late, resets := &streamCounts{}, &streamCounts{}
+	for wave := range truncatedLate {
+		s.sendWave(wave, gateways, plan, late, func(gateway, n int) treatment {
+			special := gateway == 0 && n == 0
+			return treatment{unframed: special, late: special && s.trouble}
+		})
+	}
 	for wave := range truncatedWaves {
-		s.sendWave(wave, gateways, plan, counts)
+		s.sendWave(truncatedLate+wave, gateways, plan, resets, func(gateway, n int) treatment {
+			return treatment{unframed: gateway == 0 && n == 0, reset: s.trouble && gateway == 0 && n < truncatedResets}
+		})
 		time.Sleep(time.Second)
 	}
-	sent := int64(truncatedWaves * truncatedGateways * truncatedPerWave)
-	s.record.add("%d requests: %d whole streams, %d streams that ended as complete before their last piece, %d failures",
-		sent, counts.whole.Load(), counts.partial.Load(), counts.failures.Load())
+	s.record.add("servers that read late: %s", late)
+	s.record.add("connections that are reset: %s", resets)
+	sent := int64((truncatedLate + truncatedWaves) * truncatedGateways * truncatedPerWave)
+	whole := late.whole.Load() + resets.whole.Load()
 	switch {
-	case counts.partial.Load() > 0:
+	case late.partial.Load()+resets.partial.Load() > 0:
 		return broken, nil
-	case !s.trouble && counts.whole.Load() < sent:
-		return failed, fmt.Errorf("%d of %d requests served without trouble", counts.whole.Load(), sent)
+	case !s.trouble && whole < sent:
+		return failed, fmt.Errorf("%d of %d requests served without trouble", whole, sent)
 	}
 	return held, nil
 }
 
-// sendWave sends requests to all gateways at once and waits for their ends.
-func (s *setup) sendWave(wave int, gateways []*gateway, plan *streamPlan, counts *streamCounts) {
+// sendWave sends requests to all gateways at once and waits for their ends. treat returns the treatment of a gateway's
+// request of a number.
+func (s *setup) sendWave(wave int, gateways []*gateway, plan *streamPlan, counts *streamCounts, treat func(gateway, n int) treatment) {
 	var group sync.WaitGroup
 	for i, g := range gateways {
 		for n := range truncatedPerWave {
 			id := fmt.Sprintf("%04x%04x%08x", wave+1, i+1, 0x9c41d000+n)
-			plan.set(id, i == 0 && n == 0, s.trouble && i == 0 && n < truncatedResets)
+			plan.set(id, treat(i, n))
 			group.Go(func() { s.sendStream(g, id, counts) })
 		}
 	}
