review: show that no stream can be taken up after all gateways were killed

Cause: which software version began a stream is kept in the memory of the routers alone (gateway/streamversion). After the loss of all of them, while two versions serve, each stream that a caller takes up is refused.

Its command `versions` shows streams that go on at another version after an outage of the store.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,7 +3,7 @@
 # it does the same without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/ryeford ] && [ -x target/review-case ] || exit 2
-timeout -k 5 110 target/review-case leaving review/3/record.txt
+timeout -k 5 110 target/review-case takeup review/3/record.txt
 code=$?
 [ $code -le 1 ] && exit $code
 exit 2
--- a/review/case/main.go
+++ b/review/case/main.go
@@ -30,6 +30,8 @@
 	"truncated": runTruncated,
 	"junk":      runJunk,
 	"leaving":   runLeaving,
+	"versions":  runVersions,
+	"takeup":    runTakeUp,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- a/review/case/platform.go
+++ b/review/case/platform.go
@@ -63,6 +63,7 @@
 	Priority    int     `json:"priority"`
 	MaxAttempts int     `json:"maxAttempts"`
 	Resumable   bool    `json:"resumable,omitempty"`
+	Public      bool    `json:"public,omitempty"`
 }
 
 type service struct {
@@ -129,7 +130,36 @@
 // A gateway is one process of the deployed program.
 type gateway struct {
 	*process
-	front, ready string
+	front, ready    string
+	dir, name, file string // of the settings
+}
+
+// restart starts the gateway again after its end, as the platform does, and waits until it is ready.
+func (g *gateway) restart() error {
+	<-g.ended
+	text, err := os.ReadFile(g.file)
+	if err != nil {
+		return err
+	}
+	later := strings.Replace(string(text), "first_start: true", "first_start: false", 1)
+	if err := os.WriteFile(g.file, []byte(later), 0o600); err != nil {
+		return err
+	}
+	return g.start()
+}
+
+// start starts the process of the gateway and waits until it says that it is ready.
+func (g *gateway) start() (err error) {
+	if g.process, err = start(g.dir, g.name, []string{"RYEFORD_CONFIG=" + g.file}, "target/ryeford", "gateway"); err != nil {
+		return err
+	}
+	for began := time.Now(); time.Since(began) < 10*time.Second; time.Sleep(50 * time.Millisecond) {
+		if probe(g.ready) {
+			return nil
+		}
+	}
+	g.kill()
+	return fmt.Errorf("gateway %s isn't ready", g.name)
 }
 
 // startGateway starts a gateway with the command and the template of the deploy file, and waits until it says that it
@@ -155,21 +185,11 @@
 		}
 		return sheet[field]
 	})
-	file := filepath.Join(dir, name+".conf")
-	if err := os.WriteFile(file, []byte(filled), 0o600); err != nil {
-		return nil, err
-	}
-	g.process, err = start(dir, name, []string{"RYEFORD_CONFIG=" + file}, "target/ryeford", "gateway")
-	if err != nil {
+	g.dir, g.name, g.file = dir, name, filepath.Join(dir, name+".conf")
+	if err := os.WriteFile(g.file, []byte(filled), 0o600); err != nil {
 		return nil, err
 	}
-	for began := time.Now(); time.Since(began) < 10*time.Second; time.Sleep(50 * time.Millisecond) {
-		if probe(g.ready) {
-			return g, nil
-		}
-	}
-	g.kill()
-	return nil, fmt.Errorf("gateway %s isn't ready", name)
+	return g, g.start()
 }
 
 // probe asks a gateway whether it is ready, as the load balancer does.
