review: let case 1 send longer requests in every second wave

Cause: whether 110,000 bytes fit into the buffers between a gateway and a server depends on the machine's defaults.

Change: every second wave sends 400,000 bytes.

--- a/review/case/truncated.go
+++ b/review/case/truncated.go
@@ -31,6 +31,7 @@
 	truncatedPerWave  = 20      // requests that each gateway gets at once
 	truncatedResets   = 10      // of them, at the first gateway: x 0.5 of its connections
 	truncatedRequest  = 110_000 // bytes of a request, the most on the sheet
+	truncatedLonger   = 400_000 // bytes of a request of every second wave; limits.maxBodyBytes allows 4,194,304
 	truncatedDeadline = 6 * time.Second
 
 	streamPieces = 18                     // the mean on the sheet
@@ -265,23 +266,27 @@
 // sendWave sends requests to all gateways at once and waits for their ends. treat returns the treatment of a gateway's
 // request of a number.
 func (s *setup) sendWave(wave int, gateways []*gateway, plan *streamPlan, counts *streamCounts, treat func(gateway, n int) treatment) {
+	size := truncatedRequest
+	if wave%2 == 1 {
+		size = truncatedLonger
+	}
 	var group sync.WaitGroup
 	for i, g := range gateways {
 		for n := range truncatedPerWave {
 			id := fmt.Sprintf("%04x%04x%08x", wave+1, i+1, 0x9c41d000+n)
 			plan.set(id, treat(i, n))
-			group.Go(func() { s.sendStream(g, id, counts) })
+			group.Go(func() { s.sendStream(g, id, size, counts) })
 		}
 	}
 	group.Wait()
 }
 
 // sendStream sends one request and compares the answer with what the server sent.
-func (s *setup) sendStream(g *gateway, id string, counts *streamCounts) {
+func (s *setup) sendStream(g *gateway, id string, size int, counts *streamCounts) {
 	ctx, cancel := context.WithTimeout(context.Background(), truncatedDeadline)
 	defer cancel()
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
-	request, err := newRequest(ctx, g, "/summary/a", id, truncatedDeadline, bytes.Repeat([]byte{'x'}, truncatedRequest))
+	request, err := newRequest(ctx, g, "/summary/a", id, truncatedDeadline, bytes.Repeat([]byte{'x'}, size))
 	if err != nil {
 		counts.failures.Add(1)
 		return
