review: a cut stream looks whole at a gateway that was frozen meanwhile

Cause: whether the end of a response without a length is a crash is told by the endpoint's port at the time when the end is read. A gateway that stood still while the endpoint crashed and another one started there reads it late.

--- a/review/second/modelserver.go
+++ b/review/second/modelserver.go
@@ -39,10 +39,14 @@
 }
 
 // runModelServer serves streams and prints what it runs to standard output. Each stream can be taken up
-// after any event.
-func runModelServer(id string) {
+// after any event. spec is the ID of the server and its address, separated by a comma.
+func runModelServer(spec string) {
+	id, address, _ := strings.Cut(spec, ",")
 	var s *rawServer
-	s, err := newRawServer(id, func(conn net.Conn, request *http.Request, _ []byte) bool {
+	s, err := listenRawServer(id, address, func(conn net.Conn, request *http.Request, _ []byte) bool {
+		if request.Header.Get(wire.HeaderLastEvent) == "" && strings.HasPrefix(request.URL.Path, unframedPrefix) {
+			return streamUnframed(s, conn, request)
+		}
 		last, _ := strconv.Atoi(request.Header.Get(wire.HeaderLastEvent)) // zero if there is none
 		name := request.Header.Get(wire.HeaderRequestID)
 		fmt.Printf("run %s %d\n", name, last)
@@ -78,13 +82,16 @@
 	lines chan string
 }
 
-// startModelServer starts a process of this program that is a model server.
-func startModelServer(id string) (*modelServer, error) {
+// startModelServer starts a process of this program that is a model server, at a free port of a loopback IP.
+func startModelServer(id string) (*modelServer, error) { return startModelServerAt(id, "127.0.0.1:0") }
+
+// startModelServerAt starts a process of this program that is a model server at an address.
+func startModelServerAt(id, address string) (*modelServer, error) {
 	self, err := os.Executable()
 	if err != nil {
 		return nil, err
 	}
-	m := &modelServer{id: id, command: exec.Command(self, modelServerCommand, id), lines: make(chan string, 1000)}
+	m := &modelServer{id: id, command: exec.Command(self, modelServerCommand, id+","+address), lines: make(chan string, 1000)}
 	out, err := m.command.StdoutPipe()
 	if err != nil {
 		return nil, err
--- a/review/second/server.go
+++ b/review/second/server.go
@@ -22,9 +22,14 @@
 	answer func(conn net.Conn, request *http.Request, body []byte) bool
 }
 
-// newRawServer starts a server.
+// newRawServer starts a server at a free port.
 func newRawServer(id string, answer func(conn net.Conn, request *http.Request, body []byte) bool) (*rawServer, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	return listenRawServer(id, "127.0.0.1:0", answer)
+}
+
+// listenRawServer starts a server at an address.
+func listenRawServer(id, address string, answer func(conn net.Conn, request *http.Request, body []byte) bool) (*rawServer, error) {
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
