review: a stream goes on at a restarted server of another version

Cause: a gateway takes the version of an endpoint from the list unless it has noticed itself that the endpoint was away. One that it sent nothing meanwhile, and that is back under its ID before its new entry, counts as its old version.

--- a/review/second/modelserver.go
+++ b/review/second/modelserver.go
@@ -21,6 +21,9 @@
 // modelServerCommand runs a model server as a process of its own, so that it can be killed.
 const modelServerCommand = "model-server"
 
+// versionVariable is the environment variable with the software version of a model server.
+const versionVariable = "REVIEW_VERSION"
+
 const (
 	streamEvents = 12 // events of a stream
 	longEvent    = 5  // the ID of the event with a long line
@@ -47,6 +50,9 @@
 		if request.Header.Get(wire.HeaderLastEvent) == "" && strings.HasPrefix(request.URL.Path, unframedPrefix) {
 			return streamUnframed(s, conn, request)
 		}
+		if strings.HasPrefix(request.URL.Path, versionPrefix) {
+			return streamVersioned(s, conn, request, os.Getenv(versionVariable))
+		}
 		last, _ := strconv.Atoi(request.Header.Get(wire.HeaderLastEvent)) // zero if there is none
 		name := request.Header.Get(wire.HeaderRequestID)
 		fmt.Printf("run %s %d\n", name, last)
