review: a crash alone truncates streams whose callers read slowly

Cause: case 7 needs a gateway that stands still while a server crashes and another one starts at its address. What counts is only that the end of the response is read late.

Change: `target/review-2 slow FILE` shows the same fault with the crash alone, where callers read at half of the speed at which events are made. It is no case of its own, since case 7 shows the fault.

--- a/review/second/modelserver.go
+++ b/review/second/modelserver.go
@@ -50,6 +50,9 @@
 		if request.Header.Get(wire.HeaderLastEvent) == "" && strings.HasPrefix(request.URL.Path, unframedPrefix) {
 			return streamUnframed(s, conn, request)
 		}
+		if strings.HasPrefix(request.URL.Path, slowPrefix) {
+			return streamSlow(s, conn, request)
+		}
 		if strings.HasPrefix(request.URL.Path, versionPrefix) {
 			return streamVersioned(s, conn, request, os.Getenv(versionVariable))
 		}
