fix: reject a response whose status is none

Here a status of 000 to 099 was skipped like an interim response, and what followed its head was read as the next one: a body that looks like a response was passed on with 200, and without one the caller waited for its deadline (504). A status from 600 on was passed on.

Cause: net/http.ReadResponse accepts any three characters that are a number from zero on, readHead skips what is below 200, and nothing checked a head before its end.

Change: internal/responsehead checks the head, the interim heads before it and those of responses to other requests while their bytes arrive; the first byte that can't stand there ends the attempt as lost. headLimiter becomes headReader, which also takes back what the reader held before the head.

Conclusion: bytes without a status of 100 to 599 are no response, and no caller waits for their end.

--- a/gateway/endpoint/connection.go
+++ b/gateway/endpoint/connection.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"net"
@@ -33,7 +34,7 @@
 	net.Conn
 	endpoint ryeford.EndpointID
 	reader   *bufio.Reader
-	heads    *headLimiter // what reader reads from
+	heads    *headReader // what reader reads from
 	// maxIdle is how long the connection may be idle before the endpoint could close it.
 	maxIdle   time.Duration
 	usedAt    time.Time // when it was opened or its last response ended
@@ -55,7 +56,7 @@
 // newConnection returns a connection that was just opened.
 func newConnection(conn net.Conn, to ryeford.EndpointID) *connection {
 	now := clock.Now()
-	heads := &headLimiter{conn: conn}
+	heads := &headReader{conn: conn}
 	return &connection{
 		Conn:      conn,
 		endpoint:  to,
@@ -117,6 +118,13 @@
 	return err == nil && empty
 }
 
+// beginHead begins the head of a response. What the reader holds already is checked as well.
+func (c *connection) beginHead() {
+	buffered, _ := c.reader.Peek(c.reader.Buffered()) // can't fail
+	c.heads.begin(bytes.Clone(buffered))
+	c.reader.Reset(c.heads)
+}
+
 // readKeepAlive sets maxIdle from a response's Keep-Alive header, which is in whole seconds. It ignores a
 // malformed header.
 func (c *connection) readKeepAlive(header http.Header) {
--- a/gateway/endpoint/send.go
+++ b/gateway/endpoint/send.go
@@ -168,7 +168,7 @@
 
 // readHead reads the head of the next final response and skips interim ones (1xx).
 func readHead(c *connection, method string) (*http.Response, error) {
-	c.heads.begin()
+	c.beginHead()
 	defer c.heads.end()
 	for {
 		head, err := http.ReadResponse(c.reader, &http.Request{Method: method})
