fix: reject a response with a line that is no field

Here a name with a blank was left out of the head that callers got with 200; with Content-Length or Transfer-Encoding before the blank the body was read until the end of the connection, chunk sizes included; such an interim head, or such a response to another request, was skipped and the next one passed on; a statement in such a head that the request has not run was believed.

Cause: net/textproto accepts a blank in a name and keeps the name as it is, so that nothing finds the field.

Change: the scanner of response heads also checks names, values and the starts of lines, byte by byte.

Conclusion: a head counts only if each of its lines is a field.

--- a/gateway/endpoint/malformedhead_test.go
+++ b/gateway/endpoint/malformedhead_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -95,6 +96,29 @@
 	checkMalformed(t, answers)
 }
 
+// TestMalformedField guards against a response with a line that is no field: net/http reads a name with a blank as one
+// that it doesn't know, so that a length or chunks are not seen as such.
+func TestMalformedField(t *testing.T) {
+	answers := make(map[string]string)
+	for _, line := range []string{
+		"Content-Length : 2", "Content-Length\t: 2", " Content-Length: 2", "Transfer-Encoding : chunked", "Two Words: x", "Server Stamp", "Key\x01: x", "Key\x00: x",
+		"Key\x7f: x", "\x80: x", ": x", "(Key): x", "Key", "\x01\x02\x03", "Key: a\x00b", "Key: a\x1b", "Key: a\rb", "Ryeford-Not-Run : 1", "HTTP/1.1 200 OK",
+	} {
+		first, last := "HTTP/1.1 200 OK\r\n"+line+"\r\n"+soundFields, "HTTP/1.1 200 OK\r\n"+soundFields+line+"\r\n"
+		name := strconv.Quote(line)
+		answers[name+" as the first line"] = first + "\r\nok"
+		answers[name+" before a sound response"] = first + "\r\n" + soundAnswer
+		if line[0] != ' ' { // which would continue the field before it
+			answers[name+" as the last line"] = last + "\r\nok"
+			answers[name+" with a length"] = last + "Content-Length: 2\r\n\r\nok"
+		}
+		answers[name+" in an interim response"] = "HTTP/1.1 103 Early Hints\r\n" + line + "\r\n\r\n" + soundAnswer
+		answers[name+" in a response to another request"] = "HTTP/1.1 200 OK\r\n" + line + "\r\nRyeford-Request-Id: q\r\nContent-Length: 2\r\n\r\nno" + soundAnswer
+		answers[name+" without the end of its line"] = "HTTP/1.1 200 OK\r\n" + line + "\r-"
+	}
+	checkMalformed(t, answers)
+}
+
 // TestSoundResponses guards against the rejection of a sound response, whatever its framing is, after interim responses
 // and after a response to another request.
 func TestSoundResponses(t *testing.T) {
--- a/internal/responsehead/scanner.go
+++ b/internal/responsehead/scanner.go
@@ -2,7 +2,10 @@
 // some that are none.
 package responsehead
 
-import "fmt"
+import (
+	"fmt"
+	"strings"
+)
 
 // A MalformedError reports bytes that are no head of a response.
 type MalformedError struct {
@@ -22,7 +25,8 @@
 	PartVersion Part = "protocol version"
 	PartStatus  Part = "status"
 	PartReason  Part = "reason"
-	PartFields  Part = "fields"
+	PartName    Part = "field name"
+	PartValue   Part = "field value"
 )
 
 const (
@@ -44,8 +48,10 @@
 	stepStatus                // within the status, or in further spaces before it
 	stepStatusEnd             // after the status
 	stepReason                // within the reason
-	stepLineStart             // at the start of a line after the status line
-	stepLine                  // within such a line
+	stepFirstLine             // at the start of the first line after the status line
+	stepLine                  // at the start of a further line
+	stepName                  // within the name of a field
+	stepValue                 // within the value of a field
 	stepEnd                   // after the head of a final response
 )
 
@@ -81,8 +87,10 @@
 		return PartStatus
 	case stepReason:
 		return PartReason
+	case stepValue:
+		return PartValue
 	default:
-		return PartFields
+		return PartName
 	}
 }
 
@@ -92,7 +100,7 @@
 		return false
 	}
 	if s.afterCR = c == '\r'; s.afterCR {
-		return s.step != stepVersion && s.step != stepStatus
+		return s.step != stepVersion && s.step != stepStatus && s.step != stepName
 	}
 	switch s.step {
 	case stepVersion:
@@ -104,8 +112,12 @@
 		return c == ' ' || c == '\n' && s.nextOfReason(c)
 	case stepReason:
 		return s.nextOfReason(c)
+	case stepName:
+		return s.nextOfName(c)
+	case stepValue:
+		return s.nextOfValue(c)
 	default:
-		return s.nextOfFields(c)
+		return s.startLine(c)
 	}
 }
 
@@ -139,22 +151,43 @@
 
 func (s *Scanner) nextOfReason(c byte) bool {
 	if c == '\n' {
-		s.step = stepLineStart
+		s.step = stepFirstLine
 		return true
 	}
 	return isText(c)
 }
 
-func (s *Scanner) nextOfFields(c byte) bool {
+// startLine checks the first byte of a line after the status line. A blank there continues the value of the field before.
+func (s *Scanner) startLine(c byte) bool {
+	first := s.step == stepFirstLine
 	switch {
-	case c != '\n':
-		s.step = stepLine
-	case s.step == stepLineStart:
+	case c == '\n':
 		s.endHead()
-	default:
-		s.step = stepLineStart
+		return true
+	case isBlank(c):
+		s.step = stepValue
+		return !first
+	}
+	s.step = stepName
+	return isToken(c)
+}
+
+// nextOfName checks a byte of a field's name. A blank before the colon is an error too: what the field stands for, such as
+// the length of the body, would be lost.
+func (s *Scanner) nextOfName(c byte) bool {
+	if c == ':' {
+		s.step = stepValue
+		return true
 	}
-	return true
+	return isToken(c)
+}
+
+func (s *Scanner) nextOfValue(c byte) bool {
+	if c == '\n' {
+		s.step = stepLine
+		return true
+	}
+	return isText(c)
 }
 
 // endHead is called after the empty line. Another head follows that of an interim response.
@@ -168,5 +201,16 @@
 
 func isDigit(c byte) bool { return c >= '0' && c <= '9' }
 
+func isBlank(c byte) bool { return c == ' ' || c == '\t' }
+
 // isText reports whether a byte may stand in a reason or in the value of a field.
 func isText(c byte) bool { return c == '\t' || c >= ' ' && c != 0x7f }
+
+// tokenMarks are the bytes that may stand in the name of a field beside letters and digits.
+const tokenMarks = "!#$%&'*+-.^_`|~"
+
+// isToken reports whether a byte may stand in the name of a field.
+func isToken(c byte) bool {
+	letter := c|0x20 >= 'a' && c|0x20 <= 'z'
+	return letter || isDigit(c) || strings.IndexByte(tokenMarks, c) >= 0
+}
--- a/internal/responsehead/scanner_test.go
+++ b/internal/responsehead/scanner_test.go
@@ -59,14 +59,19 @@
 	}
 }
 
-// TestMalformedStatusLines checks that each byte that can't stand in a status line is found when it comes.
-func TestMalformedStatusLines(t *testing.T) {
+// TestMalformedHeads checks that each byte that can't stand in a head is found when it comes.
+func TestMalformedHeads(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\n"
 	for text, part := range map[string]Part{
 		"h": PartVersion, "\r": PartVersion, "\n": PartVersion, "HTTP/2": PartVersion, "HTTP/1.x": PartVersion, "HTTP/1.10": PartVersion, "HTTP/1.1\r": PartVersion,
 		"HTTP/1.1 0": PartStatus, "HTTP/1.1 6": PartStatus, "HTTP/1.1 9": PartStatus, "HTTP/1.1 +": PartStatus, "HTTP/1.1 -": PartStatus, "HTTP/1.1 \t": PartStatus,
 		"HTTP/1.1 \r": PartStatus, "HTTP/1.1 2\r": PartStatus, "HTTP/1.1 20\n": PartStatus, "HTTP/1.1 20 ": PartStatus, "HTTP/1.1 2000": PartStatus,
 		"HTTP/1.1 101": PartStatus, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 0": PartStatus, "HTTP/1.1 200\t": PartStatus,
 		"HTTP/1.1 200 \x00": PartReason, "HTTP/1.1 200 a\x7f": PartReason, "HTTP/1.1 200 a\ra": PartReason, "HTTP/1.1 200 a\r\r": PartReason,
+		ok + " ": PartName, ok + "\t": PartName, ok + ":": PartName, ok + "\x00": PartName, ok + "\r\r": PartName, ok + "A ": PartName, ok + "A\t": PartName, ok + "A\r": PartName,
+		ok + "A\n": PartName, ok + "A\x7f": PartName, ok + "A\x80": PartName, ok + "A(": PartName, ok + "A@": PartName, ok + "A[": PartName, ok + "A{": PartName, ok + "A: b\r\n\x01": PartName,
+		ok + "A: b\x00": PartValue, ok + "A: \x7f": PartValue, ok + "A: b\ra": PartValue, ok + "A: b\r\n c\x1b": PartValue,
+		"HTTP/1.1 100 Continue\r\nA ": PartName,
 	} {
 		for _, size := range []int{1, len(text)} {
 			_, err := scanIn(size, text)
