refactor: name the package of response scanners httpscan

Cause: bodies in chunks are to be checked like heads, beside them. Measured: its tests and those of gateway/endpoint, green. Conclusion: the name fits what follows.

--- a/gateway/endpoint/headreader.go
+++ b/gateway/endpoint/headreader.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"net"
 
-	"github.com/ryeford/ryeford/internal/responsehead"
+	"github.com/ryeford/ryeford/internal/httpscan"
 )
 
 // maxResponseHead is the maximum size of the head of a response, with the interim responses (1xx) before it, in bytes.
@@ -17,7 +17,7 @@
 	inHead  bool
 	unread  []byte // arrived before the head was expected
 	left    int    // bytes that may still be read of the head
-	scanner responsehead.Scanner
+	scanner httpscan.Head
 	err     error // of scanner
 }
 
@@ -29,7 +29,7 @@
 // end ends the head: what follows is neither limited nor checked here.
 func (h *headReader) end() { h.inHead = false }
 
-// Read implements io.Reader. The error is a *responsehead.MalformedError, an *UnusableResponseError if the head is
+// Read implements io.Reader. The error is a *httpscan.MalformedError, an *UnusableResponseError if the head is
 // too large, or one of the connection.
 func (h *headReader) Read(p []byte) (int, error) {
 	switch {
--- a/internal/responsehead/scanner.go
+++ b/internal/httpscan/head.go
@@ -1,23 +1,23 @@
-// Package responsehead checks whether bytes are the head of a response in HTTP/1.1 (RFC 9112). net/http also accepts
-// some that are none.
-package responsehead
+// Package httpscan checks whether bytes are a response in HTTP/1.1 (RFC 9112). net/http also accepts some that are none,
+// and judges the others only once they are whole. It does no I/O.
+package httpscan
 
 import (
 	"fmt"
 	"strings"
 )
 
-// A MalformedError reports bytes that are no head of a response.
+// A MalformedError reports bytes that are no response.
 type MalformedError struct {
 	Part Part
 	Byte byte // the first one that can't stand there
 }
 
 func (e *MalformedError) Error() string {
-	return fmt.Sprintf("malformed response head: %q in its %s", e.Byte, e.Part)
+	return fmt.Sprintf("malformed response: %q in its %s", e.Byte, e.Part)
 }
 
-// A Part is a part of a head.
+// A Part is a part of a response.
 type Part string
 
 // The parts.
@@ -55,9 +55,9 @@
 	stepEnd                   // after the head of a final response
 )
 
-// A Scanner checks the head of a final response, and those of the interim responses before it, while their bytes
-// arrive. The zero Scanner expects the first byte.
-type Scanner struct {
+// A Head checks the head of a final response, and those of the interim responses before it, while their bytes arrive.
+// The zero Head expects the first byte.
+type Head struct {
 	step    step
 	offset  int  // within the part that step names
 	afterCR bool // the last byte was a carriage return, which only a line feed may follow
@@ -65,13 +65,13 @@
 }
 
 // Scan checks the next bytes. It ignores what follows the head of the final response. The error is a *MalformedError,
-// after which the Scanner must not be used.
-func (s *Scanner) Scan(b []byte) error {
+// after which the Head must not be used.
+func (h *Head) Scan(b []byte) error {
 	for _, c := range b {
-		if s.step == stepEnd {
+		if h.step == stepEnd {
 			return nil
 		}
-		if part := s.part(); !s.next(c) {
+		if part := h.part(); !h.next(c) {
 			return &MalformedError{Part: part, Byte: c}
 		}
 	}
@@ -79,8 +79,8 @@
 }
 
 // part returns the part of the head in which the next byte stands.
-func (s *Scanner) part() Part {
-	switch s.step {
+func (h *Head) part() Part {
+	switch h.step {
 	case stepVersion:
 		return PartVersion
 	case stepStatus, stepStatusEnd:
@@ -95,37 +95,37 @@
 }
 
 // next reports whether a byte may stand where it stands.
-func (s *Scanner) next(c byte) bool {
-	if s.afterCR && c != '\n' {
+func (h *Head) next(c byte) bool {
+	if h.afterCR && c != '\n' {
 		return false
 	}
-	if s.afterCR = c == '\r'; s.afterCR {
-		return s.step != stepVersion && s.step != stepStatus && s.step != stepName
+	if h.afterCR = c == '\r'; h.afterCR {
+		return h.step != stepVersion && h.step != stepStatus && h.step != stepName
 	}
-	switch s.step {
+	switch h.step {
 	case stepVersion:
-		return s.nextOfVersion(c)
+		return h.nextOfVersion(c)
 	case stepStatus:
-		return s.nextOfStatus(c)
+		return h.nextOfStatus(c)
 	case stepStatusEnd:
-		s.step = stepReason
-		return c == ' ' || c == '\n' && s.nextOfReason(c)
+		h.step = stepReason
+		return c == ' ' || c == '\n' && h.nextOfReason(c)
 	case stepReason:
-		return s.nextOfReason(c)
+		return h.nextOfReason(c)
 	case stepName:
-		return s.nextOfName(c)
+		return h.nextOfName(c)
 	case stepValue:
-		return s.nextOfValue(c)
+		return h.nextOfValue(c)
 	default:
-		return s.startLine(c)
+		return h.startLine(c)
 	}
 }
 
-func (s *Scanner) nextOfVersion(c byte) bool {
-	want := statusLineStart[s.offset]
-	s.offset++
-	if s.offset == len(statusLineStart) {
-		s.step, s.offset = stepStatus, 0
+func (h *Head) nextOfVersion(c byte) bool {
+	want := statusLineStart[h.offset]
+	h.offset++
+	if h.offset == len(statusLineStart) {
+		h.step, h.offset = stepStatus, 0
 	}
 	if want == minorVersion {
 		return isDigit(c)
@@ -134,68 +134,68 @@
 }
 
 // nextOfStatus checks a byte of the status, which is from 100 to 599.
-func (s *Scanner) nextOfStatus(c byte) bool {
-	if s.offset == 0 && c == ' ' {
+func (h *Head) nextOfStatus(c byte) bool {
+	if h.offset == 0 && c == ' ' {
 		return true
 	}
-	s.status[s.offset] = c
-	s.offset++
-	switch s.offset {
+	h.status[h.offset] = c
+	h.offset++
+	switch h.offset {
 	case 1:
 		return c >= '1' && c <= '5'
 	case statusLen:
-		s.step, s.offset = stepStatusEnd, 0
+		h.step, h.offset = stepStatusEnd, 0
 	}
-	return isDigit(c) && string(s.status[:]) != switchingProtocols
+	return isDigit(c) && string(h.status[:]) != switchingProtocols
 }
 
-func (s *Scanner) nextOfReason(c byte) bool {
+func (h *Head) nextOfReason(c byte) bool {
 	if c == '\n' {
-		s.step = stepFirstLine
+		h.step = stepFirstLine
 		return true
 	}
 	return isText(c)
 }
 
 // startLine checks the first byte of a line after the status line. A blank there continues the value of the field before.
-func (s *Scanner) startLine(c byte) bool {
-	first := s.step == stepFirstLine
+func (h *Head) startLine(c byte) bool {
+	first := h.step == stepFirstLine
 	switch {
 	case c == '\n':
-		s.endHead()
+		h.endHead()
 		return true
 	case isBlank(c):
-		s.step = stepValue
+		h.step = stepValue
 		return !first
 	}
-	s.step = stepName
+	h.step = stepName
 	return isToken(c)
 }
 
 // nextOfName checks a byte of a field's name. A blank before the colon is an error too: what the field stands for, such as
 // the length of the body, would be lost.
-func (s *Scanner) nextOfName(c byte) bool {
+func (h *Head) nextOfName(c byte) bool {
 	if c == ':' {
-		s.step = stepValue
+		h.step = stepValue
 		return true
 	}
 	return isToken(c)
 }
 
-func (s *Scanner) nextOfValue(c byte) bool {
+func (h *Head) nextOfValue(c byte) bool {
 	if c == '\n' {
-		s.step = stepLine
+		h.step = stepLine
 		return true
 	}
 	return isText(c)
 }
 
 // endHead is called after the empty line. Another head follows that of an interim response.
-func (s *Scanner) endHead() {
-	interim := s.status[0] == '1'
-	*s = Scanner{}
+func (h *Head) endHead() {
+	interim := h.status[0] == '1'
+	*h = Head{}
 	if !interim {
-		s.step = stepEnd
+		h.step = stepEnd
 	}
 }
 
--- a/internal/responsehead/scanner_test.go
+++ b/internal/httpscan/head_test.go
@@ -1,4 +1,4 @@
-package responsehead
+package httpscan
 
 import (
 	"bufio"
@@ -35,16 +35,16 @@
 }
 
 // scanIn scans a text in pieces of a size.
-func scanIn(size int, text string) (Scanner, error) {
-	var s Scanner
+func scanIn(size int, text string) (Head, error) {
+	var h Head
 	for rest := []byte(text); len(rest) > 0; {
 		n := min(size, len(rest))
-		if err := s.Scan(rest[:n]); err != nil {
-			return s, err
+		if err := h.Scan(rest[:n]); err != nil {
+			return h, err
 		}
 		rest = rest[n:]
 	}
-	return s, nil
+	return h, nil
 }
 
 // TestSoundHeads guards against the rejection of a head that can be served, however it is split on its way, and with
@@ -52,9 +52,9 @@
 func TestSoundHeads(t *testing.T) {
 	for _, head := range soundHeads {
 		for _, size := range []int{1, 2, 3, 7, len(head) + 20} {
-			s, err := scanIn(size, head+"\x00\r\rbody\x01")
+			h, err := scanIn(size, head+"\x00\r\rbody\x01")
 			assert.NilError(t, err, "%q", head)
-			assert.Equal(t, s.step, stepEnd, "%q", head)
+			assert.Equal(t, h.step, stepEnd, "%q", head)
 		}
 	}
 }
@@ -85,15 +85,15 @@
 	}
 }
 
-// FuzzScanner checks that the result doesn't depend on how a head is split, and that net/http reads an accepted head as
+// FuzzHead checks that the result doesn't depend on how a head is split, and that net/http reads an accepted head as
 // one with the same status.
-func FuzzScanner(f *testing.F) {
+func FuzzHead(f *testing.F) {
 	for _, head := range soundHeads {
 		f.Add([]byte(head), uint8(3))
 		f.Add([]byte(head[:len(head)/2]+"\x00"+head[len(head)/2:]), uint8(1))
 	}
 	f.Fuzz(func(t *testing.T, text []byte, size uint8) {
-		var whole Scanner
+		var whole Head
 		wholeErr := whole.Scan(text)
 		split, splitErr := scanIn(max(1, int(size)), string(text))
 		assert.DeepEqual(t, wholeErr, splitErr)
