fix: end a response at the first byte that is no chunk

A trailer whose name holds a blank ended a response as whole, and so did that of a response to another request, whose successor was passed on. Bytes in place of a chunk's size, after its data, or of a trailer without an end kept the caller waiting until its deadline.

Cause: net/http reads trailers as it reads fields, and looks at the framing only once a line, or two bytes after the data, are there.

Conclusion: a body in chunks counts only if its framing and trailer are sound, and nobody waits for the end of what can't be one.

--- a/gateway/endpoint/connection.go
+++ b/gateway/endpoint/connection.go
@@ -34,7 +34,7 @@
 	net.Conn
 	endpoint ryeford.EndpointID
 	reader   *bufio.Reader
-	heads    *headReader // what reader reads from
+	response *responseReader // what reader reads from
 	// maxIdle is how long the connection may be idle before the endpoint could close it.
 	maxIdle   time.Duration
 	usedAt    time.Time // when it was opened or its last response ended
@@ -56,12 +56,12 @@
 // newConnection returns a connection that was just opened.
 func newConnection(conn net.Conn, to ryeford.EndpointID) *connection {
 	now := clock.Now()
-	heads := &headReader{conn: conn}
+	response := &responseReader{conn: conn}
 	return &connection{
 		Conn:      conn,
 		endpoint:  to,
-		reader:    bufio.NewReaderSize(heads, readBuffer),
-		heads:     heads,
+		reader:    bufio.NewReaderSize(response, readBuffer),
+		response:  response,
 		maxIdle:   defaultMaxIdle,
 		usedAt:    now,
 		idleUntil: now.Add(defaultMaxIdle),
@@ -118,11 +118,26 @@
 	return err == nil && empty
 }
 
-// beginHead begins the head of a response. What the reader holds already is checked as well.
+// beginHead begins the head of a response.
 func (c *connection) beginHead() {
-	buffered, _ := c.reader.Peek(c.reader.Buffered()) // can't fail
-	c.heads.begin(bytes.Clone(buffered))
-	c.reader.Reset(c.heads)
+	c.unread()
+	c.response.beginHead()
+}
+
+// beginBody begins the body after a head.
+func (c *connection) beginBody(head *http.Response) {
+	chunked := len(head.TransferEncoding) > 0 && head.Body != http.NoBody
+	if chunked {
+		c.unread()
+	}
+	c.response.beginBody(chunked)
+}
+
+// unread makes what the reader holds arrive again.
+func (c *connection) unread() {
+	held, _ := c.reader.Peek(c.reader.Buffered()) // can't fail: nothing is read
+	c.response.unread = bytes.Clone(held)
+	c.reader.Reset(c.response)
 }
 
 // readKeepAlive sets maxIdle from a response's Keep-Alive header, which is in whole seconds. It ignores a
--- a/gateway/endpoint/send.go
+++ b/gateway/endpoint/send.go
@@ -169,13 +169,13 @@
 // readHead reads the head of the next final response and skips interim ones (1xx).
 func readHead(c *connection, method string) (*http.Response, error) {
 	c.beginHead()
-	defer c.heads.end()
 	for {
 		head, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
 			return nil, err
 		}
 		if head.StatusCode >= 200 {
+			c.beginBody(head)
 			return head, nil
 		}
 	}
--- a/internal/httpscan/head.go
+++ b/internal/httpscan/head.go
@@ -27,6 +27,7 @@
 	PartReason  Part = "reason"
 	PartName    Part = "field name"
 	PartValue   Part = "field value"
+	PartChunk   Part = "chunk"
 )
 
 const (
@@ -64,18 +65,21 @@
 	status  [statusLen]byte
 }
 
-// Scan checks the next bytes. It ignores what follows the head of the final response. The error is a *MalformedError,
-// after which the Head must not be used.
-func (h *Head) Scan(b []byte) error {
-	for _, c := range b {
+// newTrailer returns a Head that checks the fields of a trailer.
+func newTrailer() Head { return Head{step: stepFirstLine} }
+
+// Scan checks the next bytes, and ignores what follows the head of the final response. It returns the number of bytes
+// before the first one that can't stand there. The error is a *MalformedError, after which the Head must not be used.
+func (h *Head) Scan(b []byte) (int, error) {
+	for i, c := range b {
 		if h.step == stepEnd {
-			return nil
+			break
 		}
 		if part := h.part(); !h.next(c) {
-			return &MalformedError{Part: part, Byte: c}
+			return i, &MalformedError{Part: part, Byte: c}
 		}
 	}
-	return nil
+	return len(b), nil
 }
 
 // part returns the part of the head in which the next byte stands.
--- a/internal/httpscan/head_test.go
+++ b/internal/httpscan/head_test.go
@@ -39,7 +39,7 @@
 	var h Head
 	for rest := []byte(text); len(rest) > 0; {
 		n := min(size, len(rest))
-		if err := h.Scan(rest[:n]); err != nil {
+		if _, err := h.Scan(rest[:n]); err != nil {
 			return h, err
 		}
 		rest = rest[n:]
@@ -94,7 +94,7 @@
 	}
 	f.Fuzz(func(t *testing.T, text []byte, size uint8) {
 		var whole Head
-		wholeErr := whole.Scan(text)
+		_, wholeErr := whole.Scan(text)
 		split, splitErr := scanIn(max(1, int(size)), string(text))
 		assert.DeepEqual(t, wholeErr, splitErr)
 		if wholeErr != nil {
