fix: reject an interim response that states a body

What follows the head of a 1xx response that states a length or chunks was read as the next head, and passed on if it looked like one.

Cause: an interim response has no body, so net/http ignores what its head says of one; the endpoint may send it all the same.

Change: such an interim head ends the attempt as lost.

Conclusion: no body of an interim response is taken for a response.

--- a/gateway/endpoint/malformedbody_test.go
+++ b/gateway/endpoint/malformedbody_test.go
@@ -55,3 +55,13 @@
 	}
 	checkBroken(t, "POST", answers)
 }
+
+// TestInterimWithBody guards against the body of an interim response, which has none, that is read as the next head.
+func TestInterimWithBody(t *testing.T) {
+	answers := make(map[string]string)
+	for _, field := range []string{"Content-Length: 99", "content-length: 1", "Transfer-Encoding: chunked"} {
+		answers[field] = "HTTP/1.1 103 Early Hints\r\n" + field + "\r\n\r\n" + soundAnswer
+		answers[field+" in the second one"] = "HTTP/1.1 100 Continue\r\nContent-Length: 0\r\n\r\n" + answers[field]
+	}
+	checkBroken(t, "POST", answers)
+}
--- a/gateway/endpoint/malformedhead_test.go
+++ b/gateway/endpoint/malformedhead_test.go
@@ -123,7 +123,7 @@
 // and after a response to another request.
 func TestSoundResponses(t *testing.T) {
 	const head = "HTTP/1.1 200 OK\r\n" + soundFields
-	const early = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+	const early = "HTTP/1.1 100 Continue\r\nContent-Length: 0\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
 	for _, response := range []struct {
 		method, text, body string
 		closes             bool
--- a/gateway/endpoint/send.go
+++ b/gateway/endpoint/send.go
@@ -178,9 +178,18 @@
 			c.beginBody(head)
 			return head, nil
 		}
+		if declaresBody(head) {
+			return nil, &UnusableResponseError{Problem: "an interim response has a body"}
+		}
 	}
 }
 
+// declaresBody reports whether a head states that a body follows, whatever its status and the method of its request.
+func declaresBody(head *http.Response) bool {
+	length := head.Header.Get("Content-Length")
+	return len(head.TransferEncoding) > 0 || length != "" && length != "0"
+}
+
 // skipResponse reads a response to another request to its end. It reports whether another response may follow; if
 // not, the connection must be closed.
 func skipResponse(head *http.Response) bool {
