fix: don't skip a response with a body before that to a HEAD

The body of a response to an earlier request, right before the response to a HEAD, was read as the next head.

Cause: it was read by the method of the request that is under way, so that it had no body.

Change: before the response to a HEAD, a response to another request is skipped only if its own head says that it has no body.

Conclusion: no body of another response is taken for that to a HEAD.

--- a/gateway/endpoint/malformedbody_test.go
+++ b/gateway/endpoint/malformedbody_test.go
@@ -65,3 +65,14 @@
 	}
 	checkBroken(t, "POST", answers)
 }
+
+// TestOtherResponseBeforeHead guards against the body of a response to another request that is read as the next head: whether
+// one follows depends on the method of its request, not on this one's.
+func TestOtherResponseBeforeHead(t *testing.T) {
+	const other = "HTTP/1.1 200 OK\r\nRyeford-Request-Id: q\r\n"
+	checkBroken(t, "HEAD", map[string]string{
+		"a length": other + "Content-Length: 99\r\n\r\n" + soundAnswer,
+		"chunks":   other + "Transfer-Encoding: chunked\r\n\r\n" + soundAnswer,
+		"neither":  other + "\r\n" + soundAnswer,
+	})
+}
--- a/gateway/endpoint/send.go
+++ b/gateway/endpoint/send.go
@@ -112,7 +112,7 @@
 		if meta.Request == request.ID {
 			return p.accept(c, head, meta, write)
 		}
-		if meta.Request == "" || !skipResponse(head) {
+		if meta.Request == "" || !skipResponse(head, request.Method) {
 			break
 		}
 	}
@@ -184,6 +184,14 @@
 	}
 }
 
+// endsWithHead reports whether a response has no body, whatever the method of its request.
+func endsWithHead(head *http.Response) bool {
+	if head.StatusCode == http.StatusNoContent || head.StatusCode == http.StatusNotModified {
+		return true
+	}
+	return len(head.TransferEncoding) == 0 && head.ContentLength == 0
+}
+
 // declaresBody reports whether a head states that a body follows, whatever its status and the method of its request.
 func declaresBody(head *http.Response) bool {
 	length := head.Header.Get("Content-Length")
@@ -191,8 +199,11 @@
 }
 
 // skipResponse reads a response to another request to its end. It reports whether another response may follow; if
-// not, the connection must be closed.
-func skipResponse(head *http.Response) bool {
+// not, the connection must be closed. method is that of the request whose response is expected.
+func skipResponse(head *http.Response, method string) bool {
+	if method == http.MethodHead && !endsWithHead(head) {
+		return false // it was read as a response to HEAD, but its request may have had another method
+	}
 	n, err := io.Copy(io.Discard, io.LimitReader(head.Body, maxStrayBodyBytes))
 	return err == nil && n < maxStrayBodyBytes && !head.Close
 }
