fix: reject a response of HTTP/1.0 that states chunks

A response of HTTP/1.0 with Transfer-Encoding was passed on with the sizes of its chunks in its body, or cut to the length that it states.

Cause: net/http ignores the field in HTTP/1.0.

Change: the scanner of heads refuses it there, as RFC 9112 (6.1) asks.

Conclusion: no body is passed on whose end is unknown.

--- a/gateway/endpoint/malformedbody_test.go
+++ b/gateway/endpoint/malformedbody_test.go
@@ -76,3 +76,16 @@
 		"neither":  other + "\r\n" + soundAnswer,
 	})
 }
+
+// TestChunksOfHTTP10 guards against the sizes of chunks that are read as a part of the body: HTTP/1.0 has no chunks, and a
+// response of it that states them has no known end.
+func TestChunksOfHTTP10(t *testing.T) {
+	const head, chunks = "HTTP/1.0 200 OK\r\n" + soundFields, "2\r\nok\r\n0\r\n\r\n"
+	checkBroken(t, "POST", map[string]string{
+		"chunks":               head + "Transfer-Encoding: chunked\r\n\r\n" + chunks,
+		"chunks and a length":  head + "transfer-encoding:chunked\r\nContent-Length: 2\r\n\r\n" + chunks,
+		"an unknown encoding":  head + "TRANSFER-ENCODING: x\r\nContent-Length: 2\r\n\r\nok",
+		"the name at its end":  head + "Transfer-Encoding:",
+		"an interim one first": "HTTP/1.0 103 Early Hints\r\nTransfer-Encoding: chunked\r\n\r\n" + soundAnswer,
+	})
+}
--- a/internal/httpscan/head.go
+++ b/internal/httpscan/head.go
@@ -39,6 +39,8 @@
 	statusLen = 3
 	// switchingProtocols is the status of a response to a request for another protocol, which is never made.
 	switchingProtocols = "101"
+	// encodingName is the name of the field that states chunks. In HTTP/1.0, which has none, it hides where the body ends.
+	encodingName = "transfer-encoding"
 )
 
 // A step is a place in a head.
@@ -63,6 +65,9 @@
 	offset  int  // within the part that step names
 	afterCR bool // the last byte was a carriage return, which only a line feed may follow
 	status  [statusLen]byte
+	minor   byte // digit of the minor version
+	// encoding is the number of bytes of the current name that are those of encodingName, or -1.
+	encoding int
 }
 
 // newTrailer returns a Head that checks the fields of a trailer.
@@ -132,6 +137,7 @@
 		h.step, h.offset = stepStatus, 0
 	}
 	if want == minorVersion {
+		h.minor = c
 		return isDigit(c)
 	}
 	return c == want
@@ -172,7 +178,8 @@
 		h.step = stepValue
 		return !first
 	}
-	h.step = stepName
+	h.step, h.encoding = stepName, 0
+	h.matchEncoding(c)
 	return isToken(c)
 }
 
@@ -181,11 +188,21 @@
 func (h *Head) nextOfName(c byte) bool {
 	if c == ':' {
 		h.step = stepValue
-		return true
+		return h.minor != '0' || h.encoding != len(encodingName)
 	}
+	h.matchEncoding(c)
 	return isToken(c)
 }
 
+// matchEncoding compares the next byte of a name with encodingName, without regard to case.
+func (h *Head) matchEncoding(c byte) {
+	if h.encoding >= 0 && h.encoding < len(encodingName) && c|0x20 == encodingName[h.encoding]|0x20 {
+		h.encoding++
+		return
+	}
+	h.encoding = -1
+}
+
 func (h *Head) nextOfValue(c byte) bool {
 	if c == '\n' {
 		h.step = stepLine
--- a/internal/httpscan/head_test.go
+++ b/internal/httpscan/head_test.go
@@ -21,6 +21,8 @@
 	"HTTP/1.1 200\n\n",
 	"HTTP/1.1  200 OK\r\n\r\n",
 	"HTTP/1.0 200 OK\r\n\r\n",
+	"HTTP/1.0 200 OK\r\nTransfer-Encodings: a\r\nTransfer: b\r\nX-Transfer-Encoding: c\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
 	"HTTP/1.2 200 OK\r\n\r\n",
 	"HTTP/1.1 599 Something\twith \x80\xff in it\r\n\r\n",
 	"HTTP/1.1 404 000\r\n\r\n",
@@ -71,7 +73,8 @@
 		ok + " ": PartName, ok + "\t": PartName, ok + ":": PartName, ok + "\x00": PartName, ok + "\r\r": PartName, ok + "A ": PartName, ok + "A\t": PartName, ok + "A\r": PartName,
 		ok + "A\n": PartName, ok + "A\x7f": PartName, ok + "A\x80": PartName, ok + "A(": PartName, ok + "A@": PartName, ok + "A[": PartName, ok + "A{": PartName, ok + "A: b\r\n\x01": PartName,
 		ok + "A: b\x00": PartValue, ok + "A: \x7f": PartValue, ok + "A: b\ra": PartValue, ok + "A: b\r\n c\x1b": PartValue,
-		"HTTP/1.1 100 Continue\r\nA ": PartName,
+		"HTTP/1.1 100 Continue\r\nA ":           PartName,
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding:": PartName, "HTTP/1.0 200 OK\r\nA: b\r\ntRANSFER-eNCODING:": PartName,
 	} {
 		for _, size := range []int{1, len(text)} {
 			_, err := scanIn(size, text)
