fix: don't await a body that is not passed on

A caller whose request an endpoint refused, or failed on a route that may be repeated, waited until its deadline for the end of that response's body before another endpoint was asked; one that was to get 502 in place of an unproven promise got 504.

Cause: endRefused and forwardBuffered read the body first. Its size was bounded, its time was not.

Change: Response.CloseUnread ends such a response at once. Its body is read in the background for at most 3 s, so that the connection is used again; one that has come with its head is read right away.

TestCloseUnread holds when a connection is idle again and when it is closed.

Conclusion: what a head decides is decided with the head.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -191,7 +191,7 @@
 // endRefused ends an attempt that the endpoint reports not to have run.
 func (x *exchange) endRefused(to *roster.Entry, response *endpoint.Response) (retry.End, error) {
 	x.countSent(false)
-	response.Discard(maxBufferedBody)
+	response.CloseUnread(maxBufferedBody)
 	if response.Status == http.StatusMisdirectedRequest {
 		x.forwarder.roster.MarkMisdirected(to.ID)
 		x.forwarder.quarantine.recordGone(to)
--- a/gateway/endpoint/pool.go
+++ b/gateway/endpoint/pool.go
@@ -38,6 +38,8 @@
 	notRepeatableMaxIdle = 100 * time.Millisecond
 	// maxRestOfRequest is how long an endpoint may take to read the rest of a request after its response.
 	maxRestOfRequest = 3 * time.Second
+	// maxRestOfResponse is how long an endpoint may take to send the rest of a response that is not needed.
+	maxRestOfResponse = 3 * time.Second
 	// maxIdlePerEndpoint is the maximum number of idle connections to one endpoint.
 	maxIdlePerEndpoint = 16
 )
--- a/gateway/endpoint/response.go
+++ b/gateway/endpoint/response.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/ryeford/ryeford"
 )
@@ -21,8 +22,9 @@
 	connection *connection // nil once closed
 	write      *requestWrite
 	body       io.ReadCloser
-	keepAlive  bool // the endpoint leaves the connection open after the response
-	complete   bool // the body was read to its end
+	length     int64 // of the body in bytes, or -1 if it is not known
+	keepAlive  bool  // the endpoint leaves the connection open after the response
+	complete   bool  // the body was read to its end
 	// stop detaches the connection from the request's context. It reports false if that context has already
 	// ended.
 	stop func() bool
@@ -62,6 +64,31 @@
 	_, _ = io.Copy(io.Discard, io.LimitReader(r, limit)) // if it fails, the connection is closed
 }
 
+// CloseUnread closes a response whose body, of at most limit bytes, is not needed. It doesn't wait for the rest of the body,
+// which may come without end: Close is called once that has been read, or after maxRestOfResponse.
+func (r *Response) CloseUnread(limit int64) {
+	if r.connection == nil {
+		return
+	}
+	rest := *r
+	r.connection = nil
+	if rest.length >= 0 && rest.length <= int64(rest.connection.reader.Buffered()) {
+		rest.Discard(limit)
+		rest.Close()
+		return
+	}
+	if stopped := rest.stop(); !stopped {
+		rest.connection.close()
+		return
+	}
+	rest.stop = func() bool { return true }
+	_ = rest.connection.SetReadDeadline(time.Now().Add(maxRestOfResponse)) // fails only on a closed connection
+	go func() {
+		rest.Discard(limit)
+		rest.Close()
+	}()
+}
+
 // Close releases a response's connection. The connection becomes idle once the request was written in full, if the
 // response was read in full, the endpoint leaves the connection open and the request's context has not ended.
 // Otherwise it is closed, upon which the endpoint cancels the request.
--- a/gateway/endpoint/send.go
+++ b/gateway/endpoint/send.go
@@ -157,6 +157,7 @@
 		connection: c,
 		write:      write,
 		body:       head.Body,
+		length:     head.ContentLength,
 		keepAlive:  !head.Close,
 	}, nil
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -68,8 +68,13 @@
 
 func isSuccess(status int) bool { return status >= 200 && status < 300 }
 
-// forwardBuffered reads the complete response and then passes it on.
+// forwardBuffered reads the complete response and then passes it on. It doesn't read one that is not passed on.
 func (r *relay) forwardBuffered(ctx context.Context, response *endpoint.Response, withheld bool) (retry.End, error) {
+	if end := r.unusedEnd(withheld); end != retry.EndAnswered {
+		r.recordFirstResponse()
+		response.CloseUnread(maxBufferedBody)
+		return end, newStatusError(response.Status)
+	}
 	held := r.memory.NewAllocation(func() {
 		r.onCutOff()
 		_ = r.control.SetWriteDeadline(endpoint.ExpiredDeadline)
@@ -84,12 +89,6 @@
 	}
 	r.recordFirstResponse()
 	r.generated = len(body) > 0
-	switch {
-	case r.headerSent.Load(): // a complete response can't continue a stream
-		return retry.EndLost, newStatusError(response.Status)
-	case withheld:
-		return retry.EndFailed, newStatusError(response.Status)
-	}
 	r.writeHeader(response)
 	if !r.headOnly {
 		r.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
@@ -102,6 +101,17 @@
 	return retry.EndAnswered, nil
 }
 
+// unusedEnd returns how an attempt ends whose response is not passed on, or EndAnswered if it is.
+func (r *relay) unusedEnd(withheld bool) retry.End {
+	switch {
+	case r.headerSent.Load(): // a complete response can't continue a stream
+		return retry.EndLost
+	case withheld:
+		return retry.EndFailed
+	}
+	return retry.EndAnswered
+}
+
 // forwardEvents passes a stream on, event by event. An incomplete event is never passed on.
 func (r *relay) forwardEvents(ctx context.Context, response *endpoint.Response) (retry.End, error) {
 	reader := bufio.NewReader(response)
