fix: reject malformed heads of the store, of peers and of engines

A response of the store or of a peer with a blank in the name of a field confirmed the list or was applied; a write that was answered by 000 counted as not applied; in the fleet with agents a service's status 000 reached the caller.

Cause: net/http's client reads such heads as ReadResponse does, and only expected values of the status were looked at.

Conclusion: an answer counts only if its head is one, whoever sends it.

--- a/agentfleet/engine/client.go
+++ b/agentfleet/engine/client.go
@@ -26,6 +26,7 @@
 
 	"github.com/ryeford/ryeford"
 	"github.com/ryeford/ryeford/internal/eventstream"
+	"github.com/ryeford/ryeford/internal/httpscan"
 	"github.com/ryeford/ryeford/retry"
 )
 
@@ -50,11 +51,11 @@
 func New(address netip.AddrPort) *Client {
 	// Completions don't reuse connections: http.Transport automatically retries a
 	// request, but only if a reused connection failed.
-	transport := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
+	transport := httpscan.Transport{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
 	return &Client{
 		base:    "http://" + address.String(),
 		streams: &http.Client{Transport: transport},
-		control: &http.Client{Transport: &http.Transport{DisableCompression: true}},
+		control: &http.Client{Transport: httpscan.Transport{Transport: &http.Transport{DisableCompression: true}}},
 	}
 }
 
--- a/agentfleet/engine/service.go
+++ b/agentfleet/engine/service.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/ryeford/ryeford"
+	"github.com/ryeford/ryeford/internal/httpscan"
 	"github.com/ryeford/ryeford/retry"
 )
 
@@ -27,11 +28,15 @@
 func NewService(address netip.AddrPort) *ServiceClient {
 	return &ServiceClient{
 		base:        "http://" + address.String(),
-		retrying:    &http.Client{Transport: &http.Transport{}, CheckRedirect: noRedirect},
-		nonRetrying: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, CheckRedirect: noRedirect},
+		retrying:    newServiceClient(&http.Transport{}),
+		nonRetrying: newServiceClient(&http.Transport{DisableKeepAlives: true}),
 	}
 }
 
+func newServiceClient(transport *http.Transport) *http.Client {
+	return &http.Client{Transport: httpscan.Transport{Transport: transport}, CheckRedirect: noRedirect}
+}
+
 // Call implements ryeford.Service.
 func (c *ServiceClient) Call(ctx context.Context, call *ryeford.Call) (ryeford.ChunkReader, error) {
 	request, err := http.NewRequestWithContext(ctx, call.Method, c.base+call.Path, bytes.NewReader(call.Body))
--- a/agentfleet/tableservice/client.go
+++ b/agentfleet/tableservice/client.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"github.com/ryeford/ryeford"
+	"github.com/ryeford/ryeford/internal/httpscan"
 	"github.com/ryeford/ryeford/internal/transfer"
 )
 
@@ -55,7 +56,7 @@
 		vm:   vm,
 		// send prevents the transport from retrying a write, which would hide that the
 		// write may have taken effect.
-		http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConns}},
+		http: &http.Client{Transport: httpscan.Transport{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConns}}},
 	}
 }
 
--- a/gateway/endpoint/pool.go
+++ b/gateway/endpoint/pool.go
@@ -102,6 +102,13 @@
 	p.putWritten(c, write)
 }
 
+// awaitRead closes a response once the rest of its body, of at most limit bytes, has been read, or if that takes too long.
+func (p *Pool) awaitRead(response *Response, limit int64) {
+	_ = response.connection.SetReadDeadline(time.Now().Add(maxRestOfResponse)) // fails only on a closed connection
+	response.Discard(limit)
+	response.Close()
+}
+
 // putWritten makes a connection idle after a response, if the request was written in full. Otherwise it closes the
 // connection.
 func (p *Pool) putWritten(c *connection, write *requestWrite) {
--- a/gateway/endpoint/response.go
+++ b/gateway/endpoint/response.go
@@ -3,7 +3,6 @@
 import (
 	"io"
 	"net/http"
-	"time"
 
 	"github.com/ryeford/ryeford"
 )
@@ -82,11 +81,7 @@
 		return
 	}
 	rest.stop = func() bool { return true }
-	_ = rest.connection.SetReadDeadline(time.Now().Add(maxRestOfResponse)) // fails only on a closed connection
-	go func() {
-		rest.Discard(limit)
-		rest.Close()
-	}()
+	go rest.pool.awaitRead(&rest, limit)
 }
 
 // Close releases a response's connection. The connection becomes idle once the request was written in full, if the
--- a/gateway/peerreader.go
+++ b/gateway/peerreader.go
@@ -11,6 +11,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/ryeford/ryeford"
+	"github.com/ryeford/ryeford/internal/httpscan"
 	"github.com/ryeford/ryeford/internal/transfer"
 )
 
@@ -33,9 +34,9 @@
 // connection may be broken without notice.
 func newPeerReader() *peerReader {
 	dialer := net.Dialer{Timeout: peerReadTimeout}
-	return &peerReader{http: &http.Client{Transport: &http.Transport{
+	return &peerReader{http: &http.Client{Transport: httpscan.Transport{Transport: &http.Transport{
 		DialContext: dialer.DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: maxPeerHead,
-	}}}
+	}}}}
 }
 
 // configuration reads the configuration in force at a peer. The error is an *UnavailableError.
--- a/internal/httpscan/head.go
+++ b/internal/httpscan/head.go
@@ -1,5 +1,5 @@
 // Package httpscan checks whether bytes are a response in HTTP/1.1 (RFC 9112). net/http also accepts some that are none,
-// and judges the others only once they are whole. It does no I/O.
+// and judges the others only once they are whole.
 package httpscan
 
 import (
@@ -35,6 +35,8 @@
 	statusLineStart = "HTTP/1.x "
 	// minorVersion stands for a digit in statusLineStart.
 	minorVersion = 'x'
+	// maxStatus is the largest status.
+	maxStatus = 599
 	// statusLen is the number of digits of a status.
 	statusLen = 3
 	// switchingProtocols is the status of a response to a request for another protocol, which is never made.
@@ -235,3 +237,13 @@
 	letter := c|0x20 >= 'a' && c|0x20 <= 'z'
 	return letter || isDigit(c) || strings.IndexByte(tokenMarks, c) >= 0
 }
+
+// isName reports whether a text is the name of a field.
+func isName(text string) bool {
+	for i := range len(text) {
+		if !isToken(text[i]) {
+			return false
+		}
+	}
+	return text != ""
+}
