fix: ask before a stream goes on at the only known version

A router that lacked the new version, for up to bounds.drain, took the old one for the only one.

Cause: what a router lists proves the only version as long as no stream begins elsewhere before all list it; these two cases are exceptions, and docs/design/versions.md had left them open.

A record counts more than a proof. Where a peer is silent, the store has to hold that version alone, by a read that has succeeded; a router that reaches nobody rejects.

TestOnlyVersionSendsNothing counted no datagrams after a take-up; it counts none before and exactly four after one.

Conclusion: which version began a stream is never decided by one router's list alone while somebody else can be asked.

--- a/gateway/streamstore/reading.go
+++ b/gateway/streamstore/reading.go
@@ -16,20 +16,23 @@
 
 	mu      sync.Mutex
 	current chan struct{} // closed at the end of the read under way; nil if there is none
-	ended   time.Time     // of the last read, which may have failed
+	ended   time.Time     // of the last read
+	failed  bool          // the last read has failed
 }
 
 // await waits until a read has ended that is no older than an interval, or until ctx ends. It starts a read if none is
-// under way.
-func (r *reading) await(ctx context.Context, interval time.Duration) {
-	done := r.start(interval)
-	if done == nil {
-		return
-	}
-	select {
-	case <-done:
-	case <-ctx.Done():
+// under way. It reports whether that read has succeeded.
+func (r *reading) await(ctx context.Context, interval time.Duration) bool {
+	if done := r.start(interval); done != nil {
+		select {
+		case <-done:
+		case <-ctx.Done():
+			return false
+		}
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.failed
 }
 
 // start returns a channel that is closed at the end of the read under way, or nil if the last one is recent enough.
@@ -50,9 +53,10 @@
 func (r *reading) run(done chan struct{}) {
 	ctx, cancel := context.WithTimeout(context.Background(), readTimeout) // shared by callers that may leave
 	defer cancel()
-	_ = r.read(ctx) // logs its error
+	err := r.read(ctx) // which logs it
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.failed = err != nil
 	r.current, r.ended = nil, r.now()
 	close(done)
 }
--- a/gateway/streamstore/recorder.go
+++ b/gateway/streamstore/recorder.go
@@ -207,14 +207,14 @@
 }
 
 // Restore returns the version that began a stream, if the store holds a record. It also updates the History with the
-// versions that the store holds. If record is false, it only does that.
+// versions that the store holds. If record is false, it only does that, and reports whether it could.
 func (r *Recorder) Restore(ctx context.Context, key streamversion.Key, record bool) (ryeford.SoftwareVersion, bool) {
 	ctx, cancel := context.WithTimeout(ctx, maxRestoreWait)
 	defer cancel()
 	interval := ReloadInterval(r.Routers(r.Now()))
-	r.versions.await(ctx, interval)
+	read := r.versions.await(ctx, interval)
 	if !record {
-		return "", false
+		return "", read
 	}
 	r.streams.await(ctx, interval)
 	r.mu.Lock()
--- a/gateway/streamversion/lookup.go
+++ b/gateway/streamversion/lookup.go
@@ -29,7 +29,9 @@
 		return Origin{Software: record.Software, Source: SourceRecord, Age: now.Sub(record.kept)}
 	}
 	if only, ok := t.history.Only(now, s.service); ok {
-		return Origin{Software: only, Source: SourceOnly}
+		if origin, decided := s.confirmOnly(ctx, key, resumes != "", only); decided {
+			return origin
+		}
 	}
 	origin := s.lookUp(ctx, key, resumes != "")
 	if !origin.Software.Known() && t.restore != nil {
@@ -38,11 +40,43 @@
 	return origin
 }
 
+// confirmOnly returns the Origin of a stream whose service has run one version only as far as this router knows. Others may
+// know more: a stream begins at a new version before all routers list it if the old one accepts no requests any more, or at a
+// router that has just started. Each peer that would have the record has to reply that it has none, or the platform's store to
+// hold no other version; else nothing is decided. If a peer knows another version as the only one, the Origin is unknown.
+func (s *Stream) confirmOnly(ctx context.Context, key Key, named bool, only ryeford.SoftwareVersion) (origin Origin, decided bool) {
+	t := s.tracker
+	origin = s.ask(ctx, &lookup{tracker: t, key: key, named: named, only: only, done: make(chan struct{})}, lookupPeers)
+	asked := Origin{Source: SourceNone, Asked: origin.Asked, Silent: origin.Silent}
+	switch {
+	case origin.Source == SourcePeer:
+		return origin, true
+	case origin.Source == SourceProof && origin.Software != only:
+		return asked, true
+	case origin.Silent > 0 && !s.storeHoldsOnly(ctx, key, only):
+		return asked, false
+	}
+	asked.Software, asked.Source = only, SourceOnly
+	return asked, true
+}
+
+// storeHoldsOnly reports whether the platform's store, as it is read now, holds a version of the stream's service and no
+// other.
+func (s *Stream) storeHoldsOnly(ctx context.Context, key Key, only ryeford.SoftwareVersion) bool {
+	t := s.tracker
+	if t.restore == nil {
+		return false
+	}
+	_, read := t.restore(ctx, key, false)
+	stored, ok := t.history.OnlyStored(t.now(), s.service)
+	return read && ok && stored == only
+}
+
 // lookUpStored completes an Origin that no peer knows by what the platform's store holds.
 func (s *Stream) lookUpStored(ctx context.Context, key Key, named bool, origin *Origin) {
 	t := s.tracker
-	t.restore(ctx, key, false)
-	if only, ok := t.history.Only(t.now(), s.service); ok {
+	_, read := t.restore(ctx, key, false)
+	if only, ok := t.history.OnlyStored(t.now(), s.service); ok && read {
 		origin.Software, origin.Source = only, SourceStore
 		return
 	}
@@ -59,16 +93,20 @@
 	t.records.put(t.now(), Record{Key: key, Software: software}) // the caller may take the stream up here again
 }
 
-// secondRound is how long a lookup waits for the first peers before it asks further ones.
+// secondRound is how long a lookup waits for the first peers before it goes by a proof, or asks further ones.
 const secondRound = 25 * time.Millisecond
 
 // lookUp asks peers for the record of a stream. named is false if the caller has not named the stream, so that only
 // a proof can tell its version.
 func (s *Stream) lookUp(ctx context.Context, key Key, named bool) Origin {
-	t := s.tracker
-	l := &lookup{tracker: t, key: key, named: named, done: make(chan struct{})}
+	return s.ask(ctx, &lookup{tracker: s.tracker, key: key, named: named, done: make(chan struct{})}, maxLookupPeers)
+}
+
+// ask asks at most n peers, and keeps what they know.
+func (s *Stream) ask(ctx context.Context, l *lookup, n int) Origin {
+	t, key := s.tracker, l.key
 	t.mu.Lock()
-	l.unasked = t.ranked(t.now(), key.Request, maxLookupPeers)
+	l.unasked = t.ranked(t.now(), key.Request, n)
 	l.askNext()
 	t.mu.Unlock()
 	l.wait(ctx)
@@ -92,6 +130,8 @@
 	tracker *Tracker
 	key     Key
 	named   bool
+	// only is the version that this router knows as the only one, or unknown.
+	only    ryeford.SoftwareVersion
 	unasked []netip.AddrPort
 	calls   []*call
 	found   *reply // that has the record, or nil
@@ -111,7 +151,7 @@
 			return
 		case <-next.C:
 			l.tracker.mu.Lock()
-			l.askNext()
+			l.endRound()
 			l.tracker.mu.Unlock()
 		case <-timer.C:
 			return
@@ -139,7 +179,17 @@
 	l.calls = append(l.calls, l.tracker.startCall(message, peers, l.evaluate))
 }
 
-// evaluate looks for an answer among the replies, and asks further peers if all have replied without one.
+// endRound ends the lookup if a version is known as the only one, and asks further peers otherwise.
+func (l *lookup) endRound() {
+	if l.only.Known() || l.proof != nil {
+		l.end()
+		return
+	}
+	l.askNext()
+}
+
+// evaluate looks for an answer among the replies, and ends the round if all have replied. A record counts more than a proof,
+// whose peer may lack a version that others know.
 func (l *lookup) evaluate() {
 	for _, c := range l.calls {
 		for i := range c.replies {
@@ -147,16 +197,16 @@
 			if r.Found && l.named && r.Record.Key == l.key {
 				l.found = r
 			}
-			if r.Only.Known() {
+			if r.Only.Known() && (l.proof == nil || r.Only != l.only) {
 				l.proof = r
 			}
 		}
 	}
 	switch {
-	case l.found != nil || l.proof != nil:
+	case l.found != nil:
 		l.end()
 	case l.silent() == 0:
-		l.askNext()
+		l.endRound()
 	}
 }
 
--- a/gateway/streamversion/tracker.go
+++ b/gateway/streamversion/tracker.go
@@ -54,7 +54,7 @@
 	// Tracker. It may be nil.
 	OnBegun func(begun Begun)
 	// Restore asks the platform's store for a record, after no peer knew it, and updates the History with what the store
-	// holds. If record is false, only the History is updated. It may be nil.
+	// holds. If record is false, it only does that, and reports whether it could. It may be nil.
 	Restore func(ctx context.Context, key Key, record bool) (ryeford.SoftwareVersion, bool)
 }
 
--- a/gateway/streamversion/tracker_test.go
+++ b/gateway/streamversion/tracker_test.go
@@ -175,8 +175,10 @@
 		s := begin(t, trackers[0], "r", "s", "v1")
 		ended := begin(t, trackers[0], "q", "s", "v1")
 		ended.End()
-		assert.Equal(t, resume(trackers[1], "unknown", "s", "account").Source, SourceOnly)
 		assert.Equal(t, l.sends(), 0)
+		assert.Equal(t, resume(trackers[1], "unknown", "s", "account").Source, SourceOnly)
+		synctest.Wait()
+		assert.Equal(t, l.sends(), 4, "each of two peers is asked once, and replies")
 		assert.Equal(t, trackers[0].Len(), 0)
 		time.Sleep(time.Second)
 		for _, tracker := range trackers {
