--- a/internal/soak/answeringserver_test.go
+++ b/internal/soak/answeringserver_test.go
@@ -59,6 +59,7 @@
 type answeringServer struct {
 	id   string
 	seed uint64
+	ways []way
 	log  *runLog
 
 	address  string
@@ -165,13 +166,13 @@
 func (s *answeringServer) draw(id string) *way {
 	h := fnv.New64a()
 	_, _ = fmt.Fprint(h, s.seed, s.id, id)
-	n := int(h.Sum64() % uint64(totalWeight()))
-	for i := range ways {
-		if n -= ways[i].weight; n < 0 {
-			return &ways[i]
+	n := int(h.Sum64() % uint64(totalWeight(s.ways)))
+	for i := range s.ways {
+		if n -= s.ways[i].weight; n < 0 {
+			return &s.ways[i]
 		}
 	}
-	return &ways[0]
+	return &s.ways[0]
 }
 
 // An answering is one answer that is being written.
--- a/internal/soak/answers_test.go
+++ b/internal/soak/answers_test.go
@@ -66,13 +66,13 @@
 // TestSoakAnswers guards against answers that are truncated, foreign, doubled or of two versions, requests that run
 // twice, and gateways that end, with servers that answer in every way, crash, leave and start again as another
 // version, while gateways are killed and stopped and the store is away.
-func TestSoakAnswers(t *testing.T) { runAnswers(t, keptAnswerSeeds, false) }
+func TestSoakAnswers(t *testing.T) { runAnswers(t, keptAnswerSeeds, ways, false) }
 
 // TestSoakRestarts guards against the same where servers are back under their IDs before a gateway has noticed that they
 // were gone, and gateways start while the entries of servers are out of date.
-func TestSoakRestarts(t *testing.T) { runAnswers(t, keptRestartSeeds, true) }
+func TestSoakRestarts(t *testing.T) { runAnswers(t, keptRestartSeeds, ways, true) }
 
-func runAnswers(t *testing.T, kept []keptSeed, restarts bool) {
+func runAnswers(t *testing.T, kept []keptSeed, ways []way, restarts bool) {
 	if testing.Short() {
 		t.Skip("each run takes about twenty seconds")
 	}
@@ -82,7 +82,7 @@
 			t.Parallel()
 			running <- struct{}{}
 			defer func() { <-running }()
-			soakAnswers(t, seed, restarts)
+			soakAnswers(t, seed, ways, restarts)
 		})
 	}
 }
@@ -93,6 +93,7 @@
 	rows    *rowstore.Store
 	log     runLog
 	servers map[string]*answeringServer
+	ways    []way // in which they answer
 	// restarts lets servers come back at once, and gateways be disturbed at any time.
 	restarts bool
 
@@ -105,13 +106,14 @@
 	resident    int // the greatest, in megabytes
 }
 
-func newAnswersFleet(t *testing.T, seed uint64, restarts bool) *answersFleet {
+func newAnswersFleet(t *testing.T, seed uint64, ways []way, restarts bool) *answersFleet {
 	t.Helper()
 	a := &answersFleet{
 		fleet:   &fleet{t: t, dir: t.TempDir(), bounds: basicPlan.bounds, stop: make(chan struct{})},
 		rows:    rowstore.New(),
 		servers: make(map[string]*answeringServer),
 
+		ways:     ways,
 		restarts: restarts,
 	}
 	t.Cleanup(a.close)
@@ -122,7 +124,7 @@
 	t.Cleanup(func() { _ = server.Close() })
 	a.rows.Put("op", "config", fmt.Appendf(nil, answerConfiguration, host))
 	for i := range answerServers {
-		s := &answeringServer{id: fmt.Sprintf("s%d", i), seed: seed, log: &a.log}
+		s := &answeringServer{id: fmt.Sprintf("s%d", i), seed: seed, ways: ways, log: &a.log}
 		assert.NilError(t, s.listen(answerVersions[i%len(answerVersions)]))
 		a.servers[s.id] = s
 		a.writeEntry(s, stateReady)
@@ -156,8 +158,8 @@
 }
 
 // soakAnswers plays one run.
-func soakAnswers(t *testing.T, seed uint64, restarts bool) {
-	a := newAnswersFleet(t, seed, restarts)
+func soakAnswers(t *testing.T, seed uint64, ways []way, restarts bool) {
+	a := newAnswersFleet(t, seed, ways, restarts)
 	time.Sleep(a.bounds.contact)
 	r := &answerRun{fleet: a.fleet}
 	until := time.Now().Add(answerTime)
@@ -188,7 +190,7 @@
 		played[run.way] = true
 	}
 	faulty := c.check()
-	t.Logf("%d calls, %d runs in %d of %d ways, at most %d MB, %d faults", len(r.calls), len(a.log.runs), len(played), len(ways), a.resident, len(a.faults))
+	t.Logf("%d calls, %d runs in %d of %d ways, at most %d MB, %d faults", len(r.calls), len(a.log.runs), len(played), len(a.ways), a.resident, len(a.faults))
 	for _, text := range faulty[:min(len(faulty), 10)] {
 		t.Error(text)
 	}
--- a/internal/soak/answerways_test.go
+++ b/internal/soak/answerways_test.go
@@ -96,7 +96,7 @@
 	{"an event without end", 1, true, func(a *answering) error { return errors.Join(a.begin(), a.flood(a.head(a.id)+"data: ", "z")) }},
 }
 
-func totalWeight() int {
+func totalWeight(ways []way) int {
 	total := 0
 	for i := range ways {
 		total += ways[i].weight
