fix: don't trust one router's list for a stream without a name

A stream that its caller doesn't name has no record that could be found, so that replies without one say nothing: a router that lacked a new version still continued such a stream at the old one.

Cause: the replies' own proofs weren't looked at.

Change: for such a stream each reply has to prove the version, or the store to hold it alone.

Evidence: TestUnnamedTakeUpOutOfStep failed before, and holds since. TestUnnamedTakeUpAfterStart fails: a router that has just started may begin streams at a new version while all others still prove the old one.

Conclusion: what is left concerns callers that don't name their streams, and routers in their first seconds.

--- a/gateway/streamversion/lookup.go
+++ b/gateway/streamversion/lookup.go
@@ -42,18 +42,21 @@
 
 // confirmOnly returns the Origin of a stream whose service has run one version only as far as this router knows. Others may
 // know more: a stream begins at a new version before all routers list it if the old one accepts no requests any more, or at a
-// router that has just started. Each peer that would have the record has to reply that it has none, or the platform's store to
-// hold no other version; else nothing is decided. If a peer knows another version as the only one, the Origin is unknown.
+// router that has just started. Each peer that would have the record has to reply that it has none, or, if the caller has not
+// named the stream, that it knows no other version either; or the platform's store has to hold no other version. Else nothing is
+// decided. If a peer knows another version as the only one, the Origin is unknown.
 func (s *Stream) confirmOnly(ctx context.Context, key Key, named bool, only ryeford.SoftwareVersion) (origin Origin, decided bool) {
 	t := s.tracker
-	origin = s.ask(ctx, &lookup{tracker: t, key: key, named: named, only: only, done: make(chan struct{})}, lookupPeers)
+	l := &lookup{tracker: t, key: key, named: named, only: only, done: make(chan struct{})}
+	origin = s.ask(ctx, l, lookupPeers)
+	certain := origin.Silent == 0 && (named || l.allProve())
 	asked := Origin{Source: SourceNone, Asked: origin.Asked, Silent: origin.Silent}
 	switch {
 	case origin.Source == SourcePeer:
 		return origin, true
 	case origin.Source == SourceProof && origin.Software != only:
 		return asked, true
-	case origin.Silent > 0 && !s.storeHoldsOnly(ctx, key, only):
+	case !certain && !s.storeHoldsOnly(ctx, key, only):
 		return asked, false
 	}
 	asked.Software, asked.Source = only, SourceOnly
@@ -210,6 +213,18 @@
 	}
 }
 
+// allProve reports whether each reply proves the version that this router knows as the only one.
+func (l *lookup) allProve() bool {
+	for _, c := range l.calls {
+		for i := range c.replies {
+			if c.replies[i].Only != l.only {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 func (l *lookup) end() {
 	if !l.ended {
 		l.ended = true
--- a/gateway/streamversion/outofstep_test.go
+++ b/gateway/streamversion/outofstep_test.go
@@ -23,8 +23,8 @@
 
 // takenUpOutOfStep returns the origin of a stream that began at v2 at router 0, right after v2 was listed there, and is taken
 // up at the last router, whose list is a second old. replaced means that v1 accepts no requests any more; otherwise router 0
-// has just started, so that it doesn't know which version is older.
-func takenUpOutOfStep(t *testing.T, replaced, cutOff bool) Origin {
+// has just started, so that it doesn't know which version is older. resumes is how the caller names the stream.
+func takenUpOutOfStep(t *testing.T, replaced, cutOff bool, resumes string) Origin {
 	t.Helper()
 	l, trackers := newLinkedTrackers(Replicas+3, "v1") // the last one keeps no record
 	late := trackers[len(trackers)-1]
@@ -53,7 +53,7 @@
 	if cutOff {
 		l.setCut(late.self)
 	}
-	return resume(late, "r", "s", "account")
+	return resume(late, resumes, "s", "account")
 }
 
 // TestTakeUpOutOfStep checks that a router which lacks the version that began a stream asks those that know it, and that one
@@ -62,16 +62,35 @@
 	for name, replaced := range map[string]bool{"the old version accepts nothing": true, "at a router that has just started": false} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				assert.Equal(t, takenUpOutOfStep(t, replaced, false).Software, ryeford.SoftwareVersion("v2"))
-			})
-			synctest.Test(t, func(t *testing.T) {
-				origin := takenUpOutOfStep(t, replaced, true)
-				assert.Assert(t, !origin.Software.Known(), "%+v", origin)
+				assert.Equal(t, takenUpOutOfStep(t, replaced, false, "r").Software, ryeford.SoftwareVersion("v2"))
 			})
+			for _, resumes := range []string{"r", ""} {
+				synctest.Test(t, func(t *testing.T) {
+					origin := takenUpOutOfStep(t, replaced, true, resumes)
+					assert.Assert(t, !origin.Software.Known(), "named %q: %+v", resumes, origin)
+				})
+			}
 		})
 	}
 }
 
+// TestUnnamedTakeUpOutOfStep checks that a stream that its caller doesn't name is rejected, since no record can be found: the
+// peers that list both versions don't prove the old one as long as streams begin at the new one.
+func TestUnnamedTakeUpOutOfStep(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		origin := takenUpOutOfStep(t, true, false, "")
+		assert.Assert(t, !origin.Software.Known(), "%+v", origin)
+	})
+}
+
+// TestUnnamedTakeUpAfterStart checks the same for a stream that began at a router that has just started.
+func TestUnnamedTakeUpAfterStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		origin := takenUpOutOfStep(t, false, false, "")
+		assert.Assert(t, !origin.Software.Known(), "%+v", origin)
+	})
+}
+
 // TestTakeUpInOrdinaryRelease checks the same while the old version accepts requests: no stream begins at the new one as long
 // as a router may lack it.
 func TestTakeUpInOrdinaryRelease(t *testing.T) {
@@ -101,7 +120,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		l, trackers := newLinkedTrackers(4, "v1")
 		began := time.Now()
-		assert.Equal(t, resume(trackers[3], "r", "s", "account"), Origin{Software: "v1", Source: SourceOnly, Asked: 3})
+		for _, resumes := range []string{"r", ""} {
+			assert.Equal(t, resume(trackers[3], resumes, "s", "account"), Origin{Software: "v1", Source: SourceOnly, Asked: 3})
+		}
 		assert.Equal(t, time.Since(began), time.Duration(0))
 		l.setCut(trackers[0].self)
 		trackers[3].restore = func(context.Context, Key, bool) (ryeford.SoftwareVersion, bool) {
