fix: status 101 is no answer to the clients of engines and the store either

A service of the fleet with agents that answers 101 had that passed on as its status.

Cause: net/http's client returns 101 as final, and CheckHead accepted it, unlike the scanner of endpoints' heads.

Change: CheckHead refuses it, as no request asks for another protocol.

Conclusion: one rule for status and names, wherever answers are read.

--- a/internal/httpscan/transport.go
+++ b/internal/httpscan/transport.go
@@ -15,9 +15,9 @@
 
 func (e *HeadError) Error() string { return fmt.Sprintf("malformed response: %s %q", e.Part, e.Text) }
 
-// CheckHead returns a *HeadError if the status or the name of a field in a head that net/http has read is none.
+// CheckHead returns a *HeadError if the status or the name of a field in a head that net/http has read is none, as Head does.
 func CheckHead(status int, header map[string][]string) error {
-	if status < http.StatusContinue || status > maxStatus {
+	if status < http.StatusContinue || status > maxStatus || status == http.StatusSwitchingProtocols {
 		return &HeadError{Part: PartStatus, Text: fmt.Sprint(status)}
 	}
 	for name := range header {
--- a/standin/rawresponse/server.go
+++ b/standin/rawresponse/server.go
@@ -9,14 +9,15 @@
 	"net/netip"
 )
 
-// MalformedHeads are responses with status 200 and a body that net/http reads, and status 000. Each has a head that is none
-// in HTTP/1.1, or comes after one.
+// MalformedHeads returns responses that net/http reads though their heads, or those of interim responses before them, are
+// none in HTTP/1.1, or don't answer a request that asks for no other protocol.
 func MalformedHeads(body string) map[string]string {
 	const length = "Content-Length: "
 	sound := "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + body
 	return map[string]string{
 		"status 000":                           "HTTP/1.1 000 OK\r\nConnection: close\r\n\r\n" + body,
 		"status 000 with a blank":              "HTTP/1.1 000 \r\n" + length + "0\r\n\r\n",
+		"status 101":                           "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n" + body,
 		"status 600":                           "HTTP/1.1 600 OK\r\nConnection: close\r\n\r\n" + body,
 		"a blank in a name":                    "HTTP/1.1 200 OK\r\nTwo Words: x\r\nConnection: close\r\n\r\n" + body,
 		"a blank after a name":                 "HTTP/1.1 200 OK\r\n" + length[:len(length)-2] + " : 1\r\nConnection: close\r\n\r\n" + body,
