test: wait for each stream in the store before the loss of all routers

Cause: the test waited for as many rows as gateways. A gateway writes its streams in several steps; the second write of one came after the test had cut the store off (streams_written segment=0 streams=12 err=...), and all four lost streams had begun there. TestTakeUpWithoutStore waited in the same way.

Change: both wait for the records of their own streams, which is stricter.

--- a/gateway/streamrestore_test.go
+++ b/gateway/streamrestore_test.go
@@ -1,13 +1,20 @@
 package gateway_test
 
 import (
+	"maps"
 	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/ryeford/ryeford"
+	"github.com/ryeford/ryeford/gateway/streamversion"
+	"github.com/ryeford/ryeford/platform"
 	"github.com/ryeford/ryeford/settings"
 	"github.com/ryeford/ryeford/standin/rowstore"
 )
@@ -26,19 +33,36 @@
 	return f
 }
 
-// awaitRecorded waits until what the gateways have begun is in the store.
-func awaitRecorded(t *testing.T, store *rowstore.Store, table string, rows int) {
+// awaitVersion waits until a software version is in the store.
+func awaitVersion(t *testing.T, store *rowstore.Store) {
 	t.Helper()
-	for deadline := time.Now().Add(conditionTimeout); store.Rows(table) < rows; time.Sleep(10 * time.Millisecond) {
-		assert.Assert(t, time.Now().Before(deadline), "%d rows in table %s", store.Rows(table), table)
+	for deadline := time.Now().Add(conditionTimeout); store.Rows(tableVersions) == 0; time.Sleep(10 * time.Millisecond) {
+		assert.Assert(t, time.Now().Before(deadline), "no row in table %s", tableVersions)
 	}
 }
 
-// The tables in which gateways keep software versions and streams.
-const (
-	tableVersions = "ryeford-versions"
-	tableStreams  = "ryeford-streams"
-)
+// awaitStreamRecords waits until each of some streams is in the store. A gateway writes its streams in several steps.
+func awaitStreamRecords(t *testing.T, store *rowstore.Store, ids ...string) {
+	t.Helper()
+	server := httptest.NewServer(store)
+	defer server.Close()
+	source := platform.NewStore(netip.MustParseAddrPort(server.Listener.Addr().String()), conditionTimeout)
+	for deadline := time.Now().Add(conditionTimeout); ; time.Sleep(10 * time.Millisecond) {
+		stored, err := source.BegunStreams(t.Context())
+		assert.NilError(t, err)
+		missing := slices.DeleteFunc(slices.Clone(ids), func(id string) bool {
+			key := streamversion.NewKey(ryeford.RequestID(id), "model", "bank")
+			return slices.ContainsFunc(stored, func(b ryeford.BegunStream) bool { return b.Request == key.Request && b.Owner == key.Owner })
+		})
+		if len(missing) == 0 {
+			return
+		}
+		assert.Assert(t, time.Now().Before(deadline), "%v are not in the store", missing)
+	}
+}
+
+// tableVersions is the table in which gateways keep software versions.
+const tableVersions = "ryeford-versions"
 
 // TestStreamsAfterLossOfAllRouters checks that streams of two versions go on at their own version after all routers were
 // lost.
@@ -49,7 +73,7 @@
 		id := "stream-" + strconv.Itoa(i)
 		streams[id] = gateways[i%len(gateways)].breakOff(id)
 	}
-	awaitRecorded(t, gateways[0].store, tableStreams, len(gateways))
+	awaitStreamRecords(t, gateways[0].store, slices.Collect(maps.Keys(streams))...)
 	for _, f := range gateways {
 		f.storeCutOff.Store(true) // nothing is recorded after the loss
 	}
@@ -69,7 +93,7 @@
 // run one version, whether the caller names the request that began the stream or not.
 func TestStreamsOfOnlyVersionAfterLossOfAllRouters(t *testing.T) {
 	gateways := versionedPeers(t, 2, "v1")
-	awaitRecorded(t, gateways[0].store, tableVersions, 1)
+	awaitVersion(t, gateways[0].store)
 	stream := gateways[0].breakOff("stream")
 	for _, f := range gateways {
 		f.storeCutOff.Store(true)
@@ -86,7 +110,7 @@
 // listed, and that a version that the store doesn't hold begins no stream while another one does.
 func TestOtherVersionAfterLossOfAllRouters(t *testing.T) {
 	gateways := versionedPeers(t, 2, "v1")
-	awaitRecorded(t, gateways[0].store, tableVersions, 1)
+	awaitVersion(t, gateways[0].store)
 	stream := gateways[0].breakOff("stream")
 	for _, f := range gateways {
 		f.storeCutOff.Store(true)
@@ -104,7 +128,7 @@
 func TestTakeUpWithoutStore(t *testing.T) {
 	gateways := versionedPeers(t, 1, "v1", "v2")
 	stream := gateways[0].breakOff("stream")
-	awaitRecorded(t, gateways[0].store, tableStreams, 1)
+	awaitStreamRecords(t, gateways[0].store, "stream")
 	gateways[0].storeCutOff.Store(true)
 	restarted := startAfterLoss(t, gateways[0])
 	restarted.storeCutOff.Store(true)
